Link processes of either role and route messages by type

Cause: entries need links to each other for request keys, billing copies and state at a cold start; only links to sidecars existed. Change: LinkTable for both roles, Ask/Reply over it, Hub that routes what a listener gets to the parts, one VM list reader a process. Conclusion: parts now register with the hub and don't touch the daemons.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -10,6 +10,7 @@
 # Each module has `add_arguments(parser)` and `run(args) -> int`.
 COMMANDS: dict[str, str] = {
     "engine": "lab.engine",
+    "experiment": "lab.experiment",
     "log": "lab.log",
     "vms": "lab.vms",
     "weights": "lab.weights",
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -228,7 +228,7 @@
         result.attempts += 1
         attempt = Attempt((request.request_id, result.attempts), vm)
         self._attempts[attempt.key] = attempt
-        self._upstreams.upstreams[vm].open_requests += 1
+        self._upstreams.links[vm].in_use += 1
         self._upstreams.send(vm, self._make_dispatch(request, attempt))
         return attempt
 
@@ -246,9 +246,9 @@
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
         del self._attempts[attempt.key]
-        upstream = self._upstreams.upstreams.get(attempt.vm)
-        if upstream is not None:
-            upstream.open_requests -= 1
+        link = self._upstreams.links.get(attempt.vm)
+        if link is not None:
+            link.in_use -= 1
         if result.finished is None:
             self._upstreams.send(attempt.vm, Cancel(*attempt.key))
 
@@ -273,10 +273,10 @@
         now_s = time.monotonic()
         if now_s > request.deadline_at_s:
             raise DeadlineExceededError("The deadline has passed.", run)
-        upstream = self._upstreams.upstreams.get(attempt.vm)
-        heard_s = upstream.heard_s if upstream else 0.0
+        link = self._upstreams.links.get(attempt.vm)
+        heard_s = link.heard_s if link else 0.0
         latest_s = max(heard_s, attempt.last_event_s)
-        if upstream is None or now_s - latest_s > LOST_AFTER_S:
+        if link is None or now_s - latest_s > LOST_AFTER_S:
             raise UpstreamLostError("The upstream was lost.", run)
 
     def _on_message(self, vm: VmId, message: Message) -> None:
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -12,9 +12,11 @@
 from lovagestage.callers import CallerApi
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
-from lovagestage.messages import DumpAnswer, DumpRequest, Message
+from lovagestage.hub import Hub
+from lovagestage.links import LinkTable
+from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
-from lovagestage.transport import Listener, PeerId
+from lovagestage.transport import PeerId
 from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -31,7 +33,10 @@
         role: The part for this role.
         control: Configuration in force.
         upstreams: Connections to sidecars.
+        peers: Connections to the other entries.
         dispatcher: Runs requests.
+        own: Name and incarnation of this process.
+        hub: Hands over what arrives at the listener.
     """
 
     def __init__(
@@ -40,22 +45,25 @@
         role: EntrySettings,
         control: ControlReader,
         upstreams: UpstreamTable,
+        peers: LinkTable,
         dispatcher: Dispatcher,
+        own: Hello,
+        hub: Hub,
     ) -> None:
         super().__init__()
         self._settings = settings
         self._role = role
         self._control = control
         self._upstreams = upstreams
+        self._peers = peers
         self._dispatcher = dispatcher
+        self._own = own
+        self._hub = hub
         self._api = CallerApi(role, control, dispatcher, upstreams)
         self._runner = web.AppRunner(self._api.make_app(), access_log=None)
         self._site: web.TCPSite | None = None
-        self._listener: Listener | None = None
-
-    def set_listener(self, listener: Listener) -> None:
-        """Gives the service its listener; called once, before the start."""
-        self._listener = listener
+        hub.register(Hello, self._on_hello)
+        hub.register(DumpRequest, self._on_dump_request)
 
     async def on_start(self) -> None:
         """Opens the callers' port."""
@@ -82,10 +90,13 @@
         except TimeoutError:
             _log.warning("drain_timeout")
 
-    def on_message(self, peer: PeerId, message: Message) -> None:
-        """Handles a message from an operator."""
-        if isinstance(message, DumpRequest) and self._listener is not None:
-            self._listener.send(peer, DumpAnswer(self._make_dump()))
+    def _on_hello(self, peer: PeerId, message: Message) -> None:
+        del message
+        self._hub.send(peer, self._own)
+
+    def _on_dump_request(self, peer: PeerId, message: Message) -> None:
+        del message
+        self._hub.send(peer, DumpAnswer(self._make_dump()))
 
     def _make_dump(self) -> bytes:
         return msgspec.json.encode(
@@ -96,6 +107,7 @@
                 "leaving": self._api.leaving,
                 "open_requests": self._api.open_requests,
                 "upstreams": self._upstreams.get_dump(),
+                "peers": self._peers.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
                 "control": self._control.get_dump(),
             }
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -172,9 +172,28 @@
     state: bytes
 
 
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
+    """A question; its answer comes in a `Reply` with the same call id.
+
+    Attributes:
+        call_id: Chosen by the asker.
+        payload: An encoded message.
+    """
+
+    call_id: int
+    payload: bytes
+
+
+class Reply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
+    """The answer to an `Ask`."""
+
+    call_id: int
+    payload: bytes
+
+
 EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest
 SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
-Message = EntryMessage | SidecarMessage
+Message = EntryMessage | SidecarMessage | Ask | Reply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -19,6 +19,7 @@
 from lovagestage.adapters import Engine
 from lovagestage.events import Usage, make_plain_answer, parse_block
 from lovagestage.exceptions import EngineError
+from lovagestage.hub import Hub
 from lovagestage.messages import (
     Accepted,
     Attach,
@@ -29,7 +30,7 @@
     Message,
     Refused,
 )
-from lovagestage.transport import Listener, PeerId
+from lovagestage.transport import PeerId
 from lovagestage.types import RequestId, RunState
 
 _log = logging.getLogger(__name__)
@@ -67,7 +68,7 @@
 
     Args:
         engine: The upstream.
-        listener: Where answers go.
+        hub: Where answers go.
         replay_window_s: How long an ended run is kept.
         replay_limit_bytes: Most bytes of ended runs that are kept.
     """
@@ -75,7 +76,7 @@
     def __init__(
         self,
         engine: Engine,
-        listener: Listener,
+        hub: Hub,
         replay_window_s: float,
         replay_limit_bytes: int,
     ) -> None:
@@ -83,7 +84,7 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self._engine = engine
-        self._listener = listener
+        self._hub = hub
         self._window_s = replay_window_s
         self._limit_bytes = replay_limit_bytes
         self._runs: dict[RunKey, Run] = {}
@@ -108,7 +109,7 @@
         key = (message.request_id, message.attempt)
         run = self._runs.get(key)
         if run is None:
-            self._listener.send(
+            self._hub.send(
                 peer,
                 Refused(
                     *key,
@@ -269,7 +270,7 @@
     def _send(self, run: Run, message: Message) -> None:
         # A send that fails is not an error: the entry notices the gap or the
         # silence and attaches again from the last chunk that it has.
-        self._listener.send(run.peer, message)
+        self._hub.send(run.peer, message)
 
 
 class _StreamOptions(msgspec.Struct):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -14,6 +14,7 @@
 from lovagestage.control import ControlReader
 from lovagestage.document import get_allowed_versions
 from lovagestage.exceptions import EngineError
+from lovagestage.hub import Hub
 from lovagestage.messages import (
     Attach,
     Cancel,
@@ -28,7 +29,7 @@
 from lovagestage.runs import RunTable
 from lovagestage.settings import Settings, SidecarSettings
 from lovagestage.timers import TimerService
-from lovagestage.transport import Listener, PeerId
+from lovagestage.transport import PeerId
 from lovagestage.types import RunState, ServiceId, parse_model_version
 
 _log = logging.getLogger(__name__)
@@ -48,6 +49,7 @@
         engine: The upstream.
         runs: Runs at the upstream.
         timers: Timer service.
+        hub: Hands over what arrives at the listener.
     """
 
     def __init__(
@@ -56,7 +58,9 @@
         role: SidecarSettings,
         control: ControlReader,
         engine: Engine,
+        runs: RunTable,
         timers: TimerService,
+        hub: Hub,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -71,24 +75,13 @@
         self._versions: list[str] = []
         self._peers: dict[PeerId, float] = {}
         self._work: set[asyncio.Task[None]] = set()
-        self._listener: Listener | None = None
-        self._runs: RunTable | None = None
-
-    @property
-    def runs(self) -> RunTable:
-        """Runs at the upstream, once the listener is attached."""
-        assert self._runs is not None
-        return self._runs
-
-    def set_listener(self, listener: Listener) -> None:
-        """Gives the service its listener; called once, before the start."""
-        self._listener = listener
-        self._runs = RunTable(
-            self._engine,
-            listener,
-            self._role.replay_window_s,
-            self._role.replay_limit_bytes,
-        )
+        self._hub = hub
+        self._runs = runs
+        hub.register(Hello, self._on_hello)
+        hub.register(Dispatch, self._on_dispatch)
+        hub.register(Attach, self._on_attach)
+        hub.register(Cancel, self._on_cancel)
+        hub.register(DumpRequest, self._on_dump_request)
 
     async def on_start(self) -> None:
         """Subscribes to the timers."""
@@ -100,41 +93,40 @@
         """Takes no new work and waits for what runs: a planned stop."""
         self._leaving = True
         self._send_heartbeats()
-        _log.info("drain_started", extra={"running": self.runs.running})
+        _log.info("drain_started", extra={"running": self._runs.running})
         try:
             await asyncio.wait_for(
-                self.runs.idle.wait(), self._role.drain_timeout_s
+                self._runs.idle.wait(), self._role.drain_timeout_s
             )
         except TimeoutError:
-            _log.warning("drain_timeout", extra={"running": self.runs.running})
+            _log.warning("drain_timeout", extra={"running": self._runs.running})
 
-    def on_message(self, peer: PeerId, message: Message) -> None:
-        """Handles a message from an entry or an operator."""
+    def _on_hello(self, peer: PeerId, message: Message) -> None:
+        del message
         self._peers[peer] = time.monotonic()
-        match message:
-            case Hello():
-                self._send(peer, self._make_heartbeat())
-            case Dispatch():
-                self._on_dispatch(peer, message)
-            case Attach():
-                self.runs.attach(peer, message)
-            case Cancel():
-                self._start_task(self.runs.cancel(message))
-            case DumpRequest():
-                self._send(peer, DumpAnswer(self._make_dump()))
-            case _:
-                _log.warning(
-                    "unexpected_message",
-                    extra={"kind": type(message).__name__},
-                )
-
-    def _on_dispatch(self, peer: PeerId, dispatch: Dispatch) -> None:
+        self._hub.send(peer, self._make_heartbeat())
+
+    def _on_attach(self, peer: PeerId, message: Message) -> None:
+        assert isinstance(message, Attach)
+        self._runs.attach(peer, message)
+
+    def _on_cancel(self, peer: PeerId, message: Message) -> None:
+        del peer
+        assert isinstance(message, Cancel)
+        self._start_task(self._runs.cancel(message))
+
+    def _on_dump_request(self, peer: PeerId, message: Message) -> None:
+        del message
+        self._hub.send(peer, DumpAnswer(self._make_dump()))
+
+    def _on_dispatch(self, peer: PeerId, dispatch: Message) -> None:
+        assert isinstance(dispatch, Dispatch)
         reason = self._get_refusal(dispatch)
         if reason is None:
-            self.runs.start(peer, dispatch)
+            self._runs.start(peer, dispatch)
             return
         code, text = reason
-        self._send(
+        self._hub.send(
             peer,
             Refused(
                 dispatch.request_id,
@@ -149,7 +141,7 @@
     def _get_refusal(self, dispatch: Dispatch) -> tuple[str, str] | None:
         if self._leaving:
             return "no_capacity", "The upstream is leaving."
-        if self.runs.running >= self._role.max_running:
+        if self._runs.running >= self._role.max_running:
             return "no_capacity", "The upstream is full."
         service = self._control.folded.services.get(ServiceId(dispatch.service))
         if service is None:
@@ -172,7 +164,7 @@
         self._send_heartbeats()
 
     def _on_expiry(self) -> None:
-        self.runs.remove_expired()
+        self._runs.remove_expired()
 
     async def _refresh_load(self) -> None:
         try:
@@ -186,7 +178,7 @@
         horizon_s = time.monotonic() - PEER_TIMEOUT_S
         heartbeat = self._make_heartbeat()
         for peer, seen_s in list(self._peers.items()):
-            if seen_s < horizon_s or not self._send(peer, heartbeat):
+            if seen_s < horizon_s or not self._hub.send(peer, heartbeat):
                 del self._peers[peer]
 
     def _make_heartbeat(self) -> Heartbeat:
@@ -198,7 +190,7 @@
             self._sequence,
             self._leaving,
             self._versions,
-            self.runs.running,
+            self._runs.running,
             self._load.waiting,
             self._role.max_running,
             self._load.token_interval_ms,
@@ -213,16 +205,12 @@
                 "zone": self._settings.zone,
                 "leaving": self._leaving,
                 "versions": self._versions,
-                "runs": self.runs.get_sizes(),
+                "runs": self._runs.get_sizes(),
                 "peers": len(self._peers),
                 "control": self._control.get_dump(),
             }
         )
 
-    def _send(self, peer: PeerId, message: Message) -> bool:
-        assert self._listener is not None
-        return self._listener.send(peer, message)
-
     def _start_task(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._work.add(task)
--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/upstreams.py
@@ -1,214 +1,69 @@
-"""An entry's connections to sidecars, from the VM list and heartbeats."""
+"""An entry's view of the sidecars: links with their heartbeats."""
 
 from __future__ import annotations
 
-import dataclasses
-import logging
-import time
-from collections.abc import Callable
-
-import mode
 import zmq
 
-from lovagestage.adapters import Vm, VmList, VmListError
+from lovagestage.links import LinkTable
 from lovagestage.messages import Heartbeat, Hello, Message
 from lovagestage.routing import UpstreamView
 from lovagestage.settings import BusSettings
 from lovagestage.timers import TimerService
-from lovagestage.transport import Connection
-from lovagestage.types import Role, VmId, VmState
-
-_log = logging.getLogger(__name__)
-
-VM_LIST_INTERVAL_S = 1.0
-
-
-@dataclasses.dataclass
-class Upstream:
-    """One sidecar as this entry sees it.
-
-    Attributes:
-        vm: Its place in the VM list.
-        connection: The open connection.
-        heartbeat: The latest heartbeat; None before the first.
-        heard_s: Monotonic time of the latest frame, over reconnections.
-        connected_s: Monotonic time at which the connection was opened.
-        key_index: Which accepted key the connection uses.
-        open_requests: Requests of this entry that run there.
-    """
-
-    vm: Vm
-    connection: Connection
-    heartbeat: Heartbeat | None = None
-    heard_s: float = 0.0
-    connected_s: float = 0.0
-    key_index: int = 0
-    open_requests: int = 0
-
+from lovagestage.types import Role, VmId
 
-class UpstreamTable(mode.Service):
-    """Connects to every sidecar that the VM list names.
 
-    Args:
-        context: The process's zmq context.
-        settings: Keys and heartbeat times.
-        own: Name and incarnation that the entry shows.
-        vms: The platform's list.
-        timers: Timer service.
-    """
+class UpstreamTable(LinkTable):
+    """Links to sidecars, with what each says of itself."""
 
     def __init__(
         self,
         context: zmq.Context[zmq.Socket[bytes]],
         settings: BusSettings,
         own: Hello,
-        vms: VmList,
         timers: TimerService,
     ) -> None:
-        super().__init__()
-        self.upstreams: dict[VmId, Upstream] = {}
-        self._context = context
-        self._settings = settings
-        self._own = own
-        self._vms = vms
-        self._timers = timers
-        self._on_message: Callable[[VmId, Message], None] = _ignore
-        self._on_reconnect: Callable[[VmId], None] = lambda _: None
-
-    def subscribe(
-        self,
-        on_message: Callable[[VmId, Message], None],
-        on_reconnect: Callable[[VmId], None],
-    ) -> None:
-        """Sets who gets messages, and who hears of replaced connections."""
-        self._on_message = on_message
-        self._on_reconnect = on_reconnect
-
-    async def on_start(self) -> None:
-        """Subscribes to the timers."""
-        self._timers.subscribe(
-            self._settings.heartbeat_interval_s, self._on_heartbeat_due
-        )
-
-    async def on_stop(self) -> None:
-        """Closes all connections."""
-        for upstream in self.upstreams.values():
-            upstream.connection.close()
+        super().__init__(Role.SIDECAR, context, settings, own, timers)
+        self._heartbeats: dict[VmId, Heartbeat] = {}
 
     def has_heard_all(self) -> bool:
-        """Whether each listed sidecar has sent a heartbeat."""
-        return bool(self.upstreams) and all(
-            upstream.heartbeat is not None and upstream.heartbeat.versions
-            for upstream in self.upstreams.values()
+        """Whether each listed sidecar has said which versions it has."""
+        return bool(self.links) and all(
+            name in self._heartbeats and self._heartbeats[name].versions
+            for name in self.links
         )
 
+    def get_heartbeat(self, vm: VmId) -> Heartbeat | None:
+        """The latest heartbeat of a sidecar."""
+        return self._heartbeats.get(vm)
+
     def get_views(self) -> list[UpstreamView]:
         """Upstreams that take new work."""
-        horizon_s = time.monotonic() - self._settings.silent_after_s
         return [
-            _make_view(upstream, upstream.heartbeat)
-            for upstream in self.upstreams.values()
-            if upstream.heartbeat is not None
-            and not upstream.heartbeat.leaving
-            and upstream.vm.state is VmState.LIVE
-            and upstream.heard_s > horizon_s
+            self._make_view(name, self._heartbeats[name])
+            for name in self.get_live()
+            if name in self._heartbeats and not self._heartbeats[name].leaving
         ]
 
-    def send(self, vm: VmId, message: Message) -> bool:
-        """Sends to a sidecar; False where it certainly was not sent."""
-        upstream = self.upstreams.get(vm)
-        return upstream is not None and upstream.connection.send(message)
-
-    def get_dump(self) -> list[dict[str, object]]:
-        """State of each connection, for the dump."""
-        now_s = time.monotonic()
-        return [
-            {
-                "vm": name,
-                "zone": upstream.vm.zone,
-                "state": upstream.vm.state.value,
-                "leaving": bool(
-                    upstream.heartbeat and upstream.heartbeat.leaving
-                ),
-                "heard_s_ago": round(now_s - upstream.heard_s, 3),
-                "open_requests": upstream.open_requests,
-            }
-            for name, upstream in self.upstreams.items()
-        ]
-
-    @mode.Service.task
-    async def _follow_vm_list(self) -> None:
-        while not self.should_stop:
-            try:
-                self._apply_vm_list(await self._vms.get_vms())
-            except VmListError as error:
-                # The last list stays in use: heartbeats tell more than it.
-                _log.warning("vm_list_failed", extra={"error": error.message})
-            await self.sleep(VM_LIST_INTERVAL_S)
+    def on_frame(self, vm: VmId, message: Message) -> None:
+        """Keeps the newest heartbeat; hands on everything else."""
+        if not isinstance(message, Heartbeat):
+            super().on_frame(vm, message)
+        elif _is_newer(message, self._heartbeats.get(vm)):
+            self._heartbeats[vm] = message
 
-    def _apply_vm_list(self, vms: list[Vm]) -> None:
-        listed = {vm.vm: vm for vm in vms if vm.role is Role.SIDECAR}
-        for name, vm in listed.items():
-            known = self.upstreams.get(name)
-            if known is None or known.vm.bus != vm.bus:
-                self._connect(vm)
-            else:
-                known.vm = vm
-        for name, upstream in list(self.upstreams.items()):
-            if name not in listed and upstream.open_requests == 0:
-                upstream.connection.close()
-                del self.upstreams[name]
+    def on_removed(self, vm: VmId) -> None:
+        """Forgets the heartbeat."""
+        self._heartbeats.pop(vm, None)
 
-    def _connect(self, vm: Vm, key_index: int = 0) -> None:
-        previous = self.upstreams.get(vm.vm)
-        if previous is not None:
-            previous.connection.close()
-        keys = self._settings.accepted_keys
-        connection = Connection(
-            self._context,
-            self._settings,
-            vm.bus,
-            keys[key_index % len(keys)],
-            lambda message: self._on_frame(vm.vm, message),
-        )
-        connection.send(self._own)
-        upstream = Upstream(
+    def _make_view(self, vm: VmId, heartbeat: Heartbeat) -> UpstreamView:
+        link = self.links[vm]
+        return UpstreamView(
             vm,
-            connection,
-            heard_s=previous.heard_s if previous else time.monotonic(),
-            connected_s=time.monotonic(),
-            key_index=key_index,
-            open_requests=previous.open_requests if previous else 0,
+            link.vm.zone,
+            frozenset(heartbeat.versions),
+            max(heartbeat.running, link.in_use),
+            heartbeat.max_running,
         )
-        self.upstreams[vm.vm] = upstream
-        if previous is not None:
-            self._on_reconnect(vm.vm)
-
-    def _on_frame(self, vm: VmId, message: Message) -> None:
-        upstream = self.upstreams.get(vm)
-        if upstream is None:
-            return
-        upstream.heard_s = time.monotonic()
-        if not isinstance(message, Heartbeat):
-            self._on_message(vm, message)
-        elif _is_newer(message, upstream.heartbeat):
-            upstream.heartbeat = message
-
-    def _on_heartbeat_due(self) -> None:
-        now_s = time.monotonic()
-        for upstream in list(self.upstreams.values()):
-            latest_s = max(upstream.heard_s, upstream.connected_s)
-            if now_s - latest_s > self._settings.silent_after_s:
-                # Something between the two ends may have lost track of the
-                # connection: it stays open and nothing arrives. A new one
-                # works, and open runs are read on from their last chunk. The
-                # next accepted key is tried, for a peer that has rotated.
-                _log.warning(
-                    "connection_silent", extra={"upstream": upstream.vm.vm}
-                )
-                self._connect(upstream.vm, upstream.key_index + 1)
-            else:
-                upstream.connection.send(self._own)
 
 
 def _is_newer(message: Heartbeat, known: Heartbeat | None) -> bool:
@@ -218,17 +73,3 @@
         known.incarnation,
         known.sequence,
     )
-
-
-def _make_view(upstream: Upstream, heartbeat: Heartbeat) -> UpstreamView:
-    return UpstreamView(
-        upstream.vm.vm,
-        upstream.vm.zone,
-        frozenset(heartbeat.versions),
-        max(heartbeat.running, upstream.open_requests),
-        heartbeat.max_running,
-    )
-
-
-def _ignore(vm: VmId, message: Message) -> None:
-    del vm, message
--- /dev/null
+++ b/src/lovagestage/vmwatch.py
@@ -0,0 +1,40 @@
+"""Follows the platform's list of VMs for the parts that need it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import mode
+
+from lovagestage.adapters import Vm, VmList, VmListError
+
+_log = logging.getLogger(__name__)
+
+VM_LIST_INTERVAL_S = 1.0
+
+
+class VmWatch(mode.Service):
+    """Reads the list on a timer and tells its subscribers."""
+
+    def __init__(self, vms: VmList) -> None:
+        super().__init__()
+        self._vms = vms
+        self._subscribers: list[Callable[[list[Vm]], None]] = []
+
+    def subscribe(self, callback: Callable[[list[Vm]], None]) -> None:
+        """Calls `callback` with each list that was read."""
+        self._subscribers.append(callback)
+
+    @mode.Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            try:
+                vms = await self._vms.get_vms()
+            except VmListError as error:
+                # The last list stays in use: heartbeats tell more than it.
+                _log.warning("vm_list_failed", extra={"error": error.message})
+            else:
+                for callback in self._subscribers:
+                    callback(vms)
+            await self.sleep(VM_LIST_INTERVAL_S)
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import random
 import signal
@@ -17,13 +18,18 @@
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
+from lovagestage.hub import Hub
+from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
-from lovagestage.messages import Hello, Message
+from lovagestage.messages import Hello
+from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
 from lovagestage.sidecar import Sidecar
 from lovagestage.timers import TimerService
-from lovagestage.transport import KeyAuthenticator, Listener, PeerId
+from lovagestage.transport import KeyAuthenticator, Listener
+from lovagestage.types import Role
 from lovagestage.upstreams import UpstreamTable
+from lovagestage.vmwatch import VmWatch
 
 _log = logging.getLogger(__name__)
 
@@ -31,11 +37,21 @@
 class _Process(Protocol):
     """The main service of a role."""
 
-    def set_listener(self, listener: Listener) -> None: ...
+    async def drain(self) -> None:
+        """Takes no new work and waits for what is open."""
 
-    def on_message(self, peer: PeerId, message: Message) -> None: ...
 
-    async def drain(self) -> None: ...
+@dataclasses.dataclass(frozen=True)
+class _Base:
+    """Parts that every role has."""
+
+    settings: Settings
+    context: zmq.Context[zmq.Socket[bytes]]
+    session: aiohttp.ClientSession
+    timers: TimerService
+    control: ControlReader
+    hub: Hub
+    own: Hello
 
 
 def run_process(settings: Settings) -> int:
@@ -45,23 +61,17 @@
 
 
 async def _run(settings: Settings) -> int:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    stop = _make_stop_event()
     context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
     authenticator = KeyAuthenticator(context, settings.bus.accepted_keys)
     authenticator.start()
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
-        timers = TimerService()
-        control = ControlReader(HttpLog(session, settings.platform.log_url))
-        process, services = _make_role(
-            settings, context, session, control, timers
-        )
-        listener = Listener(context, settings.bus, process.on_message)
-        process.set_listener(listener)
-        started = [timers, control, *services]
+        base = _make_base(settings, context, session)
+        process, services = _make_role(base)
+        listener = Listener(context, settings.bus, base.hub.on_message)
+        base.hub.set_listener(listener)
+        started = [base.timers, base.control, *services]
         for service in started:
             await service.start()
         _log.info("process_started")
@@ -76,48 +86,75 @@
     return 0
 
 
-def _make_role(
-    settings: Settings,
-    context: zmq.Context[zmq.Socket[bytes]],
-    session: aiohttp.ClientSession,
-    control: ControlReader,
-    timers: TimerService,
-) -> tuple[_Process, list[mode.Service]]:
-    if settings.entry is not None:
-        return _make_entry(
-            settings, settings.entry, context, session, control, timers
-        )
-    assert settings.sidecar is not None
-    return _make_sidecar(settings, settings.sidecar, session, control, timers)
+def _make_stop_event() -> asyncio.Event:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
 
 
-def _make_entry(
+def _make_base(
     settings: Settings,
-    role: EntrySettings,
     context: zmq.Context[zmq.Socket[bytes]],
     session: aiohttp.ClientSession,
-    control: ControlReader,
-    timers: TimerService,
-) -> tuple[_Process, list[mode.Service]]:
-    upstreams = UpstreamTable(
+) -> _Base:
+    return _Base(
+        settings,
         context,
-        settings.bus,
+        session,
+        TimerService(),
+        ControlReader(HttpLog(session, settings.platform.log_url)),
+        Hub(),
         Hello(settings.vm, time.time_ns()),
-        HttpVmList(session, settings.platform.vms_url),
-        timers,
     )
+
+
+def _make_role(base: _Base) -> tuple[_Process, list[mode.Service]]:
+    if base.settings.entry is not None:
+        return _make_entry(base, base.settings.entry)
+    assert base.settings.sidecar is not None
+    return _make_sidecar(base, base.settings.sidecar)
+
+
+def _make_entry(
+    base: _Base, role: EntrySettings
+) -> tuple[_Process, list[mode.Service]]:
+    settings = base.settings
+    common = (base.context, settings.bus, base.own, base.timers)
+    upstreams = UpstreamTable(*common)
+    peers = LinkTable(Role.ENTRY, *common)
+    watch = VmWatch(HttpVmList(base.session, settings.platform.vms_url))
+    watch.subscribe(upstreams.apply_vm_list)
+    watch.subscribe(peers.apply_vm_list)
     dispatcher = Dispatcher(upstreams, settings.zone, random.Random())
-    entry = Entry(settings, role, control, upstreams, dispatcher)
-    return entry, [upstreams, entry]
+    entry = Entry(
+        settings,
+        role,
+        base.control,
+        upstreams,
+        peers,
+        dispatcher,
+        base.own,
+        base.hub,
+    )
+    return entry, [watch, upstreams, peers, entry]
 
 
 def _make_sidecar(
-    settings: Settings,
-    role: SidecarSettings,
-    session: aiohttp.ClientSession,
-    control: ControlReader,
-    timers: TimerService,
+    base: _Base, role: SidecarSettings
 ) -> tuple[_Process, list[mode.Service]]:
-    engine = HttpEngine(session, role.upstream_url)
-    sidecar = Sidecar(settings, role, control, engine, timers)
+    engine = HttpEngine(base.session, role.upstream_url)
+    runs = RunTable(
+        engine, base.hub, role.replay_window_s, role.replay_limit_bytes
+    )
+    sidecar = Sidecar(
+        base.settings,
+        role,
+        base.control,
+        engine,
+        runs,
+        base.timers,
+        base.hub,
+    )
     return sidecar, [sidecar]
