Fold the control stream into sub-states with a content hash

It restores, but equal prefixes give equal chains even where the folded states differ, which is the fault that the alarm is for. The encoding is hashed when asked for, not per record. Change: ControlState hands each record to the sub-state that names its type (documents, leases); each has a canonical encoding, a restore and a bounded table of results. Lease records name the grant and renewals they supersede. Refused records are logged and counted, and the count is in the hash. Conclusion: a new record type is a struct, a sub-state and one line.

--- /dev/null
+++ b/src/lovagestage/documents.py
@@ -0,0 +1,122 @@
+"""Service documents in force, folded from the `control` stream."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from lovagestage.document import ServiceDocument
+from lovagestage.outcomes import (
+    ChangeResult,
+    Outcome,
+    OutcomeEntry,
+    OutcomeTable,
+)
+from lovagestage.records import DocumentChange
+from lovagestage.types import Offset, ServiceId
+
+MAX_OUTCOMES = 4096
+"""Change outcomes remembered; at 1,600 changes a day, two and a half days."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceInForce:
+    """A service's document with its revision.
+
+    Attributes:
+        revision: Counts the accepted changes of the service.
+        document: The document, decoded.
+        source: The bytes that the operator appended.
+        offset: Offset of the record that brought it in force.
+    """
+
+    revision: int
+    document: ServiceDocument
+    source: bytes
+    offset: Offset
+
+
+class _ServiceForm(msgspec.Struct, frozen=True, array_like=True):
+    service: ServiceId
+    revision: int
+    source: bytes
+    offset: Offset
+
+
+class _Form(msgspec.Struct, frozen=True, array_like=True):
+    services: list[_ServiceForm]
+    outcomes: list[OutcomeEntry]
+
+
+class Documents:
+    """Documents in force by service, with the results of changes.
+
+    Attributes:
+        services: Documents in force.
+        outcomes: Results of the latest changes.
+    """
+
+    name = "documents"
+    kinds: tuple[type[msgspec.Struct], ...] = (DocumentChange,)
+
+    def __init__(self) -> None:
+        self.services: dict[ServiceId, ServiceInForce] = {}
+        self.outcomes = OutcomeTable(MAX_OUTCOMES)
+
+    def apply(self, offset: Offset, record: msgspec.Struct) -> None:
+        """Applies a change where its base is the revision in force."""
+        assert isinstance(record, DocumentChange)
+        if record.change_id in self.outcomes:
+            return
+        current = self.services.get(record.service)
+        revision = current.revision if current else 0
+        outcome = Outcome.ACCEPTED
+        document = _decode(record.document)
+        if record.base != revision:
+            outcome = Outcome.CONFLICT
+        elif document is None:
+            outcome = Outcome.INVALID
+        else:
+            revision += 1
+            self.services[record.service] = ServiceInForce(
+                revision, document, record.document, offset
+            )
+        self.outcomes.add(
+            record.change_id, ChangeResult(outcome, revision, offset)
+        )
+
+    def encode(self) -> bytes:
+        """Canonical encoding: equal states give equal bytes."""
+        services = [
+            _ServiceForm(name, held.revision, held.source, held.offset)
+            for name, held in sorted(self.services.items())
+        ]
+        return msgspec.msgpack.encode(
+            _Form(services, self.outcomes.get_entries())
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by an encoded one.
+
+        Raises:
+            msgspec.MsgspecError: The bytes are no encoded state.
+        """
+        form = msgspec.msgpack.decode(data, type=_Form)
+        self.services = {
+            held.service: ServiceInForce(
+                held.revision,
+                msgspec.json.decode(held.source, type=ServiceDocument),
+                held.source,
+                held.offset,
+            )
+            for held in form.services
+        }
+        self.outcomes.restore(form.outcomes)
+
+
+def _decode(source: bytes) -> ServiceDocument | None:
+    try:
+        return msgspec.json.decode(source, type=ServiceDocument)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
--- a/src/lovagestage/fold.py
+++ b/src/lovagestage/fold.py
@@ -1,57 +1,68 @@
 """Deterministic fold of the `control` stream.
 
 Every process applies the same records in the same order. A change that names
-its base revision therefore either applies for everyone or loses for everyone,
-which gives compare-and-set over a log that has none.
+its base therefore either applies for everyone or loses for everyone, which
+gives compare-and-set over a log that has none. The state is a set of
+sub-states, each of which folds the record types that it names in `kinds`.
 """
 
 from __future__ import annotations
 
-import collections
-import dataclasses
-import enum
 import hashlib
+import logging
+from typing import Protocol
 
 import msgspec
 
-from lovagestage.document import ServiceDocument
+from lovagestage.documents import Documents, ServiceInForce
 from lovagestage.exceptions import CodecError
-from lovagestage.records import DocumentChange, decode_record
+from lovagestage.leases import Leases
+from lovagestage.outcomes import ChangeResult, Outcome, OutcomeTable
+from lovagestage.records import decode_record
 from lovagestage.types import ChangeId, Offset, ServiceId
 
-MAX_OUTCOMES = 4096
-"""Change outcomes remembered; at 1,600 changes a day, two and a half days."""
+__all__ = [
+    "ChangeResult",
+    "ControlState",
+    "Outcome",
+    "ServiceInForce",
+    "SubState",
+]
 
+_log = logging.getLogger(__name__)
 
-class Outcome(enum.Enum):
-    """What became of a change."""
 
-    ACCEPTED = "accepted"
-    CONFLICT = "conflict"
-    INVALID = "invalid"
-
-
-@dataclasses.dataclass(frozen=True)
-class ChangeResult:
-    """What became of a change, and where.
+class SubState(Protocol):
+    """A part of the state; a new one is added in `ControlState`.
 
     Attributes:
-        outcome: Accepted or not.
-        revision: Revision in force for the service after the change.
-        offset: Offset of the record that decided it.
+        name: Its name within snapshots.
+        kinds: Record types that it folds.
+        outcomes: Results of its changes.
     """
 
-    outcome: Outcome
-    revision: int
-    offset: Offset
+    name: str
+    kinds: tuple[type[msgspec.Struct], ...]
+    outcomes: OutcomeTable
+
+    def apply(self, offset: Offset, record: msgspec.Struct) -> None:
+        """Applies a record; uses nothing but the state and the record."""
+
+    def encode(self) -> bytes:
+        """Canonical encoding: equal states give equal bytes."""
 
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by an encoded one.
+
+        Raises:
+            msgspec.MsgspecError: The bytes are no encoded state.
+        """
 
-@dataclasses.dataclass(frozen=True)
-class ServiceInForce:
-    """A service's document with its revision."""
 
-    revision: int
-    document: ServiceDocument
+class _StateForm(msgspec.Struct, frozen=True, array_like=True):
+    next_offset: Offset
+    undecodable: int
+    parts: list[tuple[str, bytes]]
 
 
 class ControlState:
@@ -59,19 +70,34 @@
 
     Attributes:
         next_offset: Offset of the next record to apply.
-        services: Documents in force.
-        outcomes: Results by change id, oldest first, bounded.
         undecodable: Number of records that were refused.
+        documents: Service documents.
+        leases: Leases.
     """
 
     def __init__(self) -> None:
         self.next_offset = Offset(0)
-        self.services: dict[ServiceId, ServiceInForce] = {}
-        self.outcomes: collections.OrderedDict[ChangeId, ChangeResult] = (
-            collections.OrderedDict()
-        )
         self.undecodable = 0
-        self._digest = hashlib.sha256()
+        self.documents = Documents()
+        self.leases = Leases()
+        self._parts: tuple[SubState, ...] = (self.documents, self.leases)
+        self._part_by_kind = {
+            kind: part for part in self._parts for kind in part.kinds
+        }
+        self._hash = ""
+
+    @property
+    def services(self) -> dict[ServiceId, ServiceInForce]:
+        """Documents in force."""
+        return self.documents.services
+
+    def get_result(self, change_id: ChangeId) -> ChangeResult | None:
+        """What became of a change; None where it is not known here."""
+        for part in self._parts:
+            result = part.outcomes.get(change_id)
+            if result is not None:
+                return result
+        return None
 
     def apply(self, offset: Offset, data: bytes) -> None:
         """Applies the record at `offset`.
@@ -90,40 +116,55 @@
                 f"Expected offset {self.next_offset}, found {offset}."
             )
         self.next_offset = Offset(offset + 1)
-        self._digest.update(data)
+        self._hash = ""
         try:
             record = decode_record(data)
-        except CodecError:
+        except CodecError as error:
+            # Skipped by every reader alike, so the states stay equal. A
+            # reader of another version that can decode it counts
+            # differently, and its hash differs: that raises the alarm.
             self.undecodable += 1
+            _log.error(
+                "control_record_refused",
+                extra={"offset": offset, "error": error.message},
+            )
             return
-        self._apply_change(offset, record)
+        self._part_by_kind[type(record)].apply(offset, record)
 
     def get_hash(self) -> str:
-        """Hash of all that was applied; equal prefixes give equal hashes."""
-        return self._digest.hexdigest()
+        """SHA-256 of the encoded state, in hex; computed when asked for."""
+        if not self._hash:
+            self._hash = hashlib.sha256(self.encode()).hexdigest()
+        return self._hash
+
+    def encode(self) -> bytes:
+        """Canonical encoding: equal states give equal bytes."""
+        parts = [(part.name, part.encode()) for part in self._parts]
+        return msgspec.msgpack.encode(
+            _StateForm(self.next_offset, self.undecodable, parts)
+        )
 
-    def _apply_change(self, offset: Offset, change: DocumentChange) -> None:
-        if change.change_id in self.outcomes:
-            return
-        current = self.services.get(change.service)
-        revision = current.revision if current else 0
-        outcome = Outcome.ACCEPTED
-        if change.base != revision:
-            outcome = Outcome.CONFLICT
-        else:
-            try:
-                document = msgspec.json.decode(
-                    change.document, type=ServiceDocument
-                )
-            except msgspec.DecodeError:
-                outcome = Outcome.INVALID
-            else:
-                revision += 1
-                self.services[change.service] = ServiceInForce(
-                    revision, document
-                )
-        self.outcomes[change.change_id] = ChangeResult(
-            outcome, revision, offset
+
+def restore_state(data: bytes) -> ControlState:
+    """Makes a state from its encoding.
+
+    Raises:
+        CodecError: The bytes are no encoded state, or one whose encoding
+            here differs, such as one with parts that are not known.
+    """
+    state = ControlState()
+    try:
+        form = msgspec.msgpack.decode(data, type=_StateForm)
+        parts = dict(form.parts)
+        for part in state._parts:
+            if part.name in parts:
+                part.restore(parts[part.name])
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise CodecError(f"A state does not decode: {error}.") from error
+    state.next_offset = form.next_offset
+    state.undecodable = form.undecodable
+    if state.encode() != data:
+        raise CodecError(
+            f"The state at offset {form.next_offset} encodes differently here."
         )
-        while len(self.outcomes) > MAX_OUTCOMES:
-            self.outcomes.popitem(last=False)
+    return state
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/records.py
@@ -10,9 +10,16 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.types import ChangeId, ServiceId
+from lovagestage.types import (
+    ChangeId,
+    FencingNumber,
+    LeaseId,
+    ServiceId,
+    VmId,
+)
 
 CONTROL_STREAM = "control"
+SNAPSHOT_STREAM = "snapshots"
 FORMAT_MAJOR = 1
 FORMAT_MINOR = 0
 MAX_RECORD_BYTES = 1024 * 1024
@@ -36,7 +43,54 @@
     document: bytes
 
 
-Record = DocumentChange
+class LeaseTake(msgspec.Struct, frozen=True, tag="lease_take"):
+    """Takes a lease that nobody has, or that its holder let lapse.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        lease: The lease.
+        fencing: Fencing number of the grant that it supersedes.
+        renewals: Renewals of that grant that the writer has seen.
+        holder: VM of the process that takes it.
+        incarnation: Incarnation of that process.
+        ttl_ms: How long it is held after each renewal.
+    """
+
+    change_id: ChangeId
+    lease: LeaseId
+    fencing: FencingNumber
+    renewals: int
+    holder: VmId
+    incarnation: int
+    ttl_ms: int
+
+
+class LeaseRenew(msgspec.Struct, frozen=True, tag="lease_renew"):
+    """Renews a lease.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        lease: The lease.
+        fencing: Fencing number of the holder's grant.
+        renewals: Renewals before this one.
+    """
+
+    change_id: ChangeId
+    lease: LeaseId
+    fencing: FencingNumber
+    renewals: int
+
+
+class LeaseRelease(msgspec.Struct, frozen=True, tag="lease_release"):
+    """Gives a lease up; the fields are those of `LeaseRenew`."""
+
+    change_id: ChangeId
+    lease: LeaseId
+    fencing: FencingNumber
+    renewals: int
+
+
+Record = DocumentChange | LeaseTake | LeaseRenew | LeaseRelease
 
 _decoder = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
@@ -63,5 +117,9 @@
         )
     try:
         return _decoder.decode(data[2:])
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise CodecError(f"A record does not decode: {error}.") from error
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -15,6 +15,7 @@
 VersionId = NewType("VersionId", str)
 RequestId = NewType("RequestId", str)
 ChangeId = NewType("ChangeId", str)
+LeaseId = NewType("LeaseId", str)
 Offset = NewType("Offset", int)
 """Position of a record in one stream of the log, from 0."""
 FencingNumber = NewType("FencingNumber", int)
