Append through the fold and act only on a whole state

Cause: nothing in the system could append; a lost answer left the writer without a result. A process that was still reading the log acted on an old prefix, in which a withdrawn version is still active. Ruled out: taking the append's own answer as the result. The answer gives an offset, not whether the base still held, and it can be lost. Change: ControlWriter appends until the fold shows the result of the change id, and ends with ChangeUnknownError or with a proved LogUnavailableError. Conclusion: a result is known from the log or said to be unknown.

--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -160,7 +160,7 @@
     def _is_ready(self) -> bool:
         # Readiness is not taken back: were it to follow the upstreams, one
         # fault common to all entries would empty the balancer.
-        if not self._ready and self._control.folded.services:
+        if not self._ready and self._control.services:
             waited_s = time.monotonic() - self._started_at_s
             self._ready = (
                 self._upstreams.has_heard_all() or waited_s > MAX_START_S
@@ -197,13 +197,13 @@
         return await self._answer_plain(admitted, result)
 
     def _get_caller(self, request: web.Request) -> Caller:
-        if not self._control.folded.services:
+        if not self._control.services:
             raise NotReadyError(
                 "No service document is in force yet.", retry_after_s=1
             )
         header = request.headers.get("Authorization", "")
         digest = get_key_digest(header.removeprefix(_BEARER))
-        for service in self._control.folded.services.values():
+        for service in self._control.services.values():
             for name, workspace in service.document.workspaces.items():
                 if digest in workspace.key_digests:
                     return Caller(name, service.document)
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from lovagestage.types import RunState
+from lovagestage.types import ChangeId, RunState
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
@@ -82,6 +82,24 @@
     exit_code = EXIT_UNKNOWN
 
 
+class ChangeUnknownError(LogError):
+    """A change may have been appended, and its result was not seen.
+
+    Attributes:
+        change_id: To ask about later, or to append again with.
+    """
+
+    code = "change_unknown"
+    exit_code = EXIT_UNKNOWN
+
+    def __init__(self, change_id: ChangeId, timeout_s: float) -> None:
+        super().__init__(
+            f"The result of change {change_id!r} was not seen within"
+            f" {timeout_s:.1f} s; it may be in force."
+        )
+        self.change_id = change_id
+
+
 class BelowHorizonError(LogError):
     """The records asked for have expired.
 
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/records.py
@@ -97,8 +97,14 @@
 
 
 def encode_record(record: Record) -> bytes:
-    """Encodes a record for the log."""
-    return bytes((FORMAT_MAJOR, FORMAT_MINOR)) + _encoder.encode(record)
+    """Encodes a record for the log.
+
+    Raises:
+        CodecError: The record is too large for any reader.
+    """
+    data = bytes((FORMAT_MAJOR, FORMAT_MINOR)) + _encoder.encode(record)
+    _check_size(data)
+    return data
 
 
 def decode_record(data: bytes) -> Record:
@@ -107,10 +113,7 @@
     Raises:
         CodecError: The bytes are no record of this format.
     """
-    if len(data) > MAX_RECORD_BYTES:
-        raise CodecError(
-            f"A record of {len(data)} bytes is over {MAX_RECORD_BYTES}."
-        )
+    _check_size(data)
     if len(data) < 2 or data[0] != FORMAT_MAJOR:
         raise CodecError(
             f"Expected format {FORMAT_MAJOR}, found {data[:2].hex()!r}."
@@ -123,3 +126,10 @@
         RecursionError,
     ) as error:
         raise CodecError(f"A record does not decode: {error}.") from error
+
+
+def _check_size(data: bytes) -> None:
+    if len(data) > MAX_RECORD_BYTES:
+        raise CodecError(
+            f"A record of {len(data)} bytes is over {MAX_RECORD_BYTES}."
+        )
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -143,7 +143,7 @@
             return "no_capacity", "The upstream is leaving."
         if self._runs.running >= self._role.max_running:
             return "no_capacity", "The upstream is full."
-        service = self._control.folded.services.get(ServiceId(dispatch.service))
+        service = self._control.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
         version = parse_model_version(dispatch.version)
--- /dev/null
+++ b/src/lovagestage/writer.py
@@ -0,0 +1,123 @@
+"""Appends to the `control` stream and learns what became of it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+import uuid
+from typing import Protocol
+
+from lovagestage.adapters import Log
+from lovagestage.control import ControlReader
+from lovagestage.exceptions import (
+    ChangeUnknownError,
+    LogAnswerLostError,
+    LogUnavailableError,
+)
+from lovagestage.outcomes import ChangeResult
+from lovagestage.records import CONTROL_STREAM, Record, encode_record
+from lovagestage.types import ChangeId
+
+_log = logging.getLogger(__name__)
+
+DEFAULT_TIMEOUT_S = 20.0
+READ_BACK_S = 2.0
+"""How long a record is looked for before it is appended again."""
+
+RETRY_S = 0.25
+
+
+class RecordWriter(Protocol):
+    """What parts that write to the log need."""
+
+    async def append(
+        self, record: Record, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> ChangeResult:
+        """See `ControlWriter.append`."""
+
+
+def make_change_id() -> ChangeId:
+    """A change id that no other writer chooses."""
+    return ChangeId(uuid.uuid4().hex)
+
+
+class ControlWriter:
+    """Appends records; safe to call with the same change id again.
+
+    Args:
+        log: The platform's log.
+        control: The reader through whose fold results are learned.
+    """
+
+    def __init__(self, log: Log, control: ControlReader) -> None:
+        self._platform_log = log
+        self._control = control
+
+    async def append(
+        self, record: Record, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> ChangeResult:
+        """Appends a record until its result is known.
+
+        Args:
+            record: Its `change_id` names the change.
+            timeout_s: Longest time that is spent.
+
+        Raises:
+            CodecError: The record is too large; it was not appended.
+            LogUnavailableError: It was certainly not appended by this call.
+            ChangeUnknownError: It may have been appended.
+        """
+        data = encode_record(record)
+        end_s = time.monotonic() + timeout_s
+        sent = False
+        while True:
+            result = self._control.folded.get_result(record.change_id)
+            if result is not None:
+                return result
+            left_s = end_s - time.monotonic()
+            if left_s <= 0:
+                raise _make_error(record.change_id, sent, timeout_s)
+            try:
+                # The fold drops a record whose change id it has seen, so
+                # appending again after a lost answer changes nothing twice.
+                await self._append_once(data, left_s)
+            except LogUnavailableError:
+                await asyncio.sleep(min(RETRY_S, left_s))
+                continue
+            except LogAnswerLostError:
+                _log.warning(
+                    "append_answer_lost",
+                    extra={"change_id": record.change_id},
+                )
+            sent = True
+            await self._wait_folded(record.change_id, end_s)
+
+    async def _append_once(self, data: bytes, timeout_s: float) -> None:
+        try:
+            await asyncio.wait_for(
+                self._platform_log.append(CONTROL_STREAM, data), timeout_s
+            )
+        except TimeoutError as error:
+            raise LogAnswerLostError(
+                f"The log did not answer an append in {timeout_s:.1f} s."
+            ) from error
+
+    async def _wait_folded(self, change_id: ChangeId, end_s: float) -> None:
+        stop_s = min(end_s, time.monotonic() + READ_BACK_S)
+        while self._control.folded.get_result(change_id) is None:
+            left_s = stop_s - time.monotonic()
+            if left_s <= 0:
+                return
+            await self._control.wait_changed(left_s)
+
+
+def _make_error(
+    change_id: ChangeId, sent: bool, timeout_s: float
+) -> LogUnavailableError | ChangeUnknownError:
+    if sent:
+        return ChangeUnknownError(change_id, timeout_s)
+    return LogUnavailableError(
+        f"The log took no append for {timeout_s:.1f} s; change"
+        f" {change_id!r} was not appended."
+    )
--- /dev/null
+++ b/tests/control_log.py
@@ -0,0 +1,49 @@
+"""A log stand-in with readers and writers, for tests of the control log."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp.test_utils import TestServer
+
+from lab.log import LogService
+from lovagestage.adapters import HttpLog
+from lovagestage.control import ControlReader
+
+
+class ControlLog:
+    """The stand-in, its faults, and readers that are stopped at the end."""
+
+    def __init__(self, service, server, session, stack):
+        self.faults = service.faults
+        self.log = HttpLog(session, str(server.make_url("")))
+        self._stack = stack
+
+    async def start(self, service):
+        await self._stack.enter_async_context(service)
+        return service
+
+    async def start_reader(self, **more) -> ControlReader:
+        return await self.start(ControlReader(self.log, **more))
+
+
+@contextlib.asynccontextmanager
+async def serve_log(retain_records: int = 10_000):
+    service = LogService(100_000.0, 100_000.0, retain_records)
+    async with (
+        TestServer(service.app()) as server,
+        aiohttp.ClientSession() as session,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        yield ControlLog(service, server, session, stack)
+
+
+async def wait_for(condition: Callable[[], bool], timeout_s: float = 8.0):
+    end_s = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < end_s, "The condition did not come true."
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_writer.py
@@ -0,0 +1,99 @@
+"""Appends whose result is learned through the fold."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lovagestage import adapters, control
+from lovagestage.control import FollowState
+from lovagestage.exceptions import (
+    ChangeUnknownError,
+    CodecError,
+    LogUnavailableError,
+)
+from lovagestage.fold import Outcome
+from lovagestage.records import DocumentChange
+from lovagestage.types import Offset
+from lovagestage.writer import ControlWriter
+from tests.control_log import serve_log, wait_for
+from tests.test_fold import make_change
+
+
+async def test_lost_answer_is_read_back_and_applied_once():
+    # The operator's append takes effect and its answer is lost. The writer
+    # finds the record in the fold and reports it as accepted; nothing is
+    # appended twice in force, and the same change id gives the same result.
+    async with serve_log() as served:
+        reader = await served.start_reader()
+        writer = ControlWriter(served.log, reader)
+        served.faults.lose_answer = 1
+        first = await writer.append(make_change("x"), 5)
+        again = await writer.append(make_change("x"), 5)
+    assert (first.outcome, first.revision) == (Outcome.ACCEPTED, 1)
+    assert again == first
+    assert reader.folded.services["s"].revision == 1
+
+
+async def test_racing_writers_get_one_acceptance():
+    async with serve_log() as served:
+        writers = [
+            ControlWriter(served.log, await served.start_reader())
+            for _ in range(4)
+        ]
+        results = await asyncio.gather(
+            *(
+                writer.append(make_change(f"c{number}", 0), 5)
+                for number, writer in enumerate(writers)
+            )
+        )
+    outcomes = [result.outcome for result in results]
+    assert outcomes.count(Outcome.ACCEPTED) == 1
+    assert outcomes.count(Outcome.CONFLICT) == 3
+
+
+async def test_refused_append_is_said_to_be_not_appended():
+    async with serve_log() as served:
+        writer = ControlWriter(served.log, await served.start_reader())
+        served.faults.outage = True
+        with pytest.raises(LogUnavailableError):
+            await writer.append(make_change("x"), 0.5)
+        served.faults.outage = False
+        page = await served.log.read("control", Offset(0), 10, 0)
+    assert page.records == []
+
+
+async def test_stalled_append_is_unknown_with_its_change_id(monkeypatch):
+    # The log takes the call and says nothing. The caller may not be told
+    # "not appended"; it gets the id, with which it asks again later.
+    monkeypatch.setattr(adapters, "SHORT_CALL_TIMEOUT_S", 1.0)
+    async with serve_log() as served:
+        writer = ControlWriter(served.log, await served.start_reader())
+        served.faults.stall = True
+        with pytest.raises(ChangeUnknownError) as caught:
+            await writer.append(make_change("x"), 0.5)
+        served.faults.stall = False
+        result = await writer.append(make_change("x"), 5)
+    assert caught.value.change_id == "x"
+    assert result.outcome is Outcome.ACCEPTED
+
+
+async def test_oversized_record_is_refused_before_it_is_appended():
+    async with serve_log() as served:
+        writer = ControlWriter(served.log, await served.start_reader())
+        with pytest.raises(CodecError):
+            await writer.append(
+                DocumentChange("x", "s", 0, "op", b" " * 2_000_000), 1
+            )
+
+
+async def test_outage_keeps_what_is_in_force(monkeypatch):
+    monkeypatch.setattr(control, "READ_WAIT_S", 0.2)
+    async with serve_log() as served:
+        reader = await served.start_reader()
+        writer = ControlWriter(served.log, reader)
+        await writer.append(make_change("x"), 5)
+        served.faults.outage = True
+        await wait_for(lambda: reader.follow_state is FollowState.LOG_DOWN)
+        assert reader.services["s"].revision == 1
