--- a/src/lovagestage/control.py
+++ b/src/lovagestage/control.py
@@ -6,6 +6,7 @@
 import enum
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 import mode
 
@@ -13,7 +14,7 @@
 from lovagestage.exceptions import BelowHorizonError, LogError
 from lovagestage.fold import ControlState, ServiceInForce
 from lovagestage.records import CONTROL_STREAM
-from lovagestage.types import ServiceId
+from lovagestage.types import Offset, ServiceId
 
 _log = logging.getLogger(__name__)
 
@@ -34,6 +35,17 @@
     """Records have expired unread, and no snapshot covers them."""
 
 
+class SnapshotSource(Protocol):
+    """Where a reader gets a state whose records have expired."""
+
+    async def find(self, first_offset: Offset) -> ControlState | None:
+        """A state at or after `first_offset`; None where there is none.
+
+        Raises:
+            LogError: The log does not answer.
+        """
+
+
 class ControlReader(mode.Service):
     """Applies each record of the `control` stream as it arrives.
 
@@ -44,15 +56,19 @@
 
     Args:
         log: The platform's log.
+        snapshots: Where to get a state from below the horizon.
     """
 
-    def __init__(self, log: Log) -> None:
+    def __init__(
+        self, log: Log, snapshots: SnapshotSource | None = None
+    ) -> None:
         super().__init__()
         self.folded = ControlState()
         self.caught_up = False
         self.follow_state = FollowState.STARTING
         self._whole = False
         self._platform_log = log
+        self._snapshots = snapshots
         self._subscribers: list[Callable[[], None]] = []
         self._changed = asyncio.Event()
 
@@ -126,10 +142,34 @@
         while not self.should_stop:
             try:
                 await self._read_once()
+            except BelowHorizonError as error:
+                await self._recover(Offset(error.first_offset))
             except LogError as error:
                 self._on_read_failed(error)
                 await self.sleep(RETRY_S)
 
+    async def _recover(self, first_offset: Offset) -> None:
+        # Records have expired unread: a withdrawal may be among them. Until
+        # a later state is read to its end, nothing is served from this one;
+        # the callers see `not_ready`, never an older configuration.
+        self.follow_state = FollowState.BELOW_HORIZON
+        self.caught_up = False
+        state = None
+        try:
+            if self._snapshots is not None:
+                state = await self._snapshots.find(first_offset)
+        except LogError as error:
+            _log.warning("snapshot_read_failed", extra={"code": error.code})
+        if state is None or not self.install(state, whole=False):
+            _log.error(
+                "control_below_horizon",
+                extra={
+                    "next_offset": self.folded.next_offset,
+                    "first_offset": first_offset,
+                },
+            )
+            await self.sleep(RETRY_S)
+
     async def _read_once(self) -> None:
         wait_s = READ_WAIT_S if self.caught_up else 0.0
         start = self.folded.next_offset
@@ -162,9 +202,7 @@
 
     def _on_read_failed(self, error: LogError) -> None:
         self.caught_up = False
-        if isinstance(error, BelowHorizonError):
-            self.follow_state = FollowState.BELOW_HORIZON
-        elif self.follow_state is FollowState.FOLLOWING:
+        if self.follow_state is FollowState.FOLLOWING:
             self.follow_state = FollowState.LOG_DOWN
         _log.warning("control_read_failed", extra={"code": error.code})
 
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,210 @@
+"""Snapshots: the shelf alone, and readers below the horizon."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lovagestage.control import FollowState
+from lovagestage.exceptions import CodecError
+from lovagestage.leasing import LeaseKeeper
+from lovagestage.messages import Hello
+from lovagestage.records import SNAPSHOT_STREAM, decode_record, encode_record
+from lovagestage.snapshots import SnapshotShelf, decode_chunk, make_chunks
+from lovagestage.snapshotting import (
+    SNAPSHOT_LEASE,
+    SnapshotPolicy,
+    SnapshotStream,
+    SnapshotWriter,
+)
+from lovagestage.writer import ControlWriter
+from tests.control_log import serve_log, wait_for
+from tests.test_fold import fold, make_change
+
+
+def make_state(records: int):
+    return fold(*(make_change(f"c{n}", n) for n in range(records)))
+
+
+def shelve(chunks) -> SnapshotShelf:
+    shelf = SnapshotShelf()
+    for chunk in chunks:
+        shelf.add(chunk)
+    return shelf
+
+
+def corrupt(chunk: bytes) -> bytes:
+    return chunk[:-1] + bytes((chunk[-1] ^ 1,))
+
+
+def test_every_order_of_two_writers_chunks_gives_whole_snapshots_only():
+    """Bounds: 2 writers, 3 chunks each, all 720 orders and their 5,040 cuts.
+
+    At every cut the shelf keeps exactly the snapshots whose chunks are all
+    there, whatever has come between them.
+    """
+    states = [make_state(1), make_state(2)]
+    chunks = []
+    for number, state in enumerate(states):
+        size = -(-len(state.encode()) // 3)
+        chunks += [(number, c) for c in make_chunks(state, number, size)]
+    assert len(chunks) == 6
+    for order in itertools.permutations(chunks):
+        shelf = SnapshotShelf()
+        seen = [0, 0]
+        for number, chunk in order:
+            shelf.add(chunk)
+            seen[number] += 1
+            whole = [n + 1 for n in (1, 0) if seen[n] == 3]
+            assert [kept.cursor for kept in shelf.kept] == whole
+
+
+@pytest.mark.parametrize(
+    ("damage", "refused"),
+    [
+        (lambda chunks: chunks[:-1], 0),
+        (lambda chunks: [corrupt(chunks[0]), *chunks[1:]], 1),
+        (lambda chunks: [b"\x02\x00junk", *chunks[1:]], 1),
+        (lambda chunks: [chunks[0]] * 3, 0),
+    ],
+    ids=["torn", "corrupt", "other major version", "repeated"],
+)
+def test_damaged_snapshot_leaves_the_one_before(damage, refused):
+    older = make_chunks(make_state(1), 0)
+    newer = make_chunks(make_state(2), 1, 100)
+    shelf = shelve([*older, *damage(newer)])
+    assert [kept.cursor for kept in shelf.kept] == [1]
+    assert shelf.refused == refused
+
+
+def test_late_snapshot_does_not_replace_newer_ones():
+    chunks = [make_chunks(make_state(n), 0)[0] for n in (2, 3, 1)]
+    assert [kept.cursor for kept in shelve(chunks).kept] == [3, 2]
+
+
+def test_snapshot_that_covers_too_little_is_not_offered():
+    shelf = shelve(make_chunks(make_state(2), 0))
+    assert shelf.get_covering(3) == []
+    assert shelf.get_covering(2)[0].restore().next_offset == 2
+
+
+def test_unfinished_snapshots_are_bounded():
+    firsts = [make_chunks(make_state(n), 0, 100)[0] for n in range(1, 12)]
+    assert len(shelve(firsts)._partial) == 4
+
+
+MUTABLE = [
+    encode_record(make_change()),
+    make_chunks(make_state(1), 0)[0],
+]
+
+
+@given(
+    st.one_of(
+        st.binary(max_size=300),
+        st.builds(
+            lambda base, at, byte: (
+                base[: at % len(base)]
+                + bytes((byte,))
+                + base[at % len(base) + 1 :]
+            ),
+            st.sampled_from(MUTABLE),
+            st.integers(0, 10_000),
+            st.integers(0, 255),
+        ),
+    )
+)
+def test_any_bytes_decode_or_are_refused(data):
+    for decode in (decode_record, decode_chunk):
+        try:
+            decode(data)
+        except CodecError as error:
+            assert error.message
+    fold(data)
+    shelve([data])
+
+
+async def fill(served, count: int, start: int = 0):
+    for number in range(start, start + count):
+        data = encode_record(make_change(f"c{number}", number, f"t{number}"))
+        await served.log.append("control", data)
+
+
+async def test_reader_below_the_horizon_fails_closed_without_a_snapshot():
+    # Everything that a new process would read has expired. It must not take
+    # the records that are left for the whole history: revision 1 of a later
+    # change would be made from nothing. It serves no document at all.
+    async with serve_log(retain_records=4) as served:
+        await fill(served, 9)
+        reader = await served.start_reader(snapshots=SnapshotStream(served.log))
+        await wait_for(lambda: reader.follow_state is FollowState.BELOW_HORIZON)
+        assert (reader.services, reader.folded.next_offset) == ({}, 0)
+
+
+@pytest.mark.parametrize("cursor", [4, 5, 7])
+async def test_reader_installs_a_snapshot_only_where_it_covers(cursor):
+    # The log has offsets 5 to 8. A snapshot at 4 leaves record 4 missing.
+    async with serve_log(retain_records=4) as served:
+        await fill(served, 9)
+        state = fold(*(make_change(f"c{n}", n, f"t{n}") for n in range(cursor)))
+        for chunk in make_chunks(state, 0):
+            await served.log.append(SNAPSHOT_STREAM, chunk)
+        reader = await served.start_reader(snapshots=SnapshotStream(served.log))
+        if cursor < 5:
+            await wait_for(
+                lambda: reader.follow_state is FollowState.BELOW_HORIZON
+            )
+            assert reader.services == {}
+            return
+        await wait_for(lambda: reader.is_usable)
+        assert reader.services["s"].revision == 9
+
+
+async def test_snapshots_outlive_the_horizon_and_their_writer():
+    # Two processes write snapshots in turn as the lease moves; one's are cut
+    # off halfway. A process that starts when all early records have expired
+    # folds to the same hash as one that has read them all.
+    policy = SnapshotPolicy(every_records=20, every_s=60.0)
+    async with serve_log(retain_records=60) as served:
+        readers, writers, keepers = [], [], []
+        for number in range(2):
+            reader = await served.start_reader()
+            keeper = LeaseKeeper(
+                SNAPSHOT_LEASE,
+                Hello(f"vm-{number}", 1),
+                reader,
+                ControlWriter(served.log, reader),
+                ttl_s=0.6,
+            )
+            readers.append(reader)
+            keepers.append(await served.start(keeper))
+            writer = SnapshotWriter(served.log, reader, keeper, policy)
+            writers.append(await served.start(writer))
+        await wait_for(lambda: any(keeper.is_held for keeper in keepers))
+        await fill(served, 40)
+        torn = make_chunks(readers[0].folded, 0, 500)[:-1]
+        for chunk in random.Random(1).sample(torn, len(torn)):
+            await served.log.append(SNAPSHOT_STREAM, chunk)
+        holder = 0 if keepers[0].is_held else 1
+        for writer in writers:
+            await writer._write_if_due()
+        await keepers[holder].stop()
+        await wait_for(lambda: keepers[1 - holder].is_held)
+        await fill(served, 40, start=40)
+        await writers[1 - holder]._write_if_due()
+        await fill(served, 30, start=80)
+        late = await served.start_reader(snapshots=SnapshotStream(served.log))
+        await wait_for(lambda: late.is_usable)
+        await wait_for(
+            lambda: (
+                late.folded.next_offset
+                == readers[1 - holder].folded.next_offset
+                and late.folded.get_hash()
+                == readers[1 - holder].folded.get_hash()
+            )
+        )
+        assert late.services["s"].revision == 110
