Start from peers while the log is down, and compare state hashes

Cause: VMs keep nothing, so a process that started in an outage of the log had no configuration until the outage was over. Ruled out: sidecars that ask entries themselves, which needs a connection from each of them to each entry; a process that hands on what it has read so far, since an old prefix brings back what has been withdrawn. Change: entries ask up to five peers of either role and install the highest offset whose checksum and offset prove right; sidecars whose heartbeat shows offset 0 are offered the state. Only a state read to the log's end is handed on, and none replaces a newer one. Hashes at one offset are compared every 10 s, and a mismatch is an error in the log. Conclusion: a cold start needs one process that is left, not the log.

--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -12,7 +12,14 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.types import RequestId, RunState, VmId, WorkspaceId, ZoneId
+from lovagestage.types import (
+    Offset,
+    RequestId,
+    RunState,
+    VmId,
+    WorkspaceId,
+    ZoneId,
+)
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
@@ -172,6 +179,40 @@
     state: bytes
 
 
+class StateQuestion(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_question"
+):
+    """Asks a process for its folded state, or only for its hash."""
+
+    with_state: bool
+
+
+class StateAnswer(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_answer"
+):
+    """A process's folded state.
+
+    Attributes:
+        next_offset: Its offset.
+        checksum: Its hash; empty where it may not be acted on.
+        state: Its encoding; empty where not asked for or not to be used.
+    """
+
+    next_offset: Offset
+    checksum: str
+    state: bytes
+
+
+class StateOffer(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_offer"
+):
+    """A folded state for a process that has none; as `StateAnswer`."""
+
+    next_offset: Offset
+    checksum: str
+    state: bytes
+
+
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
     """A question; its answer comes in a `Reply` with the same call id.
 
@@ -193,7 +234,8 @@
 
 EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest
 SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
-Message = EntryMessage | SidecarMessage | Ask | Reply
+StateMessage = StateQuestion | StateAnswer | StateOffer
+Message = EntryMessage | SidecarMessage | StateMessage | Ask | Reply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -19,17 +19,25 @@
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
 from lovagestage.hub import Hub
+from lovagestage.leasing import LeaseKeeper
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
 from lovagestage.messages import Hello
+from lovagestage.peerstate import PeerState, StateResponder
 from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
 from lovagestage.sidecar import Sidecar
+from lovagestage.snapshotting import (
+    SNAPSHOT_LEASE,
+    SnapshotStream,
+    SnapshotWriter,
+)
 from lovagestage.timers import TimerService
 from lovagestage.transport import KeyAuthenticator, Listener
 from lovagestage.types import Role
 from lovagestage.upstreams import UpstreamTable
 from lovagestage.vmwatch import VmWatch
+from lovagestage.writer import ControlWriter
 
 _log = logging.getLogger(__name__)
 
@@ -49,7 +57,9 @@
     context: zmq.Context[zmq.Socket[bytes]]
     session: aiohttp.ClientSession
     timers: TimerService
+    platform_log: HttpLog
     control: ControlReader
+    writer: ControlWriter
     hub: Hub
     own: Hello
 
@@ -99,13 +109,19 @@
     context: zmq.Context[zmq.Socket[bytes]],
     session: aiohttp.ClientSession,
 ) -> _Base:
+    log = HttpLog(session, settings.platform.log_url)
+    control = ControlReader(log, SnapshotStream(log))
+    hub = Hub()
+    StateResponder(control, hub)
     return _Base(
         settings,
         context,
         session,
         TimerService(),
-        ControlReader(HttpLog(session, settings.platform.log_url)),
-        Hub(),
+        log,
+        control,
+        ControlWriter(log, control),
+        hub,
         Hello(settings.vm, time.time_ns()),
     )
 
@@ -138,7 +154,15 @@
         base.own,
         base.hub,
     )
-    return entry, [watch, upstreams, peers, entry]
+    peer_state = PeerState(base.control, [peers, upstreams], upstreams)
+    snapshots = _make_snapshot_services(base)
+    return entry, [watch, upstreams, peers, peer_state, *snapshots, entry]
+
+
+def _make_snapshot_services(base: _Base) -> list[mode.Service]:
+    keeper = LeaseKeeper(SNAPSHOT_LEASE, base.own, base.control, base.writer)
+    writer = SnapshotWriter(base.platform_log, base.control, keeper)
+    return [keeper, writer]
 
 
 def _make_sidecar(
--- /dev/null
+++ b/tests/test_peerstate.py
@@ -0,0 +1,143 @@
+"""State from peers while the log is down."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from lab.demo import make_client
+from lab.fleet import SHAPES, Fleet, call
+from lovagestage.control import ControlReader
+from lovagestage.messages import StateAnswer, StateQuestion
+from lovagestage.peerstate import PeerState, StateResponder, choose_newest
+from tests.control_log import serve_log, wait_for
+from tests.test_snapshots import fill, make_state
+
+
+class DirectHub:
+    """Answers at once what a real hub would answer over a connection."""
+
+    def __init__(self):
+        self.answerers = {}
+
+    def register_answer(self, kind, answerer):
+        self.answerers[kind] = answerer
+
+
+class DirectTable:
+    """Asks responders without a connection; None is one that is silent."""
+
+    def __init__(self, hubs):
+        self.links = dict(enumerate(hubs))
+
+    async def ask(self, vm, question, timeout_s):
+        hub = self.links[vm]
+        return hub and await hub.answerers[type(question)](question)
+
+
+def make_answer(records: int) -> StateAnswer:
+    state = make_state(records)
+    return StateAnswer(state.next_offset, state.get_hash(), state.encode())
+
+
+def make_peer(control) -> DirectHub:
+    hub = DirectHub()
+    StateResponder(control, hub)
+    return hub
+
+
+async def make_control(log, records: int) -> ControlReader:
+    control = ControlReader(log)
+    control.install(make_state(records), whole=True)
+    return control
+
+
+def test_the_highest_offset_that_proves_right_is_chosen():
+    damaged = make_answer(4)
+    changed = damaged.state.replace(b'"team":"a"', b'"team":"z"')
+    damaged = StateAnswer(4, damaged.checksum, changed)
+    mislabelled = make_answer(2)
+    mislabelled = StateAnswer(9, mislabelled.checksum, mislabelled.state)
+    answers = [make_answer(1), mislabelled, damaged, make_answer(3)]
+    assert choose_newest(answers).next_offset == 3
+    assert choose_newest([damaged, mislabelled]) is None
+
+
+async def test_cold_process_starts_from_its_peers_and_never_goes_back():
+    # The log is down and a VM has been replaced. Its process asks: one peer
+    # is silent, one has started as well, one lags, one is ahead. It takes
+    # the latest state, and keeps it when later only the lagging one is left.
+    async with serve_log() as served:
+        served.faults.outage = True
+        cold = await served.start_reader()
+        lagging = make_peer(await make_control(served.log, 2))
+        ahead = make_peer(await make_control(served.log, 5))
+        empty = make_peer(ControlReader(served.log))
+        hubs = [None, empty, lagging, ahead]
+        assert not cold.services
+        assert await PeerState(cold, [DirectTable(hubs)]).fetch()
+        assert cold.services["s"].revision == 5
+        assert not await PeerState(cold, [DirectTable([lagging])]).fetch()
+        assert cold.services["s"].revision == 5
+
+
+async def test_installed_state_goes_on_from_the_log_when_it_returns():
+    async with serve_log() as served:
+        await fill(served, 6)
+        reference = await served.start_reader()
+        await wait_for(lambda: reference.is_usable)
+        served.faults.outage = True
+        cold = await served.start_reader()
+        table = DirectTable([make_peer(reference)])
+        assert await PeerState(cold, [table]).fetch()
+        served.faults.outage = False
+        await fill(served, 1, start=6)
+        await wait_for(lambda: cold.folded.next_offset == 7)
+        await wait_for(lambda: reference.folded.next_offset == 7)
+        assert cold.folded.get_hash() == reference.folded.get_hash()
+
+
+async def test_process_that_is_still_reading_hands_nothing_on():
+    async with serve_log() as served:
+        control = ControlReader(served.log)
+        control.install(make_state(3), whole=False)
+        hub = make_peer(control)
+        answer = await hub.answerers[StateQuestion](StateQuestion(True))
+        assert answer.state == b""
+
+
+@pytest.mark.parametrize(("forged", "alarms"), [(False, 0), (True, 1)])
+async def test_differing_hash_at_one_offset_raises_the_alarm(
+    forged, alarms, caplog
+):
+    async with serve_log() as served:
+        own = await make_control(served.log, 3)
+        other = await make_control(served.log, 3)
+        if forged:
+            other.folded.undecodable += 1
+            other.folded._hash = ""
+        peers = PeerState(own, [DirectTable([make_peer(other)])])
+        with caplog.at_level(logging.ERROR):
+            await peers.compare()
+        assert peers.mismatches == alarms
+        assert caplog.messages.count("control_hash_mismatch") == alarms
+
+
+def test_fleet_starts_new_processes_while_the_log_is_down():
+    # Every sidecar and an entry are replaced during an outage of the log.
+    # They start from the entries that are left, and requests go on.
+    with Fleet(SHAPES["thin"]) as fleet:
+        call("POST", f"{fleet.children['log'].url}/_faults", b'{"outage":true}')
+        for index in range(fleet.shape.engines):
+            fleet.stop(f"sidecar-{index}")
+            fleet.start_sidecar(index)
+        fresh = fleet.start_entry(7)
+        fleet.wait_until_ready(fresh)
+        client = make_client(fleet, entry=fleet.entries.index(fresh))
+        answer = client.chat.completions.create(
+            model="large@1",
+            messages=[{"role": "user", "content": "go on"}],
+            max_tokens=4,
+        )
+    assert answer.choices[0].message.content
