Measure what the path adds to a request and to a token

Cause: no figure spoke for the path's cost. Change: lab load (open loop, HDR, latency from the drawn time) and experiment overhead: the same streams directly and through the path.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -11,6 +11,7 @@
 COMMANDS: dict[str, str] = {
     "engine": "lab.engine",
     "experiment": "lab.experiment",
+    "load": "lab.load",
     "log": "lab.log",
     "vms": "lab.vms",
     "weights": "lab.weights",
