--- a/src/lovagestage/documents.py
+++ b/src/lovagestage/documents.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lovagestage.document import ServiceDocument
+from lovagestage.operators import Operators
 from lovagestage.outcomes import (
     ChangeResult,
     Outcome,
@@ -60,12 +61,13 @@
     name = "documents"
     kinds: tuple[type[msgspec.Struct], ...] = (DocumentChange,)
 
-    def __init__(self) -> None:
+    def __init__(self, operators: Operators) -> None:
+        self._operators = operators
         self.services: dict[ServiceId, ServiceInForce] = {}
         self.outcomes = OutcomeTable(MAX_OUTCOMES)
 
     def apply(self, offset: Offset, record: msgspec.Struct) -> None:
-        """Applies a change where its base is the revision in force."""
+        """Applies a change where it may, and its base is in force."""
         assert isinstance(record, DocumentChange)
         if record.change_id in self.outcomes:
             return
@@ -73,11 +75,14 @@
         revision = current.revision if current else 0
         outcome = Outcome.ACCEPTED
         document = _decode(record.document)
-        if record.base != revision:
-            outcome = Outcome.CONFLICT
-        elif document is None:
+        if document is None or document.service != record.service:
             outcome = Outcome.INVALID
+        elif not self._may_edit(record, current, document):
+            outcome = Outcome.FORBIDDEN
+        elif record.base != revision:
+            outcome = Outcome.CONFLICT
         else:
+            assert document is not None
             revision += 1
             self.services[record.service] = ServiceInForce(
                 revision, document, record.document, offset
@@ -86,6 +91,19 @@
             record.change_id, ChangeResult(outcome, revision, offset)
         )
 
+    def _may_edit(
+        self,
+        record: DocumentChange,
+        current: ServiceInForce | None,
+        document: ServiceDocument,
+    ) -> bool:
+        # Both teams must agree to a hand-over: an operator who named its own
+        # team as the owner of another's document would otherwise take it.
+        teams = {document.team}
+        if current is not None:
+            teams.add(current.document.team)
+        return all(self._operators.may_edit(record, team) for team in teams)
+
     def encode(self) -> bytes:
         """Canonical encoding: equal states give equal bytes."""
         services = [
--- a/src/lovagestage/fold.py
+++ b/src/lovagestage/fold.py
@@ -17,6 +17,7 @@
 from lovagestage.documents import Documents, ServiceInForce
 from lovagestage.exceptions import CodecError
 from lovagestage.leases import Leases
+from lovagestage.operators import Operators
 from lovagestage.outcomes import ChangeResult, Outcome, OutcomeTable
 from lovagestage.records import decode_record
 from lovagestage.types import ChangeId, Offset, ServiceId
@@ -75,12 +76,17 @@
         leases: Leases.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, root_key: str = "") -> None:
         self.next_offset = Offset(0)
         self.undecodable = 0
-        self.documents = Documents()
+        self.operators = Operators(root_key)
+        self.documents = Documents(self.operators)
         self.leases = Leases()
-        self._parts: tuple[SubState, ...] = (self.documents, self.leases)
+        self._parts: tuple[SubState, ...] = (
+            self.operators,
+            self.documents,
+            self.leases,
+        )
         self._part_by_kind = {
             kind: part for part in self._parts for kind in part.kinds
         }
--- a/src/lovagestage/outcomes.py
+++ b/src/lovagestage/outcomes.py
@@ -16,6 +16,8 @@
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
     INVALID = "invalid"
+    FORBIDDEN = "forbidden"
+    """The author may not edit this, or the signature is wrong."""
 
 
 class ChangeResult(msgspec.Struct, frozen=True, array_like=True):
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/records.py
@@ -34,6 +34,7 @@
         base: Revision that the operator edited; 0 where there was none.
         author: Operator's name.
         document: The document as JSON.
+        signature: Ed25519 signature by the author's key.
     """
 
     change_id: ChangeId
@@ -41,6 +42,40 @@
     base: int
     author: str
     document: bytes
+    signature: bytes = b""
+
+
+class OperatorSpec(msgspec.Struct, frozen=True):
+    """An operator.
+
+    Attributes:
+        name: Name that changes give as their author.
+        public_keys: Hex Ed25519 keys; two while one is being rotated.
+        teams: Teams whose documents it may edit; `*` for all.
+    """
+
+    name: str
+    public_keys: list[str]
+    teams: list[str]
+
+
+class OperatorsChange(msgspec.Struct, frozen=True, tag="operators_change"):
+    """Replaces the list of operators.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        base: Revision of the list that was edited; 0 for the first.
+        operators: The new list.
+        next_root_key: Hex Ed25519 key that signs the next change; empty
+            where the root key stays.
+        signature: Ed25519 signature by the root key.
+    """
+
+    change_id: ChangeId
+    base: int
+    operators: list[OperatorSpec]
+    next_root_key: str = ""
+    signature: bytes = b""
 
 
 class LeaseTake(msgspec.Struct, frozen=True, tag="lease_take"):
@@ -90,7 +125,9 @@
     renewals: int
 
 
-Record = DocumentChange | LeaseTake | LeaseRenew | LeaseRelease
+Record = (
+    DocumentChange | OperatorsChange | LeaseTake | LeaseRenew | LeaseRelease
+)
 
 _decoder = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
