Add the operators' commands

Cause: documents could be changed only by appending to the log by hand. Change: service, rollout, withdraw, operators, status, dump and completion; checked and signed before the append, result learned through the fold; thin edits are repeated on a conflict, whole documents never. The lab's fleet has a root key, so signatures are checked on the demo and in tests. Ruled out: rebasing a whole document on a conflict: it would undo what the other operator did.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -20,12 +20,27 @@
 from types import TracebackType
 from typing import Any
 
+import msgspec
+import nacl.signing
 import zmq
 
+from lovagestage.document import ServiceDocument
+from lovagestage.operators import sign_change
+from lovagestage.records import (
+    DocumentChange,
+    OperatorsChange,
+    OperatorSpec,
+    Record,
+    encode_record,
+)
+from lovagestage.settings import parse_file
+from lovagestage.types import ChangeId
+
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 HOST = "127.0.0.1"
+OPERATOR = "lab"
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
 
@@ -106,6 +121,7 @@
         )
         public, secret = zmq.curve_keypair()
         self._keys = (public.decode(), secret.decode())
+        self._root = nacl.signing.SigningKey.generate()
 
     def __enter__(self) -> Fleet:
         try:
@@ -145,6 +161,7 @@
             self.start_sidecar(index)
         for index in range(self.shape.entries):
             self.start_entry(index)
+        self._publish_operators()
         self.publish(EXAMPLES / f"{self.shape.service}.jsonc")
         for entry in self.entries:
             self.wait_until_ready(entry)
@@ -175,29 +192,58 @@
         child.port = port
         return child
 
-    def publish(self, path: pathlib.Path) -> None:
-        """Appends a document to the log as its first revision."""
-        from lovagestage.document import ServiceDocument
-        from lovagestage.records import DocumentChange, encode_record
-        from lovagestage.settings import parse_file
-        from lovagestage.types import ChangeId
-
-        import msgspec  # isort: skip
-
-        document = parse_file(path, ServiceDocument)
-        record = DocumentChange(
-            ChangeId(f"first-{document.service}"),
-            document.service,
-            0,
-            "lab",
-            msgspec.json.encode(document),
+    def publish(self, path: pathlib.Path, base: int = 0) -> None:
+        """Appends a document to the log, signed by the lab's operator.
+
+        Args:
+            path: The document, JSON with comments.
+            base: Revision that it replaces.
+        """
+        self.publish_document(parse_file(path, ServiceDocument), base)
+
+    def publish_document(self, document: ServiceDocument, base: int) -> None:
+        """Appends a document to the log, signed by the lab's operator."""
+        self._append(
+            DocumentChange(
+                ChangeId(f"{document.service}-after-{base}"),
+                document.service,
+                base,
+                OPERATOR,
+                msgspec.json.encode(document),
+            )
         )
+
+    def _publish_operators(self) -> None:
+        public = bytes(self._root.verify_key).hex()
+        specs = [OperatorSpec(OPERATOR, [public], ["*"])]
+        self._append(OperatorsChange(ChangeId("operators"), 0, specs))
+
+    def _append(self, change: DocumentChange | OperatorsChange) -> None:
+        signed: Record = sign_change(change, bytes(self._root).hex())
         call(
             "POST",
             f"{self.children['log'].url}/v1/streams/control/records",
-            encode_record(record),
+            encode_record(signed),
         )
 
+    def make_operator_settings(self) -> pathlib.Path:
+        """Writes the settings of the lab's operator; returns their path."""
+        public, secret = self._keys
+        settings = {
+            "operator": OPERATOR,
+            "signing_key": bytes(self._root).hex(),
+            "platform": self._make_platform_settings(),
+            "bus": {
+                "bind": f"{HOST}:1",
+                "public_key": public,
+                "secret_key": secret,
+                "accepted_keys": [public],
+            },
+        }
+        path = self._folder / "operator.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return path
+
     def wait_until_ready(self, entry: Child) -> None:
         """Waits until an entry serves and sees every engine's versions."""
         end_s = time.monotonic() + READY_TIMEOUT_S
@@ -298,11 +344,7 @@
         return {
             "vm": name,
             "zone": zone,
-            "platform": {
-                "log_url": self.children["log"].url,
-                "vms_url": self.children["vms"].url,
-                "rater_url": self.children["rater"].url,
-            },
+            "platform": self._make_platform_settings(),
             "bus": {
                 "bind": bus,
                 "public_key": public,
@@ -312,6 +354,14 @@
             **role,
         }
 
+    def _make_platform_settings(self) -> dict[str, str]:
+        return {
+            "log_url": self.children["log"].url,
+            "vms_url": self.children["vms"].url,
+            "rater_url": self.children["rater"].url,
+            "operators_root_key": bytes(self._root.verify_key).hex(),
+        }
+
     def _spawn(
         self, name: str, command: list[str], read_output: bool
     ) -> subprocess.Popen[str]:
--- a/src/lovagestage/cli.py
+++ b/src/lovagestage/cli.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from lovagestage import __version__
+from lovagestage.commands import add_service_parsers
 from lovagestage.exceptions import LovagestageError, SettingsError
 
 
@@ -43,9 +44,22 @@
             "--check", action="store_true", help="check the settings and exit"
         )
         command.set_defaults(run=_run_daemon, role=role)
+    add_service_parsers(commands)
+    completion = commands.add_parser(
+        "completion", help="print a completion script for a shell"
+    )
+    completion.add_argument("shell", choices=("bash", "zsh", "tcsh"))
+    completion.set_defaults(run=_run_completion)
     return parser
 
 
+def _run_completion(options: argparse.Namespace) -> int:
+    import shtab
+
+    print(shtab.complete(make_parser(), options.shell))
+    return 0
+
+
 def _run_daemon(options: argparse.Namespace) -> int:
     from lovagestage.settings import get_settings
 
--- a/src/lovagestage/control.py
+++ b/src/lovagestage/control.py
@@ -44,11 +44,12 @@
 
     Args:
         log: The platform's log.
+        root_key: See `Operators`.
     """
 
-    def __init__(self, log: Log) -> None:
+    def __init__(self, log: Log, root_key: str = "") -> None:
         super().__init__()
-        self.folded = ControlState()
+        self.folded = ControlState(root_key)
         self.caught_up = False
         self.follow_state = FollowState.STARTING
         self._whole = False
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -56,6 +56,26 @@
         self.key = key
 
 
+class DocumentInvalidError(LovagestageError):
+    """A service document has faults; the message has one line for each."""
+
+    code = "invalid_document"
+    exit_code = EXIT_INVALID
+
+
+class ServiceUnknownError(LovagestageError):
+    """No service in force has the name."""
+
+    code = "unknown_service"
+
+
+class ProcessSilentError(LovagestageError):
+    """A process of the system does not answer."""
+
+    code = "process_silent"
+    exit_code = EXIT_UNAVAILABLE
+
+
 class CodecError(LovagestageError):
     """Bytes from the log or from another process can't be decoded."""
 
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -56,11 +56,14 @@
         log_url: The append-only log.
         vms_url: The list of VMs.
         rater_url: The answer rater; empty where there is none.
+        operators_root_key: Hex Ed25519 key that names the operators; where
+            it is empty, whoever may append to the log may edit documents.
     """
 
     log_url: str
     vms_url: str
     rater_url: str = ""
+    operators_root_key: str = ""
 
 
 class BusSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -145,6 +148,23 @@
     log: LogSettings = LogSettings()
 
 
+class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the operators' commands.
+
+    Attributes:
+        operator: Name of the operator.
+        platform: The platform's services.
+        signing_key: Hex Ed25519 seed of the operator; empty where changes
+            are not signed.
+        bus: Keys that the system's processes accept, for `status` and `dump`.
+    """
+
+    operator: str
+    platform: PlatformSettings
+    signing_key: str = ""
+    bus: BusSettings | None = None
+
+
 _T = TypeVar("_T")
 
 
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -104,7 +104,10 @@
         context,
         session,
         TimerService(),
-        ControlReader(HttpLog(session, settings.platform.log_url)),
+        ControlReader(
+            HttpLog(session, settings.platform.log_url),
+            settings.platform.operators_root_key,
+        ),
         Hub(),
         Hello(settings.vm, time.time_ns()),
     )
