--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -33,7 +33,7 @@
     Record,
     encode_record,
 )
-from lovagestage.settings import parse_file
+from lovagestage.settings import BusSettings, parse_file
 from lovagestage.types import ChangeId
 
 READY_TIMEOUT_S = 30.0
@@ -244,6 +244,11 @@
         path.write_text(json.dumps(settings, indent=2))
         return path
 
+    def make_bus_settings(self, port: int) -> BusSettings:
+        """Settings of a listener that the fleet's processes connect to."""
+        public, secret = self._keys
+        return BusSettings(f"{HOST}:{port}", public, secret, [public])
+
     def wait_until_ready(self, entry: Child) -> None:
         """Waits until an entry serves and sees every engine's versions."""
         end_s = time.monotonic() + READY_TIMEOUT_S
