Fold the progress of roll-outs and give them a state chart

Cause: a roll-out was only a wish in the document; nothing said how far it was, so nobody could go on where another stopped. Ruled out: progress inside the document (each step would conflict with the operator's edits); the chart's state kept by the driver (lost with it).

--- a/src/lovagestage/adapters.py
+++ b/src/lovagestage/adapters.py
@@ -22,7 +22,9 @@
     LogUnavailableError,
     LovagestageError,
 )
+from lovagestage.messages import OrderState
 from lovagestage.types import (
+    FencingNumber,
     Offset,
     RequestId,
     Role,
@@ -154,6 +156,13 @@
     async def get_load(self) -> EngineLoad:
         """Reads the reported load."""
 
+    async def order(self, version: str, fencing: FencingNumber) -> OrderState:
+        """Orders it to load `MODEL@VERSION`; loading takes a while.
+
+        Raises:
+            EngineError: It did not answer; it may have taken the order.
+        """
+
     async def get_versions(self) -> list[str]:
         """Reads the loaded versions as `MODEL@VERSION`."""
 
@@ -307,6 +316,13 @@
         ]
 
 
+_ORDER_STATES = {
+    200: OrderState.DONE,
+    202: OrderState.STARTED,
+    503: OrderState.THROTTLED,
+}
+
+
 class _LoadForm(msgspec.Struct):
     running: int
     waiting: int
@@ -390,6 +406,26 @@
         )
         return [model.id for model in form.data]
 
+    async def order(self, version: str, fencing: FencingNumber) -> OrderState:
+        """See `Engine.order`."""
+        model, _, name = version.partition("@")
+        body = {
+            "kind": "load",
+            "model": model,
+            "version": name,
+            "fencing": fencing,
+        }
+        try:
+            async with self._session.post(
+                f"{self._url}/orders", json=body, timeout=_SHORT
+            ) as response:
+                return _ORDER_STATES.get(response.status, OrderState.REFUSED)
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise EngineError(
+                f"The engine does not answer an order: {error!r}.",
+                RunState.UNKNOWN,
+            ) from error
+
     async def _get(self, path: str) -> bytes:
         try:
             async with self._session.get(
--- a/src/lovagestage/documents.py
+++ b/src/lovagestage/documents.py
@@ -30,12 +30,14 @@
         document: The document, decoded.
         source: The bytes that the operator appended.
         offset: Offset of the record that brought it in force.
+        rollout_revisions: Revision that last changed each model's roll-out.
     """
 
     revision: int
     document: ServiceDocument
     source: bytes
     offset: Offset
+    rollout_revisions: dict[str, int]
 
 
 class _ServiceForm(msgspec.Struct, frozen=True, array_like=True):
@@ -43,6 +45,7 @@
     revision: int
     source: bytes
     offset: Offset
+    rollout_revisions: dict[str, int]
 
 
 class _Form(msgspec.Struct, frozen=True, array_like=True):
@@ -85,7 +88,11 @@
             assert document is not None
             revision += 1
             self.services[record.service] = ServiceInForce(
-                revision, document, record.document, offset
+                revision,
+                document,
+                record.document,
+                offset,
+                _get_rollout_revisions(current, document, revision),
             )
         self.outcomes.add(
             record.change_id, ChangeResult(outcome, revision, offset)
@@ -107,7 +114,13 @@
     def encode(self) -> bytes:
         """Canonical encoding: equal states give equal bytes."""
         services = [
-            _ServiceForm(name, held.revision, held.source, held.offset)
+            _ServiceForm(
+                name,
+                held.revision,
+                held.source,
+                held.offset,
+                dict(sorted(held.rollout_revisions.items())),
+            )
             for name, held in sorted(self.services.items())
         ]
         return msgspec.msgpack.encode(
@@ -127,12 +140,24 @@
                 msgspec.json.decode(held.source, type=ServiceDocument),
                 held.source,
                 held.offset,
+                held.rollout_revisions,
             )
             for held in form.services
         }
         self.outcomes.restore(form.outcomes)
 
 
+def _get_rollout_revisions(
+    current: ServiceInForce | None, document: ServiceDocument, revision: int
+) -> dict[str, int]:
+    kept = {
+        model: current.rollout_revisions[model]
+        for model, spec in document.rollouts.items()
+        if current is not None and current.document.rollouts.get(model) == spec
+    }
+    return {model: kept.get(model, revision) for model in document.rollouts}
+
+
 def _decode(source: bytes) -> ServiceDocument | None:
     try:
         return msgspec.json.decode(source, type=ServiceDocument)
--- a/src/lovagestage/fold.py
+++ b/src/lovagestage/fold.py
@@ -20,6 +20,7 @@
 from lovagestage.operators import Operators
 from lovagestage.outcomes import ChangeResult, Outcome, OutcomeTable
 from lovagestage.records import decode_record
+from lovagestage.rollouts import Rollouts
 from lovagestage.types import ChangeId, Offset, ServiceId
 
 __all__ = [
@@ -74,6 +75,7 @@
         undecodable: Number of records that were refused.
         documents: Service documents.
         leases: Leases.
+        rollouts: Progress of roll-outs.
     """
 
     def __init__(self, root_key: str = "") -> None:
@@ -82,10 +84,12 @@
         self.operators = Operators(root_key)
         self.documents = Documents(self.operators)
         self.leases = Leases()
+        self.rollouts = Rollouts(self.documents, self.leases)
         self._parts: tuple[SubState, ...] = (
             self.operators,
             self.documents,
             self.leases,
+            self.rollouts,
         )
         self._part_by_kind = {
             kind: part for part in self._parts for kind in part.kinds
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -9,10 +9,20 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.types import RequestId, RunState, VmId, WorkspaceId, ZoneId
+from lovagestage.types import (
+    FencingNumber,
+    LeaseId,
+    RequestId,
+    RunState,
+    VmId,
+    WorkspaceId,
+    ZoneId,
+)
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
@@ -191,7 +201,44 @@
     payload: bytes
 
 
-EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest
+class OrderState(enum.Enum):
+    """What became of an order to an engine."""
+
+    STARTED = "started"
+    DONE = "done"
+    THROTTLED = "throttled"
+    """The weight store's rate limit; nothing was started."""
+    REFUSED = "refused"
+    """By the gate or the engine; nothing was started."""
+    UNKNOWN = "unknown"
+
+
+class Order(msgspec.Struct, frozen=True, array_like=True, tag="order"):
+    """Orders an engine to load a version.
+
+    Attributes:
+        lease: The lease that the sender holds.
+        fencing: Its fencing number.
+        version: `MODEL@VERSION`.
+    """
+
+    lease: LeaseId
+    fencing: FencingNumber
+    version: str
+
+
+class OrderResult(
+    msgspec.Struct, frozen=True, array_like=True, tag="order_result"
+):
+    """What became of an order."""
+
+    state: OrderState
+    message: str
+
+
+EntryMessage = (
+    Order | OrderResult | Hello | Dispatch | Attach | Cancel | DumpRequest
+)
 SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
 Message = EntryMessage | SidecarMessage | Ask | Reply
 
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/records.py
@@ -14,6 +14,7 @@
     ChangeId,
     FencingNumber,
     LeaseId,
+    RolloutPhase,
     ServiceId,
     VmId,
 )
@@ -125,8 +126,56 @@
     renewals: int
 
 
+class RolloutProgress(msgspec.Struct, frozen=True, tag="rollout_progress"):
+    """Moves a roll-out on.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        service: The service.
+        model: The model.
+        revision: Revision of the document that last changed the roll-out.
+        fencing: Number of the writer's grant of the roll-out lease.
+        base: Number of moves before this one.
+        phase: Phase after it.
+        step: Step after it.
+    """
+
+    change_id: ChangeId
+    service: ServiceId
+    model: str
+    revision: int
+    fencing: FencingNumber
+    base: int
+    phase: RolloutPhase
+    step: int
+
+
+class RolloutStop(msgspec.Struct, frozen=True, tag="rollout_stop"):
+    """Stops a roll-out for good; any process may append it.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        service: The service.
+        model: The model.
+        revision: Revision of the document that last changed the roll-out.
+        reason: What the evidence was.
+    """
+
+    change_id: ChangeId
+    service: ServiceId
+    model: str
+    revision: int
+    reason: str
+
+
 Record = (
-    DocumentChange | OperatorsChange | LeaseTake | LeaseRenew | LeaseRelease
+    DocumentChange
+    | OperatorsChange
+    | LeaseTake
+    | LeaseRenew
+    | LeaseRelease
+    | RolloutProgress
+    | RolloutStop
 )
 
 _decoder = msgspec.msgpack.Decoder(Record)
--- /dev/null
+++ b/src/lovagestage/rollouts.py
@@ -0,0 +1,211 @@
+"""Progress of roll-outs, folded from the log.
+
+A roll-out is named by service, model and the revision of the document that
+last changed it, so an operator's edit always starts one afresh. Only the
+holder of the roll-out lease moves it on. Stopping it needs no lease: any
+process may say so, it can't be taken back, and it lasts until the operator
+edits the roll-out.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from lovagestage.document import RolloutSpec, RolloutState
+from lovagestage.documents import Documents
+from lovagestage.leases import Leases
+from lovagestage.outcomes import (
+    ChangeResult,
+    Outcome,
+    OutcomeEntry,
+    OutcomeTable,
+)
+from lovagestage.records import RolloutProgress, RolloutStop
+from lovagestage.rollout_chart import Position
+from lovagestage.types import LeaseId, Offset, RolloutPhase, ServiceId
+
+ROLLOUT_LEASE = LeaseId("rollout")
+MAX_OUTCOMES = 512
+
+_NO_SHARE = frozenset(
+    (
+        RolloutPhase.LOADING,
+        RolloutPhase.ROLLING_BACK,
+        RolloutPhase.ROLLED_BACK,
+    )
+)
+
+
+class RolloutKey(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Names one roll-out.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        revision: Revision of the document that last changed the roll-out.
+    """
+
+    service: ServiceId
+    model: str
+    revision: int
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True):
+    """How far a roll-out is.
+
+    Attributes:
+        key: The roll-out.
+        count: Number of moves; the next move names it as its base.
+        phase: Its phase.
+        step: Index into the document's steps.
+        stop_reason: Why it was stopped; empty where it was not.
+    """
+
+    key: RolloutKey
+    count: int = 0
+    phase: RolloutPhase = RolloutPhase.LOADING
+    step: int = 0
+    stop_reason: str = ""
+
+    @property
+    def position(self) -> Position:
+        """Phase and step."""
+        return Position(self.phase, self.step)
+
+
+class _Form(msgspec.Struct, frozen=True, array_like=True):
+    progress: list[Progress]
+    outcomes: list[OutcomeEntry]
+
+
+@dataclasses.dataclass(frozen=True)
+class Rollout:
+    """A roll-out in force: what the operator wants and how far it is.
+
+    Attributes:
+        spec: The document's part.
+        progress: How far it is.
+    """
+
+    spec: RolloutSpec
+    progress: Progress
+
+    def get_share(self) -> float:
+        """Share of the model's new requests that the new version gets."""
+        progress = self.progress
+        if progress.stop_reason or self.spec.state is RolloutState.ABORTED:
+            return 0.0
+        if progress.phase is RolloutPhase.DONE:
+            return 1.0
+        if progress.phase in _NO_SHARE:
+            return 0.0
+        return self.spec.steps[min(progress.step, len(self.spec.steps) - 1)]
+
+
+class Rollouts:
+    """Progress of the roll-outs of all services.
+
+    Args:
+        documents: Documents in force; folded before this part.
+        leases: Leases; folded before this part.
+
+    Attributes:
+        outcomes: Results of the latest records.
+    """
+
+    name = "rollouts"
+    kinds: tuple[type[msgspec.Struct], ...] = (RolloutProgress, RolloutStop)
+
+    def __init__(self, documents: Documents, leases: Leases) -> None:
+        self.outcomes = OutcomeTable(MAX_OUTCOMES)
+        self._documents = documents
+        self._leases = leases
+        self._progress: dict[RolloutKey, Progress] = {}
+
+    def get(self, service: ServiceId, model: str) -> Rollout | None:
+        """The roll-out in force of a model."""
+        held = self._documents.services.get(service)
+        spec = held.document.rollouts.get(model) if held else None
+        if held is None or spec is None:
+            return None
+        key = RolloutKey(service, model, held.rollout_revisions[model])
+        return Rollout(spec, self._progress.get(key, Progress(key)))
+
+    def get_all(self) -> list[Rollout]:
+        """All roll-outs in force."""
+        found = [
+            self.get(service, model)
+            for service, held in self._documents.services.items()
+            for model in held.document.rollouts
+        ]
+        return [rollout for rollout in found if rollout is not None]
+
+    def apply(self, offset: Offset, record: msgspec.Struct) -> None:
+        """Applies a move or a stop where the roll-out is still in force."""
+        assert isinstance(record, RolloutProgress | RolloutStop)
+        if record.change_id in self.outcomes:
+            return
+        rollout = self.get(record.service, record.model)
+        outcome = Outcome.CONFLICT
+        count = 0
+        if (
+            rollout is not None
+            and rollout.progress.key.revision == record.revision
+        ):
+            changed = self._change(rollout.progress, record)
+            if changed is not None:
+                outcome = Outcome.ACCEPTED
+                self._keep(changed)
+            count = (changed or rollout.progress).count
+        self.outcomes.add(
+            record.change_id, ChangeResult(outcome, count, offset)
+        )
+
+    def encode(self) -> bytes:
+        """Canonical encoding: equal states give equal bytes."""
+        progress = sorted(self._progress.values(), key=lambda p: p.key)
+        return msgspec.msgpack.encode(
+            _Form(progress, self.outcomes.get_entries())
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by an encoded one.
+
+        Raises:
+            msgspec.MsgspecError: The bytes are no encoded state.
+        """
+        form = msgspec.msgpack.decode(data, type=_Form)
+        self._progress = {progress.key: progress for progress in form.progress}
+        self.outcomes.restore(form.outcomes)
+
+    def _change(
+        self, progress: Progress, record: RolloutProgress | RolloutStop
+    ) -> Progress | None:
+        if isinstance(record, RolloutStop):
+            if progress.stop_reason:
+                return None
+            return msgspec.structs.replace(
+                progress, stop_reason=record.reason, count=progress.count + 1
+            )
+        # The lease's number is compared in the fold and not only at the
+        # writer: a holder that was paused past its lease may append what it
+        # decided before, and that must lose for every reader.
+        if record.fencing != self._leases.get_fencing(ROLLOUT_LEASE):
+            return None
+        if record.base != progress.count:
+            return None
+        return msgspec.structs.replace(
+            progress,
+            phase=record.phase,
+            step=record.step,
+            count=progress.count + 1,
+        )
+
+    def _keep(self, progress: Progress) -> None:
+        key = progress.key
+        for other in list(self._progress):
+            if (other.service, other.model) == (key.service, key.model):
+                del self._progress[other]
+        self._progress[key] = progress
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -44,6 +44,17 @@
     SIDECAR = "sidecar"
 
 
+class RolloutPhase(enum.Enum):
+    """Phase of a roll-out; also the state names of its chart."""
+
+    LOADING = "loading"
+    """The new version is being loaded; it gets no requests."""
+    STEPPING = "stepping"
+    ROLLING_BACK = "rolling_back"
+    ROLLED_BACK = "rolled_back"
+    DONE = "done"
+
+
 class ModelVersion(msgspec.Struct, frozen=True, order=True):
     """One version of one model, written `MODEL@VERSION`.
 
