Pin sessions to their version by signed tokens

Cause: nothing kept a conversation on its version, and a retired version still took single requests.

Ruled out: a table of sessions over the entries (an owner and a copy for each id, and the version is lost with two VMs), ids chosen by callers hashed to versions (any change of the list moves them silently), a record in the log for each session (8,300/s against several hundred appends/s).

Change: sessions.py mints and reads tokens and decides where a request of a session runs; document.py tells versions for open sessions from versions for new work; the sidecar checks with its own document, told by Dispatch.in_session which list applies. A sidecar's refusal of a version is version_withdrawn with Retry-After instead of model_not_allowed.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -18,10 +18,13 @@
 import urllib.error
 import urllib.request
 from types import TracebackType
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import zmq
 
+if TYPE_CHECKING:
+    from lovagestage.document import ServiceDocument
+
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
@@ -104,6 +107,7 @@
         self._folder = folder or pathlib.Path(
             tempfile.mkdtemp(prefix="lovagestage-")
         )
+        self.session_keys = ["lab-session-key"]
         public, secret = zmq.curve_keypair()
         self._keys = (public.decode(), secret.decode())
 
@@ -170,7 +174,13 @@
     def start_entry(self, index: int) -> Child:
         """Starts an entry."""
         port = get_free_port()
-        role = {"entry": {"http_host": HOST, "http_port": port}}
+        role = {
+            "entry": {
+                "http_host": HOST,
+                "http_port": port,
+                "session_keys": self.session_keys,
+            }
+        }
         child = self._start_daemon("entry", index, role)
         child.port = port
         return child
@@ -178,17 +188,21 @@
     def publish(self, path: pathlib.Path) -> None:
         """Appends a document to the log as its first revision."""
         from lovagestage.document import ServiceDocument
-        from lovagestage.records import DocumentChange, encode_record
         from lovagestage.settings import parse_file
-        from lovagestage.types import ChangeId
 
-        import msgspec  # isort: skip
+        self.publish_document(parse_file(path, ServiceDocument), 0)
+
+    def publish_document(self, document: ServiceDocument, base: int) -> None:
+        """Appends a document to the log as the revision after `base`."""
+        import msgspec
+
+        from lovagestage.records import DocumentChange, encode_record
+        from lovagestage.types import ChangeId
 
-        document = parse_file(path, ServiceDocument)
         record = DocumentChange(
-            ChangeId(f"first-{document.service}"),
+            ChangeId(f"lab-{document.service}-{base}"),
             document.service,
-            0,
+            base,
             "lab",
             msgspec.json.encode(document),
         )
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -19,8 +19,8 @@
     ClassSpec,
     Repeatable,
     ServiceDocument,
-    get_allowed_versions,
     get_key_digest,
+    get_open_versions,
 )
 from lovagestage.exceptions import (
     BodyTooLargeError,
@@ -32,6 +32,17 @@
     UnknownModelError,
     WrongKeyError,
 )
+from lovagestage.sessions import (
+    HEADER_MOVED_FROM,
+    HEADER_SESSION,
+    Session,
+    SessionSigner,
+    check_session,
+    get_token,
+    is_pinned,
+    make_next_session,
+    resolve_model,
+)
 from lovagestage.settings import EntrySettings
 from lovagestage.types import (
     ModelVersion,
@@ -61,7 +72,7 @@
         model: A service, a model or `MODEL@VERSION`.
         messages: At least one.
         stream: Whether the caller reads chunks.
-        metadata: `request_class` may be given here.
+        metadata: `request_class` and `session` may be given here.
     """
 
     model: str
@@ -113,6 +124,7 @@
         self._settings = settings
         self._control = control
         self._dispatcher = dispatcher
+        self._signer = SessionSigner(settings.session_keys)
 
     def make_app(self) -> web.Application:
         """Builds the HTTP application."""
@@ -169,7 +181,7 @@
 
     async def _get_models(self, request: web.Request) -> web.Response:
         caller = self._get_caller(request)
-        allowed = get_allowed_versions(caller.document, caller.workspace)
+        allowed = get_open_versions(caller.document, caller.workspace)
         names = [str(caller.document.service), *(str(v) for v in allowed)]
         return web.json_response(
             {
@@ -193,8 +205,8 @@
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
         if form.stream:
-            return await self._answer_stream(request, admitted, result)
-        return await self._answer_plain(admitted, result)
+            return await self._answer_stream(request, caller, admitted, result)
+        return await self._answer_plain(caller, admitted, result)
 
     def _get_caller(self, request: web.Request) -> Caller:
         if not self._control.folded.services:
@@ -225,36 +237,78 @@
     ) -> Request:
         spec = _get_class(request, caller.document, form)
         deadline_s = spec.deadline_s or self._settings.default_deadline_s
+        session = self._read_session(request, caller, form)
+        version = resolve_session_version(session, form.model, caller, spec)
         return Request(
             RequestId(secrets.token_hex(16)),
             caller.workspace,
             caller.document.service,
-            resolve_version(form.model, caller, spec),
+            version,
             spec.priority,
             spec.repeatable is Repeatable.ALWAYS,
             time.monotonic() + deadline_s,
             form.stream,
             body,
+            session,
+        )
+
+    def _read_session(
+        self, request: web.Request, caller: Caller, form: ChatForm
+    ) -> Session | None:
+        token = get_token(request.headers, form.metadata)
+        if token is None:
+            return None
+        session = self._signer.read_token(token)
+        service = caller.document.service
+        check_session(session, caller.workspace, service, time.time())
+        return session
+
+    def _make_session_headers(
+        self, caller: Caller, admitted: Request, result: Result
+    ) -> dict[str, str]:
+        session = make_next_session(
+            admitted.session,
+            secrets.token_hex(8),
+            caller.workspace,
+            caller.document,
+            result.version,
+            time.time(),
         )
+        token = self._signer.make_token(session)
+        if token is None:
+            return {}
+        headers = {HEADER_SESSION: token}
+        previous = admitted.session
+        if previous is not None and not is_pinned(previous, result.version):
+            headers[HEADER_MOVED_FROM] = previous.version
+        return headers
 
     async def _answer_plain(
-        self, admitted: Request, result: Result
+        self, caller: Caller, admitted: Request, result: Result
     ) -> web.Response:
         parts = [part async for part in self._dispatcher.run(admitted, result)]
         return web.Response(
             body=b"".join(parts),
             content_type="application/json",
-            headers=_make_headers(admitted, result),
+            headers=_make_headers(admitted, result)
+            | self._make_session_headers(caller, admitted, result),
         )
 
     async def _answer_stream(
-        self, request: web.Request, admitted: Request, result: Result
+        self,
+        request: web.Request,
+        caller: Caller,
+        admitted: Request,
+        result: Result,
     ) -> web.StreamResponse:
         parts = self._dispatcher.run(admitted, result)
         # The first chunk is awaited before the status is sent, so that a
         # request refused before it has an error status of its own.
         first = await anext(parts, b"")
-        response = web.StreamResponse(headers=_make_headers(admitted, result))
+        response = web.StreamResponse(
+            headers=_make_headers(admitted, result)
+            | self._make_session_headers(caller, admitted, result)
+        )
         response.content_type = "text/event-stream"
         await response.prepare(request)
         await response.write(first)
@@ -282,7 +336,7 @@
         UnknownModelError: The name is none of these.
         ModelNotAllowedError: The workspace may not use it.
     """
-    allowed = get_allowed_versions(caller.document, caller.workspace)
+    allowed = get_open_versions(caller.document, caller.workspace)
     if name == caller.document.service:
         candidates = [
             version
@@ -306,6 +360,24 @@
     )
 
 
+def resolve_session_version(
+    session: Session | None, name: str, caller: Caller, spec: ClassSpec
+) -> ModelVersion:
+    """Finds the version of a request that may come with a session.
+
+    Raises:
+        RequestRefusedError: See `resolve_version` and `resolve_model`.
+    """
+    if session is None:
+        return resolve_version(name, caller, spec)
+    target = resolve_model(session, name, caller.document)
+    if target is not None:
+        return resolve_version(target, caller, spec)
+    pinned = parse_model_version(session.version)
+    assert pinned is not None
+    return pinned
+
+
 def make_error_body(error: RequestRefusedError) -> dict[str, object]:
     """Builds the standard error body."""
     return {
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -28,6 +28,7 @@
     Refused,
 )
 from lovagestage.routing import choose_upstream
+from lovagestage.sessions import Session, is_pinned
 from lovagestage.types import (
     ModelVersion,
     RequestId,
@@ -64,6 +65,7 @@
         deadline_at_s: Monotonic time of the deadline.
         stream: Whether the caller reads chunks.
         body: The JSON body.
+        session: The session that it came with.
     """
 
     request_id: RequestId
@@ -75,6 +77,7 @@
     deadline_at_s: float
     stream: bool
     body: bytes
+    session: Session | None = None
 
 
 class Attempt:
@@ -242,6 +245,7 @@
             request.deadline_at_s - time.monotonic(),
             request.stream,
             request.body,
+            is_pinned(request.session, request.version),
         )
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
--- a/src/lovagestage/document.py
+++ b/src/lovagestage/document.py
@@ -195,20 +195,41 @@
 def get_allowed_versions(
     document: ServiceDocument, workspace: WorkspaceId
 ) -> list[ModelVersion]:
-    """Versions that a workspace may use, withdrawn ones left out.
+    """Versions that a workspace's open sessions may use: withdrawn ones not.
 
     This is the one place that decides it: entries choose from this list and
     sidecars check against it again, so no routing rule can widen it.
     """
+    return [
+        name
+        for version in document.versions
+        if version.state is not VersionState.WITHDRAWN
+        and (name := parse_model_version(version.name)) is not None
+        and is_version_granted(document, workspace, name)
+    ]
+
+
+def get_open_versions(
+    document: ServiceDocument, workspace: WorkspaceId
+) -> list[ModelVersion]:
+    """Versions for new sessions and single requests: retired ones not."""
+    active = {
+        version.name
+        for version in document.versions
+        if version.state is VersionState.ACTIVE
+    }
+    return [
+        version
+        for version in get_allowed_versions(document, workspace)
+        if str(version) in active
+    ]
+
+
+def is_version_granted(
+    document: ServiceDocument, workspace: WorkspaceId, version: ModelVersion
+) -> bool:
+    """Whether the workspace's own list names a version, in any state."""
     spec = document.workspaces.get(workspace)
     if spec is None:
-        return []
-    allowed = set(spec.allowed)
-    versions = []
-    for version in document.versions:
-        name = parse_model_version(version.name)
-        if name is None or version.state is VersionState.WITHDRAWN:
-            continue
-        if version.name in allowed or name.model in allowed:
-            versions.append(name)
-    return versions
+        return False
+    return version.model in spec.allowed or str(version) in spec.allowed
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -189,6 +189,40 @@
     kind = "permission_error"
 
 
+class VersionWithdrawnError(RequestRefusedError):
+    """The version was retired or withdrawn after the entry had chosen it."""
+
+    code = "version_withdrawn"
+    status = 503
+    kind = "server_error"
+
+
+class SessionInvalidError(RequestRefusedError):
+    """The session is none that the caller was given."""
+
+    code = "session_invalid"
+
+
+class SessionExpiredError(RequestRefusedError):
+    """The session was not used for too long."""
+
+    code = "session_expired"
+    status = 410
+
+
+class SessionVersionConflictError(RequestRefusedError):
+    """The request names another version than its session runs on."""
+
+    code = "session_version_conflict"
+
+
+class SessionVersionWithdrawnError(RequestRefusedError):
+    """The session's version is withdrawn and the session ends with it."""
+
+    code = "session_version_withdrawn"
+    status = 410
+
+
 class NoCapacityError(RequestRefusedError):
     """No upstream can take the request now."""
 
@@ -238,6 +272,11 @@
         WrongKeyError,
         UnknownModelError,
         ModelNotAllowedError,
+        VersionWithdrawnError,
+        SessionInvalidError,
+        SessionExpiredError,
+        SessionVersionConflictError,
+        SessionVersionWithdrawnError,
         NoCapacityError,
         NotReadyError,
         UpstreamLostError,
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -67,6 +67,8 @@
         deadline_s: Time left until the deadline.
         stream: Whether chunks are wanted as they arrive.
         body: The request's JSON body for the engine.
+        in_session: It goes on with an open session, so that a retired version
+            takes it.
     """
 
     request_id: RequestId
@@ -78,6 +80,7 @@
     deadline_s: float
     stream: bool
     body: bytes
+    in_session: bool = False
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -93,6 +93,8 @@
         body_timeout_s: A body that is not whole by then is refused.
         default_deadline_s: Deadline of a request that names none.
         drain_timeout_s: Longest wait for open requests at a planned stop.
+        session_keys: Keys of session tokens, the same at every entry: the
+            first signs, all are accepted. Without one there are no sessions.
     """
 
     http_host: str
@@ -101,6 +103,7 @@
     body_timeout_s: float = 10.0
     default_deadline_s: float = 120.0
     drain_timeout_s: float = 600.0
+    session_keys: list[str] = []
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -12,7 +12,11 @@
 
 from lovagestage.adapters import Engine, EngineLoad
 from lovagestage.control import ControlReader
-from lovagestage.document import get_allowed_versions
+from lovagestage.document import (
+    get_allowed_versions,
+    get_open_versions,
+    is_version_granted,
+)
 from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
 from lovagestage.messages import (
@@ -36,6 +40,9 @@
 
 PEER_TIMEOUT_S = 10.0
 EXPIRY_INTERVAL_S = 1.0
+_PASSING = ("no_capacity", "version_withdrawn", "not_ready")
+"""Refusals that a retry helps against: another upstream may have room, and
+the entry will have read the document that this process has."""
 _NO_LOAD = EngineLoad(0, 0, 0, 0.0, 0.0)
 
 
@@ -134,7 +141,7 @@
                 code,
                 text,
                 RunState.NOT_RUN,
-                1 if code == "no_capacity" else None,
+                1 if code in _PASSING else None,
             ),
         )
 
@@ -147,16 +154,25 @@
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
         version = parse_model_version(dispatch.version)
-        allowed = get_allowed_versions(service.document, dispatch.workspace)
-        if version not in allowed:
-            # The entry may act on an older document than this process; the
-            # later of the two checks decides, so that a withdrawn version
-            # gets no work through an entry that lags.
+        # The entry may act on an older document than this process; the later
+        # of the two checks decides, so that a withdrawn version gets no work
+        # through an entry that lags.
+        if version is None or not is_version_granted(
+            service.document, dispatch.workspace, version
+        ):
             return (
                 "model_not_allowed",
                 f"Workspace {dispatch.workspace!r} may not use"
                 f" {dispatch.version!r}.",
             )
+        get_versions = (
+            get_allowed_versions if dispatch.in_session else get_open_versions
+        )
+        if version not in get_versions(service.document, dispatch.workspace):
+            return (
+                "version_withdrawn",
+                f"The version {dispatch.version!r} takes no new work.",
+            )
         return None
 
     def _on_heartbeat(self) -> None:
