--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -119,6 +119,9 @@
         self._folder = folder or pathlib.Path(
             tempfile.mkdtemp(prefix="lovagestage-")
         )
+        self.entry_options: dict[str, Any] = {
+            "session_keys": ["lab-session-key"]
+        }
         public, secret = zmq.curve_keypair()
         self._keys = (public.decode(), secret.decode())
         self._root = nacl.signing.SigningKey.generate()
@@ -187,7 +190,13 @@
     def start_entry(self, index: int) -> Child:
         """Starts an entry."""
         port = get_free_port()
-        role = {"entry": {"http_host": HOST, "http_port": port}}
+        role = {
+            "entry": {
+                "http_host": HOST,
+                "http_port": port,
+                **self.entry_options,
+            }
+        }
         child = self._start_daemon("entry", index, role)
         child.port = port
         return child
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -77,6 +77,8 @@
         deadline_s: Time left until the deadline.
         stream: Whether chunks are wanted as they arrive.
         body: The request's JSON body for the engine.
+        in_session: It goes on with an open session, so that a retired version
+            takes it.
     """
 
     request_id: RequestId
@@ -88,6 +90,7 @@
     deadline_s: float
     stream: bool
     body: bytes
+    in_session: bool = False
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
@@ -236,11 +239,57 @@
     message: str
 
 
-EntryMessage = (
-    Order | OrderResult | Hello | Dispatch | Attach | Cancel | DumpRequest
+class NumberedBill(msgspec.Struct, frozen=True, array_like=True):
+    """An encoded bill with its place in its owner's order, from 1."""
+
+    number: int
+    data: bytes
+
+
+class BillCopy(msgspec.Struct, frozen=True, array_like=True, tag="bill_copy"):
+    """Asks another entry to hold copies of bills.
+
+    Attributes:
+        owner: The entry that answered the requests.
+        incarnation: Start time of the owner's process.
+        bills: The bills.
+    """
+
+    owner: VmId
+    incarnation: int
+    bills: list[NumberedBill]
+
+
+class BillCopied(
+    msgspec.Struct, frozen=True, array_like=True, tag="bill_copied"
+):
+    """Says whether the copies are held; False where there is no room."""
+
+    held: bool
+
+
+class BillRelease(
+    msgspec.Struct, frozen=True, array_like=True, tag="bill_release"
+):
+    """Renews an owner's copies and drops those that the log has.
+
+    Attributes:
+        owner: The entry that answered the requests.
+        incarnation: Start time of the owner's process.
+        last_number: The log has all bills up to this number.
+    """
+
+    owner: VmId
+    incarnation: int
+    last_number: int
+
+
+EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest | Order
+SidecarMessage = (
+    Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
-Message = EntryMessage | SidecarMessage | Ask | Reply
+PeerMessage = BillCopy | BillCopied | BillRelease
+Message = EntryMessage | SidecarMessage | PeerMessage | Ask | Reply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
