--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -48,7 +48,7 @@
     # The entry still has the document in which the version was active and
     # dispatches to it; the sidecar has read the later one.
     document = make_document((state, VersionState.ACTIVE, VersionState.ACTIVE))
-    folded = types.SimpleNamespace(
+    control = types.SimpleNamespace(
         services={"vault": ServiceInForce(2, document, b"", 0, {})}
     )
     recorder = Recorder()
@@ -57,7 +57,7 @@
     Sidecar(
         None,
         types.SimpleNamespace(max_running=1),
-        types.SimpleNamespace(folded=folded),
+        control,
         None,
         recorder,
         None,
