--- a/lab/experiments/config.py
+++ b/lab/experiments/config.py
@@ -128,7 +128,7 @@
             form = msgspec.json.decode(await response.read())
         services = {
             ServiceId(name): ServiceInForce(
-                held["revision"], held["document"], b"", held["offset"]
+                held["revision"], held["document"], b"", held["offset"], {}
             )
             for name, held in form.items()
         }
--- a/src/lovagestage/control.py
+++ b/src/lovagestage/control.py
@@ -57,13 +57,17 @@
     Args:
         log: The platform's log.
         snapshots: Where to get a state from below the horizon.
+        root_key: See `Operators`.
     """
 
     def __init__(
-        self, log: Log, snapshots: SnapshotSource | None = None
+        self,
+        log: Log,
+        snapshots: SnapshotSource | None = None,
+        root_key: str = "",
     ) -> None:
         super().__init__()
-        self.folded = ControlState()
+        self.folded = ControlState(root_key)
         self.caught_up = False
         self.follow_state = FollowState.STARTING
         self._whole = False
--- a/src/lovagestage/documents.py
+++ b/src/lovagestage/documents.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lovagestage.document import ServiceDocument
+from lovagestage.operators import Operators
 from lovagestage.outcomes import (
     ChangeResult,
     Outcome,
@@ -29,12 +30,14 @@
         document: The document, decoded.
         source: The bytes that the operator appended.
         offset: Offset of the record that brought it in force.
+        rollout_revisions: Revision that last changed each model's roll-out.
     """
 
     revision: int
     document: ServiceDocument
     source: bytes
     offset: Offset
+    rollout_revisions: dict[str, int]
 
 
 class _ServiceForm(msgspec.Struct, frozen=True, array_like=True):
@@ -42,6 +45,7 @@
     revision: int
     source: bytes
     offset: Offset
+    rollout_revisions: dict[str, int]
 
 
 class _Form(msgspec.Struct, frozen=True, array_like=True):
@@ -60,12 +64,13 @@
     name = "documents"
     kinds: tuple[type[msgspec.Struct], ...] = (DocumentChange,)
 
-    def __init__(self) -> None:
+    def __init__(self, operators: Operators) -> None:
+        self._operators = operators
         self.services: dict[ServiceId, ServiceInForce] = {}
         self.outcomes = OutcomeTable(MAX_OUTCOMES)
 
     def apply(self, offset: Offset, record: msgspec.Struct) -> None:
-        """Applies a change where its base is the revision in force."""
+        """Applies a change where it may, and its base is in force."""
         assert isinstance(record, DocumentChange)
         if record.change_id in self.outcomes:
             return
@@ -73,23 +78,49 @@
         revision = current.revision if current else 0
         outcome = Outcome.ACCEPTED
         document = _decode(record.document)
-        if record.base != revision:
-            outcome = Outcome.CONFLICT
-        elif document is None:
+        if document is None or document.service != record.service:
             outcome = Outcome.INVALID
+        elif not self._may_edit(record, current, document):
+            outcome = Outcome.FORBIDDEN
+        elif record.base != revision:
+            outcome = Outcome.CONFLICT
         else:
+            assert document is not None
             revision += 1
             self.services[record.service] = ServiceInForce(
-                revision, document, record.document, offset
+                revision,
+                document,
+                record.document,
+                offset,
+                _get_rollout_revisions(current, document, revision),
             )
         self.outcomes.add(
             record.change_id, ChangeResult(outcome, revision, offset)
         )
 
+    def _may_edit(
+        self,
+        record: DocumentChange,
+        current: ServiceInForce | None,
+        document: ServiceDocument,
+    ) -> bool:
+        # Both teams must agree to a hand-over: an operator who named its own
+        # team as the owner of another's document would otherwise take it.
+        teams = {document.team}
+        if current is not None:
+            teams.add(current.document.team)
+        return all(self._operators.may_edit(record, team) for team in teams)
+
     def encode(self) -> bytes:
         """Canonical encoding: equal states give equal bytes."""
         services = [
-            _ServiceForm(name, held.revision, held.source, held.offset)
+            _ServiceForm(
+                name,
+                held.revision,
+                held.source,
+                held.offset,
+                dict(sorted(held.rollout_revisions.items())),
+            )
             for name, held in sorted(self.services.items())
         ]
         return msgspec.msgpack.encode(
@@ -109,12 +140,24 @@
                 msgspec.json.decode(held.source, type=ServiceDocument),
                 held.source,
                 held.offset,
+                held.rollout_revisions,
             )
             for held in form.services
         }
         self.outcomes.restore(form.outcomes)
 
 
+def _get_rollout_revisions(
+    current: ServiceInForce | None, document: ServiceDocument, revision: int
+) -> dict[str, int]:
+    kept = {
+        model: current.rollout_revisions[model]
+        for model, spec in document.rollouts.items()
+        if current is not None and current.document.rollouts.get(model) == spec
+    }
+    return {model: kept.get(model, revision) for model in document.rollouts}
+
+
 def _decode(source: bytes) -> ServiceDocument | None:
     try:
         return msgspec.json.decode(source, type=ServiceDocument)
--- a/src/lovagestage/fold.py
+++ b/src/lovagestage/fold.py
@@ -17,8 +17,10 @@
 from lovagestage.documents import Documents, ServiceInForce
 from lovagestage.exceptions import CodecError
 from lovagestage.leases import Leases
+from lovagestage.operators import Operators
 from lovagestage.outcomes import ChangeResult, Outcome, OutcomeTable
 from lovagestage.records import decode_record
+from lovagestage.rollouts import Rollouts
 from lovagestage.types import ChangeId, Offset, ServiceId
 
 __all__ = [
@@ -73,14 +75,22 @@
         undecodable: Number of records that were refused.
         documents: Service documents.
         leases: Leases.
+        rollouts: Progress of roll-outs.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, root_key: str = "") -> None:
         self.next_offset = Offset(0)
         self.undecodable = 0
-        self.documents = Documents()
+        self.operators = Operators(root_key)
+        self.documents = Documents(self.operators)
         self.leases = Leases()
-        self._parts: tuple[SubState, ...] = (self.documents, self.leases)
+        self.rollouts = Rollouts(self.documents, self.leases)
+        self._parts: tuple[SubState, ...] = (
+            self.operators,
+            self.documents,
+            self.leases,
+            self.rollouts,
+        )
         self._part_by_kind = {
             kind: part for part in self._parts for kind in part.kinds
         }
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/records.py
@@ -14,6 +14,7 @@
     ChangeId,
     FencingNumber,
     LeaseId,
+    RolloutPhase,
     ServiceId,
     VmId,
 )
@@ -34,6 +35,7 @@
         base: Revision that the operator edited; 0 where there was none.
         author: Operator's name.
         document: The document as JSON.
+        signature: Ed25519 signature by the author's key.
     """
 
     change_id: ChangeId
@@ -41,6 +43,40 @@
     base: int
     author: str
     document: bytes
+    signature: bytes = b""
+
+
+class OperatorSpec(msgspec.Struct, frozen=True):
+    """An operator.
+
+    Attributes:
+        name: Name that changes give as their author.
+        public_keys: Hex Ed25519 keys; two while one is being rotated.
+        teams: Teams whose documents it may edit; `*` for all.
+    """
+
+    name: str
+    public_keys: list[str]
+    teams: list[str]
+
+
+class OperatorsChange(msgspec.Struct, frozen=True, tag="operators_change"):
+    """Replaces the list of operators.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        base: Revision of the list that was edited; 0 for the first.
+        operators: The new list.
+        next_root_key: Hex Ed25519 key that signs the next change; empty
+            where the root key stays.
+        signature: Ed25519 signature by the root key.
+    """
+
+    change_id: ChangeId
+    base: int
+    operators: list[OperatorSpec]
+    next_root_key: str = ""
+    signature: bytes = b""
 
 
 class LeaseTake(msgspec.Struct, frozen=True, tag="lease_take"):
@@ -90,7 +126,57 @@
     renewals: int
 
 
-Record = DocumentChange | LeaseTake | LeaseRenew | LeaseRelease
+class RolloutProgress(msgspec.Struct, frozen=True, tag="rollout_progress"):
+    """Moves a roll-out on.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        service: The service.
+        model: The model.
+        revision: Revision of the document that last changed the roll-out.
+        fencing: Number of the writer's grant of the roll-out lease.
+        base: Number of moves before this one.
+        phase: Phase after it.
+        step: Step after it.
+    """
+
+    change_id: ChangeId
+    service: ServiceId
+    model: str
+    revision: int
+    fencing: FencingNumber
+    base: int
+    phase: RolloutPhase
+    step: int
+
+
+class RolloutStop(msgspec.Struct, frozen=True, tag="rollout_stop"):
+    """Stops a roll-out for good; any process may append it.
+
+    Attributes:
+        change_id: Chosen by the writer.
+        service: The service.
+        model: The model.
+        revision: Revision of the document that last changed the roll-out.
+        reason: What the evidence was.
+    """
+
+    change_id: ChangeId
+    service: ServiceId
+    model: str
+    revision: int
+    reason: str
+
+
+Record = (
+    DocumentChange
+    | OperatorsChange
+    | LeaseTake
+    | LeaseRenew
+    | LeaseRelease
+    | RolloutProgress
+    | RolloutStop
+)
 
 _decoder = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -15,6 +15,8 @@
 import zmq
 
 from lovagestage.adapters import HttpEngine, HttpLog, HttpVmList
+from lovagestage.billing import BillingLedger
+from lovagestage.billing_service import BillingService
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
@@ -110,7 +112,9 @@
     session: aiohttp.ClientSession,
 ) -> _Base:
     log = HttpLog(session, settings.platform.log_url)
-    control = ControlReader(log, SnapshotStream(log))
+    control = ControlReader(
+        log, SnapshotStream(log), settings.platform.operators_root_key
+    )
     hub = Hub()
     StateResponder(control, hub)
     return _Base(
@@ -144,6 +148,7 @@
     watch.subscribe(upstreams.apply_vm_list)
     watch.subscribe(peers.apply_vm_list)
     dispatcher = Dispatcher(upstreams, settings.zone, random.Random())
+    billing = _make_billing(base, role, peers)
     entry = Entry(
         settings,
         role,
@@ -153,10 +158,33 @@
         dispatcher,
         base.own,
         base.hub,
+        billing,
     )
     peer_state = PeerState(base.control, [peers, upstreams], upstreams)
     snapshots = _make_snapshot_services(base)
-    return entry, [watch, upstreams, peers, peer_state, *snapshots, entry]
+    links = [watch, upstreams, peers, peer_state]
+    return entry, [*links, *snapshots, billing, entry]
+
+
+def _make_billing(
+    base: _Base, role: EntrySettings, peers: LinkTable
+) -> BillingService:
+    ledger = BillingLedger(
+        base.settings.vm,
+        base.settings.zone,
+        base.own.incarnation,
+        role.billing_buffer_bytes,
+        role.billing_batch_bytes,
+    )
+    return BillingService(
+        ledger,
+        base.platform_log,
+        peers,
+        base.timers,
+        base.hub,
+        role.billing_interval_s,
+        random.Random(),
+    )
 
 
 def _make_snapshot_services(base: _Base) -> list[mode.Service]:
