--- a/src/lovagestage/operator_client.py
+++ b/src/lovagestage/operator_client.py
@@ -35,6 +35,7 @@
     decode_record,
 )
 from lovagestage.settings import BusSettings, OperatorSettings
+from lovagestage.snapshotting import SnapshotStream
 from lovagestage.transport import Connection
 from lovagestage.types import ChangeId, Offset, ServiceId
 from lovagestage.writer import ControlWriter, make_change_id
@@ -121,7 +122,11 @@
         platform = settings.platform
         self._log = HttpLog(session, platform.log_url)
         self._vms = HttpVmList(session, platform.vms_url)
-        self.control = ControlReader(self._log, platform.operators_root_key)
+        self.control = ControlReader(
+            self._log,
+            SnapshotStream(self._log),
+            platform.operators_root_key,
+        )
         self._writer = ControlWriter(self._log, self.control)
 
     async def catch_up(self) -> None:
