Run the test files side by side

Change: pytest-xdist, four workers, a file each; no test shares a process or port with another file's.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/mypy
 
 unit: $(STAMP)
-	$(RUN) -m pytest
+	$(RUN) -m pytest -n 4 --dist loadfile
 
 format: $(STAMP)
 	$(BIN)/ruff format src lab tests
