--- a/src/lovagestage/commands.py
+++ b/src/lovagestage/commands.py
@@ -178,15 +178,17 @@
     async def work(client: OperatorClient) -> int:
         rows = [
             {
-                "service": name,
-                "model": model,
-                "old": spec.old,
-                "new": spec.new,
-                "steps": spec.steps,
-                "state": spec.state.value,
+                "service": rollout.progress.key.service,
+                "model": rollout.progress.key.model,
+                "old": rollout.spec.old,
+                "new": rollout.spec.new,
+                "state": rollout.spec.state.value,
+                "phase": rollout.progress.phase.value,
+                "step": rollout.progress.step,
+                "share": rollout.get_share(),
+                "stop_reason": rollout.progress.stop_reason,
             }
-            for name, held in client.control.services.items()
-            for model, spec in held.document.rollouts.items()
+            for rollout in client.control.folded.rollouts.get_all()
         ]
         print_rows(rows, options.json)
         return 0
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -96,6 +96,7 @@
         body_timeout_s: A body that is not whole by then is refused.
         default_deadline_s: Deadline of a request that names none.
         drain_timeout_s: Longest wait for open requests at a planned stop.
+        lease_ttl_s: Time after which another entry takes over a lease.
         session_keys: Keys of session tokens, the same at every entry: the
             first signs, all are accepted. Without one there are no sessions.
         billing_interval_s: Mean time between appends of bills.
@@ -110,6 +111,7 @@
     body_timeout_s: float = 10.0
     default_deadline_s: float = 120.0
     drain_timeout_s: float = 600.0
+    lease_ttl_s: float = 15.0
     session_keys: list[str] = []
     billing_interval_s: float = 4.0
     billing_buffer_bytes: int = 16 * 1024 * 1024
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -20,12 +20,16 @@
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
+from lovagestage.gate import FencingGate
 from lovagestage.hub import Hub
 from lovagestage.leasing import LeaseKeeper
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
 from lovagestage.messages import Hello
+from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
+from lovagestage.rollout_driver import NoEvidence, RolloutDriver
+from lovagestage.rollouts import ROLLOUT_LEASE
 from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
 from lovagestage.sidecar import Sidecar
@@ -59,7 +63,7 @@
     context: zmq.Context[zmq.Socket[bytes]]
     session: aiohttp.ClientSession
     timers: TimerService
-    platform_log: HttpLog
+    log: HttpLog
     control: ControlReader
     writer: ControlWriter
     hub: Hub
@@ -160,10 +164,25 @@
         base.hub,
         billing,
     )
+    work = [
+        *_make_snapshot_services(base, role),
+        *_make_rollout_driver(base, role, upstreams),
+    ]
     peer_state = PeerState(base.control, [peers, upstreams], upstreams)
-    snapshots = _make_snapshot_services(base)
     links = [watch, upstreams, peers, peer_state]
-    return entry, [*links, *snapshots, billing, entry]
+    return entry, [*links, billing, *work, entry]
+
+
+def _make_rollout_driver(
+    base: _Base, role: EntrySettings, upstreams: UpstreamTable
+) -> list[mode.Service]:
+    lease = LeaseKeeper(
+        ROLLOUT_LEASE, base.own, base.control, base.writer, role.lease_ttl_s
+    )
+    driver = RolloutDriver(
+        base.control, lease, base.writer, upstreams, NoEvidence()
+    )
+    return [lease, driver]
 
 
 def _make_billing(
@@ -178,7 +197,7 @@
     )
     return BillingService(
         ledger,
-        base.platform_log,
+        base.log,
         peers,
         base.timers,
         base.hub,
@@ -187,9 +206,13 @@
     )
 
 
-def _make_snapshot_services(base: _Base) -> list[mode.Service]:
-    keeper = LeaseKeeper(SNAPSHOT_LEASE, base.own, base.control, base.writer)
-    writer = SnapshotWriter(base.platform_log, base.control, keeper)
+def _make_snapshot_services(
+    base: _Base, role: EntrySettings
+) -> list[mode.Service]:
+    keeper = LeaseKeeper(
+        SNAPSHOT_LEASE, base.own, base.control, base.writer, role.lease_ttl_s
+    )
+    writer = SnapshotWriter(base.log, base.control, keeper)
     return [keeper, writer]
 
 
@@ -200,6 +223,7 @@
     runs = RunTable(
         engine, base.hub, role.replay_window_s, role.replay_limit_bytes
     )
+    OrderService(engine, FencingGate(base.control), base.hub)
     sidecar = Sidecar(
         base.settings,
         role,
--- a/tests/test_sessions_fleet.py
+++ b/tests/test_sessions_fleet.py
@@ -19,6 +19,8 @@
 
 IN_FORCE_S = 2.0
 """An accepted document is in force everywhere within a few seconds."""
+LOADED_S = 4.0
+"""Loading takes the engine 0.5 s; entries know of it a heartbeat later."""
 
 
 class Publisher:
@@ -134,8 +136,12 @@
         assert headers["Retry-After"] == "1"
         assert headers["X-Session"] is None
     order(fleet, "load")
-    time.sleep(IN_FORCE_S)
-    headers = ask(fleet.entries[1], session=token)[1]
+    end_s = time.monotonic() + LOADED_S
+    while (headers := ask(fleet.entries[1], session=token)[1]).get(
+        "Retry-After"
+    ):
+        assert time.monotonic() < end_s
+        time.sleep(0.1)
     assert headers["X-Model-Version"] == "large@1"
 
 
