--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -17,6 +17,7 @@
 from lovagestage.types import (
     FencingNumber,
     LeaseId,
+    Offset,
     RequestId,
     RunState,
     VmId,
@@ -185,6 +186,40 @@
     state: bytes
 
 
+class StateQuestion(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_question"
+):
+    """Asks a process for its folded state, or only for its hash."""
+
+    with_state: bool
+
+
+class StateAnswer(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_answer"
+):
+    """A process's folded state.
+
+    Attributes:
+        next_offset: Its offset.
+        checksum: Its hash; empty where it may not be acted on.
+        state: Its encoding; empty where not asked for or not to be used.
+    """
+
+    next_offset: Offset
+    checksum: str
+    state: bytes
+
+
+class StateOffer(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_offer"
+):
+    """A folded state for a process that has none; as `StateAnswer`."""
+
+    next_offset: Offset
+    checksum: str
+    state: bytes
+
+
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
     """A question; its answer comes in a `Reply` with the same call id.
 
@@ -289,7 +324,10 @@
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
 PeerMessage = BillCopy | BillCopied | BillRelease
-Message = EntryMessage | SidecarMessage | PeerMessage | Ask | Reply
+StateMessage = StateQuestion | StateAnswer | StateOffer
+Message = (
+    EntryMessage | SidecarMessage | PeerMessage | StateMessage | Ask | Reply
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -27,12 +27,17 @@
 from lovagestage.logs import start_logging
 from lovagestage.messages import Hello
 from lovagestage.orders import OrderService
+from lovagestage.peerstate import PeerState, StateResponder
 from lovagestage.rollout_driver import NoEvidence, RolloutDriver
 from lovagestage.rollouts import ROLLOUT_LEASE
 from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
 from lovagestage.sidecar import Sidecar
-from lovagestage.snapshotting import SnapshotStream
+from lovagestage.snapshotting import (
+    SNAPSHOT_LEASE,
+    SnapshotStream,
+    SnapshotWriter,
+)
 from lovagestage.timers import TimerService
 from lovagestage.transport import KeyAuthenticator, Listener
 from lovagestage.types import Role
@@ -58,8 +63,9 @@
     context: zmq.Context[zmq.Socket[bytes]]
     session: aiohttp.ClientSession
     timers: TimerService
-    control: ControlReader
     log: HttpLog
+    control: ControlReader
+    writer: ControlWriter
     hub: Hub
     own: Hello
 
@@ -110,16 +116,20 @@
     session: aiohttp.ClientSession,
 ) -> _Base:
     log = HttpLog(session, settings.platform.log_url)
+    control = ControlReader(
+        log, SnapshotStream(log), settings.platform.operators_root_key
+    )
+    hub = Hub()
+    StateResponder(control, hub)
     return _Base(
         settings,
         context,
         session,
         TimerService(),
-        ControlReader(
-            log, SnapshotStream(log), settings.platform.operators_root_key
-        ),
         log,
-        Hub(),
+        control,
+        ControlWriter(log, control),
+        hub,
         Hello(settings.vm, time.time_ns()),
     )
 
@@ -154,18 +164,24 @@
         base.hub,
         billing,
     )
-    driving = _make_rollout_driver(base, role, upstreams)
-    return entry, [watch, upstreams, peers, billing, *driving, entry]
+    work = [
+        *_make_snapshot_services(base, role),
+        *_make_rollout_driver(base, role, upstreams),
+    ]
+    peer_state = PeerState(base.control, [peers, upstreams], upstreams)
+    links = [watch, upstreams, peers, peer_state]
+    return entry, [*links, billing, *work, entry]
 
 
 def _make_rollout_driver(
     base: _Base, role: EntrySettings, upstreams: UpstreamTable
 ) -> list[mode.Service]:
-    writer = ControlWriter(base.log, base.control)
     lease = LeaseKeeper(
-        ROLLOUT_LEASE, base.own, base.control, writer, role.lease_ttl_s
+        ROLLOUT_LEASE, base.own, base.control, base.writer, role.lease_ttl_s
+    )
+    driver = RolloutDriver(
+        base.control, lease, base.writer, upstreams, NoEvidence()
     )
-    driver = RolloutDriver(base.control, lease, writer, upstreams, NoEvidence())
     return [lease, driver]
 
 
@@ -190,6 +206,16 @@
     )
 
 
+def _make_snapshot_services(
+    base: _Base, role: EntrySettings
+) -> list[mode.Service]:
+    keeper = LeaseKeeper(
+        SNAPSHOT_LEASE, base.own, base.control, base.writer, role.lease_ttl_s
+    )
+    writer = SnapshotWriter(base.log, base.control, keeper)
+    return [keeper, writer]
+
+
 def _make_sidecar(
     base: _Base, role: SidecarSettings
 ) -> tuple[_Process, list[mode.Service]]:
