--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -18,17 +18,29 @@
 import urllib.error
 import urllib.request
 from types import TracebackType
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+import msgspec
+import nacl.signing
 import zmq
 
-if TYPE_CHECKING:
-    from lovagestage.document import ServiceDocument
+from lovagestage.document import ServiceDocument
+from lovagestage.operators import sign_change
+from lovagestage.records import (
+    DocumentChange,
+    OperatorsChange,
+    OperatorSpec,
+    Record,
+    encode_record,
+)
+from lovagestage.settings import BusSettings, parse_file
+from lovagestage.types import ChangeId
 
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 HOST = "127.0.0.1"
+OPERATOR = "lab"
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
 
@@ -93,6 +105,7 @@
         shape: Size of the fleet.
         engine_options: Further arguments of each engine.
         folder: Where settings and logs go; a temporary one by default.
+        binary: The shipped file to run; by default the package's source.
     """
 
     def __init__(
@@ -100,6 +113,7 @@
         shape: Shape,
         engine_options: tuple[str, ...] = (),
         folder: pathlib.Path | None = None,
+        binary: pathlib.Path | None = None,
     ) -> None:
         self.shape = shape
         self.children: dict[str, Child] = {}
@@ -110,8 +124,12 @@
         self.entry_options: dict[str, Any] = {
             "session_keys": ["lab-session-key"]
         }
+        package = ("-m", "lovagestage")
+        program = (str(binary),) if binary else package
+        self._command = (sys.executable, *program)
         public, secret = zmq.curve_keypair()
         self._keys = (public.decode(), secret.decode())
+        self._root = nacl.signing.SigningKey.generate()
 
     def __enter__(self) -> Fleet:
         try:
@@ -151,6 +169,7 @@
             self.start_sidecar(index)
         for index in range(self.shape.entries):
             self.start_entry(index)
+        self._publish_operators()
         self.publish(EXAMPLES / f"{self.shape.service}.jsonc")
         for entry in self.entries:
             self.wait_until_ready(entry)
@@ -187,33 +206,63 @@
         child.port = port
         return child
 
-    def publish(self, path: pathlib.Path) -> None:
-        """Appends a document to the log as its first revision."""
-        from lovagestage.document import ServiceDocument
-        from lovagestage.settings import parse_file
+    def publish(self, path: pathlib.Path, base: int = 0) -> None:
+        """Appends a document to the log, signed by the lab's operator.
 
-        self.publish_document(parse_file(path, ServiceDocument), 0)
+        Args:
+            path: The document, JSON with comments.
+            base: Revision that it replaces.
+        """
+        self.publish_document(parse_file(path, ServiceDocument), base)
 
     def publish_document(self, document: ServiceDocument, base: int) -> None:
-        """Appends a document to the log as the revision after `base`."""
-        import msgspec
-
-        from lovagestage.records import DocumentChange, encode_record
-        from lovagestage.types import ChangeId
-
-        record = DocumentChange(
-            ChangeId(f"lab-{document.service}-{base}"),
-            document.service,
-            base,
-            "lab",
-            msgspec.json.encode(document),
+        """Appends a document to the log, signed by the lab's operator."""
+        self._append(
+            DocumentChange(
+                ChangeId(f"{document.service}-after-{base}"),
+                document.service,
+                base,
+                OPERATOR,
+                msgspec.json.encode(document),
+            )
         )
+
+    def _publish_operators(self) -> None:
+        public = bytes(self._root.verify_key).hex()
+        specs = [OperatorSpec(OPERATOR, [public], ["*"])]
+        self._append(OperatorsChange(ChangeId("operators"), 0, specs))
+
+    def _append(self, change: DocumentChange | OperatorsChange) -> None:
+        signed: Record = sign_change(change, bytes(self._root).hex())
         call(
             "POST",
             f"{self.children['log'].url}/v1/streams/control/records",
-            encode_record(record),
+            encode_record(signed),
         )
 
+    def make_operator_settings(self) -> pathlib.Path:
+        """Writes the settings of the lab's operator; returns their path."""
+        public, secret = self._keys
+        settings = {
+            "operator": OPERATOR,
+            "signing_key": bytes(self._root).hex(),
+            "platform": self._make_platform_settings(),
+            "bus": {
+                "bind": f"{HOST}:1",
+                "public_key": public,
+                "secret_key": secret,
+                "accepted_keys": [public],
+            },
+        }
+        path = self._folder / "operator.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return path
+
+    def make_bus_settings(self, port: int) -> BusSettings:
+        """Settings of a listener that the fleet's processes connect to."""
+        public, secret = self._keys
+        return BusSettings(f"{HOST}:{port}", public, secret, [public])
+
     def wait_until_ready(self, entry: Child) -> None:
         """Waits until an entry serves and sees every engine's versions."""
         end_s = time.monotonic() + READY_TIMEOUT_S
@@ -288,8 +337,8 @@
         path.write_text(
             json.dumps(self._make_settings(name, zone, bus, settings), indent=2)
         )
-        command = [sys.executable, "-m", "lovagestage", role]
-        process = self._spawn(name, [*command, "--settings", str(path)], False)
+        command = [*self._command, role, "--settings", str(path)]
+        process = self._spawn(name, command, False)
         self.children[name] = Child(name, process, bus=bus)
         entry = {"role": role, "zone": zone, "state": "live", "bus": bus}
         self.tell_vm(name, {"vm": name, **entry})
@@ -314,11 +363,7 @@
         return {
             "vm": name,
             "zone": zone,
-            "platform": {
-                "log_url": self.children["log"].url,
-                "vms_url": self.children["vms"].url,
-                "rater_url": self.children["rater"].url,
-            },
+            "platform": self._make_platform_settings(),
             "bus": {
                 "bind": bus,
                 "public_key": public,
@@ -328,6 +373,14 @@
             **role,
         }
 
+    def _make_platform_settings(self) -> dict[str, str]:
+        return {
+            "log_url": self.children["log"].url,
+            "vms_url": self.children["vms"].url,
+            "rater_url": self.children["rater"].url,
+            "operators_root_key": bytes(self._root.verify_key).hex(),
+        }
+
     def _spawn(
         self, name: str, command: list[str], read_output: bool
     ) -> subprocess.Popen[str]:
--- /dev/null
+++ b/src/lovagestage/rollout_driver.py
@@ -0,0 +1,212 @@
+"""Moves roll-outs on: the work of whichever entry holds the lease.
+
+Nothing of it is kept here: the phase and step are in the log and the loaded
+versions in the sidecars' heartbeats, so another process goes on from any
+point. Time spent at a step is counted from when this process first saw the
+step; after a take-over a step lasts longer, never shorter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import Protocol
+
+import mode
+
+from lovagestage.control import ControlReader
+from lovagestage.document import RolloutState
+from lovagestage.exceptions import LogError, LovagestageError
+from lovagestage.leasing import LeaseKeeper
+from lovagestage.messages import Order, OrderResult, OrderState
+from lovagestage.records import RolloutProgress
+from lovagestage.rollout_chart import (
+    Observation,
+    Position,
+    get_next_position,
+)
+from lovagestage.rollouts import (
+    ROLLOUT_LEASE,
+    Progress,
+    Rollout,
+    RolloutKey,
+)
+from lovagestage.routing import UpstreamView
+from lovagestage.types import RolloutPhase, VmId
+from lovagestage.upstreams import UpstreamTable
+from lovagestage.writer import RecordWriter, make_change_id
+
+_log = logging.getLogger(__name__)
+
+INTERVAL_S = 0.5
+ORDER_TIMEOUT_S = 5.0
+APPEND_TIMEOUT_S = 5.0
+MAX_LOADS_AT_ONCE = 2
+"""Engines that load at once: the weight store is rate-limited, and an engine
+that loads serves less."""
+THROTTLED_PAUSE_S = 2.0
+LOADING_TIMEOUT_S = 120.0
+
+
+class Evidence(Protocol):
+    """What is known for and against a new version."""
+
+    def may_step(self, rollout: Rollout) -> bool:
+        """Whether nothing speaks against the next step."""
+
+
+class NoEvidence:
+    """Used where no rater is there: only time and stops count."""
+
+    def may_step(self, rollout: Rollout) -> bool:
+        """Always true."""
+        del rollout
+        return True
+
+
+class RolloutDriver(mode.Service):
+    """Drives all roll-outs while it holds the lease.
+
+    Args:
+        control: The folded state.
+        lease: The roll-out lease.
+        writer: Appends progress.
+        upstreams: Links to the sidecars.
+        evidence: What is known of new versions.
+    """
+
+    def __init__(
+        self,
+        control: ControlReader,
+        lease: LeaseKeeper,
+        writer: RecordWriter,
+        upstreams: UpstreamTable,
+        evidence: Evidence,
+    ) -> None:
+        super().__init__()
+        self._control = control
+        self._lease = lease
+        self._writer = writer
+        self._upstreams = upstreams
+        self._evidence = evidence
+        self._seen_s: dict[tuple[RolloutKey, int], float] = {}
+        self._loading: dict[tuple[VmId, str], float] = {}
+        self._pause_until_s = 0.0
+
+    @mode.Service.task
+    async def _drive(self) -> None:
+        while not self.should_stop:
+            if self._lease.is_held and self._control.is_usable:
+                for rollout in self._control.folded.rollouts.get_all():
+                    await self._drive_one(rollout)
+            await self.sleep(INTERVAL_S)
+
+    async def _drive_one(self, rollout: Rollout) -> None:
+        try:
+            if self._needs_loading(rollout):
+                await self._load_missing(rollout.spec.new)
+            seen = self._observe(rollout)
+            position = get_next_position(rollout.progress.position, seen)
+            if position != rollout.progress.position:
+                await self._record(rollout.progress, position)
+        except LovagestageError as error:
+            _log.warning(
+                "rollout_not_moved",
+                extra={"model": rollout.progress.key.model, "code": error.code},
+            )
+
+    def _needs_loading(self, rollout: Rollout) -> bool:
+        return (
+            rollout.progress.phase
+            in (RolloutPhase.LOADING, RolloutPhase.STEPPING)
+            and not rollout.progress.stop_reason
+            and rollout.spec.state is RolloutState.RUNNING
+        )
+
+    def _observe(self, rollout: Rollout) -> Observation:
+        spec, progress = rollout.spec, rollout.progress
+        views = self._upstreams.get_views()
+        entered_s = self._get_entered_s(progress)
+        long_enough = time.monotonic() - entered_s >= spec.step_min_s
+        return Observation(
+            loaded=bool(views) and not _get_missing(views, spec.new),
+            old_loaded=any(spec.old in view.versions for view in views),
+            step_due=long_enough and self._evidence.may_step(rollout),
+            last_step=progress.step >= len(spec.steps) - 1,
+            paused=spec.state is RolloutState.PAUSED,
+            aborted=spec.state is RolloutState.ABORTED,
+            stopped=bool(progress.stop_reason),
+        )
+
+    def _get_entered_s(self, progress: Progress) -> float:
+        key = (progress.key, progress.count)
+        if key not in self._seen_s:
+            self._seen_s = {
+                other: seen_s
+                for other, seen_s in self._seen_s.items()
+                if other[0] != progress.key
+            }
+            self._seen_s[key] = time.monotonic()
+        return self._seen_s[key]
+
+    async def _load_missing(self, version: str) -> None:
+        now_s = time.monotonic()
+        missing = _get_missing(self._upstreams.get_views(), version)
+        self._loading = {
+            key: since_s
+            for key, since_s in self._loading.items()
+            if (key[1] != version or key[0] in missing)
+            and now_s - since_s < LOADING_TIMEOUT_S
+        }
+        if now_s < self._pause_until_s:
+            return
+        free = MAX_LOADS_AT_ONCE - len(self._loading)
+        waiting = [vm for vm in missing if (vm, version) not in self._loading]
+        await asyncio.gather(
+            *(self._order(vm, version) for vm in waiting[: max(0, free)])
+        )
+
+    async def _order(self, vm: VmId, version: str) -> None:
+        fencing = self._lease.get_fencing()
+        answer = await self._upstreams.ask(
+            vm, Order(ROLLOUT_LEASE, fencing, version), ORDER_TIMEOUT_S
+        )
+        if not isinstance(answer, OrderResult):
+            return
+        if answer.state is OrderState.THROTTLED:
+            self._pause_until_s = time.monotonic() + THROTTLED_PAUSE_S
+        elif answer.state in (OrderState.STARTED, OrderState.DONE):
+            self._loading[(vm, version)] = time.monotonic()
+
+    async def _record(self, progress: Progress, position: Position) -> None:
+        record = RolloutProgress(
+            make_change_id(),
+            progress.key.service,
+            progress.key.model,
+            progress.key.revision,
+            self._lease.get_fencing(),
+            progress.count,
+            position.phase,
+            position.step,
+        )
+        try:
+            result = await self._writer.append(record, APPEND_TIMEOUT_S)
+        except LogError as error:
+            # The next round reads what came of it and goes on from there.
+            _log.warning("rollout_append_failed", extra={"code": error.code})
+            return
+        _log.info(
+            "rollout_moved",
+            extra={
+                "service": progress.key.service,
+                "model": progress.key.model,
+                "phase": position.phase.value,
+                "step": position.step,
+                "outcome": result.outcome.value,
+            },
+        )
+
+
+def _get_missing(views: list[UpstreamView], version: str) -> list[VmId]:
+    return [view.vm for view in views if version not in view.versions]
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -56,11 +56,14 @@
         log_url: The append-only log.
         vms_url: The list of VMs.
         rater_url: The answer rater; empty where there is none.
+        operators_root_key: Hex Ed25519 key that names the operators; where
+            it is empty, whoever may append to the log may edit documents.
     """
 
     log_url: str
     vms_url: str
     rater_url: str = ""
+    operators_root_key: str = ""
 
 
 class BusSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -93,6 +96,7 @@
         body_timeout_s: A body that is not whole by then is refused.
         default_deadline_s: Deadline of a request that names none.
         drain_timeout_s: Longest wait for open requests at a planned stop.
+        lease_ttl_s: Time after which another entry takes over a lease.
         session_keys: Keys of session tokens, the same at every entry: the
             first signs, all are accepted. Without one there are no sessions.
         billing_interval_s: Mean time between appends of bills.
@@ -107,6 +111,7 @@
     body_timeout_s: float = 10.0
     default_deadline_s: float = 120.0
     drain_timeout_s: float = 600.0
+    lease_ttl_s: float = 15.0
     session_keys: list[str] = []
     billing_interval_s: float = 4.0
     billing_buffer_bytes: int = 8 * 1024 * 1024
@@ -155,6 +160,23 @@
     log: LogSettings = LogSettings()
 
 
+class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the operators' commands.
+
+    Attributes:
+        operator: Name of the operator.
+        platform: The platform's services.
+        signing_key: Hex Ed25519 seed of the operator; empty where changes
+            are not signed.
+        bus: Keys that the system's processes accept, for `status` and `dump`.
+    """
+
+    operator: str
+    platform: PlatformSettings
+    signing_key: str = ""
+    bus: BusSettings | None = None
+
+
 _T = TypeVar("_T")
 
 
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -150,7 +150,7 @@
             return "no_capacity", "The upstream is leaving."
         if self._runs.running >= self._role.max_running:
             return "no_capacity", "The upstream is full."
-        service = self._control.folded.services.get(ServiceId(dispatch.service))
+        service = self._control.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
         version = parse_model_version(dispatch.version)
@@ -183,12 +183,17 @@
         self._runs.remove_expired()
 
     async def _refresh_load(self) -> None:
+        known = self._versions
         try:
             self._load = await self._engine.get_load()
             self._versions = await self._engine.get_versions()
         except EngineError as error:
             self._versions = []
             _log.warning("engine_load_failed", extra={"error": error.message})
+        if self._versions != known:
+            # Entries would otherwise refuse a version that is there, or send
+            # requests for one that is gone, until the next heartbeat.
+            self._send_heartbeats()
 
     def _send_heartbeats(self) -> None:
         horizon_s = time.monotonic() - PEER_TIMEOUT_S
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -20,18 +20,25 @@
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
+from lovagestage.gate import FencingGate
 from lovagestage.hub import Hub
+from lovagestage.leasing import LeaseKeeper
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
 from lovagestage.messages import Hello
+from lovagestage.orders import OrderService
+from lovagestage.rollout_driver import NoEvidence, RolloutDriver
+from lovagestage.rollouts import ROLLOUT_LEASE
 from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
 from lovagestage.sidecar import Sidecar
+from lovagestage.snapshotting import SnapshotStream
 from lovagestage.timers import TimerService
 from lovagestage.transport import KeyAuthenticator, Listener
 from lovagestage.types import Role
 from lovagestage.upstreams import UpstreamTable
 from lovagestage.vmwatch import VmWatch
+from lovagestage.writer import ControlWriter
 
 _log = logging.getLogger(__name__)
 
@@ -52,6 +59,7 @@
     session: aiohttp.ClientSession
     timers: TimerService
     control: ControlReader
+    log: HttpLog
     hub: Hub
     own: Hello
 
@@ -101,12 +109,16 @@
     context: zmq.Context[zmq.Socket[bytes]],
     session: aiohttp.ClientSession,
 ) -> _Base:
+    log = HttpLog(session, settings.platform.log_url)
     return _Base(
         settings,
         context,
         session,
         TimerService(),
-        ControlReader(HttpLog(session, settings.platform.log_url)),
+        ControlReader(
+            log, SnapshotStream(log), settings.platform.operators_root_key
+        ),
+        log,
         Hub(),
         Hello(settings.vm, time.time_ns()),
     )
@@ -142,7 +154,19 @@
         base.hub,
         billing,
     )
-    return entry, [watch, upstreams, peers, billing, entry]
+    driving = _make_rollout_driver(base, role, upstreams)
+    return entry, [watch, upstreams, peers, billing, *driving, entry]
+
+
+def _make_rollout_driver(
+    base: _Base, role: EntrySettings, upstreams: UpstreamTable
+) -> list[mode.Service]:
+    writer = ControlWriter(base.log, base.control)
+    lease = LeaseKeeper(
+        ROLLOUT_LEASE, base.own, base.control, writer, role.lease_ttl_s
+    )
+    driver = RolloutDriver(base.control, lease, writer, upstreams, NoEvidence())
+    return [lease, driver]
 
 
 def _make_billing(
@@ -157,7 +181,7 @@
     )
     return BillingService(
         ledger,
-        HttpLog(base.session, base.settings.platform.log_url),
+        base.log,
         peers,
         base.timers,
         base.hub,
@@ -173,6 +197,7 @@
     runs = RunTable(
         engine, base.hub, role.replay_window_s, role.replay_limit_bytes
     )
+    OrderService(engine, FencingGate(base.control), base.hub)
     sidecar = Sidecar(
         base.settings,
         role,
