Run a request with an Idempotency-Key at most once

Cause: a retry through another entry ran the request a second time; nothing remembered its key.

Change: the entries that hold keys are folded from the control stream (members.py); the owner grants a claim only after its copy has taken it in the same epoch (request_keys.py); the sidecar is the gate for runs that were given up (run_gate.py); other requests with the key join the run (keyed_runs.py). A run has several readers now, and a keyed run is not cancelled when its caller goes, since the retry reads the answer from it.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -89,6 +90,7 @@
     Args:
         shape: Size of the fleet.
         engine_options: Further arguments of each engine.
+        entry_options: Further settings of each entry.
         folder: Where settings and logs go; a temporary one by default.
     """
 
@@ -97,7 +99,9 @@
         shape: Shape,
         engine_options: tuple[str, ...] = (),
         folder: pathlib.Path | None = None,
+        entry_options: dict[str, Any] | None = None,
     ) -> None:
+        self._entry_options = entry_options or {}
         self.shape = shape
         self.children: dict[str, Child] = {}
         self._engine_options = engine_options
@@ -170,7 +174,8 @@
     def start_entry(self, index: int) -> Child:
         """Starts an entry."""
         port = get_free_port()
-        role = {"entry": {"http_host": HOST, "http_port": port}}
+        listen = {"http_host": HOST, "http_port": port}
+        role = {"entry": {**listen, **self._entry_options}}
         child = self._start_daemon("entry", index, role)
         child.port = port
         return child
@@ -220,6 +225,35 @@
         child.process.kill()
         child.process.wait(STOP_TIMEOUT_S)
 
+    def suspend(self, name: str) -> None:
+        """Pauses one process (SIGSTOP)."""
+        self.children[name].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a paused process go on (SIGCONT)."""
+        self.children[name].process.send_signal(signal.SIGCONT)
+
+    def get_dump(self, name: str) -> Any:
+        """The state that one of the product's processes shows."""
+        from lovagestage.messages import (
+            DumpAnswer,
+            DumpRequest,
+            decode_message,
+            encode_message,
+        )
+
+        public, secret = self._keys
+        with zmq.Context() as context, context.socket(zmq.DEALER) as socket:
+            socket.curve_publickey = socket.curve_serverkey = public.encode()
+            socket.curve_secretkey = secret.encode()
+            socket.linger = 0
+            socket.rcvtimeo = 5000
+            socket.connect(f"tcp://{self.children[name].bus}")
+            socket.send(encode_message(DumpRequest()))
+            answer = decode_message(socket.recv())
+        assert isinstance(answer, DumpAnswer)
+        return json.loads(answer.state)
+
     def kill_all(self) -> None:
         """Kills all that was started."""
         for name in list(self.children):
--- /dev/null
+++ b/lab/history.py
@@ -0,0 +1,191 @@
+"""Checks a recorded history of requests against what the engines counted.
+
+For each key that callers used: at most one run where it may not be repeated,
+equal bytes in all whole answers, and refusals whose run state is true.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import http.client
+import json
+import threading
+import time
+from collections import Counter, defaultdict
+
+from lab.fleet import Child, Fleet
+
+TIMEOUT_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """One request as its caller saw it.
+
+    Attributes:
+        key: Request key.
+        prompt: Text that names the request at the engines.
+        entry: Where it was sent.
+        sent_s: Monotonic time of the start.
+        ended_s: Monotonic time of the end.
+        status: HTTP status; 0 where the connection broke.
+        run: Run state of a refusal; empty for an answer.
+        code: Code of a refusal; empty for an answer.
+        retry_after: The refusal's Retry-After; empty where it has none.
+        body: The answer.
+    """
+
+    key: str
+    prompt: str
+    entry: str
+    sent_s: float
+    ended_s: float
+    status: int
+    run: str
+    code: str
+    retry_after: str
+    body: bytes
+
+
+class History:
+    """Sends requests and records what their callers saw.
+
+    Args:
+        fleet: Where to send them.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.sent: list[Sent] = []
+        self._fleet = fleet
+        self._before = get_runs(fleet)
+        self._threads: list[threading.Thread] = []
+
+    def send(
+        self,
+        entry: Child,
+        key: str,
+        prompt: str,
+        request_class: str = "policy-draft",
+        max_tokens: int = 8,
+        stream: bool = False,
+    ) -> Sent:
+        """Sends one request and waits for its end."""
+        body = {
+            "model": "vault",
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+        headers = {
+            "Authorization": "Bearer key-audit",
+            "Idempotency-Key": key,
+            "X-Request-Class": request_class,
+        }
+        sent = _post(entry, key, prompt, json.dumps(body), headers)
+        self.sent.append(sent)
+        return sent
+
+    def start(self, entry: Child, key: str, prompt: str, **more: int) -> None:
+        """Sends one request without waiting for its end."""
+        thread = threading.Thread(
+            target=self.send, args=(entry, key, prompt), kwargs=more
+        )
+        thread.start()
+        self._threads.append(thread)
+
+    def wait(self) -> None:
+        """Waits for the requests that were started."""
+        for thread in self._threads:
+            thread.join()
+        self._threads.clear()
+
+    def get_new_runs(self) -> int:
+        """Runs that the engines counted since the start of the history."""
+        return sum((get_runs(self._fleet) - self._before).values())
+
+    def find_faults(self) -> list[str]:
+        """What is wrong; empty where every promise was kept.
+
+        All requests of one history have to be of a class that may not be
+        repeated, and each key counts for one run at most.
+        """
+        faults = []
+        by_key: dict[str, list[Sent]] = defaultdict(list)
+        for sent in self.sent:
+            by_key[sent.key].append(sent)
+        runs = self.get_new_runs()
+        if runs > len(by_key):
+            faults.append(f"{len(by_key)} keys ran {runs} times")
+        proved = 0
+        for key, group in by_key.items():
+            faults += _check_key(key, group)
+            proved += any(_has_run(sent) for sent in group)
+        if runs < proved:
+            faults.append(f"{proved} keys are said to have run, {runs} did")
+        if all(s.run == "not_run" for s in self.sent) and runs:
+            faults.append(f"all were refused as not run, {runs} ran")
+        return faults
+
+
+def get_runs(fleet: Fleet) -> Counter[str]:
+    """Runs by engine and request id."""
+    runs: Counter[str] = Counter()
+    for engine in fleet.engines:
+        for name, count in fleet.get_stats(engine.name)["runs"].items():
+            runs[f"{engine.name}/{name}"] = count
+    return runs
+
+
+def _has_run(sent: Sent) -> bool:
+    return sent.status == 200 or sent.run == "ran"
+
+
+def _check_key(key: str, group: list[Sent]) -> list[str]:
+    faults = []
+    answers = {sent.body for sent in group if sent.status == 200}
+    if len(answers) > 1:
+        faults.append(f"{key}: {len(answers)} different answers")
+    for refused in group:
+        earlier = [
+            sent
+            for sent in group
+            if _has_run(sent) and sent.ended_s < refused.sent_s
+        ]
+        if refused.run == "not_run" and earlier:
+            faults.append(f"{key}: 'not run' is said after it has run")
+    return faults
+
+
+def _post(
+    entry: Child, key: str, prompt: str, body: str, headers: dict[str, str]
+) -> Sent:
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", entry.port, timeout=TIMEOUT_S
+    )
+    started_s = time.monotonic()
+    status, run, code, retry_after, data = 0, "", "", "", b""
+    try:
+        connection.request("POST", "/v1/chat/completions", body, headers)
+        response = connection.getresponse()
+        data = response.read()
+        status = response.status
+        retry_after = response.headers.get("Retry-After", "")
+    except (OSError, http.client.HTTPException):
+        status = 0
+    finally:
+        connection.close()
+    if status not in (0, 200):
+        error = json.loads(data)["error"]
+        run, code = error["run"], error["code"]
+    return Sent(
+        key,
+        prompt,
+        entry.name,
+        started_s,
+        time.monotonic(),
+        status,
+        run,
+        code,
+        retry_after,
+        data,
+    )
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -7,6 +7,7 @@
 import logging
 import secrets
 import time
+from collections.abc import AsyncIterator
 
 import msgspec
 from aiohttp import web
@@ -32,6 +33,7 @@
     UnknownModelError,
     WrongKeyError,
 )
+from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
 from lovagestage.settings import EntrySettings
 from lovagestage.types import (
     ModelVersion,
@@ -94,6 +96,7 @@
         control: Configuration in force.
         dispatcher: Runs requests.
         upstreams: Connections to sidecars.
+        keyed: Runs requests that have a key.
     """
 
     def __init__(
@@ -102,7 +105,9 @@
         control: ControlReader,
         dispatcher: Dispatcher,
         upstreams: UpstreamTable,
+        keyed: KeyedRuns,
     ) -> None:
+        self._keyed = keyed
         self._upstreams = upstreams
         self._started_at_s = time.monotonic()
         self._ready = False
@@ -192,9 +197,18 @@
         form = _parse_form(body)
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
+        parts = self._run(request, admitted, result)
         if form.stream:
-            return await self._answer_stream(request, admitted, result)
-        return await self._answer_plain(admitted, result)
+            return await self._answer_stream(request, parts, admitted, result)
+        return await self._answer_plain(parts, admitted, result)
+
+    def _run(
+        self, request: web.Request, admitted: Request, result: Result
+    ) -> AsyncIterator[bytes]:
+        key = request.headers.get(HEADER_KEY)
+        if key is None:
+            return self._dispatcher.run(admitted, result)
+        return self._keyed.run(admitted, key, result)
 
     def _get_caller(self, request: web.Request) -> Caller:
         if not self._control.folded.services:
@@ -238,19 +252,22 @@
         )
 
     async def _answer_plain(
-        self, admitted: Request, result: Result
+        self, parts: AsyncIterator[bytes], admitted: Request, result: Result
     ) -> web.Response:
-        parts = [part async for part in self._dispatcher.run(admitted, result)]
+        body = b"".join([part async for part in parts])
         return web.Response(
-            body=b"".join(parts),
+            body=body,
             content_type="application/json",
             headers=_make_headers(admitted, result),
         )
 
     async def _answer_stream(
-        self, request: web.Request, admitted: Request, result: Result
+        self,
+        request: web.Request,
+        parts: AsyncIterator[bytes],
+        admitted: Request,
+        result: Result,
     ) -> web.StreamResponse:
-        parts = self._dispatcher.run(admitted, result)
         # The first chunk is awaited before the status is sent, so that a
         # request refused before it has an error status of its own.
         first = await anext(parts, b"")
@@ -324,7 +341,7 @@
     headers = {"X-Run-State": error.run.value}
     if error.retry_after_s is not None:
         headers["Retry-After"] = str(error.retry_after_s)
-    if error.run is not RunState.NOT_RUN:
+    elif error.run is not RunState.NOT_RUN:
         # The OpenAI client repeats 5xx answers by itself; a request that may
         # have run must not be repeated by a library that cannot know.
         headers["x-should-retry"] = "false"
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -9,6 +9,8 @@
 import time
 from collections.abc import AsyncIterator
 
+import msgspec
+
 from lovagestage.exceptions import (
     REFUSALS,
     DeadlineExceededError,
@@ -17,6 +19,7 @@
     UpstreamFailedError,
     UpstreamLostError,
 )
+from lovagestage.key_messages import RunId
 from lovagestage.messages import (
     Accepted,
     Attach,
@@ -159,7 +162,7 @@
         self._upstreams = upstreams
         self._zone = zone
         self._rng = rng
-        self._attempts: dict[AttemptKey, Attempt] = {}
+        self._attempts: dict[AttemptKey, list[Attempt]] = {}
         upstreams.subscribe(self._on_message, self._on_reconnect)
 
     async def run(
@@ -209,9 +212,12 @@
             return False
         return error.run is RunState.NOT_RUN or request.repeatable
 
-    def _start_attempt(
-        self, request: Request, result: Result, excluded: set[VmId]
-    ) -> Attempt:
+    def choose(self, request: Request, excluded: set[VmId]) -> VmId:
+        """Chooses the upstream of the next attempt.
+
+        Raises:
+            NoCapacityError: None can take the request now.
+        """
         vm = choose_upstream(
             self._upstreams.get_views(),
             str(request.version),
@@ -225,13 +231,68 @@
                 RunState.NOT_RUN,
                 retry_after_s=1,
             )
+        return vm
+
+    async def run_claimed(
+        self, request: Request, run: RunId, result: Result
+    ) -> AsyncIterator[bytes]:
+        """Starts the run that a request key was claimed for; reads it."""
+        attempt = self._open((run.request_id, run.attempt), run.sidecar)
+        dispatch = msgspec.structs.replace(
+            self._make_dispatch(request, attempt),
+            incarnation=run.incarnation,
+            permit_ms=run.permit_ms,
+        )
+        self._upstreams.send(run.sidecar, dispatch)
+        async for data in self._follow(request, attempt, result):
+            yield data
+
+    async def join(
+        self, request: Request, run: RunId, result: Result
+    ) -> AsyncIterator[bytes]:
+        """Reads a run that another request with the same key has started."""
+        attempt = self._open((run.request_id, run.attempt), run.sidecar)
+        self._upstreams.send(run.sidecar, Attach(*attempt.key, from_seq=0))
+        async for data in self._follow(request, attempt, result):
+            yield data
+
+    async def _follow(
+        self, request: Request, attempt: Attempt, result: Result
+    ) -> AsyncIterator[bytes]:
+        # The run goes on when its reader leaves: the retry of a caller whose
+        # connection broke reads the answer from it.
+        try:
+            async for data in self._read(request, attempt, result):
+                yield data
+        finally:
+            self._close(attempt)
+
+    def _start_attempt(
+        self, request: Request, result: Result, excluded: set[VmId]
+    ) -> Attempt:
+        vm = self.choose(request, excluded)
         result.attempts += 1
-        attempt = Attempt((request.request_id, result.attempts), vm)
-        self._attempts[attempt.key] = attempt
-        self._upstreams.links[vm].in_use += 1
+        attempt = self._open((request.request_id, result.attempts), vm)
         self._upstreams.send(vm, self._make_dispatch(request, attempt))
         return attempt
 
+    def _open(self, key: AttemptKey, vm: VmId) -> Attempt:
+        attempt = Attempt(key, vm)
+        self._attempts.setdefault(key, []).append(attempt)
+        link = self._upstreams.links.get(vm)
+        if link is not None:
+            link.in_use += 1
+        return attempt
+
+    def _close(self, attempt: Attempt) -> None:
+        readers = self._attempts[attempt.key]
+        readers.remove(attempt)
+        if not readers:
+            del self._attempts[attempt.key]
+        link = self._upstreams.links.get(attempt.vm)
+        if link is not None and link.in_use > 0:
+            link.in_use -= 1
+
     def _make_dispatch(self, request: Request, attempt: Attempt) -> Dispatch:
         return Dispatch(
             *attempt.key,
@@ -245,10 +306,7 @@
         )
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
-        del self._attempts[attempt.key]
-        link = self._upstreams.links.get(attempt.vm)
-        if link is not None:
-            link.in_use -= 1
+        self._close(attempt)
         if result.finished is None:
             self._upstreams.send(attempt.vm, Cancel(*attempt.key))
 
@@ -283,14 +341,15 @@
         del vm
         if not isinstance(message, Accepted | Chunk | Finished | Refused):
             return
-        attempt = self._attempts.get((message.request_id, message.attempt))
-        if attempt is not None:
+        key = (message.request_id, message.attempt)
+        for attempt in self._attempts.get(key, ()):
             attempt.add(message)
 
     def _on_reconnect(self, vm: VmId) -> None:
-        for attempt in self._attempts.values():
-            if attempt.vm == vm:
-                self._upstreams.send(vm, Attach(*attempt.key, attempt.next_seq))
+        for key, readers in self._attempts.items():
+            if readers[0].vm == vm:
+                from_seq = min(reader.next_seq for reader in readers)
+                self._upstreams.send(vm, Attach(*key, from_seq))
 
 
 def _make_refusal(refused: Refused) -> RequestRefusedError:
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -13,6 +13,8 @@
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.hub import Hub
+from lovagestage.key_service import KeyService
+from lovagestage.keyed_runs import KeyedRuns
 from lovagestage.links import LinkTable
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
@@ -37,6 +39,7 @@
         dispatcher: Runs requests.
         own: Name and incarnation of this process.
         hub: Hands over what arrives at the listener.
+        keys: Request keys.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         dispatcher: Dispatcher,
         own: Hello,
         hub: Hub,
+        keys: KeyService,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -59,7 +63,9 @@
         self._dispatcher = dispatcher
         self._own = own
         self._hub = hub
-        self._api = CallerApi(role, control, dispatcher, upstreams)
+        self._keys = keys
+        keyed = KeyedRuns(keys, dispatcher, upstreams)
+        self._api = CallerApi(role, control, dispatcher, upstreams, keyed)
         self._runner = web.AppRunner(self._api.make_app(), access_log=None)
         self._site: web.TCPSite | None = None
         hub.register(Hello, self._on_hello)
@@ -108,6 +114,7 @@
                 "open_requests": self._api.open_requests,
                 "upstreams": self._upstreams.get_dump(),
                 "peers": self._peers.get_dump(),
+                "request_keys": self._keys.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
                 "control": self._control.get_dump(),
             }
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -229,6 +229,53 @@
     kind = "timeout_error"
 
 
+class RunForbiddenError(RequestRefusedError):
+    """The sidecar will not start the run: its claim was given up."""
+
+    code = "run_forbidden"
+    status = 503
+    kind = "server_error"
+
+
+class KeyReusedError(RequestRefusedError):
+    """The request key was used before with another body."""
+
+    code = "idempotency_key_reused"
+    status = 422
+
+
+class KeyHoldersUnavailableError(RequestRefusedError):
+    """The entries that hold the request key do not answer or agree."""
+
+    code = "key_holders_unavailable"
+    status = 503
+    kind = "server_error"
+
+
+class KeyTableFullError(RequestRefusedError):
+    """No more request keys can be remembered now."""
+
+    code = "key_table_full"
+    status = 503
+    kind = "overloaded_error"
+
+
+class KeyHistoryLostError(RequestRefusedError):
+    """Nobody remembers whether the request key was used before."""
+
+    code = "key_history_lost"
+    status = 409
+    kind = "server_error"
+
+
+class KeyRunLostError(RequestRefusedError):
+    """The upstream that held the key's run or its answer is gone."""
+
+    code = "key_run_lost"
+    status = 409
+    kind = "server_error"
+
+
 REFUSALS: dict[str, type[RequestRefusedError]] = {
     kind.code: kind
     for kind in (
@@ -243,6 +290,7 @@
         UpstreamLostError,
         UpstreamFailedError,
         DeadlineExceededError,
+        RunForbiddenError,
     )
 }
 """Refusals by code, so that one that crossed a process can be raised again."""
--- a/src/lovagestage/fold.py
+++ b/src/lovagestage/fold.py
@@ -16,6 +16,7 @@
 
 from lovagestage.document import ServiceDocument
 from lovagestage.exceptions import CodecError
+from lovagestage.members import MemberView
 from lovagestage.records import DocumentChange, decode_record
 from lovagestage.types import ChangeId, Offset, ServiceId
 
@@ -62,6 +63,7 @@
         services: Documents in force.
         outcomes: Results by change id, oldest first, bounded.
         undecodable: Number of records that were refused.
+        members: Entries that hold request keys.
     """
 
     def __init__(self) -> None:
@@ -71,6 +73,7 @@
             collections.OrderedDict()
         )
         self.undecodable = 0
+        self.members = MemberView()
         self._digest = hashlib.sha256()
 
     def apply(self, offset: Offset, data: bytes) -> None:
@@ -96,7 +99,10 @@
         except CodecError:
             self.undecodable += 1
             return
-        self._apply_change(offset, record)
+        if isinstance(record, DocumentChange):
+            self._apply_change(offset, record)
+        else:
+            self.members.apply(offset, record)
 
     def get_hash(self) -> str:
         """Hash of all that was applied; equal prefixes give equal hashes."""
--- /dev/null
+++ b/src/lovagestage/key_service.py
@@ -0,0 +1,212 @@
+"""Tasks around the ledger of request keys: claims, copies, slots' pasts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import mode
+
+from lovagestage.control import ControlReader
+from lovagestage.hub import Hub
+from lovagestage.key_messages import (
+    Claim,
+    ClaimAnswer,
+    ClaimOutcome,
+    Copy,
+    CopyAnswer,
+    Pull,
+    PullAnswer,
+)
+from lovagestage.links import LinkTable
+from lovagestage.members import SLOTS, MemberId, MemberView
+from lovagestage.membership import Membership
+from lovagestage.messages import Message
+from lovagestage.request_keys import Ledger, PullState
+from lovagestage.settings import EntrySettings
+from lovagestage.types import Offset, VmId
+
+_log = logging.getLogger(__name__)
+
+COPY_TIMEOUT_S = 0.5
+CLAIM_TIMEOUT_S = 1.0
+PULL_TIMEOUT_S = 1.0
+PULL_INTERVAL_S = 0.2
+PULLS_AT_ONCE = 16
+EXPIRY_INTERVAL_S = 10.0
+
+
+class KeyService(mode.Service):
+    """Holds this entry's part of the request keys.
+
+    Args:
+        settings: Limits of the ledger.
+        control: Configuration in force.
+        membership: This process as a member.
+        peers: Connections to the other entries.
+        hub: Hands over questions of the other entries.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        control: ControlReader,
+        membership: Membership,
+        peers: LinkTable,
+        hub: Hub,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._membership = membership
+        self._peers = peers
+        self._ledger = self._make_ledger()
+        self._view_changed = asyncio.Event()
+        control.subscribe(self._on_control)
+        hub.register_answer(Claim, self._answer_claim)
+        hub.register_answer(Copy, self._answer_copy)
+        hub.register_answer(Pull, self._answer_pull)
+
+    @property
+    def view(self) -> MemberView:
+        """The members now."""
+        return self._membership.view
+
+    async def claim(self, claim: Claim) -> ClaimAnswer:
+        """Asks the key's owner, which may be this process."""
+        holders = self._get_holders(claim)
+        if not holders or claim.epoch != self.view.epoch:
+            return ClaimAnswer(ClaimOutcome.STALE_VIEW)
+        if holders[0] == self._ledger.own:
+            return await self._decide(claim)
+        answer = await self._ask(holders[0].vm, claim, CLAIM_TIMEOUT_S)
+        if isinstance(answer, ClaimAnswer):
+            return answer
+        return ClaimAnswer(ClaimOutcome.BUSY)
+
+    def get_dump(self) -> dict[str, object]:
+        """State for the dump: the view and the ledger's size."""
+        own = self._ledger.own
+        held = [s for s in range(SLOTS) if own in self.view.get_holders(s)]
+        return {
+            "epoch": self.view.epoch,
+            "members": sorted(self.view.members),
+            "may_be_paused": sorted(self.view.may_be_paused),
+            "keys": self._ledger.size,
+            "key_limit": self._settings.key_limit,
+            "slots_held": len(held),
+            "slots_whole": sum(
+                self._ledger.is_whole(self.view, s) for s in held
+            ),
+            "slots_with_loss": sum(
+                self._ledger.slots[s].lost_at_ms > 0 for s in held
+            ),
+        }
+
+    def _get_holders(self, claim: Claim) -> tuple[MemberId, ...]:
+        slot = self.view.get_slot(claim.workspace, claim.key)
+        return self.view.get_holders(slot)
+
+    def _make_ledger(self) -> Ledger:
+        return Ledger(
+            self._membership.get_own_id(),
+            self._settings.key_limit,
+            self._settings.key_window_s,
+        )
+
+    def _on_control(self) -> None:
+        # Runs in the same step as the fold, before any question is answered:
+        # no answer mixes an old ledger with a new view.
+        if self._ledger.own != self._membership.get_own_id():
+            self._ledger = self._make_ledger()
+        self._ledger.apply_view(self.view)
+        self._view_changed.set()
+
+    async def _answer_claim(self, message: Message) -> Message:
+        assert isinstance(message, Claim)
+        return await self._decide(message)
+
+    async def _answer_copy(self, message: Message) -> Message:
+        assert isinstance(message, Copy)
+        return self._ledger.take_copy(self.view, message, time.monotonic())
+
+    async def _answer_pull(self, message: Message) -> Message:
+        assert isinstance(message, Pull)
+        return self._ledger.answer_pull(self.view, message, time.monotonic())
+
+    async def _decide(self, claim: Claim) -> ClaimAnswer:
+        ledger = self._ledger
+        decided = ledger.claim(
+            self.view, claim, time.monotonic(), _get_wall_ms()
+        )
+        if isinstance(decided, ClaimAnswer):
+            return decided
+        answer: Message | None = None
+        for holder in self.view.get_holders(decided.slot)[1:]:
+            answer = await self._ask(holder.vm, decided, COPY_TIMEOUT_S)
+        taken = answer if isinstance(answer, CopyAnswer) else None
+        return ledger.confirm(self.view, decided, taken)
+
+    async def _ask(
+        self, vm: VmId, question: Message, timeout_s: float
+    ) -> Message | None:
+        return await self._peers.ask(vm, question, timeout_s)
+
+    @mode.Service.task
+    async def _keep_whole(self) -> None:
+        limit = asyncio.Semaphore(PULLS_AT_ONCE)
+        while not self.should_stop:
+            self._view_changed.clear()
+            done = await asyncio.gather(
+                *(self._pull(slot, limit) for slot in range(SLOTS))
+            )
+            if not all(done):
+                await self.sleep(PULL_INTERVAL_S)
+            else:
+                await self._view_changed.wait()
+
+    @mode.Service.task
+    async def _expire(self) -> None:
+        while not self.should_stop:
+            await self.sleep(EXPIRY_INTERVAL_S)
+            self._ledger.remove_expired(time.monotonic(), _get_wall_ms())
+
+    async def _pull(self, slot: int, limit: asyncio.Semaphore) -> bool:
+        """Makes a held slot whole; False where a source did not answer."""
+        if self._is_done(slot):
+            return True
+        async with limit:
+            return await self._pull_now(slot)
+
+    def _is_done(self, slot: int) -> bool:
+        ledger = self._ledger
+        return ledger.own not in self.view.get_holders(slot) or ledger.is_whole(
+            self.view, slot
+        )
+
+    async def _pull_now(self, slot: int) -> bool:
+        ledger, epoch = self._ledger, self.view.epoch
+        answers: dict[MemberId, Offset] = {}
+        while not self._is_done(slot):
+            step = ledger.plan_pull(self.view, slot, answers)
+            if step.state is not PullState.ASK:
+                if step.state is PullState.LOST:
+                    _log.warning("slot_history_lost", extra={"slot": slot})
+                    ledger.mark_lost(slot, step.lost, _get_wall_ms())
+                ledger.finish_pull(self.view, slot)
+                return True
+            asked = step.sources[0]
+            answer = await self._ask(
+                asked.vm, Pull(epoch, slot), PULL_TIMEOUT_S
+            )
+            if epoch != self.view.epoch or ledger is not self._ledger:
+                return False
+            if not isinstance(answer, PullAnswer) or answer.epoch != epoch:
+                return False
+            ledger.merge(slot, answer, time.monotonic())
+            answers[asked] = answer.whole_start
+        return True
+
+
+def _get_wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/src/lovagestage/keyed_runs.py
@@ -0,0 +1,311 @@
+"""Drives a request that has an `Idempotency-Key` to its one answer."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import logging
+import time
+from collections.abc import AsyncIterator
+
+from lovagestage.dispatcher import MAX_ATTEMPTS, Dispatcher, Request, Result
+from lovagestage.exceptions import (
+    DeadlineExceededError,
+    KeyHistoryLostError,
+    KeyHoldersUnavailableError,
+    KeyReusedError,
+    KeyRunLostError,
+    KeyTableFullError,
+    MalformedRequestError,
+    NoCapacityError,
+    RequestRefusedError,
+)
+from lovagestage.key_messages import (
+    Claim,
+    ClaimAnswer,
+    ClaimOutcome,
+    Inquiry,
+    InquiryAnswer,
+    LedgerEntry,
+    RunId,
+    RunKnown,
+)
+from lovagestage.key_service import KeyService
+from lovagestage.types import RunState, VmId, parse_model_version
+from lovagestage.upstreams import UpstreamTable
+
+_log = logging.getLogger(__name__)
+
+HEADER_KEY = "Idempotency-Key"
+MAX_KEY_LENGTH = 255
+CLAIM_LIMIT_S = 2.0
+"""Longest search for a key's holders before the request is refused."""
+CLAIM_RETRY_S = 0.1
+INQUIRY_TIMEOUT_S = 1.0
+JOIN_GRACE_S = 0.1
+"""Time for a dispatch that follows its claim to reach the sidecar."""
+RETRY_AFTER_S = 2
+_DECIDED = (ClaimOutcome.GRANTED, ClaimOutcome.HELD, ClaimOutcome.FREE)
+
+
+@dataclasses.dataclass
+class _Search:
+    """How far the search for the key's one run has come.
+
+    Attributes:
+        after: Run that the next one replaces.
+        may_have_run: A replaced run of a repeatable request may have run.
+        started: Part of the answer has been handed on.
+        is_finding: No run has been found in this round yet.
+        excluded: Upstreams that are not tried again.
+    """
+
+    after: RunId | None = None
+    may_have_run: bool = False
+    started: bool = False
+    is_finding: bool = True
+    excluded: set[VmId] = dataclasses.field(default_factory=set)
+
+    def replace(self, run: RunId) -> None:
+        """Replaces a run that may have run."""
+        self.after = run
+        self.may_have_run = True
+
+    def is_over(self, error: RequestRefusedError, number: int) -> bool:
+        """Whether the error is the request's answer."""
+        return (
+            self.is_finding
+            or number == MAX_ATTEMPTS
+            or isinstance(error, DeadlineExceededError | KeyRunLostError)
+        )
+
+
+class KeyedRuns:
+    """Runs keyed requests at most once, or joins the run that exists.
+
+    Args:
+        keys: Claims of request keys.
+        dispatcher: Reads runs.
+        upstreams: Connections to sidecars.
+    """
+
+    def __init__(
+        self,
+        keys: KeyService,
+        dispatcher: Dispatcher,
+        upstreams: UpstreamTable,
+    ) -> None:
+        self._keys = keys
+        self._dispatcher = dispatcher
+        self._upstreams = upstreams
+
+    async def run(
+        self, request: Request, key: str, result: Result
+    ) -> AsyncIterator[bytes]:
+        """Yields the answer of the key's one run.
+
+        Raises:
+            RequestRefusedError: There is no whole answer; says what was run.
+        """
+        check_key(key)
+        search = _Search()
+        for number in range(1, MAX_ATTEMPTS + 1):
+            try:
+                entry, is_own = await self._find(request, key, number, search)
+                if not is_own and not await self._is_here(entry.run):
+                    await self._give_up(request, entry.run, search)
+                    continue
+                async for data in self._read(request, entry, is_own, result):
+                    search.started = True
+                    yield data
+                return
+            except RequestRefusedError as error:
+                if search.may_have_run and error.run is RunState.NOT_RUN:
+                    error.run = RunState.UNKNOWN
+                if search.started or search.is_over(error, number):
+                    raise
+                await self._resolve(request, entry.run, error, search)
+            search.excluded.add(entry.run.sidecar)
+        raise NoCapacityError(
+            f"No upstream took the request in {MAX_ATTEMPTS} attempts.",
+            RunState.UNKNOWN,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    async def _find(
+        self, request: Request, key: str, number: int, search: _Search
+    ) -> tuple[LedgerEntry, bool]:
+        """The run to read, and whether it is this request's own.
+
+        Raises:
+            RequestRefusedError: There is none, and none can be started.
+        """
+        search.is_finding = True
+        try:
+            run = self._choose_run(request, number, search.excluded)
+        except NoCapacityError:
+            # An earlier request may have run all the same: without this
+            # question, "not run" would be said of a key that has.
+            entry = await self._claim(request, key, None, search.after)
+            if entry is None or entry.run == search.after:
+                raise
+        else:
+            entry = await self._claim(request, key, run, search.after)
+            assert entry is not None
+        search.is_finding = False
+        return entry, entry.run.request_id == request.request_id
+
+    def _choose_run(
+        self, request: Request, number: int, excluded: set[VmId]
+    ) -> RunId:
+        vm = self._dispatcher.choose(request, excluded)
+        heartbeat = self._upstreams.get_heartbeat(vm)
+        assert heartbeat is not None
+        return RunId(
+            request.request_id,
+            number,
+            vm,
+            heartbeat.incarnation,
+            heartbeat.clock_ms,
+        )
+
+    def _read(
+        self,
+        request: Request,
+        entry: LedgerEntry,
+        is_own: bool,
+        result: Result,
+    ) -> AsyncIterator[bytes]:
+        result.attempts = entry.run.attempt
+        result.version = parse_model_version(entry.version) or request.version
+        if is_own:
+            return self._dispatcher.run_claimed(request, entry.run, result)
+        _log.info(
+            "run_joined",
+            extra={"request": request.request_id, "run": entry.run.request_id},
+        )
+        return self._dispatcher.join(request, entry.run, result)
+
+    async def _claim(
+        self,
+        request: Request,
+        key: str,
+        run: RunId | None,
+        after: RunId | None,
+    ) -> LedgerEntry | None:
+        """The run that has the key; None where none has."""
+        end_s = time.monotonic() + CLAIM_LIMIT_S
+        while True:
+            claim = Claim(
+                self._keys.view.epoch,
+                request.workspace,
+                key,
+                hashlib.blake2b(request.body, digest_size=16).digest(),
+                run,
+                str(request.version),
+                request.repeatable,
+                after,
+            )
+            answer = await self._keys.claim(claim)
+            if answer.outcome in _DECIDED:
+                return answer.entry
+            refusal = _make_refusal(answer, key)
+            if refusal is not None:
+                raise refusal
+            if time.monotonic() > end_s:
+                raise KeyHoldersUnavailableError(
+                    "The entries that hold the request key did not agree"
+                    f" within {CLAIM_LIMIT_S} s.",
+                    # This run was never sent, but an earlier request with
+                    # the key may have run.
+                    RunState.UNKNOWN,
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            await asyncio.sleep(CLAIM_RETRY_S)
+
+    async def _resolve(
+        self,
+        request: Request,
+        run: RunId,
+        error: RequestRefusedError,
+        search: _Search,
+    ) -> None:
+        """Gives up a run that ended; raises where it is the key's last."""
+        if error.run is RunState.NOT_RUN:
+            search.after = run
+        elif request.repeatable:
+            search.replace(run)
+        elif error.run is RunState.RAN:
+            raise error
+        elif await self._inquire(run, forbid=True) is RunKnown.FORBIDDEN:
+            search.after = run
+        else:
+            raise error
+
+    async def _is_here(self, run: RunId) -> bool:
+        known = await self._inquire(run, forbid=False)
+        if known is RunKnown.NEVER:
+            await asyncio.sleep(JOIN_GRACE_S)
+            known = await self._inquire(run, forbid=False)
+        return known is RunKnown.HERE
+
+    async def _give_up(
+        self, request: Request, run: RunId, search: _Search
+    ) -> None:
+        """Gives up another's run that is not at its sidecar.
+
+        Raises:
+            KeyRunLostError: It may have run and may not run again.
+        """
+        known = await self._inquire(run, forbid=True)
+        if known is RunKnown.FORBIDDEN:
+            search.after = run
+        elif request.repeatable:
+            search.replace(run)
+        else:
+            raise KeyRunLostError(
+                f"Upstream {run.sidecar!r}, which was to run the request, no"
+                " longer tells what became of it.",
+                RunState.UNKNOWN,
+            )
+
+    async def _inquire(self, run: RunId, forbid: bool) -> RunKnown | None:
+        answer = await self._upstreams.ask(
+            run.sidecar, Inquiry(run, forbid), INQUIRY_TIMEOUT_S
+        )
+        return answer.known if isinstance(answer, InquiryAnswer) else None
+
+
+def check_key(key: str) -> None:
+    """Checks the form of a request key.
+
+    Raises:
+        MalformedRequestError: It is empty, too long or not printable ASCII.
+    """
+    if not (0 < len(key) <= MAX_KEY_LENGTH and key.isascii()):
+        raise MalformedRequestError(
+            f"Expected {HEADER_KEY} of 1 to {MAX_KEY_LENGTH} ASCII"
+            f" characters, found {len(key)} characters."
+        )
+
+
+def _make_refusal(answer: ClaimAnswer, key: str) -> RequestRefusedError | None:
+    match answer.outcome:
+        case ClaimOutcome.OTHER_BODY:
+            return KeyReusedError(
+                f"Request key {key!r} was used before with another body."
+            )
+        case ClaimOutcome.FULL:
+            return KeyTableFullError(
+                "No more request keys can be remembered now.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        case ClaimOutcome.HISTORY_LOST:
+            return KeyHistoryLostError(
+                f"The entries that held request key {key!r} are gone; whether"
+                " it was used before can't be told.",
+                RunState.UNKNOWN,
+            )
+        case _:
+            return None
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -12,6 +12,16 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.key_messages import (
+    Claim,
+    ClaimAnswer,
+    Copy,
+    CopyAnswer,
+    Inquiry,
+    InquiryAnswer,
+    Pull,
+    PullAnswer,
+)
 from lovagestage.types import RequestId, RunState, VmId, WorkspaceId, ZoneId
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -39,6 +49,8 @@
         max_running: Requests that may run at once.
         token_interval_ms: Time between tokens of a stream, as measured.
         control_offset: How far it has read the `control` stream.
+        clock_ms: Its own clock, from which runs of keyed requests take
+            their permit.
     """
 
     vm: VmId
@@ -52,6 +64,7 @@
     max_running: int
     token_interval_ms: float
     control_offset: int
+    clock_ms: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
@@ -67,6 +80,9 @@
         deadline_s: Time left until the deadline.
         stream: Whether chunks are wanted as they arrive.
         body: The request's JSON body for the engine.
+        incarnation: Sidecar process that the run of a keyed request was
+            claimed for; 0 without a key.
+        permit_ms: That process's clock when it was chosen.
     """
 
     request_id: RequestId
@@ -78,6 +94,8 @@
     deadline_s: float
     stream: bool
     body: bytes
+    incarnation: int = 0
+    permit_ms: int = 0
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
@@ -193,7 +211,17 @@
 
 EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest
 SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
-Message = EntryMessage | SidecarMessage | Ask | Reply
+KeyMessage = (
+    Claim
+    | ClaimAnswer
+    | Copy
+    | CopyAnswer
+    | Pull
+    | PullAnswer
+    | Inquiry
+    | InquiryAnswer
+)
+Message = EntryMessage | SidecarMessage | KeyMessage | Ask | Reply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/records.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.members import MemberJoined, MemberRemoved
 from lovagestage.types import ChangeId, ServiceId
 
 CONTROL_STREAM = "control"
@@ -36,7 +37,7 @@
     document: bytes
 
 
-Record = DocumentChange
+Record = DocumentChange | MemberJoined | MemberRemoved
 
 _decoder = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -20,6 +20,7 @@
 from lovagestage.events import Usage, make_plain_answer, parse_block
 from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
+from lovagestage.key_messages import Inquiry, InquiryAnswer, RunKnown
 from lovagestage.messages import (
     Accepted,
     Attach,
@@ -30,6 +31,7 @@
     Message,
     Refused,
 )
+from lovagestage.run_gate import RunGate
 from lovagestage.transport import PeerId
 from lovagestage.types import RequestId, RunState
 
@@ -47,7 +49,7 @@
 
     Attributes:
         dispatch: What was asked.
-        peer: Connection that reads it.
+        readers: Connections that read it.
         chunks: The answer so far.
         end: How it ended; None while it runs.
         ended_at_s: Monotonic time of the end.
@@ -55,7 +57,7 @@
     """
 
     dispatch: Dispatch
-    peer: PeerId
+    readers: set[PeerId]
     chunks: list[bytes] = dataclasses.field(default_factory=list)
     end: Finished | Refused | None = None
     ended_at_s: float = 0.0
@@ -71,6 +73,10 @@
         hub: Where answers go.
         replay_window_s: How long an ended run is kept.
         replay_limit_bytes: Most bytes of ended runs that are kept.
+        incarnation: Of this process.
+
+    Attributes:
+        gate: Last check of keyed runs.
     """
 
     def __init__(
@@ -79,7 +85,10 @@
         hub: Hub,
         replay_window_s: float,
         replay_limit_bytes: int,
+        incarnation: int,
     ) -> None:
+        self.gate = RunGate(incarnation)
+        self._started_s = time.monotonic()
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -91,13 +100,51 @@
         self._ended: collections.deque[RunKey] = collections.deque()
         self._ended_bytes = 0
 
+    def get_clock_ms(self) -> int:
+        """Time since the start of the process."""
+        return int((time.monotonic() - self._started_s) * 1000)
+
+    async def answer_inquiry(self, message: Message) -> Message:
+        """Says what is known of a keyed run; may forbid it."""
+        assert isinstance(message, Inquiry)
+        run = message.run
+        key = (run.request_id, run.attempt)
+        if key in self._runs and run.incarnation == self.gate.incarnation:
+            return InquiryAnswer(RunKnown.HERE)
+        known = self.gate.inquire(
+            key,
+            run.incarnation,
+            run.permit_ms,
+            message.forbid,
+            self.get_clock_ms(),
+        )
+        return InquiryAnswer(known)
+
+    def may_start(self, dispatch: Dispatch) -> bool:
+        """Whether the gate lets a run start; without a key it always does."""
+        key = (dispatch.request_id, dispatch.attempt)
+        if not dispatch.incarnation or key in self._runs:
+            return True
+        return self.gate.may_start(
+            key,
+            dispatch.incarnation,
+            dispatch.permit_ms,
+            self.get_clock_ms(),
+        )
+
+    def forbid(self, dispatch: Dispatch) -> None:
+        """Keeps a refused keyed run from starting later."""
+        if dispatch.incarnation:
+            key = (dispatch.request_id, dispatch.attempt)
+            self.gate.forbid(key, self.get_clock_ms())
+
     def start(self, peer: PeerId, dispatch: Dispatch) -> None:
         """Starts a run; a repeated dispatch reads the run that exists."""
         key = (dispatch.request_id, dispatch.attempt)
         if key in self._runs:
             self.attach(peer, Attach(*key, from_seq=0))
             return
-        run = Run(dispatch, peer)
+        run = Run(dispatch, {peer})
         self._runs[key] = run
         self.running += 1
         self.idle.clear()
@@ -105,7 +152,7 @@
         run.task = asyncio.create_task(self._execute(run))
 
     def attach(self, peer: PeerId, message: Attach) -> None:
-        """Sends a run's chunks again to `peer`, which reads it from now on."""
+        """Sends a run's chunks again to `peer`, one more of its readers."""
         key = (message.request_id, message.attempt)
         run = self._runs.get(key)
         if run is None:
@@ -119,11 +166,11 @@
                 ),
             )
             return
-        run.peer = peer
+        run.readers.add(peer)
         for seq in range(message.from_seq, len(run.chunks)):
-            self._send(run, Chunk(*key, seq, run.chunks[seq]))
+            self._hub.send(peer, Chunk(*key, seq, run.chunks[seq]))
         if run.end is not None:
-            self._send(run, run.end)
+            self._hub.send(peer, run.end)
 
     async def cancel(self, message: Cancel) -> None:
         """Cancels a run, down to the engine."""
@@ -141,8 +188,12 @@
             in_window = run.ended_at_s > horizon_s
             if in_window and self._ended_bytes <= self._limit_bytes:
                 return
-            del self._runs[self._ended.popleft()]
+            key = self._ended.popleft()
+            del self._runs[key]
             self._ended_bytes -= run.size_bytes
+            if run.dispatch.incarnation:
+                self.gate.forget(key, run.dispatch.permit_ms)
+        self.gate.remove_expired(self.get_clock_ms())
 
     def get_sizes(self) -> dict[str, int]:
         """Sizes of the table, for the state dump."""
@@ -150,6 +201,7 @@
             "running": self.running,
             "runs": len(self._runs),
             "ended_bytes": self._ended_bytes,
+            **self.gate.get_sizes(),
         }
 
     async def _execute(self, run: Run) -> None:
@@ -270,7 +322,9 @@
     def _send(self, run: Run, message: Message) -> None:
         # A send that fails is not an error: the entry notices the gap or the
         # silence and attaches again from the last chunk that it has.
-        self._hub.send(run.peer, message)
+        for peer in list(run.readers):
+            if not self._hub.send(peer, message):
+                run.readers.discard(peer)
 
 
 class _StreamOptions(msgspec.Struct):
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -93,6 +93,11 @@
         body_timeout_s: A body that is not whole by then is refused.
         default_deadline_s: Deadline of a request that names none.
         drain_timeout_s: Longest wait for open requests at a planned stop.
+        member_silence_s: An entry that was not heard for so long holds no
+            request keys from then on.
+        key_window_s: How long a request key is remembered.
+        key_limit: Most request keys held by this process; past it new ones
+            are refused.
     """
 
     http_host: str
@@ -101,6 +106,9 @@
     body_timeout_s: float = 10.0
     default_deadline_s: float = 120.0
     drain_timeout_s: float = 600.0
+    member_silence_s: float = 10.0
+    key_window_s: float = 86_400.0
+    key_limit: int = 200_000
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -15,6 +15,7 @@
 from lovagestage.document import get_allowed_versions
 from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
+from lovagestage.key_messages import Inquiry
 from lovagestage.messages import (
     Attach,
     Cancel,
@@ -68,7 +69,7 @@
         self._control = control
         self._engine = engine
         self._timers = timers
-        self._incarnation = time.time_ns()
+        self._incarnation = runs.gate.incarnation
         self._sequence = 0
         self._leaving = False
         self._load = _NO_LOAD
@@ -82,6 +83,7 @@
         hub.register(Attach, self._on_attach)
         hub.register(Cancel, self._on_cancel)
         hub.register(DumpRequest, self._on_dump_request)
+        hub.register_answer(Inquiry, runs.answer_inquiry)
 
     async def on_start(self) -> None:
         """Subscribes to the timers."""
@@ -125,6 +127,7 @@
         if reason is None:
             self._runs.start(peer, dispatch)
             return
+        self._runs.forbid(dispatch)
         code, text = reason
         self._hub.send(
             peer,
@@ -134,11 +137,16 @@
                 code,
                 text,
                 RunState.NOT_RUN,
-                1 if code == "no_capacity" else None,
+                1 if code in ("no_capacity", "run_forbidden") else None,
             ),
         )
 
     def _get_refusal(self, dispatch: Dispatch) -> tuple[str, str] | None:
+        if not self._runs.may_start(dispatch):
+            return (
+                "run_forbidden",
+                "The run was given up or its claim is too old.",
+            )
         if self._leaving:
             return "no_capacity", "The upstream is leaving."
         if self._runs.running >= self._role.max_running:
@@ -195,6 +203,7 @@
             self._role.max_running,
             self._load.token_interval_ms,
             self._control.folded.next_offset,
+            self._runs.get_clock_ms(),
         )
 
     def _make_dump(self) -> bytes:
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -19,8 +19,11 @@
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
 from lovagestage.hub import Hub
+from lovagestage.key_service import KeyService
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
+from lovagestage.members import MemberJoined
+from lovagestage.membership import Membership
 from lovagestage.messages import Hello
 from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
@@ -127,6 +130,9 @@
     watch = VmWatch(HttpVmList(base.session, settings.platform.vms_url))
     watch.subscribe(upstreams.apply_vm_list)
     watch.subscribe(peers.apply_vm_list)
+    membership = _make_membership(base, role, peers)
+    watch.subscribe(membership.apply_vm_list)
+    keys = KeyService(role, base.control, membership, peers, base.hub)
     dispatcher = Dispatcher(upstreams, settings.zone, random.Random())
     entry = Entry(
         settings,
@@ -137,8 +143,27 @@
         dispatcher,
         base.own,
         base.hub,
+        keys,
+    )
+    return entry, [watch, upstreams, peers, membership, keys, entry]
+
+
+def _make_membership(
+    base: _Base, role: EntrySettings, peers: LinkTable
+) -> Membership:
+    settings = base.settings
+    return Membership(
+        base.control,
+        HttpLog(base.session, settings.platform.log_url),
+        peers,
+        MemberJoined(
+            settings.vm,
+            settings.zone,
+            base.own.incarnation,
+            settings.bus.bind,
+        ),
+        role.member_silence_s,
     )
-    return entry, [watch, upstreams, peers, entry]
 
 
 def _make_sidecar(
@@ -146,7 +171,11 @@
 ) -> tuple[_Process, list[mode.Service]]:
     engine = HttpEngine(base.session, role.upstream_url)
     runs = RunTable(
-        engine, base.hub, role.replay_window_s, role.replay_limit_bytes
+        engine,
+        base.hub,
+        role.replay_window_s,
+        role.replay_limit_bytes,
+        base.own.incarnation,
     )
     sidecar = Sidecar(
         base.settings,
