--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -13,6 +13,8 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
+from lovagestage.billed import BilledStream, make_bill
+from lovagestage.billing_service import BillingService
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher, Request, Result
 from lovagestage.document import (
@@ -20,8 +22,8 @@
     ClassSpec,
     Repeatable,
     ServiceDocument,
-    get_allowed_versions,
     get_key_digest,
+    get_open_versions,
 )
 from lovagestage.exceptions import (
     BodyTooLargeError,
@@ -34,6 +36,17 @@
     WrongKeyError,
 )
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.sessions import (
+    HEADER_MOVED_FROM,
+    HEADER_SESSION,
+    Session,
+    SessionSigner,
+    check_session,
+    get_token,
+    is_pinned,
+    make_next_session,
+    resolve_model,
+)
 from lovagestage.settings import EntrySettings
 from lovagestage.types import (
     ModelVersion,
@@ -63,7 +76,7 @@
         model: A service, a model or `MODEL@VERSION`.
         messages: At least one.
         stream: Whether the caller reads chunks.
-        metadata: `request_class` may be given here.
+        metadata: `request_class` and `session` may be given here.
     """
 
     model: str
@@ -97,6 +110,7 @@
         dispatcher: Runs requests.
         upstreams: Connections to sidecars.
         keyed: Runs requests that have a key.
+        billing: Takes the bills.
     """
 
     def __init__(
@@ -105,8 +119,10 @@
         control: ControlReader,
         dispatcher: Dispatcher,
         upstreams: UpstreamTable,
+        billing: BillingService,
         keyed: KeyedRuns,
     ) -> None:
+        self._billing = billing
         self._keyed = keyed
         self._upstreams = upstreams
         self._started_at_s = time.monotonic()
@@ -118,6 +134,7 @@
         self._settings = settings
         self._control = control
         self._dispatcher = dispatcher
+        self._signer = SessionSigner(settings.session_keys)
 
     def make_app(self) -> web.Application:
         """Builds the HTTP application."""
@@ -165,7 +182,7 @@
     def _is_ready(self) -> bool:
         # Readiness is not taken back: were it to follow the upstreams, one
         # fault common to all entries would empty the balancer.
-        if not self._ready and self._control.folded.services:
+        if not self._ready and self._control.services:
             waited_s = time.monotonic() - self._started_at_s
             self._ready = (
                 self._upstreams.has_heard_all() or waited_s > MAX_START_S
@@ -174,7 +191,7 @@
 
     async def _get_models(self, request: web.Request) -> web.Response:
         caller = self._get_caller(request)
-        allowed = get_allowed_versions(caller.document, caller.workspace)
+        allowed = get_open_versions(caller.document, caller.workspace)
         names = [str(caller.document.service), *(str(v) for v in allowed)]
         return web.json_response(
             {
@@ -198,9 +215,12 @@
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
         parts = self._run(request, admitted, result)
-        if form.stream:
-            return await self._answer_stream(request, parts, admitted, result)
-        return await self._answer_plain(parts, admitted, result)
+        with self._billing.reserve():
+            if form.stream:
+                return await self._answer_stream(
+                    request, parts, caller, admitted, result
+                )
+            return await self._answer_plain(parts, caller, admitted, result)
 
     def _run(
         self, request: web.Request, admitted: Request, result: Result
@@ -211,13 +231,13 @@
         return self._keyed.run(admitted, key, result)
 
     def _get_caller(self, request: web.Request) -> Caller:
-        if not self._control.folded.services:
+        if not self._control.services:
             raise NotReadyError(
                 "No service document is in force yet.", retry_after_s=1
             )
         header = request.headers.get("Authorization", "")
         digest = get_key_digest(header.removeprefix(_BEARER))
-        for service in self._control.folded.services.values():
+        for service in self._control.services.values():
             for name, workspace in service.document.workspaces.items():
                 if digest in workspace.key_digests:
                     return Caller(name, service.document)
@@ -239,48 +259,99 @@
     ) -> Request:
         spec = _get_class(request, caller.document, form)
         deadline_s = spec.deadline_s or self._settings.default_deadline_s
+        session = self._read_session(request, caller, form)
+        version = resolve_session_version(session, form.model, caller, spec)
         return Request(
             RequestId(secrets.token_hex(16)),
             caller.workspace,
             caller.document.service,
-            resolve_version(form.model, caller, spec),
+            version,
             spec.priority,
             spec.repeatable is Repeatable.ALWAYS,
             time.monotonic() + deadline_s,
             form.stream,
             body,
+            session,
+        )
+
+    def _read_session(
+        self, request: web.Request, caller: Caller, form: ChatForm
+    ) -> Session | None:
+        token = get_token(request.headers, form.metadata)
+        if token is None:
+            return None
+        session = self._signer.read_token(token)
+        service = caller.document.service
+        check_session(session, caller.workspace, service, time.time())
+        return session
+
+    def _make_session_headers(
+        self, caller: Caller, admitted: Request, result: Result
+    ) -> dict[str, str]:
+        session = make_next_session(
+            admitted.session,
+            secrets.token_hex(8),
+            caller.workspace,
+            caller.document,
+            result.version,
+            time.time(),
         )
+        token = self._signer.make_token(session)
+        if token is None:
+            return {}
+        headers = {HEADER_SESSION: token}
+        previous = admitted.session
+        if previous is not None and not is_pinned(previous, result.version):
+            headers[HEADER_MOVED_FROM] = previous.version
+        return headers
 
     async def _answer_plain(
-        self, parts: AsyncIterator[bytes], admitted: Request, result: Result
+        self,
+        parts: AsyncIterator[bytes],
+        caller: Caller,
+        admitted: Request,
+        result: Result,
     ) -> web.Response:
         body = b"".join([part async for part in parts])
+        billed = _get_billed(admitted, result)
+        await self._billing.add(make_bill(billed, result, time.time()))
         return web.Response(
             body=body,
             content_type="application/json",
-            headers=_make_headers(admitted, result),
+            headers=_make_headers(admitted, result)
+            | self._make_session_headers(caller, admitted, result),
         )
 
     async def _answer_stream(
         self,
         request: web.Request,
         parts: AsyncIterator[bytes],
+        caller: Caller,
         admitted: Request,
         result: Result,
     ) -> web.StreamResponse:
         # The first chunk is awaited before the status is sent, so that a
         # request refused before it has an error status of its own.
         first = await anext(parts, b"")
-        response = web.StreamResponse(headers=_make_headers(admitted, result))
+        response = web.StreamResponse(
+            headers=_make_headers(admitted, result)
+            | self._make_session_headers(caller, admitted, result)
+        )
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        await response.write(first)
+        billed = _get_billed(admitted, result)
+        stream = BilledStream(billed, result, self._billing)
         try:
+            await response.write(stream.add(first))
             async for part in parts:
-                await response.write(part)
+                await response.write(stream.add(part))
+            await response.write(await stream.end(time.time()))
         except RequestRefusedError as error:
             body = msgspec.json.encode(make_error_body(error))
             await response.write(b"data: " + body + b"\n\n")
+        except (ConnectionError, asyncio.CancelledError):
+            stream.cancel(time.time())
+            raise
         finally:
             await parts.aclose()  # type: ignore[attr-defined]
         await response.write_eof()
@@ -299,7 +370,7 @@
         UnknownModelError: The name is none of these.
         ModelNotAllowedError: The workspace may not use it.
     """
-    allowed = get_allowed_versions(caller.document, caller.workspace)
+    allowed = get_open_versions(caller.document, caller.workspace)
     if name == caller.document.service:
         candidates = [
             version
@@ -323,6 +394,24 @@
     )
 
 
+def resolve_session_version(
+    session: Session | None, name: str, caller: Caller, spec: ClassSpec
+) -> ModelVersion:
+    """Finds the version of a request that may come with a session.
+
+    Raises:
+        RequestRefusedError: See `resolve_version` and `resolve_model`.
+    """
+    if session is None:
+        return resolve_version(name, caller, spec)
+    target = resolve_model(session, name, caller.document)
+    if target is not None:
+        return resolve_version(target, caller, spec)
+    pinned = parse_model_version(session.version)
+    assert pinned is not None
+    return pinned
+
+
 def make_error_body(error: RequestRefusedError) -> dict[str, object]:
     """Builds the standard error body."""
     return {
@@ -378,9 +467,16 @@
     return spec
 
 
+def _get_billed(admitted: Request, result: Result) -> Request:
+    # A request that joined another's run bills it under that one's id, so
+    # that the two bills are one.
+    request_id = result.request_id or admitted.request_id
+    return dataclasses.replace(admitted, request_id=request_id)
+
+
 def _make_headers(admitted: Request, result: Result) -> dict[str, str]:
     headers = {
-        HEADER_REQUEST_ID: admitted.request_id,
+        HEADER_REQUEST_ID: result.request_id or admitted.request_id,
         HEADER_VERSION: str(result.version),
         HEADER_ATTEMPTS: str(result.attempts),
     }
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -31,6 +31,7 @@
     Refused,
 )
 from lovagestage.routing import choose_upstream
+from lovagestage.sessions import Session, is_pinned
 from lovagestage.types import (
     ModelVersion,
     RequestId,
@@ -67,6 +68,7 @@
         deadline_at_s: Monotonic time of the deadline.
         stream: Whether the caller reads chunks.
         body: The JSON body.
+        session: The session that it came with.
     """
 
     request_id: RequestId
@@ -78,6 +80,7 @@
     deadline_at_s: float
     stream: bool
     body: bytes
+    session: Session | None = None
 
 
 class Attempt:
@@ -139,11 +142,14 @@
     Attributes:
         version: Version that answered.
         attempts: Attempts made.
+        request_id: The request whose run is read, where another one with
+            the same key has started it; the bill is that one's.
         finished: Token counts and digest.
     """
 
     version: ModelVersion
     attempts: int = 0
+    request_id: RequestId | None = None
     finished: Finished | None = None
 
 
@@ -303,6 +309,7 @@
             request.deadline_at_s - time.monotonic(),
             request.stream,
             request.body,
+            is_pinned(request.session, request.version),
         )
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -9,6 +9,7 @@
 import msgspec
 from aiohttp import web
 
+from lovagestage.billing_service import BillingService
 from lovagestage.callers import CallerApi
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
@@ -39,6 +40,7 @@
         dispatcher: Runs requests.
         own: Name and incarnation of this process.
         hub: Hands over what arrives at the listener.
+        billing: Takes the bills.
         keys: Request keys.
     """
 
@@ -52,6 +54,7 @@
         dispatcher: Dispatcher,
         own: Hello,
         hub: Hub,
+        billing: BillingService,
         keys: KeyService,
     ) -> None:
         super().__init__()
@@ -63,9 +66,12 @@
         self._dispatcher = dispatcher
         self._own = own
         self._hub = hub
+        self._billing = billing
         self._keys = keys
         keyed = KeyedRuns(keys, dispatcher, upstreams)
-        self._api = CallerApi(role, control, dispatcher, upstreams, keyed)
+        self._api = CallerApi(
+            role, control, dispatcher, upstreams, billing, keyed
+        )
         self._runner = web.AppRunner(self._api.make_app(), access_log=None)
         self._site: web.TCPSite | None = None
         hub.register(Hello, self._on_hello)
@@ -95,6 +101,7 @@
             )
         except TimeoutError:
             _log.warning("drain_timeout")
+        await self._billing.flush()
 
     def _on_hello(self, peer: PeerId, message: Message) -> None:
         del message
@@ -116,6 +123,7 @@
                 "peers": self._peers.get_dump(),
                 "request_keys": self._keys.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
+                "billing": self._billing.get_sizes(),
                 "control": self._control.get_dump(),
             }
         )
--- a/src/lovagestage/keyed_runs.py
+++ b/src/lovagestage/keyed_runs.py
@@ -178,6 +178,7 @@
         result: Result,
     ) -> AsyncIterator[bytes]:
         result.attempts = entry.run.attempt
+        result.request_id = entry.run.request_id
         result.version = parse_model_version(entry.version) or request.version
         if is_own:
             return self._dispatcher.run_claimed(request, entry.run, result)
--- a/src/lovagestage/members.py
+++ b/src/lovagestage/members.py
@@ -14,6 +14,7 @@
 import msgspec
 import xxhash
 
+from lovagestage.outcomes import OutcomeTable
 from lovagestage.types import Offset, VmId, WorkspaceId, ZoneId
 
 SLOTS = 256
@@ -86,6 +87,8 @@
 class MemberView:
     """State folded from the member records.
 
+    Part of `fold.ControlState`.
+
     Args:
         slots: Number of slots; every process must have the same.
 
@@ -94,16 +97,22 @@
         members: Entries by VM.
         may_be_paused: Removed processes not known to have ended.
         periods: For each slot its pairs, oldest first.
+        outcomes: Empty: member records are idempotent and have no result.
     """
 
+    name = "members"
+    kinds: tuple[type[msgspec.Struct], ...] = (MemberJoined, MemberRemoved)
+
     def __init__(self, slots: int = SLOTS) -> None:
         self.epoch = Offset(-1)
         self.members: dict[VmId, MemberJoined] = {}
         self.may_be_paused: dict[VmId, int] = {}
         self.periods: list[list[Period]] = [[] for _ in range(slots)]
+        self.outcomes = OutcomeTable(0)
 
-    def apply(self, offset: Offset, record: MemberRecord) -> None:
+    def apply(self, offset: Offset, record: msgspec.Struct) -> None:
         """Applies the record at `offset`."""
+        assert isinstance(record, MemberJoined | MemberRemoved)
         if isinstance(record, MemberJoined):
             changed = self._join(record)
         else:
--- a/src/lovagestage/run_gate.py
+++ b/src/lovagestage/run_gate.py
@@ -66,13 +66,17 @@
             return RunKnown.FORGOTTEN
         if run in self._forbidden:
             return RunKnown.FORBIDDEN
-        if run in self._ended or permit_ms <= self._forgotten_ms:
+        if self.may_have_ended(run, permit_ms):
             return RunKnown.FORGOTTEN
         if not forbid:
             return RunKnown.NEVER
         self.forbid(run, now_ms)
         return RunKnown.FORBIDDEN
 
+    def may_have_ended(self, run: RunKey, permit_ms: int) -> bool:
+        """Whether a run of this process may have ended and been forgotten."""
+        return run in self._ended or permit_ms <= self._forgotten_ms
+
     def forbid(self, run: RunKey, now_ms: int) -> None:
         """Refuses a run that has not started, from now on."""
         self._forbidden[run] = now_ms
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -99,6 +99,7 @@
         self._runs: dict[RunKey, Run] = {}
         self._ended: collections.deque[RunKey] = collections.deque()
         self._ended_bytes = 0
+        hub.register_answer(Inquiry, self.answer_inquiry)
 
     def get_clock_ms(self) -> int:
         """Time since the start of the process."""
@@ -120,18 +121,6 @@
         )
         return InquiryAnswer(known)
 
-    def may_start(self, dispatch: Dispatch) -> bool:
-        """Whether the gate lets a run start; without a key it always does."""
-        key = (dispatch.request_id, dispatch.attempt)
-        if not dispatch.incarnation or key in self._runs:
-            return True
-        return self.gate.may_start(
-            key,
-            dispatch.incarnation,
-            dispatch.permit_ms,
-            self.get_clock_ms(),
-        )
-
     def forbid(self, dispatch: Dispatch) -> None:
         """Keeps a refused keyed run from starting later."""
         if dispatch.incarnation:
@@ -144,6 +133,9 @@
         if key in self._runs:
             self.attach(peer, Attach(*key, from_seq=0))
             return
+        if not self._may_start(dispatch):
+            self._hub.send(peer, self._make_gate_refusal(dispatch))
+            return
         run = Run(dispatch, {peer})
         self._runs[key] = run
         self.running += 1
@@ -151,6 +143,26 @@
         self._send(run, Accepted(*key))
         run.task = asyncio.create_task(self._execute(run))
 
+    def _may_start(self, dispatch: Dispatch) -> bool:
+        return not dispatch.incarnation or self.gate.may_start(
+            (dispatch.request_id, dispatch.attempt),
+            dispatch.incarnation,
+            dispatch.permit_ms,
+            self.get_clock_ms(),
+        )
+
+    def _make_gate_refusal(self, dispatch: Dispatch) -> Refused:
+        self.forbid(dispatch)
+        key = (dispatch.request_id, dispatch.attempt)
+        ended = self.gate.may_have_ended(key, dispatch.permit_ms)
+        return Refused(
+            *key,
+            "run_forbidden",
+            "The run was given up or its claim is too old.",
+            RunState.UNKNOWN if ended else RunState.NOT_RUN,
+            None if ended else 1,
+        )
+
     def attach(self, peer: PeerId, message: Attach) -> None:
         """Sends a run's chunks again to `peer`, one more of its readers."""
         key = (message.request_id, message.attempt)
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -12,10 +12,13 @@
 
 from lovagestage.adapters import Engine, EngineLoad
 from lovagestage.control import ControlReader
-from lovagestage.document import get_allowed_versions
+from lovagestage.document import (
+    get_allowed_versions,
+    get_open_versions,
+    is_version_granted,
+)
 from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
-from lovagestage.key_messages import Inquiry
 from lovagestage.messages import (
     Attach,
     Cancel,
@@ -37,6 +40,9 @@
 
 PEER_TIMEOUT_S = 10.0
 EXPIRY_INTERVAL_S = 1.0
+_PASSING = ("no_capacity", "version_withdrawn", "not_ready")
+"""Refusals that a retry helps against: another upstream may have room, and
+the entry will have read the document that this process has."""
 _NO_LOAD = EngineLoad(0, 0, 0, 0.0, 0.0)
 
 
@@ -69,7 +75,6 @@
         self._control = control
         self._engine = engine
         self._timers = timers
-        self._incarnation = runs.gate.incarnation
         self._sequence = 0
         self._leaving = False
         self._load = _NO_LOAD
@@ -83,7 +88,6 @@
         hub.register(Attach, self._on_attach)
         hub.register(Cancel, self._on_cancel)
         hub.register(DumpRequest, self._on_dump_request)
-        hub.register_answer(Inquiry, runs.answer_inquiry)
 
     async def on_start(self) -> None:
         """Subscribes to the timers."""
@@ -127,7 +131,8 @@
         if reason is None:
             self._runs.start(peer, dispatch)
             return
-        self._runs.forbid(dispatch)
+        if dispatch.incarnation:
+            self._runs.forbid(dispatch)
         code, text = reason
         self._hub.send(
             peer,
@@ -137,34 +142,38 @@
                 code,
                 text,
                 RunState.NOT_RUN,
-                1 if code in ("no_capacity", "run_forbidden") else None,
+                1 if code in _PASSING else None,
             ),
         )
 
     def _get_refusal(self, dispatch: Dispatch) -> tuple[str, str] | None:
-        if not self._runs.may_start(dispatch):
-            return (
-                "run_forbidden",
-                "The run was given up or its claim is too old.",
-            )
         if self._leaving:
             return "no_capacity", "The upstream is leaving."
         if self._runs.running >= self._role.max_running:
             return "no_capacity", "The upstream is full."
-        service = self._control.folded.services.get(ServiceId(dispatch.service))
+        service = self._control.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
         version = parse_model_version(dispatch.version)
-        allowed = get_allowed_versions(service.document, dispatch.workspace)
-        if version not in allowed:
-            # The entry may act on an older document than this process; the
-            # later of the two checks decides, so that a withdrawn version
-            # gets no work through an entry that lags.
+        # The entry may act on an older document than this process; the later
+        # of the two checks decides, so that a withdrawn version gets no work
+        # through an entry that lags.
+        if version is None or not is_version_granted(
+            service.document, dispatch.workspace, version
+        ):
             return (
                 "model_not_allowed",
                 f"Workspace {dispatch.workspace!r} may not use"
                 f" {dispatch.version!r}.",
             )
+        get_versions = (
+            get_allowed_versions if dispatch.in_session else get_open_versions
+        )
+        if version not in get_versions(service.document, dispatch.workspace):
+            return (
+                "version_withdrawn",
+                f"The version {dispatch.version!r} takes no new work.",
+            )
         return None
 
     def _on_heartbeat(self) -> None:
@@ -194,7 +203,7 @@
         return Heartbeat(
             self._settings.vm,
             self._settings.zone,
-            self._incarnation,
+            self._runs.gate.incarnation,
             self._sequence,
             self._leaving,
             self._versions,
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -15,6 +15,8 @@
 import zmq
 
 from lovagestage.adapters import HttpEngine, HttpLog, HttpVmList
+from lovagestage.billing import BillingLedger
+from lovagestage.billing_service import BillingService
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
@@ -107,7 +109,10 @@
         context,
         session,
         TimerService(),
-        ControlReader(HttpLog(session, settings.platform.log_url)),
+        ControlReader(
+            HttpLog(session, settings.platform.log_url),
+            settings.platform.operators_root_key,
+        ),
         Hub(),
         Hello(settings.vm, time.time_ns()),
     )
@@ -134,6 +139,7 @@
     watch.subscribe(membership.apply_vm_list)
     keys = KeyService(role, base.control, membership, peers, base.hub)
     dispatcher = Dispatcher(upstreams, settings.zone, random.Random())
+    billing = _make_billing(base, role, peers)
     entry = Entry(
         settings,
         role,
@@ -143,9 +149,32 @@
         dispatcher,
         base.own,
         base.hub,
+        billing,
         keys,
     )
-    return entry, [watch, upstreams, peers, membership, keys, entry]
+    services = [watch, upstreams, peers, billing, membership, keys, entry]
+    return entry, services
+
+
+def _make_billing(
+    base: _Base, role: EntrySettings, peers: LinkTable
+) -> BillingService:
+    ledger = BillingLedger(
+        base.settings.vm,
+        base.settings.zone,
+        base.own.incarnation,
+        role.billing_buffer_bytes,
+        role.billing_batch_bytes,
+    )
+    return BillingService(
+        ledger,
+        HttpLog(base.session, base.settings.platform.log_url),
+        peers,
+        base.timers,
+        base.hub,
+        role.billing_interval_s,
+        random.Random(),
+    )
 
 
 def _make_membership(
