--- a/lab/history.py
+++ b/lab/history.py
@@ -32,6 +32,7 @@
         run: Run state of a refusal; empty for an answer.
         code: Code of a refusal; empty for an answer.
         retry_after: The refusal's Retry-After; empty where it has none.
+        request_id: Request that the answer is billed under.
         body: The answer.
     """
 
@@ -44,6 +45,7 @@
     run: str
     code: str
     retry_after: str
+    request_id: str
     body: bytes
 
 
@@ -103,6 +105,11 @@
         """Runs that the engines counted since the start of the history."""
         return sum((get_runs(self._fleet) - self._before).values())
 
+    def get_running_engine(self) -> str:
+        """An engine that counted a run since the start of the history."""
+        name = next(iter(get_runs(self._fleet) - self._before))
+        return name.partition("/")[0]
+
     def find_faults(self) -> list[str]:
         """What is wrong; empty where every promise was kept.
 
@@ -145,6 +152,9 @@
     answers = {sent.body for sent in group if sent.status == 200}
     if len(answers) > 1:
         faults.append(f"{key}: {len(answers)} different answers")
+    billed = {sent.request_id for sent in group if sent.status == 200}
+    if len(billed) > 1:
+        faults.append(f"{key}: billed under {len(billed)} request ids")
     for refused in group:
         earlier = [
             sent
@@ -164,11 +174,13 @@
     )
     started_s = time.monotonic()
     status, run, code, retry_after, data = 0, "", "", "", b""
+    request_id = ""
     try:
         connection.request("POST", "/v1/chat/completions", body, headers)
         response = connection.getresponse()
         data = response.read()
         status = response.status
+        request_id = response.headers.get("X-Request-Id", "")
         retry_after = response.headers.get("Retry-After", "")
     except (OSError, http.client.HTTPException):
         status = 0
@@ -187,5 +199,6 @@
         run,
         code,
         retry_after,
+        request_id,
         data,
     )
--- a/src/lovagestage/keyed_runs.py
+++ b/src/lovagestage/keyed_runs.py
@@ -269,6 +269,8 @@
                 f"Upstream {run.sidecar!r}, which was to run the request, no"
                 " longer tells what became of it.",
                 RunState.UNKNOWN,
+                # One that does not answer may only be paused.
+                RETRY_AFTER_S if known is None else None,
             )
 
     async def _inquire(self, run: RunId, forbid: bool) -> RunKnown | None:
--- a/tests/test_request_keys.py
+++ b/tests/test_request_keys.py
@@ -15,24 +15,38 @@
 LONG_TOKENS = 120
 
 
-def start_fleet():
+def make_fleet():
     return Fleet(SHAPE, entry_options={"member_silence_s": SILENCE_S})
 
 
 @pytest.fixture(scope="module")
-def steady():
-    with start_fleet() as fleet:
-        wait_until_whole(fleet, 3)
+def started():
+    with make_fleet() as fleet:
         yield fleet
 
 
 @pytest.fixture
-def mortal():
-    with start_fleet() as fleet:
-        wait_until_whole(fleet, 3)
+def passing_fleet():
+    """For losses that are remembered for longer than a test."""
+    with make_fleet() as fleet:
+        wait_until_whole(fleet, SHAPE.entries)
         yield fleet
 
 
+@pytest.fixture
+def fleet(started):
+    """All processes run and agree, whatever the test before has killed."""
+    for index in range(SHAPE.engines):
+        if f"sidecar-{index}" not in started.children:
+            started.start_sidecar(index)
+    for index in range(SHAPE.entries):
+        if f"entry-{index}" not in started.children:
+            started.wait_until_ready(started.start_entry(index))
+    wait_until_whole(started, SHAPE.entries)
+    yield started
+    started.set_fault("log", outage=False)
+
+
 def wait_until_whole(fleet, members, names=None):
     names = names or [entry.name for entry in fleet.entries]
     end_s = time.monotonic() + 15
@@ -71,143 +85,171 @@
 
 
 @pytest.mark.parametrize("stream", [False, True])
-def test_retry_during_the_run_joins_it(steady, stream):
-    history, key = History(steady), f"during-{stream}"
+def test_retry_during_the_run_joins_it(fleet, stream):
+    history, key = History(fleet), f"during-{stream}"
     more = {"max_tokens": LONG_TOKENS, "stream": stream}
-    history.start(steady.entries[0], key, "draft", **more)
+    history.start(fleet.entries[0], key, "draft", **more)
     wait_for_run(history)
-    history.send(steady.entries[1], key, "draft", **more)
+    history.send(fleet.entries[1], key, "draft", **more)
     history.wait()
     assert [s.status for s in history.sent] == [200, 200]
     check(history)
 
 
-def test_retry_through_the_same_entry_joins_the_run(steady):
-    history = History(steady)
+def test_retry_through_the_same_entry_joins_the_run(fleet):
+    history = History(fleet)
     for _ in range(2):
-        history.start(steady.entries[0], "same", "draft", max_tokens=60)
+        history.start(fleet.entries[0], "same", "draft", max_tokens=60)
     history.wait()
     assert [s.status for s in history.sent] == [200, 200]
     check(history)
 
 
-def test_retry_after_the_run_gets_the_same_answer(steady):
-    history = History(steady)
-    for entry in steady.entries:
+def test_retry_after_the_run_gets_the_same_answer(fleet):
+    history = History(fleet)
+    for entry in fleet.entries:
         history.send(entry, "after", "draft")
     assert {s.status for s in history.sent} == {200}
     check(history)
 
 
-def test_concurrent_requests_run_once(steady):
-    history = History(steady)
+def test_concurrent_requests_run_once(fleet):
+    history = History(fleet)
     for number in range(12):
-        history.start(steady.entries[number % 3], "many", "draft")
+        history.start(fleet.entries[number % 3], "many", "draft")
     history.wait()
     assert {s.status for s in history.sent} == {200}
     check(history)
 
 
-def test_another_body_is_refused(steady):
-    history = History(steady)
-    history.send(steady.entries[0], "body", "one")
-    refused = history.send(steady.entries[1], "body", "two")
+def test_another_body_is_refused(fleet):
+    history = History(fleet)
+    history.send(fleet.entries[0], "body", "one")
+    refused = history.send(fleet.entries[1], "body", "two")
     assert (refused.status, refused.code) == (422, "idempotency_key_reused")
     assert history.get_new_runs() == 1
 
 
 @pytest.mark.parametrize("key", ["", "k" * 256])
-def test_malformed_key_is_refused(steady, key):
-    history = History(steady)
-    refused = history.send(steady.entries[0], key, "draft")
+def test_malformed_key_is_refused(fleet, key):
+    history = History(fleet)
+    refused = history.send(fleet.entries[0], key, "draft")
     assert (refused.code, refused.run) == ("malformed_request", "not_run")
     check(history, runs=0)
 
 
 @pytest.mark.parametrize("role", [0, 1])
-def test_answer_outlives_an_entry_that_held_its_key(mortal, role):
+def test_answer_outlives_an_entry_that_held_its_key(fleet, role):
     # A caller's request runs; the entry that owns its key (or the copy) is
     # killed, and the retry comes through the third entry.
     # Before the removal is folded, the retry is refused at once and told when
     # to come back; after it the other holder answers for the key.
-    history, key = History(mortal), "killed"
+    history, key = History(fleet), f"killed-{role}"
     holders = get_holders(key)
-    third = mortal.children[holders[2]]
+    third = fleet.children[holders[2]]
     history.start(third, key, "draft", max_tokens=LONG_TOKENS)
     wait_for_run(history)
-    mortal.kill(holders[role])
+    fleet.kill(holders[role])
     early = history.send(third, key, "draft", max_tokens=LONG_TOKENS)
     assert early.ended_s - early.sent_s < 6
-    wait_until_whole(mortal, 2)
+    wait_until_whole(fleet, 2)
     late = history.send(third, key, "draft", max_tokens=LONG_TOKENS)
     history.wait()
     assert late.status == 200
     check(history)
 
 
-def test_key_is_unknown_when_all_that_held_it_are_gone(mortal):
+def test_key_is_unknown_when_all_that_held_it_are_gone(passing_fleet):
     # A request has run; both entries that held its key are killed at once.
     # The retry through the third must not run again: nobody can tell.
-    history, key = History(mortal), "both"
+    fleet = passing_fleet
+    history, key = History(fleet), "both"
     owner, copy, third = get_holders(key)
-    history.send(mortal.children[third], key, "draft")
-    mortal.kill(owner)
-    mortal.kill(copy)
-    wait_until_whole(mortal, 1)
-    retry = history.send(mortal.children[third], key, "draft")
+    history.send(fleet.children[third], key, "draft")
+    fleet.kill(owner)
+    fleet.kill(copy)
+    wait_until_whole(fleet, 1)
+    retry = history.send(fleet.children[third], key, "draft")
     assert (retry.code, retry.run) == ("key_history_lost", "unknown")
     check(history)
 
 
-def test_key_is_unknown_when_its_sidecar_is_gone(mortal):
+def test_key_is_unknown_when_its_sidecar_is_gone(fleet):
     # The sidecar that runs the request is killed with the run under way; the
     # engine goes on. A retry must not run it at the other upstream.
-    history, key = History(mortal), "sidecar"
-    history.start(mortal.entries[0], key, "draft", max_tokens=LONG_TOKENS)
+    history, key = History(fleet), "sidecar"
+    history.start(fleet.entries[0], key, "draft", max_tokens=LONG_TOKENS)
     wait_for_run(history)
-    running = [
-        engine.name
-        for engine in mortal.engines
-        if mortal.get_stats(engine.name)["runs"]
-    ]
-    mortal.kill(running[0].replace("engine", "sidecar"))
-    retry = history.send(
-        mortal.entries[1], key, "draft", max_tokens=LONG_TOKENS
-    )
+    fleet.kill(history.get_running_engine().replace("engine", "sidecar"))
+    retry = history.send(fleet.entries[1], key, "draft", max_tokens=LONG_TOKENS)
     history.wait()
     assert (retry.code, retry.run) == ("key_run_lost", "unknown")
     check(history)
 
 
-def test_entry_paused_past_its_removal_grants_nothing(mortal):
+def test_entry_paused_past_its_removal_grants_nothing(fleet):
     # The owner of a key is paused, removed, and goes on: it may still think
     # that it owns the key. The request has run meanwhile through the others;
     # a retry through the resumed owner has to find that run.
-    history, key = History(mortal), "paused"
+    history, key = History(fleet), "paused"
     owner, copy, third = get_holders(key)
-    mortal.suspend(owner)
-    wait_until_whole(mortal, 2, [copy, third])
-    history.send(mortal.children[third], key, "draft")
-    mortal.resume(owner)
-    first = history.send(mortal.children[owner], key, "draft")
-    wait_until_whole(mortal, 3)
-    second = history.send(mortal.children[owner], key, "draft")
+    fleet.suspend(owner)
+    wait_until_whole(fleet, 2, [copy, third])
+    history.send(fleet.children[third], key, "draft")
+    fleet.resume(owner)
+    first = history.send(fleet.children[owner], key, "draft")
+    wait_until_whole(fleet, 3)
+    second = history.send(fleet.children[owner], key, "draft")
     assert first.status in (200, 503)
     assert second.status == 200
     check(history)
 
 
-def test_log_outage_stops_only_keys_whose_holders_are_lost(mortal):
+def test_key_outlives_a_planned_restart_of_every_entry(fleet):
+    # The entries are stopped and started one after another. None that held
+    # the key at first is left; each has handed it on.
+    history, key = History(fleet), "restarted"
+    history.send(fleet.entries[0], key, "draft")
+    for index in range(SHAPE.entries):
+        assert fleet.stop(f"entry-{index}") == 0
+        fleet.wait_until_ready(fleet.start_entry(index))
+        wait_until_whole(fleet, SHAPE.entries)
+    for entry in fleet.entries:
+        assert history.send(entry, key, "draft").status == 200
+    check(history)
+
+
+def test_paused_sidecar_is_unknown_at_once_and_answers_later(fleet):
+    # The sidecar that runs the request is paused. A retry is told at once
+    # that nothing is known and when to come back; then it gets the answer.
+    history, key = History(fleet), "slow"
+    history.start(fleet.entries[0], key, "draft", max_tokens=LONG_TOKENS)
+    wait_for_run(history)
+    sidecar = history.get_running_engine().replace("engine", "sidecar")
+    fleet.suspend(sidecar)
+    early = history.send(fleet.entries[1], key, "draft", max_tokens=LONG_TOKENS)
+    fleet.resume(sidecar)
+    time.sleep(1.0)
+    late = history.send(fleet.entries[1], key, "draft", max_tokens=LONG_TOKENS)
+    history.wait()
+    assert (early.code, early.run) == ("key_run_lost", "unknown")
+    assert early.retry_after
+    assert early.ended_s - early.sent_s < 6
+    assert late.status == 200
+    check(history)
+
+
+def test_log_outage_stops_only_keys_whose_holders_are_lost(fleet):
     # The log is down, so no removal can be agreed on. Keys of a killed entry
     # are refused at once with a time to come back; others are answered.
-    history = History(mortal)
-    mortal.set_fault("log", outage=True)
+    history = History(fleet)
+    fleet.set_fault("log", outage=True)
     owner, copy, third = get_holders("lost")
     keys = (f"kept-{number}" for number in range(100))
     kept = next(k for k in keys if owner not in get_holders(k)[:2])
-    mortal.kill(owner)
-    refused = history.send(mortal.children[third], "lost", "draft")
-    answered = history.send(mortal.children[copy], kept, "draft")
+    fleet.kill(owner)
+    refused = history.send(fleet.children[third], "lost", "draft")
+    answered = history.send(fleet.children[copy], kept, "draft")
     assert refused.code == "key_holders_unavailable"
     assert refused.retry_after
     assert refused.ended_s - refused.sent_s < 6
