--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -107,6 +107,7 @@
         engine_options: Further arguments of each engine.
         entry_options: Further settings of each entry.
         folder: Where settings and logs go; a temporary one by default.
+        binary: The shipped file to run; by default the package's source.
     """
 
     def __init__(
@@ -114,6 +115,7 @@
         shape: Shape,
         engine_options: tuple[str, ...] = (),
         folder: pathlib.Path | None = None,
+        binary: pathlib.Path | None = None,
         entry_options: dict[str, Any] | None = None,
     ) -> None:
         self.shape = shape
@@ -126,6 +128,9 @@
             "session_keys": ["lab-session-key"],
             **(entry_options or {}),
         }
+        package = ("-m", "lovagestage")
+        program = (str(binary),) if binary else package
+        self._command = (sys.executable, *program)
         public, secret = zmq.curve_keypair()
         self._keys = (public.decode(), secret.decode())
         self._root = nacl.signing.SigningKey.generate()
@@ -365,8 +370,8 @@
         path.write_text(
             json.dumps(self._make_settings(name, zone, bus, settings), indent=2)
         )
-        command = [sys.executable, "-m", "lovagestage", role]
-        process = self._spawn(name, [*command, "--settings", str(path)], False)
+        command = [*self._command, role, "--settings", str(path)]
+        process = self._spawn(name, command, False)
         self.children[name] = Child(name, process, bus=bus)
         entry = {"role": role, "zone": zone, "state": "live", "bus": bus}
         self.tell_vm(name, {"vm": name, **entry})
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -184,12 +184,17 @@
         self._runs.remove_expired()
 
     async def _refresh_load(self) -> None:
+        known = self._versions
         try:
             self._load = await self._engine.get_load()
             self._versions = await self._engine.get_versions()
         except EngineError as error:
             self._versions = []
             _log.warning("engine_load_failed", extra={"error": error.message})
+        if self._versions != known:
+            # Entries would otherwise refuse a version that is there, or send
+            # requests for one that is gone, until the next heartbeat.
+            self._send_heartbeats()
 
     def _send_heartbeats(self) -> None:
         horizon_s = time.monotonic() - PEER_TIMEOUT_S
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -20,21 +20,28 @@
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
+from lovagestage.gate import FencingGate
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
+from lovagestage.leasing import LeaseKeeper
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
 from lovagestage.members import MemberJoined
 from lovagestage.membership import Membership
 from lovagestage.messages import Hello
+from lovagestage.orders import OrderService
+from lovagestage.rollout_driver import NoEvidence, RolloutDriver
+from lovagestage.rollouts import ROLLOUT_LEASE
 from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
 from lovagestage.sidecar import Sidecar
+from lovagestage.snapshotting import SnapshotStream
 from lovagestage.timers import TimerService
 from lovagestage.transport import KeyAuthenticator, Listener
 from lovagestage.types import Role
 from lovagestage.upstreams import UpstreamTable
 from lovagestage.vmwatch import VmWatch
+from lovagestage.writer import ControlWriter
 
 _log = logging.getLogger(__name__)
 
@@ -55,6 +62,7 @@
     session: aiohttp.ClientSession
     timers: TimerService
     control: ControlReader
+    log: HttpLog
     hub: Hub
     own: Hello
 
@@ -104,15 +112,16 @@
     context: zmq.Context[zmq.Socket[bytes]],
     session: aiohttp.ClientSession,
 ) -> _Base:
+    log = HttpLog(session, settings.platform.log_url)
     return _Base(
         settings,
         context,
         session,
         TimerService(),
         ControlReader(
-            HttpLog(session, settings.platform.log_url),
-            settings.platform.operators_root_key,
+            log, SnapshotStream(log), settings.platform.operators_root_key
         ),
+        log,
         Hub(),
         Hello(settings.vm, time.time_ns()),
     )
@@ -152,8 +161,21 @@
         billing,
         keys,
     )
-    services = [watch, upstreams, peers, billing, membership, keys, entry]
-    return entry, services
+    driving = _make_rollout_driver(base, role, upstreams)
+    keyed = [membership, keys]
+    linked = [watch, upstreams, peers, billing]
+    return entry, [*linked, *keyed, *driving, entry]
+
+
+def _make_rollout_driver(
+    base: _Base, role: EntrySettings, upstreams: UpstreamTable
+) -> list[mode.Service]:
+    writer = ControlWriter(base.log, base.control)
+    lease = LeaseKeeper(
+        ROLLOUT_LEASE, base.own, base.control, writer, role.lease_ttl_s
+    )
+    driver = RolloutDriver(base.control, lease, writer, upstreams, NoEvidence())
+    return [lease, driver]
 
 
 def _make_billing(
@@ -168,7 +190,7 @@
     )
     return BillingService(
         ledger,
-        HttpLog(base.session, base.settings.platform.log_url),
+        base.log,
         peers,
         base.timers,
         base.hub,
@@ -183,7 +205,7 @@
     settings = base.settings
     return Membership(
         base.control,
-        HttpLog(base.session, settings.platform.log_url),
+        base.log,
         peers,
         MemberJoined(
             settings.vm,
@@ -206,6 +228,7 @@
         role.replay_limit_bytes,
         base.own.incarnation,
     )
+    OrderService(engine, FencingGate(base.control), base.hub)
     sidecar = Sidecar(
         base.settings,
         role,
--- /dev/null
+++ b/tests/test_rollout_fleet.py
@@ -0,0 +1,121 @@
+"""Roll-outs through real processes: interrupted, aborted, resumed."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import time
+
+import msgspec
+import pytest
+
+from lab.fleet import EXAMPLES, SHAPES, Fleet
+from lovagestage.cli import main
+from lovagestage.document import RolloutSpec, RolloutState, ServiceDocument
+from lovagestage.settings import parse_file
+
+SHAPE = dataclasses.replace(SHAPES["thin"], models="small@1,large@1")
+DOCUMENT = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
+SPEC = RolloutSpec("large@1", "large@2", [0.2, 1.0], step_min_s=1.0)
+TIMEOUT_S = 25.0
+
+
+@pytest.fixture
+def rollout_fleet():
+    fleet = Fleet(SHAPE, ("--load-ms", "400"))
+    fleet.entry_options["lease_ttl_s"] = 2.0
+    with fleet:
+        yield fleet
+
+
+def publish(fleet, base: int, **changes) -> None:
+    rollouts = {"large": msgspec.structs.replace(SPEC, **changes)}
+    document = msgspec.structs.replace(DOCUMENT, rollouts=rollouts)
+    fleet.publish_document(document, base)
+
+
+def get_progress(fleet, capsys) -> tuple[str, int]:
+    settings = str(fleet.make_operator_settings())
+    capsys.readouterr()
+    main(["rollout", "status", "--json", "--settings", settings])
+    row = json.loads(capsys.readouterr().out)[0]
+    return row["phase"], row["step"]
+
+
+def wait_for_phase(fleet, capsys, *phases: str) -> None:
+    end_s = time.monotonic() + TIMEOUT_S
+    while (seen := get_progress(fleet, capsys))[0] not in phases:
+        assert time.monotonic() < end_s, seen
+
+
+def get_accepted_loads(fleet) -> dict[str, int]:
+    return {
+        engine.name: sum(
+            order["status"] == 202
+            for order in fleet.get_stats(engine.name)["orders"]
+        )
+        for engine in fleet.engines
+    }
+
+
+def get_holder(fleet) -> str:
+    from lovagestage.operator_client import open_client
+    from lovagestage.settings import OperatorSettings
+
+    import asyncio  # isort: skip
+
+    path = fleet.make_operator_settings()
+
+    async def read() -> str:
+        async with open_client(parse_file(path, OperatorSettings)) as client:
+            return client.control.folded.leases.held["rollout"].holder
+
+    return asyncio.run(read())
+
+
+def test_rollout_outlives_the_kill_of_its_driver(rollout_fleet, capsys):
+    # An operator starts a roll-out. The entry that drives it is killed while
+    # engines load. Another entry takes the lease, reads how far it was from
+    # the log and goes on: each engine has loaded the version once, and the
+    # roll-out ends.
+    fleet = rollout_fleet
+    publish(fleet, 1)
+    wait_for_phase(fleet, capsys, "loading", "stepping")
+    fleet.kill(get_holder(fleet))
+    wait_for_phase(fleet, capsys, "done")
+    assert get_accepted_loads(fleet) == {"engine-0": 1, "engine-1": 1}
+
+
+def test_rollout_waits_out_a_log_outage(rollout_fleet, capsys):
+    # The log goes away in the middle. No step is recorded meanwhile, since
+    # the lease can't be renewed; once it is back the roll-out goes on from
+    # the recorded step and skips none.
+    fleet = rollout_fleet
+    publish(fleet, 1, step_min_s=3.0)
+    wait_for_phase(fleet, capsys, "stepping")
+    fleet.set_fault("log", outage=True)
+    time.sleep(5.0)
+    fleet.set_fault("log", outage=False)
+    assert get_progress(fleet, capsys) == ("stepping", 0)
+    wait_for_phase(fleet, capsys, "done")
+
+
+def test_aborted_rollout_rolls_back(rollout_fleet, capsys):
+    fleet = rollout_fleet
+    publish(fleet, 1, step_min_s=60.0)
+    wait_for_phase(fleet, capsys, "stepping")
+    publish(fleet, 2, step_min_s=60.0, state=RolloutState.ABORTED)
+    wait_for_phase(fleet, capsys, "rolled_back")
+
+
+def test_throttled_weight_store_delays_the_rollout_only(rollout_fleet, capsys):
+    # The weight store refuses while other users have its rate. Engines answer
+    # the order with a refusal that started nothing; the driver comes back
+    # later, and no engine is left without the version.
+    fleet = rollout_fleet
+    fleet.set_fault("weights", throttle=True)
+    publish(fleet, 1)
+    time.sleep(3.0)
+    assert get_progress(fleet, capsys)[0] == "loading"
+    fleet.set_fault("weights", throttle=False)
+    wait_for_phase(fleet, capsys, "done")
