--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -7,6 +7,7 @@
 import logging
 import secrets
 import time
+from collections.abc import AsyncIterator
 
 import msgspec
 from aiohttp import web
@@ -34,6 +35,7 @@
     UnknownModelError,
     WrongKeyError,
 )
+from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
 from lovagestage.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
@@ -107,6 +109,7 @@
         control: Configuration in force.
         dispatcher: Runs requests.
         upstreams: Connections to sidecars.
+        keyed: Runs requests that have a key.
         billing: Takes the bills.
     """
 
@@ -117,8 +120,10 @@
         dispatcher: Dispatcher,
         upstreams: UpstreamTable,
         billing: BillingService,
+        keyed: KeyedRuns,
     ) -> None:
         self._billing = billing
+        self._keyed = keyed
         self._upstreams = upstreams
         self._started_at_s = time.monotonic()
         self._ready = False
@@ -209,12 +214,21 @@
         form = _parse_form(body)
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
+        parts = self._run(request, admitted, result)
         with self._billing.reserve():
             if form.stream:
                 return await self._answer_stream(
-                    request, caller, admitted, result
+                    request, parts, caller, admitted, result
                 )
-            return await self._answer_plain(caller, admitted, result)
+            return await self._answer_plain(parts, caller, admitted, result)
+
+    def _run(
+        self, request: web.Request, admitted: Request, result: Result
+    ) -> AsyncIterator[bytes]:
+        key = request.headers.get(HEADER_KEY)
+        if key is None:
+            return self._dispatcher.run(admitted, result)
+        return self._keyed.run(admitted, key, result)
 
     def _get_caller(self, request: web.Request) -> Caller:
         if not self._control.services:
@@ -292,12 +306,17 @@
         return headers
 
     async def _answer_plain(
-        self, caller: Caller, admitted: Request, result: Result
+        self,
+        parts: AsyncIterator[bytes],
+        caller: Caller,
+        admitted: Request,
+        result: Result,
     ) -> web.Response:
-        parts = [part async for part in self._dispatcher.run(admitted, result)]
-        await self._billing.add(make_bill(admitted, result, time.time()))
+        body = b"".join([part async for part in parts])
+        billed = _get_billed(admitted, result)
+        await self._billing.add(make_bill(billed, result, time.time()))
         return web.Response(
-            body=b"".join(parts),
+            body=body,
             content_type="application/json",
             headers=_make_headers(admitted, result)
             | self._make_session_headers(caller, admitted, result),
@@ -306,11 +325,11 @@
     async def _answer_stream(
         self,
         request: web.Request,
+        parts: AsyncIterator[bytes],
         caller: Caller,
         admitted: Request,
         result: Result,
     ) -> web.StreamResponse:
-        parts = self._dispatcher.run(admitted, result)
         # The first chunk is awaited before the status is sent, so that a
         # request refused before it has an error status of its own.
         first = await anext(parts, b"")
@@ -320,7 +339,8 @@
         )
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        stream = BilledStream(admitted, result, self._billing)
+        billed = _get_billed(admitted, result)
+        stream = BilledStream(billed, result, self._billing)
         try:
             await response.write(stream.add(first))
             async for part in parts:
@@ -410,7 +430,7 @@
     headers = {"X-Run-State": error.run.value}
     if error.retry_after_s is not None:
         headers["Retry-After"] = str(error.retry_after_s)
-    if error.run is not RunState.NOT_RUN:
+    elif error.run is not RunState.NOT_RUN:
         # The OpenAI client repeats 5xx answers by itself; a request that may
         # have run must not be repeated by a library that cannot know.
         headers["x-should-retry"] = "false"
@@ -447,9 +467,16 @@
     return spec
 
 
+def _get_billed(admitted: Request, result: Result) -> Request:
+    # A request that joined another's run bills it under that one's id, so
+    # that the two bills are one.
+    request_id = result.request_id or admitted.request_id
+    return dataclasses.replace(admitted, request_id=request_id)
+
+
 def _make_headers(admitted: Request, result: Result) -> dict[str, str]:
     headers = {
-        HEADER_REQUEST_ID: admitted.request_id,
+        HEADER_REQUEST_ID: result.request_id or admitted.request_id,
         HEADER_VERSION: str(result.version),
         HEADER_ATTEMPTS: str(result.attempts),
     }
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -14,6 +14,8 @@
 from lovagestage.control import ControlReader
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.hub import Hub
+from lovagestage.key_service import KeyService
+from lovagestage.keyed_runs import KeyedRuns
 from lovagestage.links import LinkTable
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
@@ -39,6 +41,7 @@
         own: Name and incarnation of this process.
         hub: Hands over what arrives at the listener.
         billing: Takes the bills.
+        keys: Request keys.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         own: Hello,
         hub: Hub,
         billing: BillingService,
+        keys: KeyService,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -63,7 +67,11 @@
         self._own = own
         self._hub = hub
         self._billing = billing
-        self._api = CallerApi(role, control, dispatcher, upstreams, billing)
+        self._keys = keys
+        keyed = KeyedRuns(keys, dispatcher, upstreams)
+        self._api = CallerApi(
+            role, control, dispatcher, upstreams, billing, keyed
+        )
         self._runner = web.AppRunner(self._api.make_app(), access_log=None)
         self._site: web.TCPSite | None = None
         hub.register(Hello, self._on_hello)
@@ -113,6 +121,7 @@
                 "open_requests": self._api.open_requests,
                 "upstreams": self._upstreams.get_dump(),
                 "peers": self._peers.get_dump(),
+                "request_keys": self._keys.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
                 "billing": self._billing.get_sizes(),
                 "control": self._control.get_dump(),
--- a/src/lovagestage/fold.py
+++ b/src/lovagestage/fold.py
@@ -17,6 +17,7 @@
 from lovagestage.documents import Documents, ServiceInForce
 from lovagestage.exceptions import CodecError
 from lovagestage.leases import Leases
+from lovagestage.members import MemberView
 from lovagestage.operators import Operators
 from lovagestage.outcomes import ChangeResult, Outcome, OutcomeTable
 from lovagestage.records import decode_record
@@ -76,6 +77,7 @@
         documents: Service documents.
         leases: Leases.
         rollouts: Progress of roll-outs.
+        members: Entries that hold request keys.
     """
 
     def __init__(self, root_key: str = "") -> None:
@@ -85,11 +87,13 @@
         self.documents = Documents(self.operators)
         self.leases = Leases()
         self.rollouts = Rollouts(self.documents, self.leases)
+        self.members = MemberView()
         self._parts: tuple[SubState, ...] = (
             self.operators,
             self.documents,
             self.leases,
             self.rollouts,
+            self.members,
         )
         self._part_by_kind = {
             kind: part for part in self._parts for kind in part.kinds
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -14,6 +14,16 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.key_messages import (
+    Claim,
+    ClaimAnswer,
+    Copy,
+    CopyAnswer,
+    Inquiry,
+    InquiryAnswer,
+    Pull,
+    PullAnswer,
+)
 from lovagestage.types import (
     FencingNumber,
     LeaseId,
@@ -50,6 +60,8 @@
         max_running: Requests that may run at once.
         token_interval_ms: Time between tokens of a stream, as measured.
         control_offset: How far it has read the `control` stream.
+        clock_ms: Its own clock, from which runs of keyed requests take
+            their permit.
     """
 
     vm: VmId
@@ -63,6 +75,7 @@
     max_running: int
     token_interval_ms: float
     control_offset: int
+    clock_ms: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
@@ -80,6 +93,9 @@
         body: The request's JSON body for the engine.
         in_session: It goes on with an open session, so that a retired version
             takes it.
+        incarnation: Sidecar process that the run of a keyed request was
+            claimed for; 0 without a key.
+        permit_ms: That process's clock when it was chosen.
     """
 
     request_id: RequestId
@@ -92,6 +108,8 @@
     stream: bool
     body: bytes
     in_session: bool = False
+    incarnation: int = 0
+    permit_ms: int = 0
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
@@ -325,8 +343,24 @@
 )
 PeerMessage = BillCopy | BillCopied | BillRelease
 StateMessage = StateQuestion | StateAnswer | StateOffer
+KeyMessage = (
+    Claim
+    | ClaimAnswer
+    | Copy
+    | CopyAnswer
+    | Pull
+    | PullAnswer
+    | Inquiry
+    | InquiryAnswer
+)
 Message = (
-    EntryMessage | SidecarMessage | PeerMessage | StateMessage | Ask | Reply
+    EntryMessage
+    | SidecarMessage
+    | PeerMessage
+    | StateMessage
+    | KeyMessage
+    | Ask
+    | Reply
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/records.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.members import MemberRecord
 from lovagestage.types import (
     ChangeId,
     FencingNumber,
@@ -177,12 +178,15 @@
     | RolloutProgress
     | RolloutStop
 )
+"""Records with a change id and an outcome."""
 
-_decoder = msgspec.msgpack.Decoder(Record)
+LogRecord = Record | MemberRecord
+
+_decoder = msgspec.msgpack.Decoder(LogRecord)
 _encoder = msgspec.msgpack.Encoder()
 
 
-def encode_record(record: Record) -> bytes:
+def encode_record(record: LogRecord) -> bytes:
     """Encodes a record for the log.
 
     Raises:
@@ -193,7 +197,7 @@
     return data
 
 
-def decode_record(data: bytes) -> Record:
+def decode_record(data: bytes) -> LogRecord:
     """Decodes a record from the log.
 
     Raises:
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -103,6 +103,11 @@
         billing_buffer_bytes: Most bytes of bills that wait for the log, and
             as many of other entries' copies; full, requests are refused.
         billing_batch_bytes: Most bytes of one append of bills.
+        member_silence_s: An entry that was not heard for so long holds no
+            request keys from then on.
+        key_window_s: How long a request key is remembered.
+        key_limit: Most request keys held by this process; past it new ones
+            are refused.
     """
 
     http_host: str
@@ -116,6 +121,9 @@
     billing_interval_s: float = 4.0
     billing_buffer_bytes: int = 8 * 1024 * 1024
     billing_batch_bytes: int = 512 * 1024
+    member_silence_s: float = 10.0
+    key_window_s: float = 86_400.0
+    key_limit: int = 200_000
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -75,7 +75,6 @@
         self._control = control
         self._engine = engine
         self._timers = timers
-        self._incarnation = time.time_ns()
         self._sequence = 0
         self._leaving = False
         self._load = _NO_LOAD
@@ -132,6 +131,8 @@
         if reason is None:
             self._runs.start(peer, dispatch)
             return
+        if dispatch.incarnation:
+            self._runs.forbid(dispatch)
         code, text = reason
         self._hub.send(
             peer,
@@ -207,7 +208,7 @@
         return Heartbeat(
             self._settings.vm,
             self._settings.zone,
-            self._incarnation,
+            self._runs.gate.incarnation,
             self._sequence,
             self._leaving,
             self._versions,
@@ -216,6 +217,7 @@
             self._role.max_running,
             self._load.token_interval_ms,
             self._control.folded.next_offset,
+            self._runs.get_clock_ms(),
         )
 
     def _make_dump(self) -> bytes:
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -22,9 +22,12 @@
 from lovagestage.entry import Entry
 from lovagestage.gate import FencingGate
 from lovagestage.hub import Hub
+from lovagestage.key_service import KeyService
 from lovagestage.leasing import LeaseKeeper
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
+from lovagestage.members import MemberJoined
+from lovagestage.membership import Membership
 from lovagestage.messages import Hello
 from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
@@ -151,6 +154,9 @@
     watch = VmWatch(HttpVmList(base.session, settings.platform.vms_url))
     watch.subscribe(upstreams.apply_vm_list)
     watch.subscribe(peers.apply_vm_list)
+    membership = _make_membership(base, role, peers)
+    watch.subscribe(membership.apply_vm_list)
+    keys = KeyService(role, base.control, membership, peers, base.hub)
     dispatcher = Dispatcher(upstreams, settings.zone, random.Random())
     billing = _make_billing(base, role, peers)
     entry = Entry(
@@ -163,6 +169,7 @@
         base.own,
         base.hub,
         billing,
+        keys,
     )
     work = [
         *_make_snapshot_services(base, role),
@@ -170,7 +177,7 @@
     ]
     peer_state = PeerState(base.control, [peers, upstreams], upstreams)
     links = [watch, upstreams, peers, peer_state]
-    return entry, [*links, billing, *work, entry]
+    return entry, [*links, billing, membership, keys, *work, entry]
 
 
 def _make_rollout_driver(
@@ -216,12 +223,34 @@
     return [keeper, writer]
 
 
+def _make_membership(
+    base: _Base, role: EntrySettings, peers: LinkTable
+) -> Membership:
+    settings = base.settings
+    return Membership(
+        base.control,
+        base.log,
+        peers,
+        MemberJoined(
+            settings.vm,
+            settings.zone,
+            base.own.incarnation,
+            settings.bus.bind,
+        ),
+        role.member_silence_s,
+    )
+
+
 def _make_sidecar(
     base: _Base, role: SidecarSettings
 ) -> tuple[_Process, list[mode.Service]]:
     engine = HttpEngine(base.session, role.upstream_url)
     runs = RunTable(
-        engine, base.hub, role.replay_window_s, role.replay_limit_bytes
+        engine,
+        base.hub,
+        role.replay_window_s,
+        role.replay_limit_bytes,
+        base.own.incarnation,
     )
     OrderService(engine, FencingGate(base.control), base.hub)
     sidecar = Sidecar(
