--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -9,10 +9,20 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.types import RequestId, RunState, VmId, WorkspaceId, ZoneId
+from lovagestage.types import (
+    FencingNumber,
+    LeaseId,
+    RequestId,
+    RunState,
+    VmId,
+    WorkspaceId,
+    ZoneId,
+)
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
@@ -67,6 +77,8 @@
         deadline_s: Time left until the deadline.
         stream: Whether chunks are wanted as they arrive.
         body: The request's JSON body for the engine.
+        in_session: It goes on with an open session, so that a retired version
+            takes it.
     """
 
     request_id: RequestId
@@ -78,6 +90,7 @@
     deadline_s: float
     stream: bool
     body: bytes
+    in_session: bool = False
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
@@ -191,9 +204,92 @@
     payload: bytes
 
 
-EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest
-SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
-Message = EntryMessage | SidecarMessage | Ask | Reply
+class OrderState(enum.Enum):
+    """What became of an order to an engine."""
+
+    STARTED = "started"
+    DONE = "done"
+    THROTTLED = "throttled"
+    """The weight store's rate limit; nothing was started."""
+    REFUSED = "refused"
+    """By the gate or the engine; nothing was started."""
+    UNKNOWN = "unknown"
+
+
+class Order(msgspec.Struct, frozen=True, array_like=True, tag="order"):
+    """Orders an engine to load a version.
+
+    Attributes:
+        lease: The lease that the sender holds.
+        fencing: Its fencing number.
+        version: `MODEL@VERSION`.
+    """
+
+    lease: LeaseId
+    fencing: FencingNumber
+    version: str
+
+
+class OrderResult(
+    msgspec.Struct, frozen=True, array_like=True, tag="order_result"
+):
+    """What became of an order."""
+
+    state: OrderState
+    message: str
+
+
+class NumberedBill(msgspec.Struct, frozen=True, array_like=True):
+    """An encoded bill with its place in its owner's order, from 1."""
+
+    number: int
+    data: bytes
+
+
+class BillCopy(msgspec.Struct, frozen=True, array_like=True, tag="bill_copy"):
+    """Asks another entry to hold copies of bills.
+
+    Attributes:
+        owner: The entry that answered the requests.
+        incarnation: Start time of the owner's process.
+        bills: The bills.
+    """
+
+    owner: VmId
+    incarnation: int
+    bills: list[NumberedBill]
+
+
+class BillCopied(
+    msgspec.Struct, frozen=True, array_like=True, tag="bill_copied"
+):
+    """Says whether the copies are held; False where there is no room."""
+
+    held: bool
+
+
+class BillRelease(
+    msgspec.Struct, frozen=True, array_like=True, tag="bill_release"
+):
+    """Renews an owner's copies and drops those that the log has.
+
+    Attributes:
+        owner: The entry that answered the requests.
+        incarnation: Start time of the owner's process.
+        last_number: The log has all bills up to this number.
+    """
+
+    owner: VmId
+    incarnation: int
+    last_number: int
+
+
+EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest | Order
+SidecarMessage = (
+    Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
+)
+PeerMessage = BillCopy | BillCopied | BillRelease
+Message = EntryMessage | SidecarMessage | PeerMessage | Ask | Reply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/src/lovagestage/orders.py
@@ -0,0 +1,47 @@
+"""Orders to an engine, let through by the sidecar beside it."""
+
+from __future__ import annotations
+
+import logging
+
+from lovagestage.adapters import Engine
+from lovagestage.exceptions import EngineError, LovagestageError
+from lovagestage.gate import FencingGate
+from lovagestage.hub import Hub
+from lovagestage.messages import Message, Order, OrderResult, OrderState
+
+_log = logging.getLogger(__name__)
+
+
+class OrderService:
+    """Carries out orders of the lease's holder at one engine.
+
+    Args:
+        engine: The engine.
+        gate: Refuses orders of earlier holders, whatever the engine does.
+        hub: Hands over what arrives at the listener.
+    """
+
+    def __init__(self, engine: Engine, gate: FencingGate, hub: Hub) -> None:
+        self._engine = engine
+        self._gate = gate
+        hub.register_answer(Order, self._answer)
+
+    async def _answer(self, message: Message) -> Message:
+        assert isinstance(message, Order)
+        try:
+            self._gate.check(message.lease, message.fencing)
+            state = await self._engine.order(message.version, message.fencing)
+        except EngineError as error:
+            return OrderResult(OrderState.UNKNOWN, error.message)
+        except LovagestageError as error:
+            _log.warning(
+                "order_refused",
+                extra={"fencing": message.fencing, "code": error.code},
+            )
+            return OrderResult(OrderState.REFUSED, error.message)
+        _log.info(
+            "order_sent",
+            extra={"version": message.version, "state": state.value},
+        )
+        return OrderResult(state, "")
