--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -114,7 +114,7 @@
     lease_ttl_s: float = 15.0
     session_keys: list[str] = []
     billing_interval_s: float = 4.0
-    billing_buffer_bytes: int = 16 * 1024 * 1024
+    billing_buffer_bytes: int = 8 * 1024 * 1024
     billing_batch_bytes: int = 512 * 1024
 
 
