--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -149,7 +149,7 @@
         for entry in self.entries:
             self.wait_until_ready(entry)
 
-    def start_engine(self, index: int) -> Child:
+    def start_engine(self, index: int, *options: str) -> Child:
         """Starts one engine; its port is known once it is ready."""
         return self._start_stand_in(
             f"engine-{index}",
@@ -159,8 +159,15 @@
             "--weights",
             self.children["weights"].url,
             *self._engine_options,
+            *options,
         )
 
+    def restart_engine(self, index: int, port: int) -> Child:
+        """Starts an engine again where its sidecar expects it."""
+        child = self.start_engine(index, "--port", str(port))
+        self._wait_for_stand_ins()
+        return child
+
     def start_sidecar(self, index: int) -> Child:
         """Starts the sidecar beside an engine."""
         engine = self.children[f"engine-{index}"]
@@ -287,6 +294,13 @@
             json.dumps(entry).encode(),
         )
 
+    def set_vm_bus(self, name: str, bus: str) -> None:
+        """Lists a sidecar under another address, such as a relay's."""
+        index = int(name.rpartition("-")[2])
+        zone = self.shape.zones[index % len(self.shape.zones)]
+        entry = {"vm": name, "role": "sidecar", "zone": zone, "bus": bus}
+        self.tell_vm(name, {**entry, "state": "live"})
+
     def _forget_vm(self, child: Child) -> None:
         if child.bus:
             call("DELETE", f"{self.children['vms'].url}/v1/vms/{child.name}")
--- /dev/null
+++ b/lab/relay.py
@@ -0,0 +1,99 @@
+"""TCP relay that loses track of its connections on command.
+
+It stands for anything between two ends that keeps state of connections and
+forgets it: bytes of existing connections vanish, and new connections work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from types import TracebackType
+
+READ_BYTES = 65536
+HOST = "127.0.0.1"
+
+
+class Relay:
+    """Relays from a port of its own to `target`; a context manager.
+
+    Args:
+        target: `HOST:PORT` to relay to.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._host, _, port = target.rpartition(":")
+        self._target_port = int(port)
+        self._live_from = 0
+        self._accepted = 0
+        self._started = threading.Event()
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._port = 0
+
+    @property
+    def address(self) -> str:
+        """`HOST:PORT` that the relay listens on."""
+        return f"{HOST}:{self._port}"
+
+    @property
+    def accepted(self) -> int:
+        """How many connections it has taken."""
+        return self._accepted
+
+    def __enter__(self) -> Relay:
+        self._thread.start()
+        self._started.wait()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def swallow_existing(self) -> None:
+        """Drops every further byte of the connections that are open now."""
+        self._live_from = self._accepted
+
+    def _serve(self) -> None:
+        start = asyncio.start_server(self._on_connection, HOST, 0)
+        server = self._loop.run_until_complete(start)
+        self._port = server.sockets[0].getsockname()[1]
+        self._started.set()
+        self._loop.run_forever()
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        number = self._accepted
+        self._accepted += 1
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self._host, self._target_port
+            )
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._copy(number, reader, far_writer),
+            self._copy(number, far_reader, writer),
+        )
+
+    async def _copy(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while data := await reader.read(READ_BYTES):
+                if number >= self._live_from:
+                    writer.write(data)
+        except OSError:
+            pass
+        if number >= self._live_from:
+            writer.close()
--- a/src/lovagestage/adapters.py
+++ b/src/lovagestage/adapters.py
@@ -34,7 +34,6 @@
 
 CONNECT_TIMEOUT_S = 2.0
 SHORT_CALL_TIMEOUT_S = 5.0
-SILENT_ENGINE_TIMEOUT_S = 30.0
 READ_LIMIT_BYTES = 256 * 1024
 
 
@@ -435,8 +434,9 @@
 _STREAM = aiohttp.ClientTimeout(
     total=None,
     sock_connect=CONNECT_TIMEOUT_S,
-    sock_read=SILENT_ENGINE_TIMEOUT_S,
+    sock_read=None,
 )
+"""The reader of a stream watches its progress: see `runs`."""
 
 
 async def _split_events(
--- /dev/null
+++ b/src/lovagestage/attempts.py
@@ -0,0 +1,135 @@
+"""One run of a request as its entry sees it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import time
+
+from lovagestage.exceptions import RequestRefusedError
+from lovagestage.messages import (
+    Accepted,
+    Ack,
+    Attach,
+    Cancel,
+    Chunk,
+    Finished,
+    Refused,
+)
+from lovagestage.readers import WINDOW_BYTES
+from lovagestage.types import RequestId, VmId
+
+ACK_BYTES = WINDOW_BYTES // 4
+
+AttemptKey = tuple[RequestId, int]
+Event = Accepted | Chunk | Finished | Refused
+Outcome = Chunk | Finished | Refused | RequestRefusedError
+
+
+class Attempt:
+    """One run of a request, read in order.
+
+    Attributes:
+        key: Request id and attempt number.
+        vm: The upstream.
+        incarnation: The sidecar's process that may run it.
+        accepted: Whether the sidecar may have run it.
+        next_seq: Next chunk that is expected.
+        sent_s: Monotonic time of the dispatch.
+        last_event_s: Monotonic time of the latest event.
+        passed_on: Whether the caller has had a part of the answer.
+    """
+
+    def __init__(self, key: AttemptKey, vm: VmId, incarnation: int) -> None:
+        self.key = key
+        self.vm = vm
+        self.incarnation = incarnation
+        self.accepted = False
+        self.next_seq = 0
+        self.sent_s = time.monotonic()
+        self.last_event_s = self.sent_s
+        self.passed_on = False
+        self._unacked_bytes = 0
+        self._early: dict[int, Chunk] = {}
+        self._end: Finished | Refused | None = None
+        self._ready: collections.deque[Outcome] = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether everything that has come was taken."""
+        return not self._ready
+
+    def add(self, event: Event) -> None:
+        """Takes an event; late and repeated chunks are dropped."""
+        self.last_event_s = time.monotonic()
+        self.accepted = True
+        match event:
+            case Accepted():
+                return
+            case Chunk():
+                if event.seq >= self.next_seq:
+                    self._early[event.seq] = event
+            case _:
+                self._end = event
+        self._release()
+
+    def fail(self, error: RequestRefusedError) -> None:
+        """Ends the attempt after what has come so far."""
+        self._put(error)
+
+    async def get(self) -> Outcome:
+        """Next chunks in order, joined, or the end."""
+        while not self._ready:
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        first = self._ready.popleft()
+        if not isinstance(first, Chunk):
+            return first
+        self.passed_on = True
+        return self._join(first) if self._ready else first
+
+    def make_ack(self, taken: Chunk) -> Ack | None:
+        """The acknowledgement that is due once `taken` is passed on."""
+        self._unacked_bytes += len(taken.data)
+        if self._unacked_bytes < ACK_BYTES:
+            return None
+        self._unacked_bytes = 0
+        return Ack(*self.key, taken.seq + taken.count)
+
+    def make_attach(self) -> Attach:
+        """Asks for what has not come."""
+        return Attach(*self.key, self.next_seq, self.incarnation)
+
+    def make_cancel(self) -> Cancel:
+        """Cancels the run."""
+        return Cancel(*self.key)
+
+    def _join(self, first: Chunk) -> Chunk:
+        chunks = [first]
+        while self._ready and isinstance(self._ready[0], Chunk):
+            chunk = self._ready.popleft()
+            assert isinstance(chunk, Chunk)
+            chunks.append(chunk)
+        return Chunk(
+            *self.key,
+            first.seq,
+            b"".join(chunk.data for chunk in chunks),
+            sum(chunk.count for chunk in chunks),
+        )
+
+    def _release(self) -> None:
+        while self.next_seq in self._early:
+            chunk = self._early.pop(self.next_seq)
+            self.next_seq += chunk.count
+            self._put(chunk)
+        end = self._end
+        if end is None:
+            return
+        if isinstance(end, Refused) or end.chunks == self.next_seq:
+            self._put(end)
+
+    def _put(self, outcome: Outcome) -> None:
+        self._ready.append(outcome)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -7,6 +7,7 @@
 import logging
 import secrets
 import time
+from collections.abc import AsyncIterator
 
 import msgspec
 from aiohttp import web
@@ -251,25 +252,34 @@
         self, request: web.Request, admitted: Request, result: Result
     ) -> web.StreamResponse:
         parts = self._dispatcher.run(admitted, result)
-        # The first chunk is awaited before the status is sent, so that a
-        # request refused before it has an error status of its own.
-        first = await anext(parts, b"")
-        response = web.StreamResponse(headers=_make_headers(admitted, result))
-        response.content_type = "text/event-stream"
-        await response.prepare(request)
-        await response.write(first)
         try:
-            async for part in parts:
-                await response.write(part)
-        except RequestRefusedError as error:
-            body = msgspec.json.encode(make_error_body(error))
-            await response.write(b"data: " + body + b"\n\n")
+            # The first chunk is awaited before the status is sent, so that a
+            # request refused before it has an error status of its own.
+            first = await anext(parts, b"")
+            response = web.StreamResponse(
+                headers=_make_headers(admitted, result)
+            )
+            response.content_type = "text/event-stream"
+            await response.prepare(request)
+            await response.write(first)
+            await _write_parts(response, parts)
         finally:
             await parts.aclose()  # type: ignore[attr-defined]
         await response.write_eof()
         return response
 
 
+async def _write_parts(
+    response: web.StreamResponse, parts: AsyncIterator[bytes]
+) -> None:
+    try:
+        async for part in parts:
+            await response.write(part)
+    except RequestRefusedError as error:
+        body = msgspec.json.encode(make_error_body(error))
+        await response.write(b"data: " + body + b"\n\n")
+
+
 def resolve_version(name: str, caller: Caller, spec: ClassSpec) -> ModelVersion:
     """Finds the version that a request gets.
 
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import AsyncIterator
 
+from lovagestage.attempts import Attempt, AttemptKey
 from lovagestage.exceptions import (
     REFUSALS,
     DeadlineExceededError,
@@ -19,15 +20,22 @@
 )
 from lovagestage.messages import (
     Accepted,
-    Attach,
-    Cancel,
     Chunk,
     Dispatch,
     Finished,
     Message,
     Refused,
 )
+from lovagestage.retries import (
+    COME_BACK_S,
+    Failure,
+    RetryBudget,
+    get_retry_delay_s,
+    is_upstream_at_fault,
+    make_final_error,
+)
 from lovagestage.routing import choose_upstream
+from lovagestage.timers import TimerService
 from lovagestage.types import (
     ModelVersion,
     RequestId,
@@ -41,13 +49,10 @@
 
 _log = logging.getLogger(__name__)
 
-MAX_ATTEMPTS = 4
-LOST_AFTER_S = 5.0
-"""An upstream that stays silent for so long, over reconnections, is lost."""
-POLL_S = 0.5
-
-AttemptKey = tuple[RequestId, int]
-Event = Accepted | Chunk | Finished | Refused
+CHECK_INTERVAL_S = 0.25
+RETURN_POLL_S = 0.05
+ATTACH_AFTER_S = 1.0
+"""A run that says nothing for so long is asked for what is missing."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,58 +82,6 @@
     body: bytes
 
 
-class Attempt:
-    """One run of a request, read in order.
-
-    Attributes:
-        key: Request id and attempt number.
-        vm: The upstream.
-        accepted: Whether the sidecar may have run it.
-        next_seq: Next chunk that is expected.
-    """
-
-    def __init__(self, key: AttemptKey, vm: VmId) -> None:
-        self.key = key
-        self.vm = vm
-        self.accepted = False
-        self.next_seq = 0
-        self.last_event_s = time.monotonic()
-        self._early: dict[int, Chunk] = {}
-        self._end: Finished | Refused | None = None
-        self._ready: asyncio.Queue[Chunk | Finished | Refused] = asyncio.Queue()
-
-    def add(self, event: Event) -> None:
-        """Takes an event; late and repeated chunks are dropped."""
-        self.last_event_s = time.monotonic()
-        match event:
-            case Accepted():
-                self.accepted = True
-            case Chunk():
-                self.accepted = True
-                if event.seq >= self.next_seq:
-                    self._early[event.seq] = event
-            case _:
-                self._end = event
-        self._release()
-
-    async def get(self, timeout_s: float) -> Chunk | Finished | Refused | None:
-        """Next chunk in order, or the end; None after `timeout_s`."""
-        try:
-            return await asyncio.wait_for(self._ready.get(), timeout_s)
-        except TimeoutError:
-            return None
-
-    def _release(self) -> None:
-        while self.next_seq in self._early:
-            self._ready.put_nowait(self._early.pop(self.next_seq))
-            self.next_seq += 1
-        end = self._end
-        if end is None:
-            return
-        if isinstance(end, Refused) or end.chunks == self.next_seq:
-            self._ready.put_nowait(end)
-
-
 @dataclasses.dataclass
 class Result:
     """What is known of an answer once it is whole.
@@ -151,16 +104,23 @@
         upstreams: Connections to sidecars.
         zone: The entry's availability zone.
         rng: Source of randomness for choices.
+        timers: Timer service.
     """
 
     def __init__(
-        self, upstreams: UpstreamTable, zone: ZoneId, rng: random.Random
+        self,
+        upstreams: UpstreamTable,
+        zone: ZoneId,
+        rng: random.Random,
+        timers: TimerService,
     ) -> None:
         self._upstreams = upstreams
         self._zone = zone
         self._rng = rng
+        self._budget = RetryBudget(time.monotonic())
         self._attempts: dict[AttemptKey, Attempt] = {}
-        upstreams.subscribe(self._on_message, self._on_reconnect)
+        upstreams.subscribe(self._on_message, self._on_reconnect, self._on_gone)
+        timers.subscribe(CHECK_INTERVAL_S, self._on_check_due)
 
     async def run(
         self, request: Request, result: Result
@@ -174,59 +134,77 @@
         Raises:
             RequestRefusedError: There is no whole answer; says what was run.
         """
+        self._budget.note_request(time.monotonic())
         excluded: set[VmId] = set()
         while True:
-            attempt = self._start_attempt(request, result, excluded)
+            attempt = await self._start_attempt(request, result, excluded)
             try:
                 async for data in self._read(request, attempt, result):
                     yield data
                 return
             except RequestRefusedError as error:
-                if not self._may_retry(request, attempt, result, error):
-                    raise
-                excluded.add(attempt.vm)
-                _log.info(
-                    "request_retried",
-                    extra={"request": request.request_id, "code": error.code},
-                )
+                failure = _make_failure(request, attempt, result, error)
             finally:
                 self._end_attempt(attempt, result)
+            delay_s = get_retry_delay_s(
+                failure, self._budget, time.monotonic(), self._rng.random()
+            )
+            if delay_s is None:
+                raise make_final_error(failure)
+            if is_upstream_at_fault(failure.error):
+                excluded.add(attempt.vm)
+            _log.info(
+                "request_retried",
+                extra={
+                    "request": request.request_id,
+                    "code": failure.error.code,
+                },
+            )
+            await asyncio.sleep(delay_s)
 
     def get_sizes(self) -> dict[str, int]:
         """Sizes of the tables, for the state dump."""
-        return {"attempts": len(self._attempts)}
+        return {
+            "attempts": len(self._attempts),
+            "retry_budget": int(self._budget.tokens),
+        }
 
-    def _may_retry(
-        self,
-        request: Request,
-        attempt: Attempt,
-        result: Result,
-        error: RequestRefusedError,
-    ) -> bool:
-        if result.attempts >= MAX_ATTEMPTS or attempt.next_seq > 0:
-            return False
-        if isinstance(error, DeadlineExceededError):
-            return False
-        return error.run is RunState.NOT_RUN or request.repeatable
-
-    def _start_attempt(
+    async def _choose(self, request: Request, excluded: set[VmId]) -> VmId:
+        version = str(request.version)
+        while True:
+            vm = choose_upstream(
+                self._upstreams.get_views(),
+                version,
+                self._zone,
+                frozenset(excluded),
+                self._rng,
+            )
+            if vm is not None:
+                return vm
+            if not self._upstreams.may_return(version, excluded) or (
+                time.monotonic() + RETURN_POLL_S >= request.deadline_at_s
+            ):
+                raise NoCapacityError(
+                    f"No upstream can take {version!r} now.",
+                    RunState.NOT_RUN,
+                    retry_after_s=COME_BACK_S,
+                )
+            # All connections may have gone silent together, with nothing
+            # wrong at their ends. New ones are seconds away at most: by then
+            # a link has answered or is lost.
+            await asyncio.sleep(RETURN_POLL_S)
+
+    async def _start_attempt(
         self, request: Request, result: Result, excluded: set[VmId]
     ) -> Attempt:
-        vm = choose_upstream(
-            self._upstreams.get_views(),
-            str(request.version),
-            self._zone,
-            frozenset(excluded),
-            self._rng,
-        )
-        if vm is None:
-            raise NoCapacityError(
-                f"No upstream can take {str(request.version)!r} now.",
-                RunState.NOT_RUN,
-                retry_after_s=1,
-            )
+        vm = await self._choose(request, excluded)
         result.attempts += 1
-        attempt = Attempt((request.request_id, result.attempts), vm)
+        heartbeat = self._upstreams.get_heartbeat(vm)
+        attempt = Attempt(
+            (request.request_id, result.attempts),
+            vm,
+            heartbeat.incarnation if heartbeat else 0,
+        )
         self._attempts[attempt.key] = attempt
         self._upstreams.links[vm].in_use += 1
         self._upstreams.send(vm, self._make_dispatch(request, attempt))
@@ -242,6 +220,7 @@
             request.deadline_at_s - time.monotonic(),
             request.stream,
             request.body,
+            attempt.incarnation,
         )
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
@@ -250,34 +229,60 @@
         if link is not None:
             link.in_use -= 1
         if result.finished is None:
-            self._upstreams.send(attempt.vm, Cancel(*attempt.key))
+            self._upstreams.send(attempt.vm, attempt.make_cancel())
 
     async def _read(
         self, request: Request, attempt: Attempt, result: Result
+    ) -> AsyncIterator[bytes]:
+        deadline = asyncio.get_running_loop().call_later(
+            request.deadline_at_s - time.monotonic(),
+            attempt.fail,
+            DeadlineExceededError("The deadline has passed.", RunState.UNKNOWN),
+        )
+        try:
+            async for data in self._read_outcomes(attempt, result):
+                yield data
+        finally:
+            deadline.cancel()
+
+    async def _read_outcomes(
+        self, attempt: Attempt, result: Result
     ) -> AsyncIterator[bytes]:
         while True:
-            event = await attempt.get(POLL_S)
-            match event:
-                case None:
-                    self._check_time(request, attempt)
+            outcome = await attempt.get()
+            match outcome:
                 case Chunk():
-                    yield event.data
+                    yield outcome.data
+                    # Only what the caller has taken is acknowledged, so that
+                    # a slow one holds up its own run and nothing else.
+                    ack = attempt.make_ack(outcome)
+                    if ack is not None:
+                        self._upstreams.send(attempt.vm, ack)
                 case Finished():
-                    result.finished = event
+                    result.finished = outcome
                     return
                 case Refused():
-                    raise _make_refusal(event)
+                    raise _make_refusal(outcome)
+                case _:
+                    raise outcome
 
-    def _check_time(self, request: Request, attempt: Attempt) -> None:
-        run = RunState.UNKNOWN
+    def _on_check_due(self) -> None:
         now_s = time.monotonic()
-        if now_s > request.deadline_at_s:
-            raise DeadlineExceededError("The deadline has passed.", run)
-        link = self._upstreams.links.get(attempt.vm)
-        heard_s = link.heard_s if link else 0.0
-        latest_s = max(heard_s, attempt.last_event_s)
-        if link is None or now_s - latest_s > LOST_AFTER_S:
-            raise UpstreamLostError("The upstream was lost.", run)
+        for attempt in list(self._attempts.values()):
+            link = self._upstreams.links.get(attempt.vm)
+            if link is None or self._upstreams.is_lost(link):
+                self._fail_lost(attempt, "The upstream is silent.")
+            elif attempt.is_idle and (
+                now_s - attempt.last_event_s > ATTACH_AFTER_S
+            ):
+                # The dispatch, or the answer's next part, may be lost on a
+                # connection that has gone silent since. Asking costs little:
+                # a sidecar that never saw the run bars it and says so.
+                attempt.last_event_s = now_s
+                self._upstreams.send(attempt.vm, attempt.make_attach())
+
+    def _fail_lost(self, attempt: Attempt, message: str) -> None:
+        attempt.fail(UpstreamLostError(message, RunState.UNKNOWN))
 
     def _on_message(self, vm: VmId, message: Message) -> None:
         del vm
@@ -290,7 +295,27 @@
     def _on_reconnect(self, vm: VmId) -> None:
         for attempt in self._attempts.values():
             if attempt.vm == vm:
-                self._upstreams.send(vm, Attach(*attempt.key, attempt.next_seq))
+                self._upstreams.send(vm, attempt.make_attach())
+
+    def _on_gone(self, vm: VmId) -> None:
+        for attempt in self._attempts.values():
+            if attempt.vm == vm:
+                self._fail_lost(attempt, "The upstream's sidecar has ended.")
+
+
+def _make_failure(
+    request: Request,
+    attempt: Attempt,
+    result: Result,
+    error: RequestRefusedError,
+) -> Failure:
+    return Failure(
+        error,
+        result.attempts,
+        attempt.passed_on,
+        request.repeatable,
+        request.deadline_at_s - time.monotonic(),
+    )
 
 
 def _make_refusal(refused: Refused) -> RequestRefusedError:
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -60,7 +60,9 @@
         self._own = own
         self._hub = hub
         self._api = CallerApi(role, control, dispatcher, upstreams)
-        self._runner = web.AppRunner(self._api.make_app(), access_log=None)
+        self._runner = web.AppRunner(
+            self._api.make_app(), access_log=None, handler_cancellation=True
+        )
         self._site: web.TCPSite | None = None
         hub.register(Hello, self._on_hello)
         hub.register(DumpRequest, self._on_dump_request)
@@ -91,8 +93,11 @@
             _log.warning("drain_timeout")
 
     def _on_hello(self, peer: PeerId, message: Message) -> None:
-        del message
-        self._hub.send(peer, self._own)
+        assert isinstance(message, Hello)
+        answer = msgspec.structs.replace(
+            self._own, heard_sequence=message.sequence
+        )
+        self._hub.send(peer, answer)
 
     def _on_dump_request(self, peer: PeerId, message: Message) -> None:
         del message
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -213,6 +213,14 @@
     kind = "server_error"
 
 
+class DispatchLostError(RequestRefusedError):
+    """The sidecar never got the request and will not run it any more."""
+
+    code = "dispatch_lost"
+    status = 503
+    kind = "server_error"
+
+
 class UpstreamFailedError(RequestRefusedError):
     """The upstream answered with an error after it took the request."""
 
@@ -241,6 +249,7 @@
         NoCapacityError,
         NotReadyError,
         UpstreamLostError,
+        DispatchLostError,
         UpstreamFailedError,
         DeadlineExceededError,
     )
--- a/src/lovagestage/links.py
+++ b/src/lovagestage/links.py
@@ -14,12 +14,14 @@
 from collections.abc import Callable
 
 import mode
+import msgspec
 import zmq
 
 from lovagestage.adapters import Vm
 from lovagestage.exceptions import CodecError
 from lovagestage.messages import (
     Ask,
+    Heartbeat,
     Hello,
     Message,
     Reply,
@@ -28,7 +30,11 @@
 )
 from lovagestage.settings import BusSettings
 from lovagestage.timers import TimerService
-from lovagestage.transport import Connection
+from lovagestage.transport import (
+    Connection,
+    ConnectionEvent,
+    is_refused,
+)
 from lovagestage.types import Role, VmId, VmState
 
 _log = logging.getLogger(__name__)
@@ -41,10 +47,15 @@
     Attributes:
         vm: The other process's place in the VM list.
         connection: The open connection.
-        heard_s: Monotonic time of the latest frame, over reconnections.
+        heard_s: Monotonic time at which a heartbeat of this process was last
+            answered, over reconnections.
         connected_s: Monotonic time at which the connection was opened.
         key_index: Which accepted key the connection uses.
         in_use: Number of requests that keep the link from being closed.
+        answered: Whether this connection has carried a heartbeat both ways.
+        gone: The process's port refuses connections.
+        sequence: Number of the latest heartbeat sent.
+        heard_sequence: Number of the latest heartbeat answered.
     """
 
     vm: Vm
@@ -53,6 +64,10 @@
     connected_s: float = 0.0
     key_index: int = 0
     in_use: int = 0
+    answered: bool = False
+    gone: bool = False
+    sequence: int = 0
+    heard_sequence: int = 0
 
 
 class LinkTable(mode.Service):
@@ -83,6 +98,8 @@
         self._timers = timers
         self._on_message: Callable[[VmId, Message], None] = _ignore
         self._on_reconnect: Callable[[VmId], None] = lambda _: None
+        self._on_gone: Callable[[VmId], None] = lambda _: None
+        self._probes: dict[VmId, asyncio.Task[None]] = {}
         self._call_ids = itertools.count(1)
         self._calls: dict[int, asyncio.Future[Message]] = {}
 
@@ -90,10 +107,18 @@
         self,
         on_message: Callable[[VmId, Message], None],
         on_reconnect: Callable[[VmId], None],
+        on_gone: Callable[[VmId], None],
     ) -> None:
-        """Sets who gets messages, and who hears of replaced connections."""
+        """Sets who gets messages, and who hears of connections.
+
+        Args:
+            on_message: Gets each message.
+            on_reconnect: Called when a connection was replaced.
+            on_gone: Called when a process has certainly ended.
+        """
         self._on_message = on_message
         self._on_reconnect = on_reconnect
+        self._on_gone = on_gone
 
     async def on_start(self) -> None:
         """Subscribes to the timers."""
@@ -103,6 +128,8 @@
 
     async def on_stop(self) -> None:
         """Closes all connections."""
+        for probe in self._probes.values():
+            probe.cancel()
         for link in self.links.values():
             link.connection.close()
 
@@ -128,8 +155,14 @@
             del self._calls[call_id]
 
     def is_heard(self, link: Link) -> bool:
-        """Whether anything was heard on the link lately."""
-        return time.monotonic() - link.heard_s <= self.bus.silent_after_s
+        """Whether the process answered lately and is not known to be gone."""
+        silent_s = time.monotonic() - link.heard_s
+        return not link.gone and silent_s <= self.bus.silent_after_s
+
+    def is_lost(self, link: Link) -> bool:
+        """Whether the process is gone, or silent over reconnections."""
+        silent_s = time.monotonic() - link.heard_s
+        return link.gone or silent_s > self.bus.lost_after_s
 
     def get_live(self) -> list[VmId]:
         """Processes that are listed live and heard lately."""
@@ -149,6 +182,8 @@
                 "state": link.vm.state.value,
                 "heard_s_ago": round(now_s - link.heard_s, 3),
                 "in_use": link.in_use,
+                "answered": link.answered,
+                "gone": link.gone,
             }
             for name, link in self.links.items()
         ]
@@ -190,17 +225,18 @@
             vm.bus,
             keys[key_index % len(keys)],
             lambda message: self._on_any_frame(vm.vm, message),
+            lambda event: self._on_event(vm.vm, event),
         )
-        connection.send(self._own)
         now_s = time.monotonic()
-        self.links[vm.vm] = Link(
-            vm,
-            connection,
-            heard_s=previous.heard_s if previous else now_s,
-            connected_s=now_s,
-            key_index=key_index,
-            in_use=previous.in_use if previous else 0,
-        )
+        link = Link(vm, connection, now_s, now_s, key_index)
+        if previous is not None:
+            link.heard_s = previous.heard_s
+            link.in_use = previous.in_use
+            link.gone = previous.gone
+            link.sequence = previous.sequence
+            link.heard_sequence = previous.sequence
+        self.links[vm.vm] = link
+        self._send_hello(link)
         if previous is not None:
             self._on_reconnect(vm.vm)
 
@@ -208,12 +244,57 @@
         link = self.links.get(vm)
         if link is None:
             return
-        link.heard_s = time.monotonic()
+        if isinstance(message, Hello | Heartbeat):
+            self._note_answer(link, message.heard_sequence)
         if isinstance(message, Reply):
             self._on_reply(message)
         else:
             self.on_frame(vm, message)
 
+    def _note_answer(self, link: Link, heard_sequence: int) -> None:
+        # Frames from the other side prove one direction only. A connection
+        # that swallows what this side sends would look well for ever while
+        # requests vanish on it; an answered heartbeat proves both.
+        if heard_sequence <= link.heard_sequence:
+            return
+        link.heard_sequence = heard_sequence
+        link.heard_s = time.monotonic()
+        link.answered = True
+        link.gone = False
+
+    def _send_hello(self, link: Link) -> None:
+        link.sequence += 1
+        link.connection.send(
+            msgspec.structs.replace(self._own, sequence=link.sequence)
+        )
+
+    def _on_event(self, vm: VmId, event: ConnectionEvent) -> None:
+        link = self.links.get(vm)
+        if link is None:
+            return
+        if event is ConnectionEvent.OPENED:
+            self._send_hello(link)
+            return
+        if vm not in self._probes:
+            self._probes[vm] = asyncio.create_task(self._probe(vm))
+        if link.answered:
+            self._connect(link.vm, link.key_index)
+
+    async def _probe(self, vm: VmId) -> None:
+        # A killed process is noticed within milliseconds this way, where its
+        # silence would take seconds to tell from a connection's.
+        try:
+            link = self.links.get(vm)
+            if link is None or link.gone or not await is_refused(link.vm.bus):
+                return
+            link = self.links.get(vm)
+            if link is not None and not link.gone:
+                link.gone = True
+                _log.warning("process_gone", extra={"peer": vm})
+                self._on_gone(vm)
+        finally:
+            del self._probes[vm]
+
     def _on_reply(self, reply: Reply) -> None:
         future = self._calls.get(reply.call_id)
         if future is None or future.done():
@@ -234,8 +315,8 @@
                 # next accepted key is tried, for a peer that has rotated.
                 _log.warning("connection_silent", extra={"peer": link.vm.vm})
                 self._connect(link.vm, link.key_index + 1)
-            else:
-                link.connection.send(self._own)
+            elif not link.gone:
+                self._send_hello(link)
 
 
 def _ignore(vm: VmId, message: Message) -> None:
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -1,8 +1,8 @@
 """Messages between the system's processes, MessagePack over pyzmq.
 
-An entry connects to a sidecar and sends `Hello`, `Dispatch`, `Attach` and
-`Cancel`; the sidecar answers with the rest. A run is named by the request id
-together with the attempt number; frames of another attempt are dropped.
+An entry connects to a sidecar and sends `Hello`, `Dispatch`, `Attach`, `Ack`
+and `Cancel`; the sidecar answers with the rest. A run is named by the request
+id together with the attempt number; frames of another attempt are dropped.
 Messages are arrays on the wire: a later version may only append fields that
 have defaults.
 """
@@ -18,10 +18,19 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
-    """First message on a connection, and the entry's heartbeat."""
+    """First message on a connection, and the entry's heartbeat.
+
+    Attributes:
+        vm: The sender's VM.
+        incarnation: Start time of the process; a restart has a higher one.
+        sequence: Counts up on a link; its answer carries it back.
+        heard_sequence: Where this is an answer: the sequence it answers.
+    """
 
     vm: VmId
     incarnation: int
+    sequence: int = 0
+    heard_sequence: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
@@ -39,6 +48,7 @@
         max_running: Requests that may run at once.
         token_interval_ms: Time between tokens of a stream, as measured.
         control_offset: How far it has read the `control` stream.
+        heard_sequence: Sequence of the latest `Hello` on this connection.
     """
 
     vm: VmId
@@ -52,6 +62,7 @@
     max_running: int
     token_interval_ms: float
     control_offset: int
+    heard_sequence: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
@@ -67,6 +78,9 @@
         deadline_s: Time left until the deadline.
         stream: Whether chunks are wanted as they arrive.
         body: The request's JSON body for the engine.
+        incarnation: The process that may run it; 0 is any. A restarted
+            sidecar remembers nothing and must not run what was meant for
+            the one before.
     """
 
     request_id: RequestId
@@ -78,14 +92,33 @@
     deadline_s: float
     stream: bool
     body: bytes
+    incarnation: int = 0
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
-    """Asks for a run's chunks again, from `from_seq`."""
+    """Asks for a run's chunks again, from `from_seq`.
+
+    Where the sidecar never saw the run, it bars it and answers `not_run`.
+
+    Attributes:
+        request_id: The request.
+        attempt: The attempt.
+        from_seq: First chunk that is wanted.
+        incarnation: The process that was to run it; 0 is any.
+    """
 
     request_id: RequestId
     attempt: int
     from_seq: int
+    incarnation: int = 0
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag="ack"):
+    """The reader has passed on all chunks before `next_seq`."""
+
+    request_id: RequestId
+    attempt: int
+    next_seq: int
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
@@ -110,12 +143,14 @@
         attempt: The attempt.
         seq: Number of the chunk within the run, from 0.
         data: Bytes for the caller.
+        count: Number of chunks that are joined in `data`.
     """
 
     request_id: RequestId
     attempt: int
     seq: int
     data: bytes
+    count: int = 1
 
 
 class Finished(msgspec.Struct, frozen=True, array_like=True, tag="finished"):
@@ -191,7 +226,7 @@
     payload: bytes
 
 
-EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest
+EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest
 SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
 Message = EntryMessage | SidecarMessage | Ask | Reply
 
--- /dev/null
+++ b/src/lovagestage/readers.py
@@ -0,0 +1,136 @@
+"""A run's answer and the connections that read it, each at its own pace."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from lovagestage.messages import Chunk, Dispatch, Finished, Message, Refused
+from lovagestage.transport import PeerId
+
+WINDOW_BYTES = 128 * 1024
+"""Most bytes under way to a reader that it has not passed on."""
+COALESCE_BYTES = 32 * 1024
+"""Chunks that wait are joined up to this size: a message costs the same for
+one token as for a hundred."""
+PAUSE_BYTES = 256 * 1024
+"""The engine is read no further ahead of the fastest reader than this."""
+
+Send = Callable[[PeerId, Message], bool]
+
+
+@dataclasses.dataclass
+class Reader:
+    """One connection that reads a run.
+
+    Attributes:
+        peer: The connection.
+        next_seq: Next chunk to send.
+        acked_seq: All chunks before it have been passed on.
+        ended: Whether the end was sent.
+    """
+
+    peer: PeerId
+    next_seq: int
+    acked_seq: int
+    ended: bool = False
+
+
+@dataclasses.dataclass
+class Run:
+    """One execution of a request.
+
+    Attributes:
+        dispatch: What was asked.
+        readers: Connections that read it.
+        chunks: The answer so far.
+        sizes: Bytes of the answer before each chunk, and in all.
+        end: How it ended; None while it runs.
+        ended_at_s: Monotonic time of the end.
+        moved: Set when a reader moves on or leaves.
+    """
+
+    dispatch: Dispatch
+    readers: dict[PeerId, Reader] = dataclasses.field(default_factory=dict)
+    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    sizes: list[int] = dataclasses.field(default_factory=lambda: [0])
+    end: Finished | Refused | None = None
+    ended_at_s: float = 0.0
+    task: asyncio.Task[None] | None = None
+    moved: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of the answer so far."""
+        return self.sizes[-1]
+
+    def add_chunk(self, data: bytes) -> None:
+        """Appends to the answer."""
+        self.chunks.append(data)
+        self.sizes.append(self.sizes[-1] + len(data))
+
+    def attach(self, peer: PeerId, from_seq: int) -> Reader:
+        """Adds a reader, or moves it back to `from_seq`."""
+        from_seq = max(0, min(from_seq, len(self.chunks)))
+        self.readers[peer] = Reader(peer, from_seq, from_seq)
+        self.moved.set()
+        return self.readers[peer]
+
+    def acknowledge(self, peer: PeerId, next_seq: int) -> Reader | None:
+        """Notes what a reader has passed on."""
+        reader = self.readers.get(peer)
+        if reader is None or next_seq <= reader.acked_seq:
+            return None
+        reader.acked_seq = min(next_seq, reader.next_seq)
+        self.moved.set()
+        return reader
+
+    def remove_reader(self, peer: PeerId) -> None:
+        """Forgets a reader whose connection is gone."""
+        if self.readers.pop(peer, None) is not None:
+            self.moved.set()
+
+    def is_ahead(self) -> bool:
+        """Whether the answer is too far ahead of its fastest reader.
+
+        A run without readers goes on: its answer may be asked for, and its
+        size is bounded by the engine's token limit.
+        """
+        if not self.readers:
+            return False
+        fastest = max(reader.acked_seq for reader in self.readers.values())
+        return self.size_bytes - self.sizes[fastest] > PAUSE_BYTES
+
+    def pump(self, reader: Reader, send: Send) -> None:
+        """Sends what the reader's window has room for."""
+        while reader.next_seq < len(self.chunks):
+            under_way = (
+                self.sizes[reader.next_seq] - self.sizes[reader.acked_seq]
+            )
+            if under_way >= WINDOW_BYTES:
+                return
+            chunk = self._join_chunks(reader.next_seq)
+            if not send(reader.peer, chunk):
+                # The queue is full or the connection gone; the next timer,
+                # acknowledgement or attachment tries again.
+                return
+            reader.next_seq += chunk.count
+        if self.end is not None and not reader.ended:
+            reader.ended = send(reader.peer, self.end)
+
+    def _join_chunks(self, start: int) -> Chunk:
+        stop = start + 1
+        limit = self.sizes[start] + COALESCE_BYTES
+        while stop < len(self.chunks) and self.sizes[stop + 1] <= limit:
+            stop += 1
+        data = self.chunks[start]
+        if stop > start + 1:
+            data = b"".join(self.chunks[start:stop])
+        return Chunk(
+            self.dispatch.request_id,
+            self.dispatch.attempt,
+            start,
+            data,
+            stop - start,
+        )
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -9,58 +9,38 @@
 
 import asyncio
 import collections
-import dataclasses
-import logging
 import time
 
-import msgspec
 import xxhash
 
 from lovagestage.adapters import Engine
-from lovagestage.events import Usage, make_plain_answer, parse_block
+from lovagestage.engine_stream import EngineStream
+from lovagestage.events import Usage, make_plain_answer
 from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
 from lovagestage.messages import (
     Accepted,
+    Ack,
     Attach,
     Cancel,
-    Chunk,
     Dispatch,
     Finished,
-    Message,
     Refused,
 )
+from lovagestage.readers import Run
+from lovagestage.settings import SidecarSettings
+from lovagestage.tombstones import RunKey, RunTrace, TombstoneTable
 from lovagestage.transport import PeerId
-from lovagestage.types import RequestId, RunState
+from lovagestage.types import RunState
 
-_log = logging.getLogger(__name__)
+TOMBSTONES = 50_000
+TOMBSTONE_KEEP_S = 3_600.0
 
-RESUME_ATTEMPTS = 3
-RESUME_DELAY_S = 0.1
-
-RunKey = tuple[RequestId, int]
-
-
-@dataclasses.dataclass
-class Run:
-    """One execution of a request.
-
-    Attributes:
-        dispatch: What was asked.
-        peer: Connection that reads it.
-        chunks: The answer so far.
-        end: How it ended; None while it runs.
-        ended_at_s: Monotonic time of the end.
-        size_bytes: Size of the chunks.
-    """
-
-    dispatch: Dispatch
-    peer: PeerId
-    chunks: list[bytes] = dataclasses.field(default_factory=list)
-    end: Finished | Refused | None = None
-    ended_at_s: float = 0.0
-    size_bytes: int = 0
-    task: asyncio.Task[None] | None = None
+_TRACE_STATES = {
+    RunTrace.BARRED: (RunState.NOT_RUN, "dispatch_lost"),
+    RunTrace.FORGOTTEN: (RunState.RAN, "upstream_lost"),
+    RunTrace.UNKNOWN: (RunState.UNKNOWN, "upstream_lost"),
+}
 
 
 class RunTable:
@@ -69,27 +49,22 @@
     Args:
         engine: The upstream.
         hub: Where answers go.
-        replay_window_s: How long an ended run is kept.
-        replay_limit_bytes: Most bytes of ended runs that are kept.
+        settings: Time-outs and what is kept.
     """
 
     def __init__(
-        self,
-        engine: Engine,
-        hub: Hub,
-        replay_window_s: float,
-        replay_limit_bytes: int,
+        self, engine: Engine, hub: Hub, settings: SidecarSettings
     ) -> None:
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
         self._engine = engine
         self._hub = hub
-        self._window_s = replay_window_s
-        self._limit_bytes = replay_limit_bytes
+        self._settings = settings
         self._runs: dict[RunKey, Run] = {}
         self._ended: collections.deque[RunKey] = collections.deque()
         self._ended_bytes = 0
+        self._tombstones = TombstoneTable(TOMBSTONES, TOMBSTONE_KEEP_S)
 
     def start(self, peer: PeerId, dispatch: Dispatch) -> None:
         """Starts a run; a repeated dispatch reads the run that exists."""
@@ -97,11 +72,18 @@
         if key in self._runs:
             self.attach(peer, Attach(*key, from_seq=0))
             return
-        run = Run(dispatch, peer)
+        trace = self._tombstones.get(key)
+        if trace is not None:
+            # The dispatch was held up on a connection that went silent, and
+            # its entry has been told that it will not run.
+            self._refuse(peer, key, trace)
+            return
+        run = Run(dispatch)
+        run.attach(peer, 0)
         self._runs[key] = run
         self.running += 1
         self.idle.clear()
-        self._send(run, Accepted(*key))
+        self._hub.send(peer, Accepted(*key))
         run.task = asyncio.create_task(self._execute(run))
 
     def attach(self, peer: PeerId, message: Attach) -> None:
@@ -109,132 +91,114 @@
         key = (message.request_id, message.attempt)
         run = self._runs.get(key)
         if run is None:
-            self._hub.send(
-                peer,
-                Refused(
-                    *key,
-                    code="upstream_lost",
-                    message="The sidecar knows nothing of this run.",
-                    run=RunState.UNKNOWN,
-                ),
-            )
+            self._refuse(peer, key, self._tombstones.bar(key, time.monotonic()))
             return
-        run.peer = peer
-        for seq in range(message.from_seq, len(run.chunks)):
-            self._send(run, Chunk(*key, seq, run.chunks[seq]))
-        if run.end is not None:
-            self._send(run, run.end)
+        self._hub.send(peer, Accepted(*key))
+        run.pump(run.attach(peer, message.from_seq), self._hub.send)
 
-    async def cancel(self, message: Cancel) -> None:
-        """Cancels a run, down to the engine."""
+    def acknowledge(self, peer: PeerId, message: Ack) -> None:
+        """Sends more to a reader that has passed on what it had."""
         run = self._runs.get((message.request_id, message.attempt))
-        if run is None or run.end is not None or run.task is None:
+        if run is None:
+            return
+        reader = run.acknowledge(peer, message.next_seq)
+        if reader is not None:
+            run.pump(reader, self._hub.send)
+
+    async def cancel(self, message: Cancel) -> None:
+        """Cancels a run, down to the engine; bars one that never came."""
+        key = (message.request_id, message.attempt)
+        run = self._runs.get(key)
+        if run is None:
+            self._tombstones.bar(key, time.monotonic())
+            return
+        if run.end is not None or run.task is None:
             return
         run.task.cancel()
         await self._engine.cancel(message.request_id)
 
+    def drop_peer(self, peer: PeerId) -> None:
+        """Forgets a connection that has gone silent."""
+        for run in self._runs.values():
+            run.remove_reader(peer)
+
+    def on_timer(self) -> None:
+        """Sends what could not be sent, and forgets what has expired."""
+        for run in self._runs.values():
+            for reader in run.readers.values():
+                run.pump(reader, self._hub.send)
+        self.remove_expired()
+
     def remove_expired(self) -> None:
         """Forgets ended runs past the window or over the byte limit."""
-        horizon_s = time.monotonic() - self._window_s
+        now_s = time.monotonic()
+        horizon_s = now_s - self._settings.replay_window_s
+        limit_bytes = self._settings.replay_limit_bytes
         while self._ended:
             run = self._runs[self._ended[0]]
             in_window = run.ended_at_s > horizon_s
-            if in_window and self._ended_bytes <= self._limit_bytes:
+            if in_window and self._ended_bytes <= limit_bytes:
                 return
-            del self._runs[self._ended.popleft()]
+            key = self._ended.popleft()
+            del self._runs[key]
             self._ended_bytes -= run.size_bytes
+            self._tombstones.add_forgotten(key, now_s)
 
     def get_sizes(self) -> dict[str, int]:
-        """Sizes of the table, for the state dump."""
+        """Sizes of the tables, for the state dump."""
         return {
             "running": self.running,
             "runs": len(self._runs),
             "ended_bytes": self._ended_bytes,
+            "tombstones": len(self._tombstones),
+            "paused": sum(
+                run.end is None and run.is_ahead()
+                for run in self._runs.values()
+            ),
         }
 
+    def _refuse(self, peer: PeerId, key: RunKey, trace: RunTrace) -> None:
+        state, code = _TRACE_STATES[trace]
+        message = f"The sidecar does not hold this run: {trace.value}."
+        self._hub.send(peer, Refused(*key, code, message, state, 1))
+
     async def _execute(self, run: Run) -> None:
         end: Finished | Refused
         try:
-            end = await self._read_answer(run)
+            async with asyncio.timeout(run.dispatch.deadline_s):
+                end = await self._read_answer(run)
         except EngineError as error:
-            end = self._make_refusal(run, "upstream_failed", error)
+            end = _make_engine_refusal(run, error)
+        except TimeoutError:
+            end = _make_refusal(
+                run, "deadline_exceeded", "The deadline has passed."
+            )
+            await self._engine.cancel(run.dispatch.request_id)
         except asyncio.CancelledError:
-            end = Refused(
-                run.dispatch.request_id,
-                run.dispatch.attempt,
-                "cancelled",
-                "The caller has cancelled the request.",
-                RunState.RAN,
+            end = _make_refusal(
+                run, "cancelled", "The caller has cancelled the request."
             )
         self._finish(run, end)
 
-    def _make_refusal(self, run: Run, code: str, error: EngineError) -> Refused:
-        if error.run is RunState.NOT_RUN:
-            code = "no_capacity"
-        if run.chunks and error.run is RunState.NOT_RUN:
-            return Refused(
-                run.dispatch.request_id,
-                run.dispatch.attempt,
-                "upstream_failed",
-                error.message,
-                RunState.RAN,
-            )
-        return Refused(
-            run.dispatch.request_id,
-            run.dispatch.attempt,
-            code,
-            error.message,
-            error.run,
-            1 if error.run is RunState.NOT_RUN else None,
-        )
-
     async def _read_answer(self, run: Run) -> Finished:
         dispatch = run.dispatch
-        options = _get_stream_options(dispatch.body)
         collected: list[bytes] = []
         digest = xxhash.xxh3_64()
         usage = Usage()
-        next_seq = 0
-        done = False
-        failures = 0
-        blocks = self._engine.run(
-            dispatch.request_id,
-            dispatch.priority,
-            _make_engine_body(dispatch.body, dispatch.version),
+        stream = EngineStream(
+            self._engine,
+            dispatch,
+            self._settings.first_token_timeout_s,
+            self._settings.progress_timeout_s,
         )
-        while not done:
-            try:
-                async for data in blocks:
-                    block = parse_block(data, next_seq, options)
-                    next_seq = block.next_seq
-                    usage = block.usage or usage
-                    done = block.done
-                    if dispatch.stream:
-                        digest.update(block.data)
-                        self._add_chunk(run, block.data)
-                    else:
-                        collected.append(data)
-                    if done:
-                        break
-            except EngineError as error:
-                if next_seq == 0 or failures >= RESUME_ATTEMPTS:
-                    raise
-                _log.warning(
-                    "engine_stream_lost",
-                    extra={
-                        "request": dispatch.request_id,
-                        "error": error.message,
-                    },
-                )
-            if not done:
-                failures += 1
-                if next_seq == 0 or failures > RESUME_ATTEMPTS:
-                    raise EngineError(
-                        "The engine ended the stream too early.",
-                        RunState.UNKNOWN,
-                    )
-                await asyncio.sleep(RESUME_DELAY_S)
-                blocks = self._engine.resume(dispatch.request_id, next_seq)
+        async for block in stream.read():
+            usage = block.usage or usage
+            if dispatch.stream:
+                digest.update(block.data)
+                self._add_chunk(run, block.data)
+                await _wait_for_readers(run)
+            else:
+                collected.append(block.data)
         if not dispatch.stream:
             answer = make_plain_answer(b"".join(collected), usage)
             digest.update(answer)
@@ -251,10 +215,8 @@
     def _add_chunk(self, run: Run, data: bytes) -> None:
         if not data:
             return
-        key = (run.dispatch.request_id, run.dispatch.attempt)
-        self._send(run, Chunk(*key, len(run.chunks), data))
-        run.chunks.append(data)
-        run.size_bytes += len(data)
+        run.add_chunk(data)
+        self._pump(run)
 
     def _finish(self, run: Run, end: Finished | Refused) -> None:
         run.end = end
@@ -264,32 +226,42 @@
         self.running -= 1
         if self.running == 0:
             self.idle.set()
-        self._send(run, end)
+        self._pump(run)
         self.remove_expired()
 
-    def _send(self, run: Run, message: Message) -> None:
-        # A send that fails is not an error: the entry notices the gap or the
-        # silence and attaches again from the last chunk that it has.
-        self._hub.send(run.peer, message)
-
-
-class _StreamOptions(msgspec.Struct):
-    include_usage: bool = False
-
-
-class _OptionsForm(msgspec.Struct):
-    stream_options: _StreamOptions | None = None
-
-
-def _get_stream_options(body: bytes) -> bool:
-    form = msgspec.json.decode(body, type=_OptionsForm)
-    return form.stream_options is not None and form.stream_options.include_usage
-
-
-def _make_engine_body(body: bytes, version: str) -> bytes:
-    form = msgspec.json.decode(body)
-    form["model"] = version
-    form["stream"] = True
-    form["stream_options"] = {"include_usage": True}
-    form.pop("metadata", None)
-    return msgspec.json.encode(form)
+    def _pump(self, run: Run) -> None:
+        for reader in run.readers.values():
+            run.pump(reader, self._hub.send)
+
+
+async def _wait_for_readers(run: Run) -> None:
+    # A caller that reads slowly must not make the sidecar hold what the
+    # engine could hold: the connection to the engine is read no further and
+    # its own flow control does the rest.
+    while run.is_ahead():
+        run.moved.clear()
+        await run.moved.wait()
+
+
+def _make_engine_refusal(run: Run, error: EngineError) -> Refused:
+    if error.run is RunState.NOT_RUN:
+        return _make_refusal(run, "no_capacity", error.message, error.run, 1)
+    state = RunState.RAN if run.chunks else error.run
+    return _make_refusal(run, "upstream_failed", error.message, state)
+
+
+def _make_refusal(
+    run: Run,
+    code: str,
+    message: str,
+    state: RunState = RunState.RAN,
+    retry_after_s: int | None = None,
+) -> Refused:
+    return Refused(
+        run.dispatch.request_id,
+        run.dispatch.attempt,
+        code,
+        message,
+        state,
+        retry_after_s,
+    )
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -72,7 +72,11 @@
         secret_key: CURVE secret key of this process, Z85.
         accepted_keys: Public keys of processes that may connect, Z85.
         heartbeat_interval_s: Time between heartbeats.
-        silent_after_s: A connection with no frame for so long is replaced.
+        silent_after_s: A connection with no heartbeat answered for so long
+            is replaced.
+        lost_after_s: A process that stays silent for so long, over
+            reconnections, is lost. One whose port refuses connections is
+            lost at once.
     """
 
     bind: str
@@ -81,6 +85,7 @@
     accepted_keys: list[str]
     heartbeat_interval_s: float = 0.5
     silent_after_s: float = 2.0
+    lost_after_s: float = 5.0
 
 
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -112,6 +117,10 @@
         drain_timeout_s: Longest wait for running requests at a planned stop.
         replay_window_s: How long a finished answer is kept for resumption.
         replay_limit_bytes: Most bytes kept for resumption.
+        first_token_timeout_s: A stream without its first event by then is
+            resumed on a new connection to the engine.
+        progress_timeout_s: A stream without a further event for so long is
+            resumed on a new connection to the engine.
     """
 
     upstream_url: str
@@ -119,6 +128,8 @@
     drain_timeout_s: float = 600.0
     replay_window_s: float = 900.0
     replay_limit_bytes: int = 16 * 1024 * 1024
+    first_token_timeout_s: float = 20.0
+    progress_timeout_s: float = 3.0
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -16,6 +16,7 @@
 from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
 from lovagestage.messages import (
+    Ack,
     Attach,
     Cancel,
     Dispatch,
@@ -34,7 +35,6 @@
 
 _log = logging.getLogger(__name__)
 
-PEER_TIMEOUT_S = 10.0
 EXPIRY_INTERVAL_S = 1.0
 _NO_LOAD = EngineLoad(0, 0, 0, 0.0, 0.0)
 
@@ -80,6 +80,7 @@
         hub.register(Hello, self._on_hello)
         hub.register(Dispatch, self._on_dispatch)
         hub.register(Attach, self._on_attach)
+        hub.register(Ack, self._on_ack)
         hub.register(Cancel, self._on_cancel)
         hub.register(DumpRequest, self._on_dump_request)
 
@@ -102,13 +103,31 @@
             _log.warning("drain_timeout", extra={"running": self._runs.running})
 
     def _on_hello(self, peer: PeerId, message: Message) -> None:
-        del message
+        assert isinstance(message, Hello)
         self._peers[peer] = time.monotonic()
-        self._hub.send(peer, self._make_heartbeat())
+        self._hub.send(peer, self._make_heartbeat(message.sequence))
 
     def _on_attach(self, peer: PeerId, message: Message) -> None:
         assert isinstance(message, Attach)
-        self._runs.attach(peer, message)
+        if message.incarnation in (0, self._incarnation):
+            self._runs.attach(peer, message)
+            return
+        # The run was meant for the process before this one, and what that
+        # did with it is not known here.
+        self._hub.send(
+            peer,
+            Refused(
+                message.request_id,
+                message.attempt,
+                "upstream_lost",
+                "The sidecar has restarted since the request was sent to it.",
+                RunState.UNKNOWN,
+            ),
+        )
+
+    def _on_ack(self, peer: PeerId, message: Message) -> None:
+        assert isinstance(message, Ack)
+        self._runs.acknowledge(peer, message)
 
     def _on_cancel(self, peer: PeerId, message: Message) -> None:
         del peer
@@ -134,11 +153,13 @@
                 code,
                 text,
                 RunState.NOT_RUN,
-                1 if code == "no_capacity" else None,
+                None if code == "model_not_allowed" else 1,
             ),
         )
 
     def _get_refusal(self, dispatch: Dispatch) -> tuple[str, str] | None:
+        if dispatch.incarnation not in (0, self._incarnation):
+            return "dispatch_lost", "The sidecar has restarted."
         if self._leaving:
             return "no_capacity", "The upstream is leaving."
         if self._runs.running >= self._role.max_running:
@@ -164,7 +185,7 @@
         self._send_heartbeats()
 
     def _on_expiry(self) -> None:
-        self._runs.remove_expired()
+        self._runs.on_timer()
 
     async def _refresh_load(self) -> None:
         try:
@@ -175,13 +196,14 @@
             _log.warning("engine_load_failed", extra={"error": error.message})
 
     def _send_heartbeats(self) -> None:
-        horizon_s = time.monotonic() - PEER_TIMEOUT_S
+        horizon_s = time.monotonic() - self._settings.bus.silent_after_s
         heartbeat = self._make_heartbeat()
         for peer, seen_s in list(self._peers.items()):
             if seen_s < horizon_s or not self._hub.send(peer, heartbeat):
                 del self._peers[peer]
+                self._runs.drop_peer(peer)
 
-    def _make_heartbeat(self) -> Heartbeat:
+    def _make_heartbeat(self, heard_sequence: int = 0) -> Heartbeat:
         self._sequence += 1
         return Heartbeat(
             self._settings.vm,
@@ -195,6 +217,7 @@
             self._role.max_running,
             self._load.token_interval_ms,
             self._control.folded.next_offset,
+            heard_sequence,
         )
 
     def _make_dump(self) -> bytes:
--- a/src/lovagestage/transport.py
+++ b/src/lovagestage/transport.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 from collections.abc import Callable
 
 import zmq
 import zmq.auth
 from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.utils.monitor import parse_monitor_message
 
 from lovagestage.exceptions import CodecError
 from lovagestage.messages import (
@@ -29,6 +31,7 @@
 SEND_QUEUE_MESSAGES = 10_000
 DRAIN_BATCH = 256
 HANDSHAKE_TIMEOUT_MS = 2_000
+PROBE_TIMEOUT_S = 1.0
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
 
@@ -124,6 +127,48 @@
             self._on_message(frames[0], message)
 
 
+class ConnectionEvent(enum.Enum):
+    """What became of a connection."""
+
+    OPENED = "opened"
+    CLOSED = "closed"
+
+
+_EVENTS = {
+    int(zmq.EVENT_HANDSHAKE_SUCCEEDED): ConnectionEvent.OPENED,
+    int(zmq.EVENT_DISCONNECTED): ConnectionEvent.CLOSED,
+    int(zmq.EVENT_CLOSED): ConnectionEvent.CLOSED,
+}
+"""`EVENT_CLOSED` comes where a connection could not be made."""
+
+
+class _Monitor(_ReadableSocket):
+    """Reads a socket's events."""
+
+    def __init__(
+        self,
+        watched: zmq.Socket[bytes],
+        on_event: Callable[[ConnectionEvent], None],
+    ) -> None:
+        self._watched = watched
+        self._on_event = on_event
+        super().__init__(watched.get_monitor_socket(sum(_EVENTS)))
+
+    def on_frames(self, frames: list[bytes]) -> None:
+        """Hands on one event."""
+        event = _EVENTS.get(int(parse_monitor_message(frames)["event"]))
+        if event is not None:
+            self._on_event(event)
+
+    def close(self) -> None:
+        """Ends the watch; the watched socket must still be open."""
+        if self.socket.closed:
+            return
+        self._loop.remove_reader(self.socket.fileno())
+        self._watched.disable_monitor()
+        self.socket.close(linger=0)
+
+
 class Connection(_ReadableSocket):
     """Connects to another process's listener.
 
@@ -133,6 +178,7 @@
         address: `HOST:PORT` of the other.
         server_key: Public key of the other, Z85.
         on_message: Called with each message.
+        on_event: Called when the connection opens or closes.
     """
 
     def __init__(
@@ -142,16 +188,23 @@
         address: str,
         server_key: str,
         on_message: Callable[[Message], None],
+        on_event: Callable[[ConnectionEvent], None],
     ) -> None:
         socket = context.socket(zmq.DEALER)
         _set_common_options(socket, settings)
         socket.curve_serverkey = server_key.encode()
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        self._monitor = _Monitor(socket, on_event)
         socket.connect(f"tcp://{address}")
         self._on_message = on_message
         super().__init__(socket)
 
+    def close(self) -> None:
+        """Closes the connection and its watch."""
+        self._monitor.close()
+        super().close()
+
     def send(self, message: Message) -> bool:
         """Sends; False where the queue is full."""
         return self.send_frames([encode_message(message)])
@@ -163,6 +216,24 @@
             self._on_message(message)
 
 
+async def is_refused(address: str) -> bool:
+    """Whether nothing listens at `HOST:PORT`.
+
+    A refusal comes from the other machine's kernel: the process that
+    listened there has ended. Silence proves nothing.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (TimeoutError, OSError):
+        return False
+    writer.close()
+    return False
+
+
 def _set_common_options(
     socket: zmq.Socket[bytes], settings: BusSettings
 ) -> None:
--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/upstreams.py
@@ -9,7 +9,7 @@
 from lovagestage.routing import UpstreamView
 from lovagestage.settings import BusSettings
 from lovagestage.timers import TimerService
-from lovagestage.types import Role, VmId
+from lovagestage.types import Role, VmId, VmState
 
 
 class UpstreamTable(LinkTable):
@@ -36,6 +36,19 @@
         """The latest heartbeat of a sidecar."""
         return self._heartbeats.get(vm)
 
+    def may_return(self, version: str, excluded: set[VmId]) -> bool:
+        """Whether a silent upstream that had the version is not yet lost."""
+        return any(
+            link.vm.state is VmState.LIVE
+            and name not in excluded
+            and not self.is_heard(link)
+            and not self.is_lost(link)
+            and name in self._heartbeats
+            and not self._heartbeats[name].leaving
+            and version in self._heartbeats[name].versions
+            for name, link in self.links.items()
+        )
+
     def get_views(self) -> list[UpstreamView]:
         """Upstreams that take new work."""
         return [
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -127,7 +127,9 @@
     watch = VmWatch(HttpVmList(base.session, settings.platform.vms_url))
     watch.subscribe(upstreams.apply_vm_list)
     watch.subscribe(peers.apply_vm_list)
-    dispatcher = Dispatcher(upstreams, settings.zone, random.Random())
+    dispatcher = Dispatcher(
+        upstreams, settings.zone, random.Random(), base.timers
+    )
     entry = Entry(
         settings,
         role,
@@ -145,9 +147,7 @@
     base: _Base, role: SidecarSettings
 ) -> tuple[_Process, list[mode.Service]]:
     engine = HttpEngine(base.session, role.upstream_url)
-    runs = RunTable(
-        engine, base.hub, role.replay_window_s, role.replay_limit_bytes
-    )
+    runs = RunTable(engine, base.hub, role)
     sidecar = Sidecar(
         base.settings,
         role,
