Bound the upstreams that one crashing request can take down

Cause: a request that crashes its engine was retried at four upstreams and, sent again by its caller, at all; requests in flight beside it were lost. Also a final no_capacity said not_run although an earlier attempt may have run; the worst state over all attempts is now kept. Ruled out: isolating after one strike. An ordinary kill of an upstream with 64 runs would then send all 64 one at a time. Change: strikes by fingerprint, a probe apart from others with strikes after two, conviction at the third crash; reports between entries, expiry; the sidecar refuses others with strikes beside a probe. An engine that refuses a resumption counts as dead under the run. Bound: three upstreams for one request among entries that hear each other, and one more for each further copy in flight at the same moment.

--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -10,11 +10,15 @@
 from collections.abc import AsyncIterator
 
 from lovagestage.attempts import Attempt, AttemptKey
+from lovagestage.crash_suspects import get_fingerprint
+from lovagestage.crash_watch import CrashWatch
 from lovagestage.exceptions import (
     REFUSALS,
     DeadlineExceededError,
     NoCapacityError,
     RequestRefusedError,
+    SuspectWaitingError,
+    UpstreamCrashedError,
     UpstreamFailedError,
     UpstreamLostError,
 )
@@ -37,6 +41,7 @@
 from lovagestage.routing import choose_upstream
 from lovagestage.timers import TimerService
 from lovagestage.types import (
+    Fingerprint,
     ModelVersion,
     RequestId,
     RunState,
@@ -90,11 +95,26 @@
         version: Version that answered.
         attempts: Attempts made.
         finished: Token counts and digest.
+        waits: Attempts that were refused until a probe has ended.
+        run: Whether any attempt that failed was run.
+        passed_on: Whether the caller has had a part of the answer.
     """
 
     version: ModelVersion
     attempts: int = 0
     finished: Finished | None = None
+    waits: int = 0
+    run: RunState = RunState.NOT_RUN
+    passed_on: bool = False
+
+    def note_failure(
+        self, error: RequestRefusedError, attempt: Attempt
+    ) -> None:
+        """Keeps what is known of the run over all attempts."""
+        self.passed_on = self.passed_on or attempt.passed_on
+        self.waits += isinstance(error, SuspectWaitingError)
+        if error.run is not RunState.NOT_RUN:
+            self.run = error.run
 
 
 class Dispatcher:
@@ -105,6 +125,7 @@
         zone: The entry's availability zone.
         rng: Source of randomness for choices.
         timers: Timer service.
+        crashes: Requests that may crash upstreams.
     """
 
     def __init__(
@@ -113,8 +134,10 @@
         zone: ZoneId,
         rng: random.Random,
         timers: TimerService,
+        crashes: CrashWatch,
     ) -> None:
         self._upstreams = upstreams
+        self._crashes = crashes
         self._zone = zone
         self._rng = rng
         self._budget = RetryBudget(time.monotonic())
@@ -135,24 +158,35 @@
             RequestRefusedError: There is no whole answer; says what was run.
         """
         self._budget.note_request(time.monotonic())
+        try:
+            async for data in self._run(request, result):
+                yield data
+        except RequestRefusedError as error:
+            if error.run is RunState.NOT_RUN:
+                # The last attempt may not have run while one before did.
+                error.run = result.run
+            raise
+
+    async def _run(
+        self, request: Request, result: Result
+    ) -> AsyncIterator[bytes]:
+        name = get_fingerprint(request.workspace, request.body)
         excluded: set[VmId] = set()
         while True:
-            attempt = await self._start_attempt(request, result, excluded)
+            tried = result.attempts
             try:
-                async for data in self._read(request, attempt, result):
+                async for data in self._try(request, result, name, excluded):
                     yield data
                 return
             except RequestRefusedError as error:
-                failure = _make_failure(request, attempt, result, error)
-            finally:
-                self._end_attempt(attempt, result)
+                if result.attempts == tried:
+                    raise
+                failure = _make_failure(request, result, error)
             delay_s = get_retry_delay_s(
                 failure, self._budget, time.monotonic(), self._rng.random()
             )
             if delay_s is None:
                 raise make_final_error(failure)
-            if is_upstream_at_fault(failure.error):
-                excluded.add(attempt.vm)
             _log.info(
                 "request_retried",
                 extra={
@@ -162,10 +196,40 @@
             )
             await asyncio.sleep(delay_s)
 
+    async def _try(
+        self,
+        request: Request,
+        result: Result,
+        name: Fingerprint,
+        excluded: set[VmId],
+    ) -> AsyncIterator[bytes]:
+        run = f"{request.request_id}/{result.attempts + 1}"
+        probe = await self._crashes.admit(name, run, request.deadline_at_s)
+        with self._crashes.watch(name, run, probe):
+            attempt = await self._start_attempt(
+                request,
+                result,
+                excluded,
+                self._crashes.get_strikes(name),
+                probe,
+            )
+            try:
+                async for data in self._read(request, attempt, result):
+                    yield data
+                return
+            except RequestRefusedError as error:
+                result.note_failure(error, attempt)
+                if is_upstream_at_fault(error):
+                    excluded.add(attempt.vm)
+                raise
+            finally:
+                self._end_attempt(attempt, result)
+
     def get_sizes(self) -> dict[str, int]:
         """Sizes of the tables, for the state dump."""
         return {
             "attempts": len(self._attempts),
+            "crash_suspects": len(self._crashes),
             "retry_budget": int(self._budget.tokens),
         }
 
@@ -195,7 +259,12 @@
             await asyncio.sleep(RETURN_POLL_S)
 
     async def _start_attempt(
-        self, request: Request, result: Result, excluded: set[VmId]
+        self,
+        request: Request,
+        result: Result,
+        excluded: set[VmId],
+        strikes: int,
+        probe: bool,
     ) -> Attempt:
         vm = await self._choose(request, excluded)
         result.attempts += 1
@@ -207,10 +276,14 @@
         )
         self._attempts[attempt.key] = attempt
         self._upstreams.links[vm].in_use += 1
-        self._upstreams.send(vm, self._make_dispatch(request, attempt))
+        self._upstreams.send(
+            vm, self._make_dispatch(request, attempt, strikes, probe)
+        )
         return attempt
 
-    def _make_dispatch(self, request: Request, attempt: Attempt) -> Dispatch:
+    def _make_dispatch(
+        self, request: Request, attempt: Attempt, strikes: int, probe: bool
+    ) -> Dispatch:
         return Dispatch(
             *attempt.key,
             request.workspace,
@@ -221,6 +294,8 @@
             request.stream,
             request.body,
             attempt.incarnation,
+            strikes,
+            probe,
         )
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
@@ -300,19 +375,20 @@
     def _on_gone(self, vm: VmId) -> None:
         for attempt in self._attempts.values():
             if attempt.vm == vm:
-                self._fail_lost(attempt, "The upstream's sidecar has ended.")
+                attempt.fail(
+                    UpstreamCrashedError(
+                        "The upstream's sidecar has ended.", RunState.UNKNOWN
+                    )
+                )
 
 
 def _make_failure(
-    request: Request,
-    attempt: Attempt,
-    result: Result,
-    error: RequestRefusedError,
+    request: Request, result: Result, error: RequestRefusedError
 ) -> Failure:
     return Failure(
         error,
-        result.attempts,
-        attempt.passed_on,
+        result.attempts - result.waits,
+        result.passed_on,
         request.repeatable,
         request.deadline_at_s - time.monotonic(),
     )
--- a/src/lovagestage/engine_stream.py
+++ b/src/lovagestage/engine_stream.py
@@ -10,7 +10,7 @@
 
 from lovagestage.adapters import Engine
 from lovagestage.events import Block, parse_block
-from lovagestage.exceptions import EngineError
+from lovagestage.exceptions import EngineCrashedError, EngineError
 from lovagestage.messages import Dispatch
 from lovagestage.types import RunState
 
@@ -120,9 +120,12 @@
         if not resumed and error.run is not RunState.UNKNOWN:
             raise error
         self._failures += 1
-        if self._failures > RESUME_ATTEMPTS or error.run is RunState.NOT_RUN:
-            # The engine may refuse a resumption, or be gone by then; that
-            # says nothing of the run that was begun.
+        if error.run is RunState.NOT_RUN:
+            # A resumption is refused by an engine that has ended, or has
+            # started again and knows nothing of it. That says nothing of the
+            # run that was begun, but that the engine died under it.
+            raise EngineCrashedError(error.message) from error
+        if self._failures > RESUME_ATTEMPTS:
             raise EngineError(error.message, RunState.UNKNOWN) from error
         _log.warning(
             "engine_stream_lost",
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -121,6 +121,15 @@
         super().__init__(message, RunState.NOT_RUN)
 
 
+class EngineCrashedError(EngineError):
+    """An engine ended, or forgot the request, while it ran it."""
+
+    code = "engine_crashed"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, RunState.UNKNOWN)
+
+
 class RequestRefusedError(LovagestageError):
     """A request gets a refusal instead of an answer.
 
@@ -221,6 +230,29 @@
     kind = "server_error"
 
 
+class UpstreamCrashedError(RequestRefusedError):
+    """The upstream died while it ran the request."""
+
+    code = "upstream_crashed"
+    status = 502
+    kind = "server_error"
+
+
+class RequestCrashesUpstreamsError(RequestRefusedError):
+    """The request has crashed each upstream that ran it."""
+
+    code = "request_crashes_upstreams"
+    status = 422
+
+
+class SuspectWaitingError(RequestRefusedError):
+    """The request was in flight at crashes and waits to be run apart."""
+
+    code = "suspect_waiting"
+    status = 503
+    kind = "overloaded_error"
+
+
 class UpstreamFailedError(RequestRefusedError):
     """The upstream answered with an error after it took the request."""
 
@@ -250,6 +282,9 @@
         NotReadyError,
         UpstreamLostError,
         DispatchLostError,
+        UpstreamCrashedError,
+        RequestCrashesUpstreamsError,
+        SuspectWaitingError,
         UpstreamFailedError,
         DeadlineExceededError,
     )
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -9,10 +9,19 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.types import RequestId, RunState, VmId, WorkspaceId, ZoneId
+from lovagestage.types import (
+    Fingerprint,
+    RequestId,
+    RunState,
+    VmId,
+    WorkspaceId,
+    ZoneId,
+)
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
@@ -81,6 +90,8 @@
         incarnation: The process that may run it; 0 is any. A restarted
             sidecar remembers nothing and must not run what was meant for
             the one before.
+        strikes: Crashes at which the request was in flight.
+        probe: It must not run beside others that have strikes.
     """
 
     request_id: RequestId
@@ -93,6 +104,8 @@
     stream: bool
     body: bytes
     incarnation: int = 0
+    strikes: int = 0
+    probe: bool = False
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
@@ -226,7 +239,35 @@
     payload: bytes
 
 
-EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest
+class CrashReportKind(enum.Enum):
+    """What an entry has learnt of a request that may crash upstreams."""
+
+    STRIKE = "strike"
+    PROBE = "probe"
+    PROBE_ENDED = "probe_ended"
+    CLEARED = "cleared"
+    CONVICTED = "convicted"
+
+
+class CrashReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="crash_report"
+):
+    """What an entry tells the others of one request.
+
+    Attributes:
+        kind: What happened.
+        fingerprint: The request.
+        run: Names the attempt.
+    """
+
+    kind: CrashReportKind
+    fingerprint: Fingerprint
+    run: str
+
+
+EntryMessage = (
+    CrashReport | Hello | Dispatch | Attach | Ack | Cancel | DumpRequest
+)
 SidecarMessage = Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer
 Message = EntryMessage | SidecarMessage | Ask | Reply
 
--- a/src/lovagestage/retries.py
+++ b/src/lovagestage/retries.py
@@ -8,7 +8,9 @@
     DeadlineExceededError,
     DispatchLostError,
     ModelNotAllowedError,
+    RequestCrashesUpstreamsError,
     RequestRefusedError,
+    SuspectWaitingError,
 )
 from lovagestage.types import RunState
 
@@ -21,8 +23,13 @@
 """Retries that may be saved up: one upstream's loss fails all that it runs
 at once, and those are to be answered."""
 COME_BACK_S = 1
+PROBE_WAIT_S = 0.1
 
-_FINAL = (DeadlineExceededError, ModelNotAllowedError)
+_FINAL = (
+    DeadlineExceededError,
+    ModelNotAllowedError,
+    RequestCrashesUpstreamsError,
+)
 
 
 class RetryBudget:
@@ -115,6 +122,11 @@
     A request that would only be tried again after its deadline is given up
     now: its caller can use the time.
     """
+    if isinstance(failure.error, SuspectWaitingError):
+        # Probes run one at a time; the wait for a turn puts no load on the
+        # upstreams and takes nothing from the budget.
+        delay_s = PROBE_WAIT_S * (0.5 + jitter)
+        return delay_s if delay_s < failure.remaining_s else None
     if not is_retryable(failure):
         return None
     delay_s = get_backoff_s(failure.attempts, jitter)
@@ -125,7 +137,7 @@
 
 def is_upstream_at_fault(error: RequestRefusedError) -> bool:
     """Whether the next attempt should go to another upstream."""
-    return not isinstance(error, DispatchLostError)
+    return not isinstance(error, DispatchLostError | SuspectWaitingError)
 
 
 def make_final_error(
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -16,7 +16,7 @@
 from lovagestage.adapters import Engine
 from lovagestage.engine_stream import EngineStream
 from lovagestage.events import Usage, make_plain_answer
-from lovagestage.exceptions import EngineError
+from lovagestage.exceptions import EngineCrashedError, EngineError
 from lovagestage.hub import Hub
 from lovagestage.messages import (
     Accepted,
@@ -117,6 +117,21 @@
         run.task.cancel()
         await self._engine.cancel(message.request_id)
 
+    def is_barred_beside(self, dispatch: Dispatch) -> bool:
+        """Whether a request with strikes may not run beside what runs.
+
+        A crash during a probe convicts the probe; were another request with
+        strikes beside it, the wrong one could be convicted.
+        """
+        if not dispatch.strikes:
+            return False
+        return any(
+            run.end is None
+            and run.dispatch.strikes > 0
+            and (dispatch.probe or run.dispatch.probe)
+            for run in self._runs.values()
+        )
+
     def drop_peer(self, peer: PeerId) -> None:
         """Forgets a connection that has gone silent."""
         for run in self._runs.values():
@@ -249,8 +264,10 @@
 def _make_engine_refusal(run: Run, error: EngineError) -> Refused:
     if error.run is RunState.NOT_RUN:
         return _make_refusal(run, "no_capacity", error.message, error.run, 1)
+    crashed = isinstance(error, EngineCrashedError)
+    code = "upstream_crashed" if crashed else "upstream_failed"
     state = RunState.RAN if run.chunks else error.run
-    return _make_refusal(run, "upstream_failed", error.message, state)
+    return _make_refusal(run, code, error.message, state)
 
 
 def _make_refusal(
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -164,6 +164,8 @@
             return "no_capacity", "The upstream is leaving."
         if self._runs.running >= self._role.max_running:
             return "no_capacity", "The upstream is full."
+        if self._runs.is_barred_beside(dispatch):
+            return "suspect_waiting", "A request is being probed here."
         service = self._control.folded.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -15,6 +15,8 @@
 VersionId = NewType("VersionId", str)
 RequestId = NewType("RequestId", str)
 ChangeId = NewType("ChangeId", str)
+Fingerprint = NewType("Fingerprint", str)
+"""Hash of a request's workspace and body."""
 Offset = NewType("Offset", int)
 """Position of a record in one stream of the log, from 0."""
 FencingNumber = NewType("FencingNumber", int)
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -16,6 +16,7 @@
 
 from lovagestage.adapters import HttpEngine, HttpLog, HttpVmList
 from lovagestage.control import ControlReader
+from lovagestage.crash_watch import CrashWatch
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
 from lovagestage.hub import Hub
@@ -128,7 +129,11 @@
     watch.subscribe(upstreams.apply_vm_list)
     watch.subscribe(peers.apply_vm_list)
     dispatcher = Dispatcher(
-        upstreams, settings.zone, random.Random(), base.timers
+        upstreams,
+        settings.zone,
+        random.Random(),
+        base.timers,
+        CrashWatch(peers, base.hub),
     )
     entry = Entry(
         settings,
