Stop without cutting slow readers or kept-alive callers

Cause: with a credit window a run may end at the engine before its reader has all of it, so a stopping sidecar could cut a slow caller's stream; a leaving entry went on answering with kept-alive connections. Change: a sidecar's drain waits until each reader has the end; a leaving entry answers with Connection: close. Conclusion: a planned stop of either role cuts nothing in these cases.

--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -121,11 +121,22 @@
             client_max_size=self._settings.max_body_bytes,
             middlewares=[self._handle_errors],
         )
+        app.on_response_prepare.append(self._on_response_prepare)
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_post("/v1/chat/completions", self._post_chat)
         return app
 
+    async def _on_response_prepare(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        del request
+        if self.leaving:
+            # A balancer that keeps connections open would go on sending
+            # requests on them until the process ends and cuts one off.
+            response.headers["Connection"] = "close"
+            response.force_close()
+
     @web.middleware
     async def _handle_errors(
         self, request: web.Request, handler: Handler
--- a/src/lovagestage/readers.py
+++ b/src/lovagestage/readers.py
@@ -118,6 +118,12 @@
         fastest = max(reader.acked_seq for reader in self.readers.values())
         return self.size_bytes - self.sizes[fastest] > PAUSE_BYTES
 
+    def is_delivered(self) -> bool:
+        """Whether it has ended and each reader has had all of it."""
+        return self.end is not None and all(
+            reader.ended for reader in self.readers.values()
+        )
+
     def pump(self, reader: Reader, send: Send) -> None:
         """Sends what the reader's window has room for."""
         while reader.next_seq < len(self.chunks):
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -33,6 +33,7 @@
 from lovagestage.transport import PeerId
 from lovagestage.types import RunState
 
+DELIVERY_POLL_S = 0.05
 TOMBSTONES = 50_000
 TOMBSTONE_KEEP_S = 3_600.0
 
@@ -137,6 +138,15 @@
         for run in self._runs.values():
             run.remove_reader(peer)
 
+    async def wait_until_delivered(self) -> None:
+        """Waits until all runs have ended and their readers have the end.
+
+        A run may end at the engine while its reader's window is full; a
+        process that stopped then would cut the stream of a slow caller.
+        """
+        while not all(run.is_delivered() for run in self._runs.values()):
+            await asyncio.sleep(DELIVERY_POLL_S)
+
     def on_timer(self) -> None:
         """Sends what could not be sent, and forgets what has expired."""
         for run in self._runs.values():
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -97,7 +97,8 @@
         _log.info("drain_started", extra={"running": self._runs.running})
         try:
             await asyncio.wait_for(
-                self._runs.idle.wait(), self._role.drain_timeout_s
+                self._runs.wait_until_delivered(),
+                self._role.drain_timeout_s,
             )
         except TimeoutError:
             _log.warning("drain_timeout", extra={"running": self._runs.running})
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,128 @@
+"""What leaves gets nothing new, and what is open goes on to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import threading
+import time
+
+import pytest
+
+from lab.demo import make_client
+from lab.fleet import SHAPES, Fleet
+from lovagestage.messages import Ack, Chunk, Finished
+from tests.test_connections import StreamReader, post_plain, wait_for_runs
+from tests.test_runs import (
+    KEY,
+    FakeEngine,
+    make_dispatch,
+    make_table,
+    wait_for_quiet,
+)
+from tests.test_thin_path import MESSAGES, get_expected_text
+
+LEAVING_S = 2.0
+LISTED_S = 4.0
+
+
+@pytest.fixture
+def fleet():
+    with Fleet(SHAPES["thin"]) as started:
+        yield started
+
+
+def count_runs(fleet: Fleet, engine: str) -> int:
+    return sum(fleet.get_stats(engine)["runs"].values())
+
+
+def test_kept_alive_connection_of_a_leaving_entry_is_served_then_closed(fleet):
+    # The caller's request on a connection that it keeps open is answered
+    # after the entry was told to stop; the answer says that the connection
+    # closes, so that the next request goes elsewhere. A caller that holds an
+    # idle connection does not hold up the stop.
+    port = fleet.entries[0].port
+    kept = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+    idle = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+    headers = {"Authorization": "Bearer key-audit"}
+    for connection in (kept, idle):
+        connection.request("GET", "/v1/models", headers=headers)
+        assert connection.getresponse().read()
+    codes = []
+    stop = threading.Thread(target=lambda: codes.append(fleet.stop("entry-0")))
+    stop.start()
+    time.sleep(0.3)
+    body = {"model": "large@1", "messages": MESSAGES, "max_tokens": 300}
+    kept.request(
+        "POST", "/v1/chat/completions", json.dumps(body), headers=headers
+    )
+    response = kept.getresponse()
+    answer = json.loads(response.read())
+    assert response.headers["Connection"] == "close"
+    text = answer["choices"][0]["message"]["content"]
+    assert text == get_expected_text("large@1", 300)
+    stop.join(10)
+    assert codes == [0]
+
+
+def test_stopping_sidecar_gets_nothing_new_and_cuts_nothing(fleet):
+    # Callers see no refusal. SIGTERM reaches a sidecar with a stream open;
+    # from two seconds on no new request runs there, and the stream ends whole.
+    readers = [StreamReader(fleet, 400) for _ in range(6)]
+    wait_for_runs(fleet, 6)
+    codes = []
+    stop = threading.Thread(
+        target=lambda: codes.append(fleet.stop("sidecar-0"))
+    )
+    stop.start()
+    start_s = time.monotonic()
+    seen = None
+    while time.monotonic() < start_s + LEAVING_S + 1:
+        if seen is None and time.monotonic() > start_s + LEAVING_S:
+            seen = count_runs(fleet, "engine-0")
+        assert post_plain(fleet, "restore")[0].status == 200
+    assert count_runs(fleet, "engine-0") == seen
+    for reader in readers:
+        reader.join(20)
+        assert reader.text == get_expected_text("large@1", 400)
+    stop.join(10)
+    assert codes == [0]
+
+
+def test_upstream_listed_as_leaving_gets_nothing_new(fleet):
+    # The sidecar does not know yet; the platform's list, which lags a second,
+    # says that its VM is leaving.
+    bus = fleet.children["sidecar-0"].bus
+    entry = {"vm": "sidecar-0", "role": "sidecar", "zone": "lhe-a"}
+    fleet.tell_vm("sidecar-0", {**entry, "bus": bus, "state": "leaving"})
+    time.sleep(LISTED_S)
+    before = count_runs(fleet, "engine-0")
+    client = make_client(fleet)
+    for _ in range(12):
+        client.chat.completions.create(
+            model="large@1", messages=MESSAGES, max_tokens=1
+        )
+    assert count_runs(fleet, "engine-0") == before
+    assert count_runs(fleet, "engine-1") >= 12
+
+
+async def test_stop_waits_for_a_slow_reader_to_get_the_end():
+    # The engine is done and the sidecar told to stop, but the caller reads
+    # slowly and its window is full: ending now would cut its stream.
+    engine = FakeEngine(200)
+    table, hub = make_table(engine)
+    table.start(b"entry", make_dispatch())
+    await wait_for_quiet(engine)
+    assert engine.made == 200
+    with pytest.raises(TimeoutError):
+        await wait_delivered(table, 0.2)
+    while not hub.get(Finished):
+        last = hub.get(Chunk)[-1]
+        table.acknowledge(b"entry", Ack(*KEY, last.seq + last.count))
+    await wait_delivered(table, 0.2)
+
+
+async def wait_delivered(table, timeout_s: float) -> None:
+
+    await asyncio.wait_for(table.wait_until_delivered(), timeout_s)
