--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -142,11 +142,22 @@
             client_max_size=self._settings.max_body_bytes,
             middlewares=[self._handle_errors],
         )
+        app.on_response_prepare.append(self._on_response_prepare)
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_post("/v1/chat/completions", self._post_chat)
         return app
 
+    async def _on_response_prepare(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        del request
+        if self.leaving:
+            # A balancer that keeps connections open would go on sending
+            # requests on them until the process ends and cuts one off.
+            response.headers["Connection"] = "close"
+            response.force_close()
+
     @web.middleware
     async def _handle_errors(
         self, request: web.Request, handler: Handler
@@ -330,34 +341,44 @@
         admitted: Request,
         result: Result,
     ) -> web.StreamResponse:
-        # The first chunk is awaited before the status is sent, so that a
-        # request refused before it has an error status of its own.
-        first = await anext(parts, b"")
-        response = web.StreamResponse(
-            headers=_make_headers(admitted, result)
-            | self._make_session_headers(caller, admitted, result)
-        )
-        response.content_type = "text/event-stream"
-        await response.prepare(request)
-        billed = _get_billed(admitted, result)
-        stream = BilledStream(billed, result, self._billing)
         try:
-            await response.write(stream.add(first))
-            async for part in parts:
-                await response.write(stream.add(part))
-            await response.write(await stream.end(time.time()))
-        except RequestRefusedError as error:
-            body = msgspec.json.encode(make_error_body(error))
-            await response.write(b"data: " + body + b"\n\n")
-        except (ConnectionError, asyncio.CancelledError):
-            stream.cancel(time.time())
-            raise
+            # The first chunk is awaited before the status is sent, so that a
+            # request refused before it has an error status of its own.
+            first = await anext(parts, b"")
+            response = web.StreamResponse(
+                headers=_make_headers(admitted, result)
+                | self._make_session_headers(caller, admitted, result)
+            )
+            response.content_type = "text/event-stream"
+            await response.prepare(request)
+            billed = _get_billed(admitted, result)
+            stream = BilledStream(billed, result, self._billing)
+            await _write_parts(response, first, parts, stream)
         finally:
             await parts.aclose()  # type: ignore[attr-defined]
         await response.write_eof()
         return response
 
 
+async def _write_parts(
+    response: web.StreamResponse,
+    first: bytes,
+    parts: AsyncIterator[bytes],
+    stream: BilledStream,
+) -> None:
+    try:
+        await response.write(stream.add(first))
+        async for part in parts:
+            await response.write(stream.add(part))
+        await response.write(await stream.end(time.time()))
+    except RequestRefusedError as error:
+        body = msgspec.json.encode(make_error_body(error))
+        await response.write(b"data: " + body + b"\n\n")
+    except (ConnectionError, asyncio.CancelledError):
+        stream.cancel(time.time())
+        raise
+
+
 def resolve_version(name: str, caller: Caller, spec: ClassSpec) -> ModelVersion:
     """Finds the version that a request gets.
 
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -11,28 +11,41 @@
 
 import msgspec
 
+from lovagestage.attempts import Attempt, AttemptKey
+from lovagestage.crash_suspects import get_fingerprint
+from lovagestage.crash_watch import CrashWatch
 from lovagestage.exceptions import (
     REFUSALS,
     DeadlineExceededError,
     NoCapacityError,
     RequestRefusedError,
+    SuspectWaitingError,
+    UpstreamCrashedError,
     UpstreamFailedError,
     UpstreamLostError,
 )
 from lovagestage.key_messages import RunId
 from lovagestage.messages import (
     Accepted,
-    Attach,
-    Cancel,
     Chunk,
     Dispatch,
     Finished,
     Message,
     Refused,
 )
+from lovagestage.retries import (
+    COME_BACK_S,
+    Failure,
+    RetryBudget,
+    get_retry_delay_s,
+    is_upstream_at_fault,
+    make_final_error,
+)
 from lovagestage.routing import choose_upstream
 from lovagestage.sessions import Session, is_pinned
+from lovagestage.timers import TimerService
 from lovagestage.types import (
+    Fingerprint,
     ModelVersion,
     RequestId,
     RunState,
@@ -45,13 +58,10 @@
 
 _log = logging.getLogger(__name__)
 
-MAX_ATTEMPTS = 4
-LOST_AFTER_S = 5.0
-"""An upstream that stays silent for so long, over reconnections, is lost."""
-POLL_S = 0.5
-
-AttemptKey = tuple[RequestId, int]
-Event = Accepted | Chunk | Finished | Refused
+CHECK_INTERVAL_S = 0.25
+RETURN_POLL_S = 0.05
+ATTACH_AFTER_S = 1.0
+"""A run that says nothing for so long is asked for what is missing."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,58 +93,6 @@
     session: Session | None = None
 
 
-class Attempt:
-    """One run of a request, read in order.
-
-    Attributes:
-        key: Request id and attempt number.
-        vm: The upstream.
-        accepted: Whether the sidecar may have run it.
-        next_seq: Next chunk that is expected.
-    """
-
-    def __init__(self, key: AttemptKey, vm: VmId) -> None:
-        self.key = key
-        self.vm = vm
-        self.accepted = False
-        self.next_seq = 0
-        self.last_event_s = time.monotonic()
-        self._early: dict[int, Chunk] = {}
-        self._end: Finished | Refused | None = None
-        self._ready: asyncio.Queue[Chunk | Finished | Refused] = asyncio.Queue()
-
-    def add(self, event: Event) -> None:
-        """Takes an event; late and repeated chunks are dropped."""
-        self.last_event_s = time.monotonic()
-        match event:
-            case Accepted():
-                self.accepted = True
-            case Chunk():
-                self.accepted = True
-                if event.seq >= self.next_seq:
-                    self._early[event.seq] = event
-            case _:
-                self._end = event
-        self._release()
-
-    async def get(self, timeout_s: float) -> Chunk | Finished | Refused | None:
-        """Next chunk in order, or the end; None after `timeout_s`."""
-        try:
-            return await asyncio.wait_for(self._ready.get(), timeout_s)
-        except TimeoutError:
-            return None
-
-    def _release(self) -> None:
-        while self.next_seq in self._early:
-            self._ready.put_nowait(self._early.pop(self.next_seq))
-            self.next_seq += 1
-        end = self._end
-        if end is None:
-            return
-        if isinstance(end, Refused) or end.chunks == self.next_seq:
-            self._ready.put_nowait(end)
-
-
 @dataclasses.dataclass
 class Result:
     """What is known of an answer once it is whole.
@@ -145,12 +103,27 @@
         request_id: The request whose run is read, where another one with
             the same key has started it; the bill is that one's.
         finished: Token counts and digest.
+        waits: Attempts that were refused until a probe has ended.
+        run: Whether any attempt that failed was run.
+        passed_on: Whether the caller has had a part of the answer.
     """
 
     version: ModelVersion
     attempts: int = 0
     request_id: RequestId | None = None
     finished: Finished | None = None
+    waits: int = 0
+    run: RunState = RunState.NOT_RUN
+    passed_on: bool = False
+
+    def note_failure(
+        self, error: RequestRefusedError, attempt: Attempt
+    ) -> None:
+        """Keeps what is known of the run over all attempts."""
+        self.passed_on = self.passed_on or attempt.passed_on
+        self.waits += isinstance(error, SuspectWaitingError)
+        if error.run is not RunState.NOT_RUN:
+            self.run = error.run
 
 
 class Dispatcher:
@@ -160,16 +133,26 @@
         upstreams: Connections to sidecars.
         zone: The entry's availability zone.
         rng: Source of randomness for choices.
+        timers: Timer service.
+        crashes: Requests that may crash upstreams.
     """
 
     def __init__(
-        self, upstreams: UpstreamTable, zone: ZoneId, rng: random.Random
+        self,
+        upstreams: UpstreamTable,
+        zone: ZoneId,
+        rng: random.Random,
+        timers: TimerService,
+        crashes: CrashWatch,
     ) -> None:
         self._upstreams = upstreams
+        self._crashes = crashes
         self._zone = zone
         self._rng = rng
+        self._budget = RetryBudget(time.monotonic())
         self._attempts: dict[AttemptKey, list[Attempt]] = {}
-        upstreams.subscribe(self._on_message, self._on_reconnect)
+        upstreams.subscribe(self._on_message, self._on_reconnect, self._on_gone)
+        timers.subscribe(CHECK_INTERVAL_S, self._on_check_due)
 
     async def run(
         self, request: Request, result: Result
@@ -183,82 +166,108 @@
         Raises:
             RequestRefusedError: There is no whole answer; says what was run.
         """
+        self._budget.note_request(time.monotonic())
+        try:
+            async for data in self._run(request, result):
+                yield data
+        except RequestRefusedError as error:
+            if error.run is RunState.NOT_RUN:
+                # The last attempt may not have run while one before did.
+                error.run = result.run
+            raise
+
+    async def _run(
+        self, request: Request, result: Result
+    ) -> AsyncIterator[bytes]:
+        name = get_fingerprint(request.workspace, request.body)
         excluded: set[VmId] = set()
         while True:
-            attempt = self._start_attempt(request, result, excluded)
+            tried = result.attempts
             try:
-                async for data in self._read(request, attempt, result):
+                async for data in self._try(request, result, name, excluded):
                     yield data
                 return
             except RequestRefusedError as error:
-                if not self._may_retry(request, attempt, result, error):
+                if result.attempts == tried:
                     raise
-                excluded.add(attempt.vm)
-                _log.info(
-                    "request_retried",
-                    extra={"request": request.request_id, "code": error.code},
-                )
-            finally:
-                self._end_attempt(attempt, result)
-
-    def get_sizes(self) -> dict[str, int]:
-        """Sizes of the tables, for the state dump."""
-        return {"attempts": len(self._attempts)}
+                failure = _make_failure(request, result, error)
+            delay_s = get_retry_delay_s(
+                failure, self._budget, time.monotonic(), self._rng.random()
+            )
+            if delay_s is None:
+                raise make_final_error(failure)
+            _log.info(
+                "request_retried",
+                extra={
+                    "request": request.request_id,
+                    "code": failure.error.code,
+                },
+            )
+            await asyncio.sleep(delay_s)
 
-    def _may_retry(
+    async def _try(
         self,
         request: Request,
-        attempt: Attempt,
         result: Result,
-        error: RequestRefusedError,
-    ) -> bool:
-        if result.attempts >= MAX_ATTEMPTS or attempt.next_seq > 0:
-            return False
-        if isinstance(error, DeadlineExceededError):
-            return False
-        return error.run is RunState.NOT_RUN or request.repeatable
-
-    def choose(self, request: Request, excluded: set[VmId]) -> VmId:
-        """Chooses the upstream of the next attempt.
-
-        Raises:
-            NoCapacityError: None can take the request now.
-        """
-        vm = choose_upstream(
-            self._upstreams.get_views(),
-            str(request.version),
-            self._zone,
-            frozenset(excluded),
-            self._rng,
-        )
-        if vm is None:
-            raise NoCapacityError(
-                f"No upstream can take {str(request.version)!r} now.",
-                RunState.NOT_RUN,
-                retry_after_s=1,
+        name: Fingerprint,
+        excluded: set[VmId],
+    ) -> AsyncIterator[bytes]:
+        run = f"{request.request_id}/{result.attempts + 1}"
+        probe = await self._crashes.admit(name, run, request.deadline_at_s)
+        with self._crashes.watch(name, run, probe):
+            attempt = await self._start_attempt(
+                request,
+                result,
+                excluded,
+                self._crashes.get_strikes(name),
+                probe,
             )
-        return vm
+            try:
+                async for data in self._read(request, attempt, result):
+                    yield data
+                return
+            except RequestRefusedError as error:
+                result.note_failure(error, attempt)
+                if is_upstream_at_fault(error):
+                    excluded.add(attempt.vm)
+                raise
+            finally:
+                self._end_attempt(attempt, result)
+
+    def get_sizes(self) -> dict[str, int]:
+        """Sizes of the tables, for the state dump."""
+        return {
+            "attempts": len(self._attempts),
+            "crash_suspects": len(self._crashes),
+            "retry_budget": int(self._budget.tokens),
+        }
 
     async def run_claimed(
         self, request: Request, run: RunId, result: Result
     ) -> AsyncIterator[bytes]:
         """Starts the run that a request key was claimed for; reads it."""
-        attempt = self._open((run.request_id, run.attempt), run.sidecar)
-        dispatch = msgspec.structs.replace(
-            self._make_dispatch(request, attempt),
-            incarnation=run.incarnation,
-            permit_ms=run.permit_ms,
-        )
-        self._upstreams.send(run.sidecar, dispatch)
-        async for data in self._follow(request, attempt, result):
-            yield data
+        name = get_fingerprint(request.workspace, request.body)
+        label = f"{run.request_id}/{run.attempt}"
+        probe = await self._crashes.admit(name, label, request.deadline_at_s)
+        with self._crashes.watch(name, label, probe):
+            attempt = self._open_run(run)
+            dispatch = msgspec.structs.replace(
+                self._make_dispatch(
+                    request, attempt, self._crashes.get_strikes(name), probe
+                ),
+                keyed=True,
+                permit_ms=run.permit_ms,
+            )
+            self._upstreams.send(run.sidecar, dispatch)
+            async for data in self._follow(request, attempt, result):
+                yield data
 
     async def join(
         self, request: Request, run: RunId, result: Result
     ) -> AsyncIterator[bytes]:
         """Reads a run that another request with the same key has started."""
-        attempt = self._open((run.request_id, run.attempt), run.sidecar)
-        self._upstreams.send(run.sidecar, Attach(*attempt.key, from_seq=0))
+        attempt = self._open_run(run)
+        self._upstreams.send(run.sidecar, attempt.make_attach())
         async for data in self._follow(request, attempt, result):
             yield data
 
@@ -273,17 +282,63 @@
         finally:
             self._close(attempt)
 
-    def _start_attempt(
-        self, request: Request, result: Result, excluded: set[VmId]
+    async def choose(self, request: Request, excluded: set[VmId]) -> VmId:
+        """Chooses the upstream of the next attempt.
+
+        Raises:
+            NoCapacityError: None can take the request now.
+        """
+        version = str(request.version)
+        while True:
+            vm = choose_upstream(
+                self._upstreams.get_views(),
+                version,
+                self._zone,
+                frozenset(excluded),
+                self._rng,
+            )
+            if vm is not None:
+                return vm
+            if not self._upstreams.may_return(version, excluded) or (
+                time.monotonic() + RETURN_POLL_S >= request.deadline_at_s
+            ):
+                raise NoCapacityError(
+                    f"No upstream can take {version!r} now.",
+                    RunState.NOT_RUN,
+                    retry_after_s=COME_BACK_S,
+                )
+            # All connections may have gone silent together, with nothing
+            # wrong at their ends. New ones are seconds away at most: by then
+            # a link has answered or is lost.
+            await asyncio.sleep(RETURN_POLL_S)
+
+    async def _start_attempt(
+        self,
+        request: Request,
+        result: Result,
+        excluded: set[VmId],
+        strikes: int,
+        probe: bool,
     ) -> Attempt:
-        vm = self.choose(request, excluded)
+        vm = await self.choose(request, excluded)
         result.attempts += 1
-        attempt = self._open((request.request_id, result.attempts), vm)
-        self._upstreams.send(vm, self._make_dispatch(request, attempt))
+        heartbeat = self._upstreams.get_heartbeat(vm)
+        attempt = self._open(
+            (request.request_id, result.attempts),
+            vm,
+            heartbeat.incarnation if heartbeat else 0,
+        )
+        self._upstreams.send(
+            vm, self._make_dispatch(request, attempt, strikes, probe)
+        )
         return attempt
 
-    def _open(self, key: AttemptKey, vm: VmId) -> Attempt:
-        attempt = Attempt(key, vm)
+    def _open_run(self, run: RunId) -> Attempt:
+        key = (run.request_id, run.attempt)
+        return self._open(key, run.sidecar, run.incarnation)
+
+    def _open(self, key: AttemptKey, vm: VmId, incarnation: int) -> Attempt:
+        attempt = Attempt(key, vm, incarnation)
         self._attempts.setdefault(key, []).append(attempt)
         link = self._upstreams.links.get(vm)
         if link is not None:
@@ -299,7 +354,12 @@
         if link is not None and link.in_use > 0:
             link.in_use -= 1
 
-    def _make_dispatch(self, request: Request, attempt: Attempt) -> Dispatch:
+    def _get_attempts(self) -> list[Attempt]:
+        return [each for readers in self._attempts.values() for each in readers]
+
+    def _make_dispatch(
+        self, request: Request, attempt: Attempt, strikes: int, probe: bool
+    ) -> Dispatch:
         return Dispatch(
             *attempt.key,
             request.workspace,
@@ -310,39 +370,68 @@
             request.stream,
             request.body,
             is_pinned(request.session, request.version),
+            attempt.incarnation,
+            strikes=strikes,
+            probe=probe,
         )
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
         self._close(attempt)
         if result.finished is None:
-            self._upstreams.send(attempt.vm, Cancel(*attempt.key))
+            self._upstreams.send(attempt.vm, attempt.make_cancel())
 
     async def _read(
         self, request: Request, attempt: Attempt, result: Result
+    ) -> AsyncIterator[bytes]:
+        deadline = asyncio.get_running_loop().call_later(
+            request.deadline_at_s - time.monotonic(),
+            attempt.fail,
+            DeadlineExceededError("The deadline has passed.", RunState.UNKNOWN),
+        )
+        try:
+            async for data in self._read_outcomes(attempt, result):
+                yield data
+        finally:
+            deadline.cancel()
+
+    async def _read_outcomes(
+        self, attempt: Attempt, result: Result
     ) -> AsyncIterator[bytes]:
         while True:
-            event = await attempt.get(POLL_S)
-            match event:
-                case None:
-                    self._check_time(request, attempt)
+            outcome = await attempt.get()
+            match outcome:
                 case Chunk():
-                    yield event.data
+                    yield outcome.data
+                    # Only what the caller has taken is acknowledged, so that
+                    # a slow one holds up its own run and nothing else.
+                    ack = attempt.make_ack(outcome)
+                    if ack is not None:
+                        self._upstreams.send(attempt.vm, ack)
                 case Finished():
-                    result.finished = event
+                    result.finished = outcome
                     return
                 case Refused():
-                    raise _make_refusal(event)
+                    raise _make_refusal(outcome)
+                case _:
+                    raise outcome
 
-    def _check_time(self, request: Request, attempt: Attempt) -> None:
-        run = RunState.UNKNOWN
+    def _on_check_due(self) -> None:
         now_s = time.monotonic()
-        if now_s > request.deadline_at_s:
-            raise DeadlineExceededError("The deadline has passed.", run)
-        link = self._upstreams.links.get(attempt.vm)
-        heard_s = link.heard_s if link else 0.0
-        latest_s = max(heard_s, attempt.last_event_s)
-        if link is None or now_s - latest_s > LOST_AFTER_S:
-            raise UpstreamLostError("The upstream was lost.", run)
+        for attempt in self._get_attempts():
+            link = self._upstreams.links.get(attempt.vm)
+            if link is None or self._upstreams.is_lost(link):
+                self._fail_lost(attempt, "The upstream is silent.")
+            elif attempt.is_idle and (
+                now_s - attempt.last_event_s > ATTACH_AFTER_S
+            ):
+                # The dispatch, or the answer's next part, may be lost on a
+                # connection that has gone silent since. Asking costs little:
+                # a sidecar that never saw the run bars it and says so.
+                attempt.last_event_s = now_s
+                self._upstreams.send(attempt.vm, attempt.make_attach())
+
+    def _fail_lost(self, attempt: Attempt, message: str) -> None:
+        attempt.fail(UpstreamLostError(message, RunState.UNKNOWN))
 
     def _on_message(self, vm: VmId, message: Message) -> None:
         del vm
@@ -353,10 +442,30 @@
             attempt.add(message)
 
     def _on_reconnect(self, vm: VmId) -> None:
-        for key, readers in self._attempts.items():
-            if readers[0].vm == vm:
-                from_seq = min(reader.next_seq for reader in readers)
-                self._upstreams.send(vm, Attach(*key, from_seq))
+        for attempt in self._get_attempts():
+            if attempt.vm == vm:
+                self._upstreams.send(vm, attempt.make_attach())
+
+    def _on_gone(self, vm: VmId) -> None:
+        for attempt in self._get_attempts():
+            if attempt.vm == vm:
+                attempt.fail(
+                    UpstreamCrashedError(
+                        "The upstream's sidecar has ended.", RunState.UNKNOWN
+                    )
+                )
+
+
+def _make_failure(
+    request: Request, result: Result, error: RequestRefusedError
+) -> Failure:
+    return Failure(
+        error,
+        result.attempts - result.waits,
+        result.passed_on,
+        request.repeatable,
+        request.deadline_at_s - time.monotonic(),
+    )
 
 
 def _make_refusal(refused: Refused) -> RequestRefusedError:
--- a/src/lovagestage/keyed_runs.py
+++ b/src/lovagestage/keyed_runs.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import AsyncIterator
 
-from lovagestage.dispatcher import MAX_ATTEMPTS, Dispatcher, Request, Result
+from lovagestage.dispatcher import Dispatcher, Request, Result
 from lovagestage.exceptions import (
     DeadlineExceededError,
     KeyHistoryLostError,
@@ -32,6 +32,7 @@
     RunKnown,
 )
 from lovagestage.key_service import KeyService
+from lovagestage.retries import MAX_ATTEMPTS
 from lovagestage.types import RunState, VmId, parse_model_version
 from lovagestage.upstreams import UpstreamTable
 
@@ -143,7 +144,7 @@
         """
         search.is_finding = True
         try:
-            run = self._choose_run(request, number, search.excluded)
+            run = await self._choose_run(request, number, search.excluded)
         except NoCapacityError:
             # An earlier request may have run all the same: without this
             # question, "not run" would be said of a key that has.
@@ -156,10 +157,10 @@
         search.is_finding = False
         return entry, entry.run.request_id == request.request_id
 
-    def _choose_run(
+    async def _choose_run(
         self, request: Request, number: int, excluded: set[VmId]
     ) -> RunId:
-        vm = self._dispatcher.choose(request, excluded)
+        vm = await self._dispatcher.choose(request, excluded)
         heartbeat = self._upstreams.get_heartbeat(vm)
         assert heartbeat is not None
         return RunId(
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -1,8 +1,8 @@
 """Messages between the system's processes, MessagePack over pyzmq.
 
-An entry connects to a sidecar and sends `Hello`, `Dispatch`, `Attach` and
-`Cancel`; the sidecar answers with the rest. A run is named by the request id
-together with the attempt number; frames of another attempt are dropped.
+An entry connects to a sidecar and sends `Hello`, `Dispatch`, `Attach`, `Ack`
+and `Cancel`; the sidecar answers with the rest. A run is named by the request
+id together with the attempt number; frames of another attempt are dropped.
 Messages are arrays on the wire: a later version may only append fields that
 have defaults.
 """
@@ -26,6 +26,7 @@
 )
 from lovagestage.types import (
     FencingNumber,
+    Fingerprint,
     LeaseId,
     Offset,
     RequestId,
@@ -39,10 +40,19 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
-    """First message on a connection, and the entry's heartbeat."""
+    """First message on a connection, and the entry's heartbeat.
+
+    Attributes:
+        vm: The sender's VM.
+        incarnation: Start time of the process; a restart has a higher one.
+        sequence: Counts up on a link; its answer carries it back.
+        heard_sequence: Where this is an answer: the sequence it answers.
+    """
 
     vm: VmId
     incarnation: int
+    sequence: int = 0
+    heard_sequence: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
@@ -62,6 +72,7 @@
         control_offset: How far it has read the `control` stream.
         clock_ms: Its own clock, from which runs of keyed requests take
             their permit.
+        heard_sequence: Sequence of the latest `Hello` on this connection.
     """
 
     vm: VmId
@@ -76,6 +87,7 @@
     token_interval_ms: float
     control_offset: int
     clock_ms: int = 0
+    heard_sequence: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
@@ -93,9 +105,13 @@
         body: The request's JSON body for the engine.
         in_session: It goes on with an open session, so that a retired version
             takes it.
-        incarnation: Sidecar process that the run of a keyed request was
-            claimed for; 0 without a key.
-        permit_ms: That process's clock when it was chosen.
+        incarnation: The process that may run it; 0 is any. A restarted
+            sidecar remembers nothing and must not run what was meant for
+            the one before.
+        keyed: It was claimed under a request key.
+        permit_ms: That process's clock when it was chosen, where keyed.
+        strikes: Crashes at which the request was in flight.
+        probe: It must not run beside others that have strikes.
     """
 
     request_id: RequestId
@@ -109,15 +125,36 @@
     body: bytes
     in_session: bool = False
     incarnation: int = 0
+    keyed: bool = False
     permit_ms: int = 0
+    strikes: int = 0
+    probe: bool = False
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
-    """Asks for a run's chunks again, from `from_seq`."""
+    """Asks for a run's chunks again, from `from_seq`.
+
+    Where the sidecar never saw the run, it bars it and answers `not_run`.
+
+    Attributes:
+        request_id: The request.
+        attempt: The attempt.
+        from_seq: First chunk that is wanted.
+        incarnation: The process that was to run it; 0 is any.
+    """
 
     request_id: RequestId
     attempt: int
     from_seq: int
+    incarnation: int = 0
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag="ack"):
+    """The reader has passed on all chunks before `next_seq`."""
+
+    request_id: RequestId
+    attempt: int
+    next_seq: int
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
@@ -142,12 +179,14 @@
         attempt: The attempt.
         seq: Number of the chunk within the run, from 0.
         data: Bytes for the caller.
+        count: Number of chunks that are joined in `data`.
     """
 
     request_id: RequestId
     attempt: int
     seq: int
     data: bytes
+    count: int = 1
 
 
 class Finished(msgspec.Struct, frozen=True, array_like=True, tag="finished"):
@@ -257,6 +296,32 @@
     payload: bytes
 
 
+class CrashReportKind(enum.Enum):
+    """What an entry has learnt of a request that may crash upstreams."""
+
+    STRIKE = "strike"
+    PROBE = "probe"
+    PROBE_ENDED = "probe_ended"
+    CLEARED = "cleared"
+    CONVICTED = "convicted"
+
+
+class CrashReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="crash_report"
+):
+    """What an entry tells the others of one request.
+
+    Attributes:
+        kind: What happened.
+        fingerprint: The request.
+        run: Names the attempt.
+    """
+
+    kind: CrashReportKind
+    fingerprint: Fingerprint
+    run: str
+
+
 class OrderState(enum.Enum):
     """What became of an order to an engine."""
 
@@ -337,11 +402,11 @@
     last_number: int
 
 
-EntryMessage = Hello | Dispatch | Attach | Cancel | DumpRequest | Order
+EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-PeerMessage = BillCopy | BillCopied | BillRelease
+PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
     Claim
--- a/src/lovagestage/operator_client.py
+++ b/src/lovagestage/operator_client.py
@@ -306,7 +306,7 @@
             answer.set_result(message.state)
 
     connections = [
-        Connection(context, bus, address, key, on_message)
+        Connection(context, bus, address, key, on_message, lambda event: None)
         for key in bus.accepted_keys
     ]
     try:
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -20,6 +20,7 @@
 from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
 from lovagestage.messages import (
+    Ack,
     Attach,
     Cancel,
     Dispatch,
@@ -38,9 +39,14 @@
 
 _log = logging.getLogger(__name__)
 
-PEER_TIMEOUT_S = 10.0
 EXPIRY_INTERVAL_S = 1.0
-_PASSING = ("no_capacity", "version_withdrawn", "not_ready")
+_PASSING = (
+    "no_capacity",
+    "version_withdrawn",
+    "not_ready",
+    "dispatch_lost",
+    "suspect_waiting",
+)
 """Refusals that a retry helps against: another upstream may have room, and
 the entry will have read the document that this process has."""
 _NO_LOAD = EngineLoad(0, 0, 0, 0.0, 0.0)
@@ -86,6 +92,7 @@
         hub.register(Hello, self._on_hello)
         hub.register(Dispatch, self._on_dispatch)
         hub.register(Attach, self._on_attach)
+        hub.register(Ack, self._on_ack)
         hub.register(Cancel, self._on_cancel)
         hub.register(DumpRequest, self._on_dump_request)
 
@@ -102,19 +109,38 @@
         _log.info("drain_started", extra={"running": self._runs.running})
         try:
             await asyncio.wait_for(
-                self._runs.idle.wait(), self._role.drain_timeout_s
+                self._runs.wait_until_delivered(),
+                self._role.drain_timeout_s,
             )
         except TimeoutError:
             _log.warning("drain_timeout", extra={"running": self._runs.running})
 
     def _on_hello(self, peer: PeerId, message: Message) -> None:
-        del message
+        assert isinstance(message, Hello)
         self._peers[peer] = time.monotonic()
-        self._hub.send(peer, self._make_heartbeat())
+        self._hub.send(peer, self._make_heartbeat(message.sequence))
 
     def _on_attach(self, peer: PeerId, message: Message) -> None:
         assert isinstance(message, Attach)
-        self._runs.attach(peer, message)
+        if message.incarnation in (0, self._runs.gate.incarnation):
+            self._runs.attach(peer, message)
+            return
+        # The run was meant for the process before this one, and what that
+        # did with it is not known here.
+        self._hub.send(
+            peer,
+            Refused(
+                message.request_id,
+                message.attempt,
+                "upstream_lost",
+                "The sidecar has restarted since the request was sent to it.",
+                RunState.UNKNOWN,
+            ),
+        )
+
+    def _on_ack(self, peer: PeerId, message: Message) -> None:
+        assert isinstance(message, Ack)
+        self._runs.acknowledge(peer, message)
 
     def _on_cancel(self, peer: PeerId, message: Message) -> None:
         del peer
@@ -131,7 +157,7 @@
         if reason is None:
             self._runs.start(peer, dispatch)
             return
-        if dispatch.incarnation:
+        if dispatch.keyed:
             self._runs.forbid(dispatch)
         code, text = reason
         self._hub.send(
@@ -147,10 +173,14 @@
         )
 
     def _get_refusal(self, dispatch: Dispatch) -> tuple[str, str] | None:
+        if dispatch.incarnation not in (0, self._runs.gate.incarnation):
+            return "dispatch_lost", "The sidecar has restarted."
         if self._leaving:
             return "no_capacity", "The upstream is leaving."
         if self._runs.running >= self._role.max_running:
             return "no_capacity", "The upstream is full."
+        if self._runs.is_barred_beside(dispatch):
+            return "suspect_waiting", "A request is being probed here."
         service = self._control.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
@@ -181,7 +211,7 @@
         self._send_heartbeats()
 
     def _on_expiry(self) -> None:
-        self._runs.remove_expired()
+        self._runs.on_timer()
 
     async def _refresh_load(self) -> None:
         known = self._versions
@@ -197,13 +227,14 @@
             self._send_heartbeats()
 
     def _send_heartbeats(self) -> None:
-        horizon_s = time.monotonic() - PEER_TIMEOUT_S
+        horizon_s = time.monotonic() - self._settings.bus.silent_after_s
         heartbeat = self._make_heartbeat()
         for peer, seen_s in list(self._peers.items()):
             if seen_s < horizon_s or not self._hub.send(peer, heartbeat):
                 del self._peers[peer]
+                self._runs.drop_peer(peer)
 
-    def _make_heartbeat(self) -> Heartbeat:
+    def _make_heartbeat(self, heard_sequence: int = 0) -> Heartbeat:
         self._sequence += 1
         return Heartbeat(
             self._settings.vm,
@@ -218,6 +249,7 @@
             self._load.token_interval_ms,
             self._control.folded.next_offset,
             self._runs.get_clock_ms(),
+            heard_sequence,
         )
 
     def _make_dump(self) -> bytes:
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -18,6 +18,7 @@
 from lovagestage.billing import BillingLedger
 from lovagestage.billing_service import BillingService
 from lovagestage.control import ControlReader
+from lovagestage.crash_watch import CrashWatch
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
 from lovagestage.gate import FencingGate
@@ -157,7 +158,13 @@
     membership = _make_membership(base, role, peers)
     watch.subscribe(membership.apply_vm_list)
     keys = KeyService(role, base.control, membership, peers, base.hub)
-    dispatcher = Dispatcher(upstreams, settings.zone, random.Random())
+    dispatcher = Dispatcher(
+        upstreams,
+        settings.zone,
+        random.Random(),
+        base.timers,
+        CrashWatch(peers, base.hub),
+    )
     billing = _make_billing(base, role, peers)
     entry = Entry(
         settings,
@@ -245,13 +252,7 @@
     base: _Base, role: SidecarSettings
 ) -> tuple[_Process, list[mode.Service]]:
     engine = HttpEngine(base.session, role.upstream_url)
-    runs = RunTable(
-        engine,
-        base.hub,
-        role.replay_window_s,
-        role.replay_limit_bytes,
-        base.own.incarnation,
-    )
+    runs = RunTable(engine, base.hub, role, base.own.incarnation)
     OrderService(engine, FencingGate(base.control), base.hub)
     sidecar = Sidecar(
         base.settings,
--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -17,6 +17,8 @@
 class Recorder:
     """Stands in for the run table and for the listener."""
 
+    gate = types.SimpleNamespace(incarnation=1)
+
     def __init__(self) -> None:
         self.running = 0
         self.seen: list[object] = []
@@ -24,6 +26,9 @@
     def start(self, peer, dispatch) -> None:
         self.seen.append("started")
 
+    def is_barred_beside(self, dispatch) -> bool:
+        return False
+
     def send(self, peer, message) -> bool:
         assert isinstance(message, Refused)
         self.seen.append((message.code, message.run.value))
