Choose the next upstream in turn unless another waits less

Cause: the least loaded of two random upstreams was compared on loads that ignored what waits, the engine's pace, and what this entry had sent since the heartbeat; and random choice spreads worse than turns where nothing waits. Change: next in turn, or one random other with a shorter expected wait; own requests since the heartbeat are counted; heartbeats carry max_batch.

--- a/lab/experiments/capacity.py
+++ b/lab/experiments/capacity.py
@@ -201,7 +201,6 @@
         choose_upstream,
         views,
         "model-3@1",
-        ZoneId("zone-0"),
         frozenset(),
         rng,
     )
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -52,7 +52,6 @@
     ServiceId,
     VmId,
     WorkspaceId,
-    ZoneId,
 )
 from lovagestage.upstreams import UpstreamTable
 
@@ -131,7 +130,6 @@
 
     Args:
         upstreams: Connections to sidecars.
-        zone: The entry's availability zone.
         rng: Source of randomness for choices.
         timers: Timer service.
         crashes: Requests that may crash upstreams.
@@ -140,14 +138,12 @@
     def __init__(
         self,
         upstreams: UpstreamTable,
-        zone: ZoneId,
         rng: random.Random,
         timers: TimerService,
         crashes: CrashWatch,
     ) -> None:
         self._upstreams = upstreams
         self._crashes = crashes
-        self._zone = zone
         self._rng = rng
         self._budget = RetryBudget(time.monotonic())
         self._attempts: dict[AttemptKey, list[Attempt]] = {}
@@ -293,7 +289,6 @@
             vm = choose_upstream(
                 self._upstreams.get_views(),
                 version,
-                self._zone,
                 frozenset(excluded),
                 self._rng,
             )
@@ -340,9 +335,7 @@
     def _open(self, key: AttemptKey, vm: VmId, incarnation: int) -> Attempt:
         attempt = Attempt(key, vm, incarnation)
         self._attempts.setdefault(key, []).append(attempt)
-        link = self._upstreams.links.get(vm)
-        if link is not None:
-            link.in_use += 1
+        self._upstreams.note_sent(vm)
         return attempt
 
     def _close(self, attempt: Attempt) -> None:
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -73,6 +73,7 @@
         clock_ms: Its own clock, from which runs of keyed requests take
             their permit.
         heard_sequence: Sequence of the latest `Hello` on this connection.
+        max_batch: Requests that the engine works on at once; 0 if unknown.
     """
 
     vm: VmId
@@ -88,6 +89,7 @@
     control_offset: int
     clock_ms: int = 0
     heard_sequence: int = 0
+    max_batch: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
--- a/src/lovagestage/routing.py
+++ b/src/lovagestage/routing.py
@@ -8,11 +8,9 @@
 
 from lovagestage.types import VmId, ZoneId
 
-CHOICES = 2
-"""Upstreams compared for each request (Mitzenmacher 2001)."""
-OTHER_ZONE_PENALTY = 0.1
-"""Added load of an upstream in another zone: two hops of 1 to 2 ms each are
-small beside a token interval, so zones only break near ties."""
+FREE_BATCH_RATIO = 0.8
+"""An upstream is taken to have room up to this part of its batch. The rest
+covers requests of other entries that its last heartbeat did not know of."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,9 +21,13 @@
         vm: The upstream's VM.
         zone: Its availability zone.
         versions: Versions it has loaded.
-        running: Requests running there, with those that this entry has sent
-            since the last heartbeat.
-        max_running: Requests that may run at once.
+        running: Requests there, as of the last heartbeat, corrected by those
+            that this entry has sent and seen ended since.
+        max_running: Requests that may be there at once.
+        max_batch: Requests that its engine works on at once; 0 if unknown.
+        token_interval_ms: Time between tokens of a stream; 0 if unknown.
+        last_sent: Grows with each request that this entry sends anywhere; the
+            value at the last one sent there.
     """
 
     vm: VmId
@@ -33,21 +35,27 @@
     versions: frozenset[str]
     running: int
     max_running: int
+    max_batch: int = 0
+    token_interval_ms: float = 0.0
+    last_sent: int = 0
 
 
 def choose_upstream(
     views: Sequence[UpstreamView],
     version: str,
-    zone: ZoneId,
     excluded: frozenset[VmId],
     rng: random.Random,
 ) -> VmId | None:
-    """Chooses the less loaded of a few random upstreams.
+    """Chooses the next upstream in turn, or a random one that is better.
+
+    Where nothing waits, turns spread the requests most evenly. Where
+    something does, one random alternative is enough (Mitzenmacher 2001), and
+    more than one makes entries that share an old heartbeat run to the same
+    upstream. Figures are in docs/design/load.md.
 
     Args:
         views: All upstreams that take new work.
         version: `MODEL@VERSION` that must be loaded.
-        zone: The entry's own availability zone.
         excluded: Upstreams that already refused this request.
         rng: Source of randomness.
 
@@ -63,10 +71,17 @@
     ]
     if not able:
         return None
-    sample = rng.sample(able, min(CHOICES, len(able)))
-    return min(sample, key=lambda view: _get_cost(view, zone)).vm
+    in_turn = min(able, key=lambda view: view.last_sent)
+    other = rng.choice(able)
+    return min((in_turn, other), key=get_wait_ms).vm
+
 
+def get_wait_ms(view: UpstreamView) -> float:
+    """Expected wait for a place in the batch, up to a common factor.
 
-def _get_cost(view: UpstreamView, zone: ZoneId) -> float:
-    penalty = 0.0 if view.zone == zone else OTHER_ZONE_PENALTY
-    return view.running / view.max_running + penalty
+    Requests over the batch take their turn at the upstream's own pace, so the
+    wait grows with their number and with the time between its tokens.
+    """
+    room = FREE_BATCH_RATIO * (view.max_batch or view.max_running)
+    waiting = max(0.0, view.running + 1 - room)
+    return waiting * (view.token_interval_ms or 1.0)
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -250,6 +250,7 @@
             self._control.folded.next_offset,
             self._runs.get_clock_ms(),
             heard_sequence,
+            self._load.max_batch,
         )
 
     def _make_dump(self) -> bytes:
--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/upstreams.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
+import random
+
 import zmq
 
 from lovagestage.links import LinkTable
@@ -11,6 +14,23 @@
 from lovagestage.timers import TimerService
 from lovagestage.types import Role, VmId, VmState
 
+FIRST_TURNS = 1 << 16
+
+
+@dataclasses.dataclass
+class _Note:
+    """What this entry adds to an upstream's latest heartbeat.
+
+    Attributes:
+        versions: The heartbeat's versions.
+        in_use: Own requests there when the heartbeat came.
+        last_sent: See `UpstreamView`.
+    """
+
+    versions: frozenset[str] = frozenset()
+    in_use: int = 0
+    last_sent: int = 0
+
 
 class UpstreamTable(LinkTable):
     """Links to sidecars, with what each says of itself."""
@@ -24,6 +44,9 @@
     ) -> None:
         super().__init__(Role.SIDECAR, context, settings, own, timers)
         self._heartbeats: dict[VmId, Heartbeat] = {}
+        self._notes: dict[VmId, _Note] = {}
+        self._sent = 0
+        self._rng = random.Random()
 
     def has_heard_all(self) -> bool:
         """Whether each listed sidecar has said which versions it has."""
@@ -57,25 +80,50 @@
             if name in self._heartbeats and not self._heartbeats[name].leaving
         ]
 
+    def note_sent(self, vm: VmId) -> None:
+        """Counts a request that is sent to an upstream."""
+        link = self.links.get(vm)
+        if link is None:
+            return
+        link.in_use += 1
+        self._sent += 1
+        if vm in self._notes:
+            self._notes[vm].last_sent = self._sent
+
     def on_frame(self, vm: VmId, message: Message) -> None:
         """Keeps the newest heartbeat; hands on everything else."""
         if not isinstance(message, Heartbeat):
             super().on_frame(vm, message)
         elif _is_newer(message, self._heartbeats.get(vm)):
             self._heartbeats[vm] = message
+            self._note_heartbeat(vm, message)
 
     def on_removed(self, vm: VmId) -> None:
         """Forgets the heartbeat."""
         self._heartbeats.pop(vm, None)
+        self._notes.pop(vm, None)
+
+    def _note_heartbeat(self, vm: VmId, heartbeat: Heartbeat) -> None:
+        note = self._notes.get(vm)
+        if note is None:
+            # A random place in the turns: entries that start together would
+            # otherwise all begin with the same upstream.
+            note = _Note(last_sent=-self._rng.randrange(FIRST_TURNS))
+            self._notes[vm] = note
+        note.versions = frozenset(heartbeat.versions)
+        note.in_use = self.links[vm].in_use
 
     def _make_view(self, vm: VmId, heartbeat: Heartbeat) -> UpstreamView:
-        link = self.links[vm]
+        link, note = self.links[vm], self._notes[vm]
         return UpstreamView(
             vm,
             link.vm.zone,
-            frozenset(heartbeat.versions),
-            max(heartbeat.running, link.in_use),
+            note.versions,
+            max(0, heartbeat.running + link.in_use - note.in_use),
             heartbeat.max_running,
+            heartbeat.max_batch,
+            heartbeat.token_interval_ms,
+            note.last_sent,
         )
 
 
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -160,7 +160,6 @@
     keys = KeyService(role, base.control, membership, peers, base.hub)
     dispatcher = Dispatcher(
         upstreams,
-        settings.zone,
         random.Random(),
         base.timers,
         CrashWatch(peers, base.hub),
