--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -420,12 +420,13 @@
             **role,
         }
 
-    def _make_platform_settings(self) -> dict[str, str]:
+    def _make_platform_settings(self) -> dict[str, Any]:
         return {
             "log_url": self.children["log"].url,
             "vms_url": self.children["vms"].url,
             "rater_url": self.children["rater"].url,
             "operators_root_key": bytes(self._root.verify_key).hex(),
+            "log_keys": ["lab-log-key"],
         }
 
     def _spawn(
--- a/src/lovagestage/operator_client.py
+++ b/src/lovagestage/operator_client.py
@@ -124,7 +124,7 @@
         self._vms = HttpVmList(session, platform.vms_url)
         self.control = ControlReader(
             self._log,
-            SnapshotStream(self._log),
+            SnapshotStream(self._log, platform.log_keys),
             platform.operators_root_key,
         )
         self._writer = ControlWriter(self._log, self.control)
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -58,12 +58,16 @@
         rater_url: The answer rater; empty where there is none.
         operators_root_key: Hex Ed25519 key that names the operators; where
             it is empty, whoever may append to the log may edit documents.
+        log_keys: Secrets with which the system signs its snapshots in the
+            log; the first signs, each is accepted. Set them wherever
+            `operators_root_key` is set.
     """
 
     log_url: str
     vms_url: str
     rater_url: str = ""
     operators_root_key: str = ""
+    log_keys: list[str] = []
 
 
 class BusSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/snapshots.py
+++ b/src/lovagestage/snapshots.py
@@ -11,7 +11,9 @@
 
 import collections
 import hashlib
+import hmac
 import logging
+from collections.abc import Sequence
 
 import msgspec
 
@@ -38,7 +40,8 @@
     Attributes:
         fencing: Lease number of the writer.
         cursor: `next_offset` of the state.
-        checksum: SHA-256 of the whole encoded state, in hex.
+        checksum: Checksum of the whole encoded state under the first of
+            the system's log keys, in hex.
         count: Number of chunks.
         index: Number of this chunk, from 0.
         data: Its part of the encoded state.
@@ -56,18 +59,35 @@
 _decoder = msgspec.msgpack.Decoder(SnapshotChunk)
 
 
+def get_checksum(data: bytes, key: str) -> str:
+    """Keyed BLAKE2b of an encoded state, in hex.
+
+    A snapshot carries the operators and their root key. Without a key of its
+    own, whoever can append to the log could bring in another root key.
+    """
+    secret = hashlib.sha256(key.encode()).digest()
+    return hashlib.blake2b(data, key=secret, digest_size=32).hexdigest()
+
+
 def make_chunks(
     state: ControlState,
     fencing: FencingNumber,
     chunk_bytes: int = CHUNK_BYTES,
+    key: str = "",
 ) -> list[bytes]:
     """Encodes a state as records for the `snapshots` stream.
 
+    Args:
+        state: The state.
+        fencing: Lease number of the writer.
+        chunk_bytes: Largest part of the state in one record.
+        key: The first of the system's log keys.
+
     Raises:
         CodecError: The state is too large.
     """
     data = state.encode()
-    checksum = hashlib.sha256(data).hexdigest()
+    checksum = get_checksum(data, key)
     pieces = [
         data[start : start + chunk_bytes]
         for start in range(0, len(data), chunk_bytes)
@@ -148,12 +168,17 @@
 class SnapshotShelf:
     """Collects chunks and keeps the newest whole snapshots.
 
+    Args:
+        keys: The system's log keys; each is accepted, so that one can be
+            replaced.
+
     Attributes:
         kept: Whole snapshots, newest first, at most `SNAPSHOTS_KEPT`.
         refused: Records that were no chunk, or whose whole did not prove.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, keys: Sequence[str] = ()) -> None:
+        self._keys = tuple(keys) or ("",)
         self.kept: list[Snapshot] = []
         self.refused = 0
         self._partial: collections.OrderedDict[
@@ -189,7 +214,10 @@
 
     def _finish(self, last: SnapshotChunk, partial: _Partial) -> None:
         data = b"".join(partial.pieces[i] for i in range(partial.count))
-        if hashlib.sha256(data).hexdigest() != last.checksum:
+        if not any(
+            hmac.compare_digest(get_checksum(data, key), last.checksum)
+            for key in self._keys
+        ):
             self._refuse(f"Snapshot at {last.cursor} has a wrong checksum.")
             return
         self.kept.append(Snapshot(last.cursor, data))
--- a/src/lovagestage/snapshotting.py
+++ b/src/lovagestage/snapshotting.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Sequence
 
 import mode
 import msgspec
@@ -47,12 +48,18 @@
 class SnapshotStream:
     """This process's place in the `snapshots` stream.
 
+    Args:
+        log: The platform's log.
+        keys: The system's log keys; the first one signs.
+
     Attributes:
         shelf: What was read.
+        key: The key that signs.
     """
 
-    def __init__(self, log: Log) -> None:
-        self.shelf = SnapshotShelf()
+    def __init__(self, log: Log, keys: Sequence[str] = ()) -> None:
+        self.shelf = SnapshotShelf(keys)
+        self.key = keys[0] if keys else ""
         self._platform_log = log
         self._next_offset = Offset(0)
 
@@ -105,6 +112,7 @@
         control: The folded state.
         keeper: Holds `SNAPSHOT_LEASE`.
         policy: When to write.
+        keys: The system's log keys.
     """
 
     def __init__(
@@ -113,13 +121,14 @@
         control: ControlReader,
         keeper: LeaseKeeper,
         policy: SnapshotPolicy = SnapshotPolicy(),  # noqa: B008
+        keys: Sequence[str] = (),
     ) -> None:
         super().__init__()
         self._platform_log = log
         self._control = control
         self._keeper = keeper
         self._policy = policy
-        self._stream = SnapshotStream(log)
+        self._stream = SnapshotStream(log, keys)
         self._seen = Offset(0)
         self._seen_s = float("-inf")
 
@@ -154,7 +163,9 @@
 
     async def _write_one(self) -> None:
         state = self._control.folded
-        chunks = make_chunks(state, self._keeper.get_fencing())
+        chunks = make_chunks(
+            state, self._keeper.get_fencing(), key=self._stream.key
+        )
         cursor = state.next_offset
         for chunk in chunks:
             self._keeper.get_fencing()
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -121,7 +121,9 @@
 ) -> _Base:
     log = HttpLog(session, settings.platform.log_url)
     control = ControlReader(
-        log, SnapshotStream(log), settings.platform.operators_root_key
+        log,
+        SnapshotStream(log, settings.platform.log_keys),
+        settings.platform.operators_root_key,
     )
     hub = Hub()
     StateResponder(control, hub)
@@ -225,7 +227,12 @@
     keeper = LeaseKeeper(
         SNAPSHOT_LEASE, base.own, base.control, base.writer, role.lease_ttl_s
     )
-    writer = SnapshotWriter(base.log, base.control, keeper)
+    writer = SnapshotWriter(
+        base.log,
+        base.control,
+        keeper,
+        keys=base.settings.platform.log_keys,
+    )
     return [keeper, writer]
 
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -81,6 +81,21 @@
     assert shelf.refused == refused
 
 
+@pytest.mark.parametrize("forged_key", ["", "another"])
+def test_forged_snapshot_is_refused(forged_key):
+    # Someone who can append to the log, but has no key of the system, writes
+    # a whole snapshot of a later state with a root key of their own. Readers
+    # keep the one that the system signed.
+    shelf = SnapshotShelf(["new-key", "old-key"])
+    for chunk in make_chunks(make_state(1), 0, key="old-key"):
+        shelf.add(chunk)
+    forged = fold(*(make_change(f"c{n}", n) for n in range(9)))
+    for chunk in make_chunks(forged, 1, key=forged_key):
+        shelf.add(chunk)
+    assert [kept.cursor for kept in shelf.kept] == [1]
+    assert shelf.refused == 1
+
+
 def test_late_snapshot_does_not_replace_newer_ones():
     chunks = [make_chunks(make_state(n), 0)[0] for n in (2, 3, 1)]
     assert [kept.cursor for kept in shelve(chunks).kept] == [3, 2]
