--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -16,6 +16,7 @@
     "vms": "lab.vms",
     "weights": "lab.weights",
     "rater": "lab.rater",
+    "pages": "lab.pages",
     "plain": "lab.plain",
     "balancer": "lab.balancer",
     "bench": "lab.bench",
--- /dev/null
+++ b/lab/pages.py
@@ -0,0 +1,125 @@
+"""Writes the pages that are generated from the code."""
+
+from __future__ import annotations
+
+import argparse
+import ast
+import dataclasses
+import json
+import pathlib
+from collections.abc import Iterator
+
+import msgspec
+
+from lovagestage.document import ServiceDocument
+from lovagestage.metrics import format_page
+
+ROOT = pathlib.Path(__file__).parent.parent
+SOURCE = ROOT / "src" / "lovagestage"
+LEVELS = ("debug", "info", "warning", "error")
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class LogEvent:
+    """One kind of log line.
+
+    Attributes:
+        name: Value of `event`.
+        level: Level it is written at.
+        module: Module that writes it.
+        fields: Its fields besides time, level, name, event and vm.
+    """
+
+    name: str
+    level: str
+    module: str
+    fields: tuple[str, ...]
+
+
+def get_log_events() -> list[LogEvent]:
+    """Finds all log calls of the product."""
+    return sorted(
+        {
+            event
+            for path in SOURCE.glob("*.py")
+            for event in _find_events(path.stem, ast.parse(path.read_text()))
+        }
+    )
+
+
+def _find_events(module: str, tree: ast.AST) -> Iterator[LogEvent]:
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Call):
+            continue
+        function = node.func
+        if not (
+            isinstance(function, ast.Attribute)
+            and isinstance(function.value, ast.Name)
+            and function.value.id == "_log"
+            and function.attr in LEVELS
+        ):
+            continue
+        name = node.args[0]
+        if isinstance(name, ast.Constant):
+            fields = _find_fields(node)
+            yield LogEvent(str(name.value), function.attr, module, fields)
+
+
+def _find_fields(call: ast.Call) -> tuple[str, ...]:
+    return tuple(
+        str(key.value)
+        for keyword in call.keywords
+        if keyword.arg == "extra" and isinstance(keyword.value, ast.Dict)
+        for key in keyword.value.keys
+        if isinstance(key, ast.Constant)
+    )
+
+
+def format_log_page() -> str:
+    """The page docs/LOGS.md."""
+    rows = [
+        f"| `{event.name}` | {event.level} | {event.module} |"
+        f" {', '.join(event.fields)} |"
+        for event in get_log_events()
+    ]
+    return "\n".join(
+        [
+            "# Log events",
+            "",
+            "Generated from the source. Every line also has `time`, `level`,"
+            " `name`, `event` and `vm`;",
+            'the setting `log.format` is `"text"` (key=value) or `"json"`.',
+            "",
+            "| event | level | module | fields |",
+            "|---|---|---|---|",
+            *rows,
+            "",
+        ]
+    )
+
+
+def format_schema() -> str:
+    """The JSON Schema of service documents."""
+    schema = msgspec.json.schema(ServiceDocument)
+    return json.dumps(schema, indent=2) + "\n"
+
+
+PAGES = {
+    "docs/LOGS.md": format_log_page,
+    "docs/METRICS.md": format_page,
+    "docs/service-document.schema.json": format_schema,
+}
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds no arguments."""
+    del parser
+
+
+def run(args: argparse.Namespace) -> int:
+    """Writes all pages."""
+    del args
+    for path, make in PAGES.items():
+        (ROOT / path).write_text(make(), encoding="utf-8")
+        print(path)
+    return 0
