Ask the exposure gate for each request of a roll-out

The gate was decided and measured, but no request passed through it: a roll-out's traffic followed the document's order of versions, and the driver moved on by time alone.

Each entry now keeps a gate for each roll-out in force. The recorded step is the ceiling of the share; the gate only holds back, limits and stops. Entries exchange observations once a second and a stop at once; a stop is appended with one change id for all entries, again until it is folded. A stopped version is seen as withdrawn by all paths of admission.

Answers of requests in a roll-out go to the rater through a bounded queue, and its ratings are matched to what this entry assigned.

Ruled out: a gate that moves its own step (entries would disagree on the share); a filter beside the list of allowed versions (one more path to forget). tests/test_rollout_fleet.py sends no requests, so no ratings can come; it runs without a rater now, where time alone moves a roll-out, as NoEvidence did before.

--- a/lab/engine.py
+++ b/lab/engine.py
@@ -88,6 +88,7 @@
         self._ended: deque[tuple[float, Sequence]] = deque()
         self._runs: Counter[str] = Counter()
         self._tokens: Counter[str] = Counter()
+        self._refused: Counter[str] = Counter()
         self._cancels = 0
         self._resumes = 0
 
@@ -118,6 +119,7 @@
                 count * prices.get(model, 0.0)
                 for model, count in self._tokens.items()
             ),
+            "refused_by_model": self._refused,
             "cancels": self._cancels,
             "resumes": self._resumes,
             "cache_hits": self._cache.hits,
@@ -164,6 +166,7 @@
         if not isinstance(model, str) or model not in self.models.loaded:
             return error(404, "model_not_loaded")
         if model == self.faults.refuse_model:
+            self._refused[model] += 1
             return error(500, "internal")
         try:
             sequence = read_sequence(
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -120,6 +120,7 @@
     ) -> None:
         self.shape = shape
         self.children: dict[str, Child] = {}
+        self.has_rater = True
         self._engine_options = engine_options
         self._folder = folder or pathlib.Path(
             tempfile.mkdtemp(prefix="lovagestage-")
@@ -424,7 +425,7 @@
         return {
             "log_url": self.children["log"].url,
             "vms_url": self.children["vms"].url,
-            "rater_url": self.children["rater"].url,
+            "rater_url": self.children["rater"].url if self.has_rater else "",
             "operators_root_key": bytes(self._root.verify_key).hex(),
         }
 
--- a/src/lovagestage/adapters.py
+++ b/src/lovagestage/adapters.py
@@ -25,6 +25,7 @@
 from lovagestage.messages import OrderState
 from lovagestage.types import (
     FencingNumber,
+    ModelVersion,
     Offset,
     RequestId,
     Role,
@@ -166,6 +167,68 @@
         """Reads the loaded versions as `MODEL@VERSION`."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RatedAnswer:
+    """An answer to be rated.
+
+    Attributes:
+        request_id: The request.
+        version: Version that answered.
+        class_name: Request class.
+        prompt: The request's messages as JSON.
+        text: The answer.
+    """
+
+    request_id: RequestId
+    version: ModelVersion
+    class_name: str
+    prompt: str
+    text: str
+
+
+class Rating(msgspec.Struct, frozen=True):
+    """A rating; `score` lies between 0 and 1."""
+
+    request_id: RequestId
+    score: float
+
+
+class RatingPage(msgspec.Struct, frozen=True):
+    """Ratings read from the rater.
+
+    Attributes:
+        next: Number to read on from.
+        ratings: Ratings, in the order in which they were made.
+    """
+
+    next: int
+    ratings: list[Rating]
+
+
+class Rater(Protocol):
+    """The platform's rater, which scores a sample of the answers, late."""
+
+    async def post(self, answer: RatedAnswer) -> None:
+        """Hands an answer over.
+
+        Raises:
+            RaterError: It may not have been taken.
+        """
+
+    async def read(self, start: int) -> RatingPage:
+        """Reads the ratings from number `start` on.
+
+        Raises:
+            RaterError: The rater does not answer.
+        """
+
+
+class RaterError(LovagestageError):
+    """The rater does not answer."""
+
+    code = "rater_unavailable"
+
+
 class _RecordForm(msgspec.Struct):
     offset: int
     data: str
@@ -338,6 +401,45 @@
     data: list[_ModelForm]
 
 
+class HttpRater:
+    """The rater over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = f"{url.rstrip('/')}/v1/ratings"
+
+    async def post(self, answer: RatedAnswer) -> None:
+        """See `Rater.post`."""
+        body = {
+            "request_id": answer.request_id,
+            "model": answer.version.model,
+            "version": answer.version.version,
+            "class": answer.class_name,
+            "prompt": answer.prompt,
+            "answer": answer.text,
+        }
+        try:
+            async with self._session.post(
+                self._url, json=body, timeout=_SHORT
+            ) as response:
+                response.raise_for_status()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise RaterError(f"The rater took no answer: {error!r}.") from error
+
+    async def read(self, start: int) -> RatingPage:
+        """See `Rater.read`."""
+        try:
+            async with self._session.get(
+                self._url, params={"from": str(start)}, timeout=_SHORT
+            ) as response:
+                response.raise_for_status()
+                return msgspec.json.decode(
+                    await response.read(), type=RatingPage
+                )
+        except _UNREADABLE as error:
+            raise RaterError(f"No ratings can be read: {error!r}.") from error
+
+
 class HttpEngine:
     """An OpenAI-compatible engine over HTTP."""
 
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
+from lovagestage.admission import Choice
 from lovagestage.billed import BilledStream, make_bill
 from lovagestage.billing_service import BillingService
 from lovagestage.control import ControlReader
@@ -48,6 +49,7 @@
     resolve_model,
 )
 from lovagestage.settings import EntrySettings
+from lovagestage.trials import Trials
 from lovagestage.types import (
     ModelVersion,
     RequestId,
@@ -111,6 +113,7 @@
         upstreams: Connections to sidecars.
         keyed: Runs requests that have a key.
         billing: Takes the bills.
+        trials: Assigns requests to roll-outs.
     """
 
     def __init__(
@@ -121,7 +124,9 @@
         upstreams: UpstreamTable,
         billing: BillingService,
         keyed: KeyedRuns,
+        trials: Trials,
     ) -> None:
+        self._trials = trials
         self._billing = billing
         self._keyed = keyed
         self._upstreams = upstreams
@@ -238,8 +243,10 @@
     ) -> AsyncIterator[bytes]:
         key = request.headers.get(HEADER_KEY)
         if key is None:
-            return self._dispatcher.run(admitted, result)
-        return self._keyed.run(admitted, key, result)
+            parts = self._dispatcher.run(admitted, result)
+        else:
+            parts = self._keyed.run(admitted, key, result)
+        return self._trials.watch(admitted, result, parts)
 
     def _get_caller(self, request: web.Request) -> Caller:
         if not self._control.services:
@@ -251,7 +258,8 @@
         for service in self._control.services.values():
             for name, workspace in service.document.workspaces.items():
                 if digest in workspace.key_digests:
-                    return Caller(name, service.document)
+                    document = self._trials.get_document(service.document)
+                    return Caller(name, document)
         raise WrongKeyError("The API key belongs to no workspace.")
 
     async def _read_body(self, request: web.Request) -> bytes:
@@ -268,21 +276,38 @@
     def _admit(
         self, request: web.Request, caller: Caller, form: ChatForm, body: bytes
     ) -> Request:
-        spec = _get_class(request, caller.document, form)
+        class_name = _get_class_name(request, form)
+        spec = _get_class(class_name, caller.document)
         deadline_s = spec.deadline_s or self._settings.default_deadline_s
         session = self._read_session(request, caller, form)
         version = resolve_session_version(session, form.model, caller, spec)
+        choice = self._choose(session, form.model, version, caller)
         return Request(
             RequestId(secrets.token_hex(16)),
             caller.workspace,
             caller.document.service,
-            version,
+            choice.version,
             spec.priority,
             spec.repeatable is Repeatable.ALWAYS,
             time.monotonic() + deadline_s,
             form.stream,
             body,
             session,
+            choice.trial,
+            class_name,
+        )
+
+    def _choose(
+        self,
+        session: Session | None,
+        name: str,
+        resolved: ModelVersion,
+        caller: Caller,
+    ) -> Choice:
+        if is_pinned(session, resolved):
+            return Choice(resolved)
+        return self._trials.choose(
+            name, resolved, caller.document, caller.workspace
         )
 
     def _read_session(
@@ -472,13 +497,14 @@
     return form
 
 
-def _get_class(
-    request: web.Request, document: ServiceDocument, form: ChatForm
-) -> ClassSpec:
+def _get_class_name(request: web.Request, form: ChatForm) -> str:
     metadata = form.metadata or {}
-    name = request.headers.get(
+    return request.headers.get(
         HEADER_CLASS, metadata.get("request_class", DEFAULT_CLASS)
     )
+
+
+def _get_class(name: str, document: ServiceDocument) -> ClassSpec:
     spec = document.classes.get(name)
     if spec is None:
         raise MalformedRequestError(
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from lovagestage.admission import Trial
 from lovagestage.attempts import Attempt, AttemptKey
 from lovagestage.crash_suspects import get_fingerprint
 from lovagestage.crash_watch import CrashWatch
@@ -79,6 +80,8 @@
         stream: Whether the caller reads chunks.
         body: The JSON body.
         session: The session that it came with.
+        trial: Its part in a roll-out.
+        class_name: Its request class.
     """
 
     request_id: RequestId
@@ -91,6 +94,8 @@
     stream: bool
     body: bytes
     session: Session | None = None
+    trial: Trial | None = None
+    class_name: str = ""
 
 
 @dataclasses.dataclass
@@ -106,6 +111,7 @@
         waits: Attempts that were refused until a probe has ended.
         run: Whether any attempt that failed was run.
         passed_on: Whether the caller has had a part of the answer.
+        version_failed: Whether an attempt failed as a bad version's would.
     """
 
     version: ModelVersion
@@ -115,6 +121,7 @@
     waits: int = 0
     run: RunState = RunState.NOT_RUN
     passed_on: bool = False
+    version_failed: bool = False
 
     def note_failure(
         self, error: RequestRefusedError, attempt: Attempt
@@ -122,6 +129,8 @@
         """Keeps what is known of the run over all attempts."""
         self.passed_on = self.passed_on or attempt.passed_on
         self.waits += isinstance(error, SuspectWaitingError)
+        # A retry that succeeds would hide a version that fails now and then.
+        self.version_failed |= is_version_at_fault(error)
         if error.run is not RunState.NOT_RUN:
             self.run = error.run
 
@@ -456,6 +465,21 @@
                 )
 
 
+def is_version_at_fault(error: RequestRefusedError) -> bool:
+    """Whether a failure may be its version's doing.
+
+    An upstream's own failures hit old and new versions alike and are told
+    apart by the exposure gate; a lack of capacity is no failure of either.
+    """
+    return isinstance(
+        error,
+        UpstreamFailedError
+        | UpstreamCrashedError
+        | UpstreamLostError
+        | DeadlineExceededError,
+    )
+
+
 def _make_failure(
     request: Request, result: Result, error: RequestRefusedError
 ) -> Failure:
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -20,6 +20,7 @@
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
 from lovagestage.transport import PeerId
+from lovagestage.trials import Trials
 from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -42,6 +43,7 @@
         hub: Hands over what arrives at the listener.
         billing: Takes the bills.
         keys: Request keys.
+        trials: Roll-outs.
     """
 
     def __init__(
@@ -56,8 +58,10 @@
         hub: Hub,
         billing: BillingService,
         keys: KeyService,
+        trials: Trials,
     ) -> None:
         super().__init__()
+        self._trials = trials
         self._settings = settings
         self._role = role
         self._control = control
@@ -70,7 +74,7 @@
         self._keys = keys
         keyed = KeyedRuns(keys, dispatcher, upstreams)
         self._api = CallerApi(
-            role, control, dispatcher, upstreams, billing, keyed
+            role, control, dispatcher, upstreams, billing, keyed, trials
         )
         self._runner = web.AppRunner(
             self._api.make_app(), access_log=None, handler_cancellation=True
@@ -129,6 +133,7 @@
                 "request_keys": self._keys.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
                 "billing": self._billing.get_sizes(),
+                "rollouts": self._trials.get_dump(),
                 "control": self._control.get_dump(),
             }
         )
--- a/src/lovagestage/exposure.py
+++ b/src/lovagestage/exposure.py
@@ -16,7 +16,7 @@
 
 from lovagestage.betting import Direction, FailureTest, PairedTest
 from lovagestage.document import RolloutSpec, RolloutState
-from lovagestage.types import Offset, VmId
+from lovagestage.types import VmId
 
 FALSE_STOP_ALPHA = 0.008
 """Chance of stopping a good roll-out, over all looks, tests and entries."""
@@ -66,7 +66,7 @@
         vm: The entry.
         incarnation: Start time of its process.
         sequence: Counts up by one; a repeated message is dropped.
-        epoch: Offset of the record that began the roll-out.
+        epoch: Revision of the document that last changed the roll-out.
         stopped: Whether the entry has stopped the roll-out.
         step: Index of its step.
         old_scores: Scores in 1/255, in the order of arrival.
@@ -80,7 +80,7 @@
     vm: VmId
     incarnation: int
     sequence: int
-    epoch: Offset
+    epoch: int
     stopped: bool
     step: int
     old_scores: bytes
@@ -107,7 +107,7 @@
 
     Args:
         spec: The roll-out, from the document in force.
-        epoch: Offset of the record that began or last changed it.
+        epoch: Revision of the document that last changed it.
         entries: Entries that share the budget; at least one.
         vm: This entry.
         incarnation: Start time of this process.
@@ -116,7 +116,7 @@
     def __init__(
         self,
         spec: RolloutSpec,
-        epoch: Offset,
+        epoch: int,
         entries: int,
         vm: VmId,
         incarnation: int,
@@ -126,6 +126,7 @@
         self.step = 0
         self.stop_reason: StopReason | None = None
         self.exposed = 0
+        self.ceiling = 1.0
         self._entries = max(1, entries)
         self._vm = vm
         self._incarnation = incarnation
@@ -151,7 +152,7 @@
         if self.spec.state is RolloutState.ABORTED:
             return 0.0
         share = self.spec.steps[min(self.step, len(self.spec.steps) - 1)]
-        return min(share, 1.0 - HOLDBACK_SHARE)
+        return min(share, self.ceiling, 1.0 - HOLDBACK_SHARE)
 
     def is_held(self) -> bool:
         """Whether the step's budget is spent and evidence is awaited."""
@@ -210,6 +211,37 @@
         self._step_started_s = now_s
         return True
 
+    def follow(self, step: int, ceiling: float) -> None:
+        """Takes the recorded step in place of what `advance` would decide.
+
+        All entries follow one record, so that the share is the same at each;
+        what a gate has seen can only hold back from it.
+
+        Args:
+            step: Index into the steps; their number where all are passed.
+            ceiling: Largest share that the record allows.
+        """
+        self.ceiling = ceiling
+        if step != self.step:
+            self._enter_step(step)
+
+    def raise_entries(self, entries: int) -> None:
+        """Takes a larger number of entries; a smaller one is ignored.
+
+        An entry that is only out of sight still spends its part.
+        """
+        self._entries = max(self._entries, entries)
+
+    def has_proof(self) -> bool:
+        """Whether the evidence to pass the present step is there."""
+        if self.stop_reason is not None:
+            return False
+        limit = len(self.spec.steps) / FALSE_PASS_ALPHA
+        proved = min(
+            self._pass_ratings.get_wealth(), self._pass_failures.get_wealth()
+        )
+        return proved >= limit
+
     def stop(self, reason: StopReason) -> None:
         """Stops the roll-out for this epoch; the first reason is kept."""
         if self.stop_reason is None:
@@ -295,11 +327,7 @@
         started_s = self._step_started_s or 0.0
         if now_s - started_s < self.spec.step_min_s:
             return False
-        limit = len(self.spec.steps) / FALSE_PASS_ALPHA
-        proved = min(
-            self._pass_ratings.get_wealth(), self._pass_failures.get_wealth()
-        )
-        return proved >= limit
+        return self.has_proof()
 
     def _enter_step(self, step: int) -> None:
         self.step = step
--- /dev/null
+++ b/src/lovagestage/exposure_service.py
@@ -0,0 +1,292 @@
+"""The gates of all roll-outs in force at one entry."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+
+import mode
+
+from lovagestage.admission import Choice, Trial, is_in_rollout, withdraw_stopped
+from lovagestage.control import ControlReader
+from lovagestage.document import ServiceDocument, get_open_versions
+from lovagestage.exceptions import LogError
+from lovagestage.exposure import ExposureGate, StopReason
+from lovagestage.hub import Hub
+from lovagestage.links import LinkTable
+from lovagestage.messages import EvidenceReport, Hello, Message
+from lovagestage.records import RolloutStop
+from lovagestage.rollouts import Rollout, RolloutKey
+from lovagestage.timers import TimerService
+from lovagestage.transport import PeerId
+from lovagestage.types import (
+    ChangeId,
+    ModelVersion,
+    RolloutPhase,
+    WorkspaceId,
+    parse_model_version,
+)
+from lovagestage.writer import RecordWriter
+
+_log = logging.getLogger(__name__)
+
+SHARE_INTERVAL_S = 1.0
+APPEND_TIMEOUT_S = 5.0
+APPEND_RETRY_S = 0.5
+BACKUP_DELAY_S = 3.0
+"""An entry that was told of a stop appends it too, should the one that found
+it be lost before it could; the common change id makes them one change."""
+
+
+class ExposureService(mode.Service):
+    """Assigns requests to versions, and stops roll-outs.
+
+    A stop holds at this entry from the observation that proves it: neither
+    the log nor another entry is waited for. The other entries hear of it at
+    once and again each second, and the log whenever it takes an append.
+
+    Args:
+        control: The folded state.
+        writer: Appends stops.
+        peers: Connections to the other entries.
+        timers: Timer service.
+        hub: Hands over the other entries' evidence.
+        own: Name and incarnation of this process.
+        rng: Source of randomness for assignments.
+        has_rater: Whether ratings are there to wait for.
+    """
+
+    def __init__(
+        self,
+        control: ControlReader,
+        writer: RecordWriter,
+        peers: LinkTable,
+        timers: TimerService,
+        hub: Hub,
+        own: Hello,
+        rng: random.Random,
+        has_rater: bool,
+    ) -> None:
+        super().__init__()
+        self._control = control
+        self._writer = writer
+        self._peers = peers
+        self._own = own
+        self._rng = rng
+        self._has_rater = has_rater
+        self._gates: dict[RolloutKey, ExposureGate] = {}
+        self._stopped_s: dict[RolloutKey, float] = {}
+        self._stop_found = asyncio.Event()
+        hub.register(EvidenceReport, self._on_report)
+        control.subscribe(self._follow)
+        timers.subscribe(SHARE_INTERVAL_S, self._on_share_due)
+
+    def get_document(self, document: ServiceDocument) -> ServiceDocument:
+        """The document without the versions that were stopped."""
+        stopped = [
+            gate.spec.new
+            for key, gate in self._gates.items()
+            if key.service == document.service and gate.stop_reason is not None
+        ]
+        return withdraw_stopped(document, stopped)
+
+    def choose(
+        self,
+        name: str,
+        resolved: ModelVersion,
+        document: ServiceDocument,
+        workspace: WorkspaceId,
+    ) -> Choice:
+        """Chooses between old and new where a roll-out is in force.
+
+        Args:
+            name: What the request names.
+            resolved: The version that it gets without a roll-out.
+            document: From `get_document`.
+            workspace: Who asks.
+        """
+        rollout = self._control.folded.rollouts.get(
+            document.service, resolved.model
+        )
+        allowed = get_open_versions(document, workspace)
+        if rollout is None or not is_in_rollout(
+            name, resolved, rollout.spec, allowed
+        ):
+            return Choice(resolved)
+        assignment = self._get_gate(rollout).assign(self._rng)
+        spec = rollout.spec
+        version = parse_model_version(
+            spec.new if assignment.is_new else spec.old
+        )
+        assert version is not None
+        return Choice(version, Trial(rollout.progress.key, assignment))
+
+    def add_outcome(self, trial: Trial, failed: bool) -> None:
+        """Takes the end of a request that was assigned here."""
+        gate = self._gates.get(trial.key)
+        if gate is not None:
+            gate.add_outcome(trial.assignment, failed)
+            self._note_stop(trial.key, gate)
+
+    def add_rating(self, trial: Trial, score: float) -> None:
+        """Takes the rating of an answer to a request assigned here."""
+        gate = self._gates.get(trial.key)
+        if gate is not None:
+            gate.add_rating(trial.assignment.is_new, score)
+            self._note_stop(trial.key, gate)
+
+    def may_step(self, rollout: Rollout) -> bool:
+        """See `rollout_driver.Evidence`; without a rater time alone counts."""
+        gate = self._get_gate(rollout)
+        if self._has_rater:
+            return gate.has_proof()
+        return gate.stop_reason is None
+
+    def get_dump(self) -> list[dict[str, object]]:
+        """State of each gate, for the dump."""
+        return [
+            {
+                "service": key.service,
+                "model": key.model,
+                "revision": key.revision,
+                "step": gate.step,
+                "share": gate.get_share(),
+                "held": gate.is_held(),
+                "exposed": gate.exposed,
+                "has_proof": gate.has_proof(),
+                "stop_reason": gate.stop_reason and gate.stop_reason.value,
+                "is_recorded": self._is_recorded(key),
+            }
+            for key, gate in self._gates.items()
+        ]
+
+    def _is_recorded(self, key: RolloutKey) -> bool:
+        rollout = self._control.folded.rollouts.get(key.service, key.model)
+        return (
+            rollout is not None
+            and rollout.progress.key == key
+            and bool(rollout.progress.stop_reason)
+        )
+
+    def _get_gate(self, rollout: Rollout) -> ExposureGate:
+        key = rollout.progress.key
+        gate = self._gates.get(key)
+        if gate is None:
+            gate = ExposureGate(
+                rollout.spec,
+                key.revision,
+                len(self._peers.links) + 1,
+                self._own.vm,
+                self._own.incarnation,
+            )
+            self._gates[key] = gate
+        self._follow_one(gate, rollout)
+        return gate
+
+    def _follow_one(self, gate: ExposureGate, rollout: Rollout) -> None:
+        progress = rollout.progress
+        gate.raise_entries(len(self._peers.links) + 1)
+        done = progress.phase is RolloutPhase.DONE
+        step = len(rollout.spec.steps) if done else progress.step
+        gate.follow(step, rollout.get_share())
+        if progress.stop_reason:
+            gate.stop(_get_reason(progress.stop_reason))
+            self._note_stop(progress.key, gate)
+
+    def _follow(self) -> None:
+        # Also where no request asks: another entry's stop must find a gate.
+        rollouts = self._control.folded.rollouts.get_all()
+        for rollout in rollouts:
+            self._get_gate(rollout)
+        keys = {rollout.progress.key for rollout in rollouts}
+        for key in self._gates.keys() - keys:
+            del self._gates[key]
+            self._stopped_s.pop(key, None)
+
+    def _note_stop(self, key: RolloutKey, gate: ExposureGate) -> None:
+        if gate.stop_reason is None or key in self._stopped_s:
+            return
+        self._stopped_s[key] = time.monotonic()
+        _log.warning(
+            "rollout_stopped",
+            extra={
+                "service": key.service,
+                "model": key.model,
+                "version": gate.spec.new,
+                "reason": gate.stop_reason.value,
+                "exposed": gate.exposed,
+            },
+        )
+        self._share(key, gate)
+        self._stop_found.set()
+
+    def _on_share_due(self) -> None:
+        for key, gate in self._gates.items():
+            self._share(key, gate)
+
+    def _share(self, key: RolloutKey, gate: ExposureGate) -> None:
+        report = EvidenceReport(key.service, key.model, gate.make_evidence())
+        for vm in self._peers.links:
+            self._peers.send(vm, report)
+
+    def _on_report(self, peer: PeerId, message: Message) -> None:
+        del peer
+        assert isinstance(message, EvidenceReport)
+        epoch = message.evidence.epoch
+        key = RolloutKey(message.service, message.model, epoch)
+        gate = self._gates.get(key)
+        if gate is not None:
+            gate.absorb(message.evidence)
+            self._note_stop(key, gate)
+
+    @mode.Service.task
+    async def _append_stops(self) -> None:
+        while not self.should_stop:
+            self._stop_found.clear()
+            for key, gate in list(self._gates.items()):
+                if self._is_append_due(key, gate):
+                    await self._append_stop(key, gate)
+            try:
+                await asyncio.wait_for(self._stop_found.wait(), APPEND_RETRY_S)
+            except TimeoutError:
+                pass
+
+    def _is_append_due(self, key: RolloutKey, gate: ExposureGate) -> bool:
+        stopped_s = self._stopped_s.get(key)
+        if stopped_s is None or self._is_recorded(key):
+            return False
+        waited_s = time.monotonic() - stopped_s
+        return (
+            gate.stop_reason is not StopReason.PEER
+            or waited_s >= BACKUP_DELAY_S
+        )
+
+    async def _append_stop(self, key: RolloutKey, gate: ExposureGate) -> None:
+        assert gate.stop_reason is not None
+        record = RolloutStop(
+            _make_stop_id(key),
+            key.service,
+            key.model,
+            key.revision,
+            gate.stop_reason.value,
+        )
+        try:
+            await self._writer.append(record, APPEND_TIMEOUT_S)
+        except LogError as error:
+            # The stop holds here and at the peers without the log.
+            _log.warning(
+                "rollout_stop_not_appended", extra={"code": error.code}
+            )
+
+
+def _make_stop_id(key: RolloutKey) -> ChangeId:
+    """One id for all entries: however many append it, it is one change."""
+    return ChangeId(f"stop-{key.service}-{key.model}-{key.revision}")
+
+
+def _get_reason(recorded: str) -> StopReason:
+    if recorded == StopReason.OPERATOR.value:
+        return StopReason.OPERATOR
+    return StopReason.PEER
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.exposure import Evidence
 from lovagestage.key_messages import (
     Claim,
     ClaimAnswer,
@@ -31,6 +32,7 @@
     Offset,
     RequestId,
     RunState,
+    ServiceId,
     VmId,
     WorkspaceId,
     ZoneId,
@@ -402,11 +404,27 @@
     last_number: int
 
 
+class EvidenceReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="evidence_report"
+):
+    """What an entry tells the others of one roll-out.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        evidence: What it saw since its last report.
+    """
+
+    service: ServiceId
+    model: str
+    evidence: Evidence
+
+
 EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease
+PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease | EvidenceReport
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
     Claim
--- /dev/null
+++ b/src/lovagestage/quality.py
@@ -0,0 +1,113 @@
+"""Hands answers to the rater and its ratings to who asked for them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import logging
+
+import mode
+
+from lovagestage.adapters import RatedAnswer, Rater, RaterError
+from lovagestage.admission import Trial
+from lovagestage.exposure_service import ExposureService
+from lovagestage.types import RequestId
+
+_log = logging.getLogger(__name__)
+
+POSTS_AT_ONCE = 4
+MAX_QUEUED = 1_000
+MAX_AWAITED = 50_000
+"""Answers whose ratings are waited for; at 20 requests/s that is 40 minutes,
+and ratings come within a few."""
+POLL_INTERVAL_S = 0.5
+RETRY_S = 2.0
+
+
+class QualityService(mode.Service):
+    """Posts answers and polls ratings.
+
+    Args:
+        rater: The platform's rater.
+        exposure: Gets the ratings of requests in roll-outs.
+
+    Attributes:
+        dropped: Answers that were not handed over.
+    """
+
+    def __init__(self, rater: Rater, exposure: ExposureService) -> None:
+        super().__init__()
+        self.dropped = 0
+        self._rater = rater
+        self._exposure = exposure
+        self._queue: asyncio.Queue[RatedAnswer] = asyncio.Queue(MAX_QUEUED)
+        self._awaited: collections.OrderedDict[RequestId, Trial] = (
+            collections.OrderedDict()
+        )
+        self._next = 0
+        self._rated = 0
+
+    async def on_start(self) -> None:
+        """Starts the posts."""
+        for _ in range(POSTS_AT_ONCE):
+            self.add_future(self._post_all())
+
+    def offer(self, answer: RatedAnswer, trial: Trial) -> None:
+        """Takes an answer; never waits.
+
+        A rater that is slow or down would otherwise hold up the callers, or
+        fill the memory with answers. What is dropped is dropped for old and
+        new versions alike, and costs evidence, not truth.
+        """
+        try:
+            self._queue.put_nowait(answer)
+        except asyncio.QueueFull:
+            self.dropped += 1
+            return
+        self._awaited[answer.request_id] = trial
+        if len(self._awaited) > MAX_AWAITED:
+            self._awaited.popitem(last=False)
+
+    def get_sizes(self) -> dict[str, int]:
+        """Sizes and counts, for the state dump."""
+        return {
+            "queued": self._queue.qsize(),
+            "awaited": len(self._awaited),
+            "dropped": self.dropped,
+            "rated": self._rated,
+            "next": self._next,
+        }
+
+    async def _post_all(self) -> None:
+        while not self.should_stop:
+            answer = await self._queue.get()
+            try:
+                await self._rater.post(answer)
+            except RaterError as error:
+                self.dropped += 1
+                self._awaited.pop(answer.request_id, None)
+                _log.warning("answer_not_rated", extra={"code": error.code})
+                await self.sleep(RETRY_S)
+
+    @mode.Service.task
+    async def _poll(self) -> None:
+        while not self.should_stop:
+            try:
+                count = await self._read_page()
+            except RaterError as error:
+                _log.warning("ratings_not_read", extra={"code": error.code})
+                await self.sleep(RETRY_S)
+                continue
+            if not count:
+                await self.sleep(POLL_INTERVAL_S)
+
+    async def _read_page(self) -> int:
+        page = await self._rater.read(self._next)
+        self._next = max(self._next, page.next)
+        for rating in page.ratings:
+            # All entries read all ratings; the others' are not known here.
+            trial = self._awaited.pop(rating.request_id, None)
+            if trial is not None:
+                self._rated += 1
+                self._exposure.add_rating(trial, rating.score)
+        return len(page.ratings)
--- a/src/lovagestage/rollout_driver.py
+++ b/src/lovagestage/rollout_driver.py
@@ -56,15 +56,6 @@
         """Whether nothing speaks against the next step."""
 
 
-class NoEvidence:
-    """Used where no rater is there: only time and stops count."""
-
-    def may_step(self, rollout: Rollout) -> bool:
-        """Always true."""
-        del rollout
-        return True
-
-
 class RolloutDriver(mode.Service):
     """Drives all roll-outs while it holds the lease.
 
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -14,13 +14,14 @@
 import mode
 import zmq
 
-from lovagestage.adapters import HttpEngine, HttpLog, HttpVmList
+from lovagestage.adapters import HttpEngine, HttpLog, HttpRater, HttpVmList
 from lovagestage.billing import BillingLedger
 from lovagestage.billing_service import BillingService
 from lovagestage.control import ControlReader
 from lovagestage.crash_watch import CrashWatch
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
+from lovagestage.exposure_service import ExposureService
 from lovagestage.gate import FencingGate
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
@@ -32,7 +33,8 @@
 from lovagestage.messages import Hello
 from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
-from lovagestage.rollout_driver import NoEvidence, RolloutDriver
+from lovagestage.quality import QualityService
+from lovagestage.rollout_driver import Evidence, RolloutDriver
 from lovagestage.rollouts import ROLLOUT_LEASE
 from lovagestage.runs import RunTable
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
@@ -44,6 +46,7 @@
 )
 from lovagestage.timers import TimerService
 from lovagestage.transport import KeyAuthenticator, Listener
+from lovagestage.trials import Trials
 from lovagestage.types import Role
 from lovagestage.upstreams import UpstreamTable
 from lovagestage.vmwatch import VmWatch
@@ -166,6 +169,8 @@
         CrashWatch(peers, base.hub),
     )
     billing = _make_billing(base, role, peers)
+    exposure = _make_exposure(base, peers)
+    quality = _make_quality(base, exposure)
     entry = Entry(
         settings,
         role,
@@ -177,24 +182,52 @@
         base.hub,
         billing,
         keys,
+        Trials(exposure, quality),
     )
     work = [
         *_make_snapshot_services(base, role),
-        *_make_rollout_driver(base, role, upstreams),
+        *_make_rollout_driver(base, role, upstreams, exposure),
+        exposure,
+        *([quality] if quality else []),
     ]
     peer_state = PeerState(base.control, [peers, upstreams], upstreams)
     links = [watch, upstreams, peers, peer_state]
     return entry, [*links, billing, membership, keys, *work, entry]
 
 
+def _make_exposure(base: _Base, peers: LinkTable) -> ExposureService:
+    return ExposureService(
+        base.control,
+        base.writer,
+        peers,
+        base.timers,
+        base.hub,
+        base.own,
+        random.Random(),
+        bool(base.settings.platform.rater_url),
+    )
+
+
+def _make_quality(
+    base: _Base, exposure: ExposureService
+) -> QualityService | None:
+    url = base.settings.platform.rater_url
+    if not url:
+        return None
+    return QualityService(HttpRater(base.session, url), exposure)
+
+
 def _make_rollout_driver(
-    base: _Base, role: EntrySettings, upstreams: UpstreamTable
+    base: _Base,
+    role: EntrySettings,
+    upstreams: UpstreamTable,
+    evidence: Evidence,
 ) -> list[mode.Service]:
     lease = LeaseKeeper(
         ROLLOUT_LEASE, base.own, base.control, base.writer, role.lease_ttl_s
     )
     driver = RolloutDriver(
-        base.control, lease, base.writer, upstreams, NoEvidence()
+        base.control, lease, base.writer, upstreams, evidence
     )
     return [lease, driver]
 
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -24,6 +24,9 @@
 def rollout_fleet():
     fleet = Fleet(SHAPE, ("--load-ms", "400"))
     fleet.entry_options["lease_ttl_s"] = 2.0
+    # No requests are sent here, so no ratings would ever come: without a
+    # rater time alone moves a roll-out on.
+    fleet.has_rater = False
     with fleet:
         yield fleet
 
