--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -242,3 +242,25 @@
     gate = make_gate(state=RolloutState.PAUSED, exposure_budget=100_000)
     feed(gate, random.Random(3), 3000, 0.8)
     assert (gate.step, gate.get_share()) == (0, 0.1)
+
+
+def test_recorded_step_is_the_ceiling_and_each_step_has_a_fresh_budget():
+    # The driver has recorded a step. The gate takes it, asks for evidence
+    # anew, and never goes over the share that the record allows.
+    gate = make_gate()
+    gate.follow(1, 0.05)
+    assert gate.step == 1
+    assert gate.get_share() == 0.05
+    gate.follow(1, 0.0)
+    assert gate.get_share() == 0.0
+    assert not gate.has_proof()
+
+
+def test_entries_that_go_out_of_sight_free_no_budget():
+    gate = make_gate(entries=3)
+    gate.raise_entries(2)
+    gate.follow(0, 1.0)
+    rng = random.Random(1)
+    for _ in range(10_000):
+        gate.assign(rng)
+    assert gate.exposed == gate.spec.exposure_budget // 3
--- /dev/null
+++ b/tests/test_quality.py
@@ -0,0 +1,147 @@
+"""Answers on their way to the rater, and what an answer says of itself."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import msgspec
+import pytest
+
+from lab.fleet import EXAMPLES
+from lovagestage.adapters import RatedAnswer, RaterError, Rating, RatingPage
+from lovagestage.admission import Trial, is_in_rollout, withdraw_stopped
+from lovagestage.answers import parse_answer
+from lovagestage.document import (
+    RolloutSpec,
+    ServiceDocument,
+    get_allowed_versions,
+    get_open_versions,
+)
+from lovagestage.exposure import Assignment
+from lovagestage.quality import MAX_QUEUED, QualityService
+from lovagestage.rollouts import RolloutKey
+from lovagestage.settings import parse_file
+from lovagestage.types import parse_model_version
+
+DOCUMENT = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
+SPEC = RolloutSpec("large@1", "large@2", [1.0])
+TRIAL = Trial(RolloutKey("vault", "large", 1), Assignment(True, 0.5))
+
+
+class SilentRater:
+    """Takes answers up to a limit, then is down; rates the first."""
+
+    def __init__(self, taken: int) -> None:
+        self._taken = taken
+        self.posted: list[str] = []
+
+    async def post(self, answer: RatedAnswer) -> None:
+        if len(self.posted) >= self._taken:
+            raise RaterError("The rater is down.")
+        self.posted.append(answer.request_id)
+
+    async def read(self, start: int) -> RatingPage:
+        if start:
+            raise RaterError("The rater is down.")
+        return RatingPage(2, [Rating("r0", 0.25), Rating("other", 1.0)])
+
+
+class Ratings:
+    """Keeps the ratings that it is given."""
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[Trial, float]] = []
+
+    def add_rating(self, trial: Trial, score: float) -> None:
+        self.seen.append((trial, score))
+
+
+def make_answer(number: int) -> RatedAnswer:
+    version = parse_model_version("large@2")
+    return RatedAnswer(f"r{number}", version, "default", "[]", "text")
+
+
+def test_rater_that_is_down_delays_nobody_and_drops_are_counted():
+    # The rater goes down under load. Offering an answer never waits; once
+    # the queue is full further answers are dropped, and the count says so.
+    async def offer_all() -> QualityService:
+        quality = QualityService(SilentRater(0), Ratings())
+        for number in range(MAX_QUEUED + 7):
+            quality.offer(make_answer(number), TRIAL)
+        return quality
+
+    quality = asyncio.run(offer_all())
+    assert quality.dropped == 7
+    assert quality.get_sizes()["awaited"] == MAX_QUEUED
+
+
+def test_rating_reaches_the_roll_out_of_its_request_and_no_other():
+    async def run() -> list[tuple[Trial, float]]:
+        ratings = Ratings()
+        quality = QualityService(SilentRater(1), ratings)
+        quality.offer(make_answer(0), TRIAL)
+        await quality.start()
+        await asyncio.sleep(0.1)
+        await quality.stop()
+        return ratings.seen
+
+    assert asyncio.run(run()) == [(TRIAL, 0.25)]
+
+
+@pytest.mark.parametrize(
+    ("message", "reason", "is_failure"),
+    [
+        ({"content": "Tuesday's snapshot is whole."}, "stop", False),
+        ({"content": ""}, "stop", True),
+        ({"content": "No.", "refusal": "I can't."}, "stop", True),
+        ({"content": "Half an"}, "content_filter", True),
+        ({"content": None}, "tool_calls", False),
+    ],
+)
+@pytest.mark.parametrize("stream", [False, True])
+def test_answer_without_use_is_a_failure(message, reason, is_failure, stream):
+    if stream:
+        first = json.dumps({"choices": [{"delta": message}]})
+        last = json.dumps({"choices": [{"delta": {}, "finish_reason": reason}]})
+        body = f"id: 0\ndata: {first}\n\ndata: {last}\n\ndata: [DONE]\n\n"
+    else:
+        choice = {"message": message, "finish_reason": reason}
+        body = json.dumps({"choices": [choice]})
+    answer = parse_answer(body.encode(), stream)
+    assert answer is not None
+    assert answer.is_failure is is_failure
+
+
+@pytest.mark.parametrize(
+    ("name", "resolved", "workspace", "expected"),
+    [
+        ("large", "large@1", "audit", True),
+        ("vault", "large@1", "audit", True),
+        ("vault", "small@1", "audit", False),
+        ("large@1", "large@1", "audit", False),
+        ("small", "small@1", "trial", False),
+    ],
+)
+def test_roll_out_takes_only_requests_that_leave_it_the_choice(
+    name, resolved, workspace, expected
+):
+    allowed = get_open_versions(DOCUMENT, workspace)
+    version = parse_model_version(resolved)
+    assert is_in_rollout(name, version, SPEC, allowed) is expected
+
+
+def test_workspace_without_the_new_version_stays_out_of_the_roll_out():
+    allowed = [parse_model_version("large@1")]
+    assert not is_in_rollout("large", allowed[0], SPEC, allowed)
+
+
+def test_stopped_version_is_left_out_for_every_workspace():
+    document = withdraw_stopped(DOCUMENT, ["large@2"])
+    for workspace in DOCUMENT.workspaces:
+        before = get_allowed_versions(DOCUMENT, workspace)
+        after = get_allowed_versions(document, workspace)
+        assert after == [v for v in before if str(v) != "large@2"]
+    assert msgspec.structs.replace(document, versions=[]) == (
+        msgspec.structs.replace(DOCUMENT, versions=[])
+    )
