Answer classes with a quality target by learned plans

Requests that named a service got the first version of the class's cascade that the workspace may use, whatever its ratings.

They now get the plan of a table that is solved in a thread from counters that entries exchange, over the versions that the workspace may use. Plain answers of repeatable classes that are doubtful by their own signs are asked of the plan's second version, within the deadline; the bill is one, for the answer that the caller gets.

Changed for callers: a class with a target begins with its best version, as docs/operations/cascades.md has said, and not with its cheapest.

Ruled out: solving on the event loop (43 ms at 22 versions); a plan filtered by the allowed versions afterwards; holding streams back to judge them.

--- a/src/lovagestage/admission.py
+++ b/src/lovagestage/admission.py
@@ -17,6 +17,7 @@
     VersionState,
 )
 from lovagestage.exposure import Assignment
+from lovagestage.learned import Arm
 from lovagestage.rollouts import RolloutKey
 from lovagestage.types import ModelVersion
 
@@ -41,10 +42,12 @@
     Attributes:
         version: Where it runs.
         trial: Its part in a roll-out; None where it has none.
+        arm: What its answer counts for; None where it follows no plan.
     """
 
     version: ModelVersion
     trial: Trial | None = None
+    arm: Arm | None = None
 
 
 def is_in_rollout(
--- a/src/lovagestage/answers.py
+++ b/src/lovagestage/answers.py
@@ -6,6 +6,7 @@
 
 FILTERED = "content_filter"
 CALLS_TOOLS = "tool_calls"
+CUT_OFF = "length"
 _DATA = b"data: "
 _DONE = b"[DONE]"
 
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -26,6 +26,7 @@
     get_key_digest,
     get_open_versions,
 )
+from lovagestage.escalation import Escalation, may_run_twice
 from lovagestage.exceptions import (
     BodyTooLargeError,
     IncompleteBodyError,
@@ -139,6 +140,7 @@
         self._settings = settings
         self._control = control
         self._dispatcher = dispatcher
+        self._escalation = Escalation(dispatcher)
         self._signer = SessionSigner(settings.session_keys)
 
     def make_app(self) -> web.Application:
@@ -242,10 +244,12 @@
         self, request: web.Request, admitted: Request, result: Result
     ) -> AsyncIterator[bytes]:
         key = request.headers.get(HEADER_KEY)
-        if key is None:
-            parts = self._dispatcher.run(admitted, result)
-        else:
+        if key is not None:
             parts = self._keyed.run(admitted, key, result)
+        elif may_run_twice(admitted):
+            parts = self._escalation.run(admitted, result)
+        else:
+            parts = self._dispatcher.run(admitted, result)
         return self._trials.watch(admitted, result, parts)
 
     def _get_caller(self, request: web.Request) -> Caller:
@@ -281,7 +285,9 @@
         deadline_s = spec.deadline_s or self._settings.default_deadline_s
         session = self._read_session(request, caller, form)
         version = resolve_session_version(session, form.model, caller, spec)
-        choice = self._choose(session, form.model, version, caller)
+        choice = self._choose_planned(
+            session, form.model, caller, class_name, len(body)
+        ) or self._choose(session, form.model, version, caller)
         return Request(
             RequestId(secrets.token_hex(16)),
             caller.workspace,
@@ -295,6 +301,26 @@
             session,
             choice.trial,
             class_name,
+            choice.arm,
+        )
+
+    def _choose_planned(
+        self,
+        session: Session | None,
+        name: str,
+        caller: Caller,
+        class_name: str,
+        prompt_bytes: int,
+    ) -> Choice | None:
+        document = caller.document
+        if session is not None or name != document.service:
+            return None
+        return self._trials.choose_plan(
+            document,
+            caller.workspace,
+            class_name,
+            document.classes[class_name],
+            prompt_bytes,
         )
 
     def _choose(
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -26,6 +26,7 @@
     UpstreamLostError,
 )
 from lovagestage.key_messages import RunId
+from lovagestage.learned import Arm
 from lovagestage.messages import (
     Accepted,
     Chunk,
@@ -82,6 +83,7 @@
         session: The session that it came with.
         trial: Its part in a roll-out.
         class_name: Its request class.
+        arm: What its answer counts for, where it follows a plan.
     """
 
     request_id: RequestId
@@ -96,6 +98,7 @@
     session: Session | None = None
     trial: Trial | None = None
     class_name: str = ""
+    arm: Arm | None = None
 
 
 @dataclasses.dataclass
@@ -112,6 +115,7 @@
         run: Whether any attempt that failed was run.
         passed_on: Whether the caller has had a part of the answer.
         version_failed: Whether an attempt failed as a bad version's would.
+        first: Token counts of an earlier answer that was not good enough.
     """
 
     version: ModelVersion
@@ -122,6 +126,14 @@
     run: RunState = RunState.NOT_RUN
     passed_on: bool = False
     version_failed: bool = False
+    first: Finished | None = None
+
+    def take(self, second: Result) -> None:
+        """Puts another version's answer in place of this one."""
+        self.first = self.finished
+        self.version = second.version
+        self.attempts = second.attempts
+        self.finished = second.finished
 
     def note_failure(
         self, error: RequestRefusedError, attempt: Attempt
--- /dev/null
+++ b/src/lovagestage/escalation.py
@@ -0,0 +1,112 @@
+"""Asks a better version where the first answer is doubtful by its own signs.
+
+Only for plain answers: of a stream the caller has had the first words by the
+time that its end can be judged.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import time
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from lovagestage.answers import CUT_OFF, parse_answer
+from lovagestage.cascade import may_escalate
+from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.exceptions import RequestRefusedError
+from lovagestage.types import parse_model_version
+
+_log = logging.getLogger(__name__)
+
+
+class _LimitForm(msgspec.Struct):
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+class Escalation:
+    """Runs requests that have a plan with a second version.
+
+    Args:
+        dispatcher: Runs requests.
+    """
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+
+    async def run(
+        self, request: Request, result: Result
+    ) -> AsyncIterator[bytes]:
+        """Yields the answer that the caller gets; see `Dispatcher.run`.
+
+        Where a second version is asked, `result` is of its run, and so are
+        the tokens that are billed. If that fails, the first answer stands.
+        """
+        started_s = time.monotonic()
+        first = [part async for part in self._dispatcher.run(request, result)]
+        better = get_escalated(request, b"".join(first), started_s)
+        if better is None:
+            for part in first:
+                yield part
+            return
+        _log.info(
+            "request_escalated",
+            extra={
+                "request": request.request_id,
+                "version": str(better.version),
+            },
+        )
+        second = Result(better.version, attempts=result.attempts)
+        try:
+            parts = [p async for p in self._dispatcher.run(better, second)]
+        except RequestRefusedError as error:
+            _log.info("escalation_failed", extra={"code": error.code})
+            parts = first
+        else:
+            result.take(second)
+        for part in parts:
+            yield part
+
+
+def get_escalated(
+    request: Request, body: bytes, started_s: float
+) -> Request | None:
+    """The request for the second version; None where none is asked.
+
+    Args:
+        request: As it was run first.
+        body: Its answer.
+        started_s: Monotonic time at which it began.
+    """
+    if request.arm is None:
+        return None
+    now_s = time.monotonic()
+    plan = request.arm.plan
+    spent_s, left_s = now_s - started_s, request.deadline_at_s - now_s
+    if not may_escalate(plan, _is_doubtful(request, body), spent_s, left_s):
+        return None
+    version = parse_model_version(plan.then)
+    if version is None:
+        return None
+    return dataclasses.replace(request, version=version)
+
+
+def may_run_twice(request: Request) -> bool:
+    """Whether a second answer may be asked for at all."""
+    return request.arm is not None and request.repeatable and not request.stream
+
+
+def _is_doubtful(request: Request, body: bytes) -> bool:
+    answer = parse_answer(body, stream=False)
+    if answer is None:
+        return False
+    if answer.is_failure:
+        return True
+    if answer.finish_reason != CUT_OFF:
+        return False
+    # Where the caller has set the limit, a better version ends there too.
+    limit = msgspec.json.decode(request.body, type=_LimitForm)
+    return limit.max_tokens is None and limit.max_completion_tokens is None
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -25,6 +25,7 @@
     Pull,
     PullAnswer,
 )
+from lovagestage.learned import LearnedDelta
 from lovagestage.types import (
     FencingNumber,
     Fingerprint,
@@ -424,7 +425,14 @@
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease | EvidenceReport
+PeerMessage = (
+    CrashReport
+    | BillCopy
+    | BillCopied
+    | BillRelease
+    | EvidenceReport
+    | LearnedDelta
+)
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
     Claim
--- a/src/lovagestage/quality.py
+++ b/src/lovagestage/quality.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import collections
+import dataclasses
 import logging
 
 import mode
 
 from lovagestage.adapters import RatedAnswer, Rater, RaterError
-from lovagestage.admission import Trial
+from lovagestage.cascade_service import CascadeService
+from lovagestage.dispatcher import Request
 from lovagestage.exposure_service import ExposureService
 from lovagestage.types import RequestId
 
@@ -30,18 +32,25 @@
     Args:
         rater: The platform's rater.
         exposure: Gets the ratings of requests in roll-outs.
+        cascades: Gets the ratings of requests that follow a plan.
 
     Attributes:
         dropped: Answers that were not handed over.
     """
 
-    def __init__(self, rater: Rater, exposure: ExposureService) -> None:
+    def __init__(
+        self,
+        rater: Rater,
+        exposure: ExposureService,
+        cascades: CascadeService,
+    ) -> None:
         super().__init__()
         self.dropped = 0
         self._rater = rater
         self._exposure = exposure
+        self._cascades = cascades
         self._queue: asyncio.Queue[RatedAnswer] = asyncio.Queue(MAX_QUEUED)
-        self._awaited: collections.OrderedDict[RequestId, Trial] = (
+        self._awaited: collections.OrderedDict[RequestId, Request] = (
             collections.OrderedDict()
         )
         self._next = 0
@@ -52,7 +61,7 @@
         for _ in range(POSTS_AT_ONCE):
             self.add_future(self._post_all())
 
-    def offer(self, answer: RatedAnswer, trial: Trial) -> None:
+    def offer(self, answer: RatedAnswer, request: Request) -> None:
         """Takes an answer; never waits.
 
         A rater that is slow or down would otherwise hold up the callers, or
@@ -64,7 +73,9 @@
         except asyncio.QueueFull:
             self.dropped += 1
             return
-        self._awaited[answer.request_id] = trial
+        # The body may be large, and is not needed any more.
+        kept = dataclasses.replace(request, body=b"")
+        self._awaited[answer.request_id] = kept
         if len(self._awaited) > MAX_AWAITED:
             self._awaited.popitem(last=False)
 
@@ -78,6 +89,12 @@
             "next": self._next,
         }
 
+    def _add(self, request: Request, score: float) -> None:
+        if request.trial is not None:
+            self._exposure.add_rating(request.trial, score)
+        if request.arm is not None:
+            self._cascades.add_rating(request.arm, score)
+
     async def _post_all(self) -> None:
         while not self.should_stop:
             answer = await self._queue.get()
@@ -106,8 +123,8 @@
         self._next = max(self._next, page.next)
         for rating in page.ratings:
             # All entries read all ratings; the others' are not known here.
-            trial = self._awaited.pop(rating.request_id, None)
-            if trial is not None:
+            request = self._awaited.pop(rating.request_id, None)
+            if request is not None:
                 self._rated += 1
-                self._exposure.add_rating(trial, rating.score)
+                self._add(request, rating.score)
         return len(page.ratings)
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -110,6 +110,8 @@
         billing_batch_bytes: Most bytes of one append of bills.
         member_silence_s: An entry that was not heard for so long holds no
             request keys from then on.
+        learning_window_s: Length of the windows in which ratings are counted;
+            those of the last six are used.
         key_window_s: How long a request key is remembered.
         key_limit: Most request keys held by this process; past it new ones
             are refused.
@@ -129,6 +131,7 @@
     member_silence_s: float = 10.0
     key_window_s: float = 86_400.0
     key_limit: int = 200_000
+    learning_window_s: float = 600.0
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/trials.py
+++ b/src/lovagestage/trials.py
@@ -1,4 +1,4 @@
-"""What the callers' API needs of roll-outs: a version, and who hears of it."""
+"""What the callers' API asks: which version, and who hears of the answer."""
 
 from __future__ import annotations
 
@@ -10,12 +10,17 @@
 from lovagestage.adapters import RatedAnswer
 from lovagestage.admission import Choice, Trial
 from lovagestage.answers import Answer, parse_answer
+from lovagestage.cascade_service import CascadeService
 from lovagestage.dispatcher import Request, Result, is_version_at_fault
-from lovagestage.document import ServiceDocument
+from lovagestage.document import ClassSpec, ServiceDocument
 from lovagestage.exceptions import RequestRefusedError
 from lovagestage.exposure_service import ExposureService
 from lovagestage.quality import QualityService
-from lovagestage.types import ModelVersion, WorkspaceId
+from lovagestage.types import (
+    ModelVersion,
+    WorkspaceId,
+    parse_model_version,
+)
 
 MAX_ANSWER_BYTES = 256 * 1024
 """A longer answer is not rated."""
@@ -51,17 +56,22 @@
 
 
 class Trials:
-    """Assigns requests to roll-outs and reports how they end.
+    """Gives requests plans and parts in roll-outs, and reports their ends.
 
     Args:
         exposure: The gates.
+        cascades: The plans.
         quality: The way to the rater; None where there is no rater.
     """
 
     def __init__(
-        self, exposure: ExposureService, quality: QualityService | None
+        self,
+        exposure: ExposureService,
+        cascades: CascadeService,
+        quality: QualityService | None,
     ) -> None:
         self._exposure = exposure
+        self._cascades = cascades
         self._quality = quality
 
     def get_document(self, document: ServiceDocument) -> ServiceDocument:
@@ -78,10 +88,38 @@
         """See `ExposureService.choose`."""
         return self._exposure.choose(name, resolved, document, workspace)
 
+    def choose_plan(
+        self,
+        document: ServiceDocument,
+        workspace: WorkspaceId,
+        class_name: str,
+        spec: ClassSpec,
+        prompt_bytes: int,
+    ) -> Choice | None:
+        """Chooses for a request that names the service.
+
+        The plan comes first: it may lead to a version that a roll-out is
+        replacing, and then the roll-out decides between the two.
+
+        Returns:
+            None where no plan is to be followed.
+        """
+        arm = self._cascades.choose(
+            document, workspace, class_name, spec, prompt_bytes
+        )
+        version = parse_model_version(arm.plan.start) if arm else None
+        if arm is None or version is None:
+            return None
+        choice = self.choose(document.service, version, document, workspace)
+        if choice.version != version:
+            return choice
+        return dataclasses.replace(choice, arm=arm)
+
     def get_dump(self) -> dict[str, object]:
         """State of the gates and of the ratings, for the dump."""
         return {
             "gates": self._exposure.get_dump(),
+            "cascades": self._cascades.get_dump(),
             "ratings": self._quality.get_sizes() if self._quality else None,
         }
 
@@ -93,7 +131,7 @@
         copy = _Copy()
         try:
             async for part in parts:
-                if trial is not None:
+                if trial is not None or request.arm is not None:
                     copy.add(part)
                 yield part
         except RequestRefusedError as error:
@@ -104,31 +142,42 @@
             raise
         finally:
             await parts.aclose()  # type: ignore[attr-defined]
-        if trial is not None and _is_own_run(request, result):
-            self._report(trial, request, result, copy.parse(request.stream))
+        if trial is None and request.arm is None:
+            return
+        if _is_own_run(request, result):
+            self._report(request, result, copy.parse(request.stream))
 
     def _report(
-        self,
-        trial: Trial,
-        request: Request,
-        result: Result,
-        answer: Answer | None,
+        self, request: Request, result: Result, answer: Answer | None
     ) -> None:
-        is_failure = answer is not None and answer.is_failure
-        self._exposure.add_outcome(trial, result.version_failed or is_failure)
+        if request.trial is not None:
+            self._add_outcome(request.trial, result, answer)
+        if request.arm is not None:
+            self._cascades.add_answer(request.arm, request, result)
         if answer is None or self._quality is None:
             return
+        if result.first is not None:
+            # The rating is the second version's, and no evidence of the first.
+            request = dataclasses.replace(request, trial=None)
         self._quality.offer(
             RatedAnswer(
                 request.request_id,
-                request.version,
+                result.version,
                 request.class_name,
                 _get_prompt(request.body),
                 answer.text,
             ),
-            trial,
+            request,
         )
 
+    def _add_outcome(
+        self, trial: Trial, result: Result, answer: Answer | None
+    ) -> None:
+        is_failure = answer is not None and answer.is_failure
+        # A first answer that was replaced was doubtful by its own signs.
+        failed = result.version_failed or is_failure or bool(result.first)
+        self._exposure.add_outcome(trial, failed)
+
 
 def _is_own_run(request: Request, result: Result) -> bool:
     # A request that joined another's run says nothing of its own assignment.
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -17,6 +17,7 @@
 from lovagestage.adapters import HttpEngine, HttpLog, HttpRater, HttpVmList
 from lovagestage.billing import BillingLedger
 from lovagestage.billing_service import BillingService
+from lovagestage.cascade_service import CascadeService
 from lovagestage.control import ControlReader
 from lovagestage.crash_watch import CrashWatch
 from lovagestage.dispatcher import Dispatcher
@@ -25,6 +26,7 @@
 from lovagestage.gate import FencingGate
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
+from lovagestage.learned import Learned
 from lovagestage.leasing import LeaseKeeper
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
@@ -170,7 +172,8 @@
     )
     billing = _make_billing(base, role, peers)
     exposure = _make_exposure(base, peers)
-    quality = _make_quality(base, exposure)
+    cascades = _make_cascades(base, role, peers)
+    quality = _make_quality(base, exposure, cascades)
     entry = Entry(
         settings,
         role,
@@ -182,12 +185,13 @@
         base.hub,
         billing,
         keys,
-        Trials(exposure, quality),
+        Trials(exposure, cascades, quality),
     )
     work = [
         *_make_snapshot_services(base, role),
         *_make_rollout_driver(base, role, upstreams, exposure),
         exposure,
+        cascades,
         *([quality] if quality else []),
     ]
     peer_state = PeerState(base.control, [peers, upstreams], upstreams)
@@ -208,13 +212,27 @@
     )
 
 
+def _make_cascades(
+    base: _Base, role: EntrySettings, peers: LinkTable
+) -> CascadeService:
+    return CascadeService(
+        base.control,
+        Learned(base.own.vm, base.own.incarnation),
+        peers,
+        base.timers,
+        base.hub,
+        random.Random(),
+        role.learning_window_s,
+    )
+
+
 def _make_quality(
-    base: _Base, exposure: ExposureService
+    base: _Base, exposure: ExposureService, cascades: CascadeService
 ) -> QualityService | None:
     url = base.settings.platform.rater_url
     if not url:
         return None
-    return QualityService(HttpRater(base.session, url), exposure)
+    return QualityService(HttpRater(base.session, url), exposure, cascades)
 
 
 def _make_rollout_driver(
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -12,6 +12,7 @@
 from lovagestage.adapters import RatedAnswer, RaterError, Rating, RatingPage
 from lovagestage.admission import Trial, is_in_rollout, withdraw_stopped
 from lovagestage.answers import parse_answer
+from lovagestage.dispatcher import Request
 from lovagestage.document import (
     RolloutSpec,
     ServiceDocument,
@@ -28,6 +29,10 @@
 SPEC = RolloutSpec("large@1", "large@2", [1.0])
 TRIAL = Trial(RolloutKey("vault", "large", 1), Assignment(True, 0.5))
 
+REQUEST = Request(
+    "r0", "audit", "vault", None, 1, True, 0.0, False, b"{}", None, TRIAL
+)
+
 
 class SilentRater:
     """Takes answers up to a limit, then is down; rates the first."""
@@ -66,9 +71,9 @@
     # The rater goes down under load. Offering an answer never waits; once
     # the queue is full further answers are dropped, and the count says so.
     async def offer_all() -> QualityService:
-        quality = QualityService(SilentRater(0), Ratings())
+        quality = QualityService(SilentRater(0), Ratings(), Ratings())
         for number in range(MAX_QUEUED + 7):
-            quality.offer(make_answer(number), TRIAL)
+            quality.offer(make_answer(number), REQUEST)
         return quality
 
     quality = asyncio.run(offer_all())
@@ -79,8 +84,8 @@
 def test_rating_reaches_the_roll_out_of_its_request_and_no_other():
     async def run() -> list[tuple[Trial, float]]:
         ratings = Ratings()
-        quality = QualityService(SilentRater(1), ratings)
-        quality.offer(make_answer(0), TRIAL)
+        quality = QualityService(SilentRater(1), ratings, Ratings())
+        quality.offer(make_answer(0), REQUEST)
         await quality.start()
         await asyncio.sleep(0.1)
         await quality.stop()
--- a/tests/test_quality_fleet.py
+++ b/tests/test_quality_fleet.py
@@ -216,3 +216,30 @@
     scene.wait(lambda gate: gate["step"] >= 1, "second step", send=24)
     scene.wait(lambda gate: gate["step"] >= 2, "done", send=24)
     assert not any(g["stop_reason"] for g in scene.get_gates())
+
+
+def test_cascade_follows_the_ratings_of_the_cheap_version():
+    # A class begins with its best version. Ratings of a few explored answers
+    # prove the cheap one good enough, at either entry; most requests then go
+    # there. It turns bad: within a few windows the class is back on the best.
+    fleet = Fleet(SHAPES["thin"], ("--base-ttft-ms", "5"))
+    fleet.entry_options["learning_window_s"] = 1.0
+    with fleet:
+        scene = Scene(fleet)
+        fleet.set_fault("rater", quality={"small@1": 0.95, "large@1": 0.95})
+        first = scene.ask_many(8, model="vault")
+        # One of them may already be explored.
+        assert [a.version for a in first].count("large@1") >= 7
+        wait_for_share(scene, lambda cheap: cheap > 0.7)
+        fleet.set_fault("rater", quality={"small@1": 0.1, "large@1": 0.95})
+        wait_for_share(scene, lambda cheap: cheap < 0.3)
+
+
+def wait_for_share(scene, is_reached) -> None:
+    end_s = time.monotonic() + 3 * TIMEOUT_S
+    while True:
+        answers = scene.ask_many(60, model="vault")
+        cheap = sum(a.version == "small@1" for a in answers) / len(answers)
+        if is_reached(cheap):
+            return
+        assert time.monotonic() < end_s, cheap
