--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from lovagestage.admission import Trial
 from lovagestage.attempts import Attempt, AttemptKey
 from lovagestage.crash_suspects import get_fingerprint
 from lovagestage.crash_watch import CrashWatch
@@ -25,6 +26,7 @@
     UpstreamLostError,
 )
 from lovagestage.key_messages import RunId
+from lovagestage.learned import Arm
 from lovagestage.messages import (
     Accepted,
     Chunk,
@@ -78,6 +80,9 @@
         stream: Whether the caller reads chunks.
         body: The JSON body.
         session: The session that it came with.
+        trial: Its part in a roll-out.
+        class_name: Its request class.
+        arm: What its answer counts for, where it follows a plan.
     """
 
     request_id: RequestId
@@ -90,6 +95,9 @@
     stream: bool
     body: bytes
     session: Session | None = None
+    trial: Trial | None = None
+    class_name: str = ""
+    arm: Arm | None = None
 
 
 @dataclasses.dataclass
@@ -105,6 +113,8 @@
         waits: Attempts that were refused until a probe has ended.
         run: Whether any attempt that failed was run.
         passed_on: Whether the caller has had a part of the answer.
+        version_failed: Whether an attempt failed as a bad version's would.
+        first: Token counts of an earlier answer that was not good enough.
     """
 
     version: ModelVersion
@@ -114,6 +124,15 @@
     waits: int = 0
     run: RunState = RunState.NOT_RUN
     passed_on: bool = False
+    version_failed: bool = False
+    first: Finished | None = None
+
+    def take(self, second: Result) -> None:
+        """Puts another version's answer in place of this one."""
+        self.first = self.finished
+        self.version = second.version
+        self.attempts = second.attempts
+        self.finished = second.finished
 
     def note_failure(
         self, error: RequestRefusedError, attempt: Attempt
@@ -121,6 +140,8 @@
         """Keeps what is known of the run over all attempts."""
         self.passed_on = self.passed_on or attempt.passed_on
         self.waits += isinstance(error, SuspectWaitingError)
+        # A retry that succeeds would hide a version that fails now and then.
+        self.version_failed |= is_version_at_fault(error)
         if error.run is not RunState.NOT_RUN:
             self.run = error.run
 
@@ -449,6 +470,21 @@
                 )
 
 
+def is_version_at_fault(error: RequestRefusedError) -> bool:
+    """Whether a failure may be its version's doing.
+
+    An upstream's own failures hit old and new versions alike and are told
+    apart by the exposure gate; a lack of capacity is no failure of either.
+    """
+    return isinstance(
+        error,
+        UpstreamFailedError
+        | UpstreamCrashedError
+        | UpstreamLostError
+        | DeadlineExceededError,
+    )
+
+
 def _make_failure(
     request: Request, result: Result, error: RequestRefusedError
 ) -> Failure:
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.exposure import Evidence
 from lovagestage.key_messages import (
     Claim,
     ClaimAnswer,
@@ -24,6 +25,7 @@
     Pull,
     PullAnswer,
 )
+from lovagestage.learned import LearnedDelta
 from lovagestage.types import (
     FencingNumber,
     Fingerprint,
@@ -31,6 +33,7 @@
     Offset,
     RequestId,
     RunState,
+    ServiceId,
     VmId,
     WorkspaceId,
     ZoneId,
@@ -404,11 +407,34 @@
     last_number: int
 
 
+class EvidenceReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="evidence_report"
+):
+    """What an entry tells the others of one roll-out.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        evidence: What it saw since its last report.
+    """
+
+    service: ServiceId
+    model: str
+    evidence: Evidence
+
+
 EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease
+PeerMessage = (
+    CrashReport
+    | BillCopy
+    | BillCopied
+    | BillRelease
+    | EvidenceReport
+    | LearnedDelta
+)
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
     Claim
