Add the failover experiment: mixed traffic under random failures

Cause: the promises were tested failure by failure, never all together. Change: a seeded plan of faults, a driver, callers that retry, an audit of runs, bills, answers and refusals, and a naive retrying proxy as baseline. Engines can append their runs to a file, so that a killed one loses none.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -18,6 +18,7 @@
     "rater": "lab.rater",
     "plain": "lab.plain",
     "balancer": "lab.balancer",
+    "naive_proxy": "lab.naive_proxy",
     "bench": "lab.bench",
     "demo": "lab.demo",
     "up": "lab.up",
--- /dev/null
+++ b/lab/audit.py
@@ -0,0 +1,215 @@
+"""Compares what callers saw with runs, bills and configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import Counter, defaultdict
+
+from lab.fault_driver import Applied
+from lab.fault_plan import FaultKind
+from lab.recorded_runs import RecordedRun
+from lab.traffic import Kind, Send
+from lovagestage.billing import Bill, BillOutcome
+
+FORCE_S = 8.0
+"""An accepted change is in force everywhere by then."""
+SETTLE_S = 12.0
+"""Effects of a fault on requests that are sent after its end."""
+_HARD = (FaultKind.KILL, FaultKind.PAUSE, FaultKind.SILENCE)
+_AT_LOG = (FaultKind.OUTAGE, FaultKind.LOST_ANSWERS, FaultKind.SLOW)
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """What was recorded in one run.
+
+    Attributes:
+        sends: What callers saw.
+        runs: What engines ran.
+        bills: What the log's billing stream has.
+        applied: Faults that acted.
+        withdrawn: Version that was withdrawn.
+        withdrawn_s: Unix time at which that was accepted; infinite where
+            it was not.
+    """
+
+    sends: list[Send]
+    runs: list[RecordedRun]
+    bills: list[Bill]
+    applied: list[Applied]
+    withdrawn: str
+    withdrawn_s: float
+
+
+@dataclasses.dataclass
+class Findings:
+    """Counts of what must not happen, with the requests concerned."""
+
+    lost_answers: list[str] = dataclasses.field(default_factory=list)
+    wrong_bytes: list[str] = dataclasses.field(default_factory=list)
+    doubled_runs: list[str] = dataclasses.field(default_factory=list)
+    doubled_bills: list[str] = dataclasses.field(default_factory=list)
+    missing_bills: list[str] = dataclasses.field(default_factory=list)
+    false_refusals: list[str] = dataclasses.field(default_factory=list)
+    cut_by_planned_stop: list[str] = dataclasses.field(default_factory=list)
+    work_on_withdrawn: list[str] = dataclasses.field(default_factory=list)
+
+
+def audit(evidence: Evidence) -> Findings:
+    """Finds every broken promise."""
+    findings = Findings()
+    runs: dict[str, list[RecordedRun]] = defaultdict(list)
+    for run in evidence.runs:
+        runs[get_tag(run.prompt)].append(run)
+        is_late = run.at_s > evidence.withdrawn_s + FORCE_S
+        if run.model == evidence.withdrawn and is_late:
+            findings.work_on_withdrawn.append(get_tag(run.prompt))
+    sends: dict[str, list[Send]] = defaultdict(list)
+    for send in evidence.sends:
+        sends[send.tag].append(send)
+        _check_answer(findings, send, evidence.applied)
+    for tag, group in sends.items():
+        if group[0].kind.runs_once and len(runs[tag]) > 1:
+            findings.doubled_runs.append(tag)
+        _check_refusals(findings, tag, group, runs[tag])
+    _check_bills(findings, sends, runs, evidence.bills)
+    return findings
+
+
+def get_tag(prompt: str) -> str:
+    """Tag of the send that a prompt names: `user: TAG why`."""
+    return prompt.split()[1]
+
+
+def count_codes(sends: list[Send]) -> dict[str, int]:
+    """Sends by how they ended."""
+    return dict(Counter(_get_end(send) for send in sends))
+
+
+def _get_end(send: Send) -> str:
+    if send.is_answered:
+        return "answered"
+    if send.has_left:
+        return "left"
+    if send.code:
+        run = send.run or "no_state"
+        within = "stream:" if send.status == 200 else ""
+        return f"{within}{send.code}/{run}"
+    return "broken" if send.status == 0 else "cut"
+
+
+def _check_answer(
+    findings: Findings, send: Send, applied: list[Applied]
+) -> None:
+    if send.is_wrong:
+        findings.wrong_bytes.append(send.tag)
+    if send.is_answered or send.has_left:
+        return
+    broken = send.status == 0 or send.is_cut
+    if broken and not _acted(applied, send, _HARD, send.entry):
+        stopped = _acted(applied, send, (FaultKind.REPLACE,), send.entry)
+        # A connection that is refused has carried nothing: the caller goes
+        # to another entry at once.
+        if send.status == 0 and send.ended_s - send.sent_s < 0.1:
+            return
+        kind = (
+            findings.cut_by_planned_stop if stopped else findings.lost_answers
+        )
+        kind.append(send.tag)
+    elif send.status == 200 and send.code:
+        # The stream has ended with an error. Only a process that failed
+        # under it excuses that.
+        if not _acted(applied, send, _HARD):
+            findings.cut_by_planned_stop.append(send.tag)
+
+
+def _acted(
+    applied: list[Applied],
+    send: Send,
+    kinds: tuple[FaultKind, ...],
+    name: str = "",
+) -> bool:
+    return any(
+        each.fault.kind in kinds
+        and (not name or each.fault.name == name)
+        and each.overlaps(send.sent_s - SETTLE_S, send.ended_s)
+        for each in applied
+    )
+
+
+def _check_refusals(
+    findings: Findings, tag: str, group: list[Send], runs: list[RecordedRun]
+) -> None:
+    for refused in group:
+        if refused.run != "not_run":
+            continue
+        # What ran before the refusal, and what runs after it while no other
+        # request with the key is there to run it.
+        others = [s for s in group if s is not refused and s.run != "not_run"]
+        before = [run for run in runs if run.at_s < refused.sent_s]
+        if before or (runs and not others):
+            findings.false_refusals.append(tag)
+            return
+
+
+def _check_bills(
+    findings: Findings,
+    sends: dict[str, list[Send]],
+    runs: dict[str, list[RecordedRun]],
+    bills: list[Bill],
+) -> None:
+    finished = {
+        bill.request_id
+        for bill in bills
+        if bill.outcome is BillOutcome.FINISHED
+    }
+    for tag, group in sends.items():
+        answered = {s.request_id for s in group if s.is_answered}
+        ids = {run.request_id for run in runs[tag]} | answered
+        if answered - finished:
+            findings.missing_bills.append(tag)
+        if len(ids & finished) > 1:
+            findings.doubled_bills.append(tag)
+
+
+def get_gaps_s(
+    served: list[tuple[float, float, bool]], applied: list[Applied]
+) -> tuple[list[float], list[float]]:
+    """Time without service after each kill: alone, and beside other faults.
+
+    It is the time that the slowest request near the kill took, over all its
+    sends, less the median of all requests.
+
+    Args:
+        served: Start, time taken and whether it was answered, of plain
+            requests.
+        applied: Faults that acted.
+    """
+    took_s = sorted(spent_s for _, spent_s, _ in served)
+    usual_s = took_s[len(took_s) // 2]
+    alone: list[float] = []
+    together: list[float] = []
+    for kill in applied:
+        if kill.fault.kind is not FaultKind.KILL:
+            continue
+        near = [
+            spent_s
+            for start_s, spent_s, _ in served
+            if -0.2 < start_s - kill.began_s < 1.5
+        ]
+        if not near:
+            continue
+        gap_s = max(0.0, max(near) - usual_s)
+        beside = any(
+            other is not kill
+            and other.fault.kind not in _AT_LOG
+            and other.overlaps(kill.began_s - 1.0, kill.began_s + 2.0)
+            for other in applied
+        )
+        (together if beside else alone).append(gap_s)
+    return sorted(alone), sorted(together)
+
+
+def is_plain(kind: Kind) -> bool:
+    """Whether a request's time counts for the time without service."""
+    return kind is Kind.PLAIN
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import pathlib
 import time
 from collections import Counter, deque
 from collections.abc import AsyncIterator
@@ -21,6 +22,7 @@
 from lab.faults import Faults, error, read_object
 from lab.models import Models, Order
 from lab.prefix_cache import PrefixCache
+from lab.recorded_runs import RecordedRun, append_run
 from lab.server import add_server_arguments, hang, make_app, run_app
 
 MAX_KEPT_STREAMS = 8192
@@ -55,6 +57,7 @@
     cache_lag_ms: float = 200.0
     cache_gap_ratio: float = 0.05
     keep_streams_s: float = 60.0
+    runs_file: str = ""  # Takes each run as a line; outlives the process.
 
 
 class Engine:
@@ -149,6 +152,16 @@
 
     def _count_run(self, sequence: Sequence) -> None:
         self._runs[sequence.request_id] += 1
+        if self._options.runs_file:
+            append_run(
+                pathlib.Path(self._options.runs_file),
+                RecordedRun(
+                    time.time(),
+                    sequence.request_id,
+                    sequence.model,
+                    sequence.prompt,
+                ),
+            )
 
     def _count_token(self, sequence: Sequence) -> None:
         crash_on = self.faults.crash_on
@@ -265,6 +278,7 @@
         parser.add_argument(flag, type=float, default=getattr(defaults, name))
     parser.add_argument("--cache-prefixes", type=int, default=512)
     parser.add_argument("--keep-streams-s", type=float, default=60.0)
+    parser.add_argument("--runs-file", default="")
 
 
 def run(args: argparse.Namespace) -> int:
@@ -283,6 +297,7 @@
         cache_lag_ms=args.cache_lag_ms,
         cache_gap_ratio=args.cache_gap_ratio,
         keep_streams_s=args.keep_streams_s,
+        runs_file=args.runs_file,
     )
 
     def build() -> web.Application:
--- /dev/null
+++ b/lab/experiments/failover.py
@@ -0,0 +1,260 @@
+"""Mixed traffic under random failures, checked request by request.
+
+Both sides get the same traffic and the same schedule of faults; faults of
+sidecars have no counterpart at the naive proxy, but for silent connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import math
+import pathlib
+import random
+import tempfile
+import threading
+import time
+import urllib.error
+from typing import Any
+
+import aiohttp
+
+from lab.audit import (
+    Evidence,
+    Findings,
+    audit,
+    count_codes,
+    get_gaps_s,
+    is_plain,
+)
+from lab.experiments import Result
+from lab.fault_driver import FaultDriver
+from lab.fault_plan import Fault, FaultKind, make_plan
+from lab.fleet import EXAMPLES, Fleet, Shape
+from lab.naive_fleet import NaiveFleet
+from lab.recorded_runs import read_runs
+from lab.relay import Relay
+from lab.traffic import Traffic
+from lovagestage.adapters import HttpLog
+from lovagestage.billing import BILLING_STREAM, Bill, decode_batch
+from lovagestage.commands import make_withdrawal
+from lovagestage.document import ServiceDocument
+from lovagestage.settings import parse_file
+from lovagestage.types import Offset
+
+DURATION_S = 65.0
+RATE_PER_S = 30.0
+WITHDRAWN = "large@2"
+WITHDRAW_AT_S = 30.0
+BILLED_AFTER_S = 14.0
+"""Copies are taken over and appended by then."""
+SAMPLE_S = 1.0
+GOAL_S = 1.0
+SHAPE = Shape("vault", ("lhe-a", "lhe-b"), 3, 4, 0)
+LOG_KINDS = (FaultKind.OUTAGE, FaultKind.LOST_ANSWERS, FaultKind.SLOW)
+
+
+@dataclasses.dataclass
+class _Side:
+    """What one side gave."""
+
+    findings: Findings
+    figures: dict[str, Any]
+    gaps_s: list[float]
+    is_clean: bool
+
+
+def run(seed: int, duration_s: float = DURATION_S) -> Result:
+    """Runs the product, then the naive proxies."""
+    plan = make_plan(seed, duration_s)
+    product = _run_side(seed, duration_s, plan, is_naive=False)
+    naive = _run_side(seed, duration_s, plan, is_naive=True)
+    gap_s = product.figures["gap_p99_s"]
+    return Result(
+        "failover",
+        seed,
+        naive.figures,
+        product.figures,
+        _count_all(product.findings) / max(1, _count_all(naive.findings)),
+        product.is_clean and gap_s < GOAL_S,
+        {
+            "duration_s": duration_s,
+            "rate_per_s": RATE_PER_S,
+            "faults": [f"{f.at_s:.1f} {f.kind.value} {f.name}" for f in plan],
+            "concerned": dataclasses.asdict(product.findings),
+            "gaps_s": [round(gap_s, 3) for gap_s in product.gaps_s],
+        },
+    )
+
+
+def _run_side(
+    seed: int, duration_s: float, plan: list[Fault], is_naive: bool
+) -> _Side:
+    with tempfile.TemporaryDirectory(prefix="lovagestage-") as folder:
+        runs_file = pathlib.Path(folder) / "runs"
+        kind = NaiveFleet if is_naive else Fleet
+        with kind(SHAPE, ("--runs-file", str(runs_file))) as fleet:
+            relays = _get_relays(fleet)
+            side = _observe(fleet, relays, seed, duration_s, plan, runs_file)
+            for relay in relays.values():
+                relay.__exit__(None, None, None)
+    return side
+
+
+def _get_relays(fleet: Fleet) -> dict[str, Relay]:
+    if isinstance(fleet, NaiveFleet):
+        return fleet.relays
+    relays = {}
+    for name in ("sidecar-0", "sidecar-1"):
+        relays[name] = Relay(fleet.children[name].bus).__enter__()
+        fleet.set_vm_bus(name, relays[name].address)
+    time.sleep(3.0)
+    return relays
+
+
+def _observe(
+    fleet: Fleet,
+    relays: dict[str, Relay],
+    seed: int,
+    duration_s: float,
+    plan: list[Fault],
+    runs_file: pathlib.Path,
+) -> _Side:
+    driver = FaultDriver(fleet, relays)
+    traffic = Traffic(random.Random(seed), lambda: _get_urls(fleet))
+    start_s = time.time()
+    watch = _ChangeWatch(fleet, start_s)
+    threads = [
+        threading.Thread(target=driver.run, args=(plan, start_s)),
+        threading.Thread(target=watch.run),
+    ]
+    for thread in threads:
+        thread.start()
+    asyncio.run(traffic.run(duration_s, RATE_PER_S))
+    threads[0].join()
+    time.sleep(BILLED_AFTER_S)
+    watch.stop()
+    threads[1].join()
+    evidence = Evidence(
+        traffic.sends,
+        read_runs(runs_file),
+        asyncio.run(_read_bills(fleet)),
+        driver.applied,
+        WITHDRAWN,
+        watch.accepted_s,
+    )
+    findings = audit(evidence)
+    served = [
+        (s.started_s, s.took_s, s.is_answered)
+        for s in traffic.served
+        if is_plain(s.kind)
+    ]
+    alone, together = get_gaps_s(served, driver.applied)
+    gaps_s = sorted(alone + together)
+    counts = {k: len(v) for k, v in dataclasses.asdict(findings).items()}
+    forbidden = {
+        **counts,
+        "changed_sessions": traffic.changed_sessions,
+        "reverted_changes": watch.reverted,
+        "failed_stops": len(driver.failures),
+    }
+    unserved = [s for s in traffic.served if not s.is_answered]
+    figures = {
+        **forbidden,
+        "gap_p50_s": _get_quantile(gaps_s, 0.5),
+        "gap_p99_s": _get_quantile(gaps_s, 0.99),
+        "gap_alone_p99_s": _get_quantile(alone, 0.99),
+        "kills": len(gaps_s),
+        "requests": len(traffic.served),
+        "requests_given_up": len(unserved),
+        "runs": len(evidence.runs),
+        "bills": len({bill.request_id for bill in evidence.bills}),
+        "sends": count_codes(traffic.sends),
+        "failures": driver.failures,
+    }
+    return _Side(findings, figures, gaps_s, not any(forbidden.values()))
+
+
+class _ChangeWatch:
+    """Withdraws the version, and notes revisions that go back."""
+
+    def __init__(self, fleet: Fleet, start_s: float) -> None:
+        self.accepted_s = math.inf
+        self.reverted = 0
+        self._fleet = fleet
+        self._start_s = start_s
+        self._seen: dict[tuple[str, int], int] = {}
+        self._stopping = threading.Event()
+
+    def run(self) -> None:
+        """Samples until it is stopped."""
+        while not self._stopping.wait(SAMPLE_S):
+            if (
+                math.isinf(self.accepted_s)
+                and time.time() > self._start_s + WITHDRAW_AT_S
+            ):
+                self._withdraw()
+            if not isinstance(self._fleet, NaiveFleet):
+                self._sample()
+
+    def stop(self) -> None:
+        """Ends the sampling."""
+        self._stopping.set()
+
+    def _withdraw(self) -> None:
+        path = EXAMPLES / f"{SHAPE.service}.jsonc"
+        document = parse_file(path, ServiceDocument)
+        withdrawn = make_withdrawal(WITHDRAWN)(document)
+        try:
+            self._fleet.publish_document(withdrawn, 1)
+        except urllib.error.HTTPError as error:
+            if error.code != 500:  # 500: its answer was lost, not the change.
+                return
+        except OSError:
+            return
+        self.accepted_s = time.time()
+
+    def _sample(self) -> None:
+        for name, child in list(self._fleet.children.items()):
+            if not child.bus or self._stopping.is_set():
+                continue
+            try:
+                dump = self._fleet.get_dump(name)
+            except Exception:  # Killed or paused.
+                continue
+            revision = dump["control"]["revisions"].get(SHAPE.service, 0)
+            key = (name, child.process.pid)
+            self.reverted += revision < self._seen.get(key, 0)
+            self._seen[key] = revision
+
+
+def _get_urls(fleet: Fleet) -> dict[str, str]:
+    return {
+        name: child.url
+        for name, child in list(fleet.children.items())
+        if name.startswith("entry") and child.port
+    }
+
+
+async def _read_bills(fleet: Fleet) -> list[Bill]:
+    bills: list[Bill] = []
+    offset = Offset(0)
+    async with aiohttp.ClientSession() as session:
+        log = HttpLog(session, fleet.children["log"].url)
+        while True:
+            page = await log.read(BILLING_STREAM, offset, 500, 0.0)
+            if not page.records:
+                return bills
+            for at, data in page.records:
+                bills += decode_batch(data)
+                offset = Offset(at + 1)
+
+
+def _count_all(findings: Findings) -> int:
+    return sum(len(v) for v in dataclasses.asdict(findings).values())
+
+
+def _get_quantile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    return round(values[min(len(values) - 1, int(share * len(values)))], 3)
--- /dev/null
+++ b/lab/fault_driver.py
@@ -0,0 +1,118 @@
+"""Brings a plan's faults upon a fleet and notes when each one acted."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+
+from lab.fault_plan import Fault, FaultKind
+from lab.fleet import Fleet
+from lab.relay import Relay
+
+LOG_FAULTS: dict[FaultKind, dict[str, object]] = {
+    FaultKind.OUTAGE: {"outage": True},
+    FaultKind.LOST_ANSWERS: {"lose_answer": 4},
+    FaultKind.SLOW: {"slow_ms": 700.0},
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """A fault that has acted.
+
+    Attributes:
+        fault: The fault.
+        began_s: Unix time of its start.
+        ended_s: Unix time at which the process served again.
+    """
+
+    fault: Fault
+    began_s: float
+    ended_s: float
+
+    def overlaps(self, start_s: float, end_s: float) -> bool:
+        """Whether it acted in a span of time."""
+        return self.began_s <= end_s and self.ended_s >= start_s
+
+
+class FaultDriver:
+    """One thread for each fault; a process has one fault at a time.
+
+    Args:
+        fleet: The fleet.
+        relays: Relays before processes, by name.
+    """
+
+    def __init__(self, fleet: Fleet, relays: dict[str, Relay]) -> None:
+        self.applied: list[Applied] = []
+        self.failures: list[str] = []
+        self._fleet = fleet
+        self._relays = relays
+        self._starting = threading.Lock()
+        self._busy: set[str] = set()
+        self._threads: list[threading.Thread] = []
+
+    def run(self, plan: list[Fault], start_s: float) -> None:
+        """Applies the plan; returns once every fault is undone."""
+        for fault in plan:
+            time.sleep(max(0.0, start_s + fault.at_s - time.time()))
+            if not self._may_act(fault):
+                continue
+            self._busy.add(fault.name)
+            thread = threading.Thread(target=self._apply, args=(fault,))
+            thread.start()
+            self._threads.append(thread)
+        for thread in self._threads:
+            thread.join()
+
+    def _may_act(self, fault: Fault) -> bool:
+        is_there = fault.name in self._fleet.children
+        return is_there and fault.name not in self._busy
+
+    def _apply(self, fault: Fault) -> None:
+        began_s = time.time()
+        try:
+            self._act(fault)
+        except Exception as error:  # Shown in the result, which then fails.
+            self.failures.append(f"{fault.kind.value} {fault.name}: {error!r}")
+        self.applied.append(Applied(fault, began_s, time.time()))
+        self._busy.discard(fault.name)
+
+    def _act(self, fault: Fault) -> None:
+        fleet = self._fleet
+        if fault.kind is FaultKind.KILL:
+            port = fleet.children[fault.name].port
+            fleet.kill(fault.name)
+            time.sleep(fault.lasts_s)
+            self._start(fault.name, port)
+        elif fault.kind is FaultKind.REPLACE:
+            code = fleet.stop(fault.name)
+            if code != 0:
+                self.failures.append(f"{fault.name} stopped with {code}")
+            time.sleep(fault.lasts_s)
+            self._start(fault.name, 0)
+        elif fault.kind is FaultKind.PAUSE:
+            fleet.suspend(fault.name)
+            time.sleep(fault.lasts_s)
+            fleet.resume(fault.name)
+        elif fault.kind is FaultKind.SILENCE:
+            self._relays[fault.name].swallow_existing()
+            time.sleep(fault.lasts_s)
+        else:
+            faults = LOG_FAULTS[fault.kind]
+            fleet.set_fault(fault.name, **faults)
+            time.sleep(fault.lasts_s)
+            fleet.set_fault(fault.name, **dict.fromkeys(faults))
+
+    def _start(self, name: str, port: int) -> None:
+        role, _, index = name.rpartition("-")
+        with self._starting:
+            if role == "engine":
+                self._fleet.restart_engine(int(index), port)
+            elif role == "sidecar":
+                self._fleet.start_sidecar(int(index))
+            else:
+                entry = self._fleet.start_entry(int(index))
+        if role == "entry":
+            self._fleet.wait_until_ready(entry)
--- /dev/null
+++ b/lab/fault_plan.py
@@ -0,0 +1,83 @@
+"""A seeded schedule of faults: which process fails when, and how."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+
+QUIET_START_S = 5.0
+QUIET_END_S = 14.0
+MIN_GAP_S = 2.5
+MAX_GAP_S = 5.0
+TOGETHER_SHARE = 0.35
+"""Share of the faults that another one comes with."""
+MIN_PAUSE_S = 1.0
+MAX_PAUSE_S = 8.0
+MIN_AWAY_S = 0.3
+MAX_AWAY_S = 1.5
+
+
+class FaultKind(enum.Enum):
+    """What happens to a process."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    SILENCE = "silence"
+    """Its open connections go silent; new ones work."""
+    REPLACE = "replace"
+    """Planned stop, and a new process."""
+    OUTAGE = "outage"
+    LOST_ANSWERS = "lost_answers"
+    SLOW = "slow"
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        at_s: Time since the start of the traffic.
+        kind: What happens.
+        name: The process.
+        lasts_s: Time until it is undone.
+    """
+
+    at_s: float
+    kind: FaultKind
+    name: str
+    lasts_s: float
+
+
+_RELAYED = ("0", "1")
+_TARGETS = (
+    [(FaultKind.KILL, f"entry-{i}") for i in range(3)]
+    + [(FaultKind.KILL, f"sidecar-{i}") for i in (2, 3)]
+    + [(FaultKind.KILL, f"engine-{i}") for i in range(4)]
+    + [(FaultKind.PAUSE, f"entry-{i}") for i in range(3)]
+    + [(FaultKind.PAUSE, f"sidecar-{i}") for i in range(4)]
+    + [(FaultKind.PAUSE, f"engine-{i}") for i in (0, 3)]
+    + [(FaultKind.SILENCE, f"sidecar-{i}") for i in _RELAYED] * 2
+    + [(FaultKind.REPLACE, f"entry-{i}") for i in range(3)]
+    + [(FaultKind.REPLACE, f"sidecar-{i}") for i in (2, 3)]
+    + [(kind, "log") for kind in list(FaultKind)[4:]] * 2
+)
+
+
+def make_plan(seed: int, duration_s: float) -> list[Fault]:
+    """Draws faults for a run, in the order of their times."""
+    rng = random.Random(seed)
+    at_s = QUIET_START_S
+    faults = []
+    while at_s < duration_s - QUIET_END_S:
+        count = 2 if rng.random() < TOGETHER_SHARE else 1
+        for kind, name in rng.sample(_TARGETS, count):
+            faults.append(Fault(at_s, kind, name, _get_length_s(rng, kind)))
+        at_s += rng.uniform(MIN_GAP_S, MAX_GAP_S)
+    return faults
+
+
+def _get_length_s(rng: random.Random, kind: FaultKind) -> float:
+    if kind in (FaultKind.KILL, FaultKind.REPLACE):
+        return rng.uniform(MIN_AWAY_S, MAX_AWAY_S)
+    return rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
--- a/lab/relay.py
+++ b/lab/relay.py
@@ -54,6 +54,9 @@
     ) -> None:
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.run_until_complete(self._loop.shutdown_asyncgens())
 
     def swallow_existing(self) -> None:
         """Drops every further byte of the connections that are open now."""
--- /dev/null
+++ b/lab/traffic.py
@@ -0,0 +1,338 @@
+"""Mixed traffic of callers that retry as they should, and what each saw."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import json
+import random
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import aiohttp
+
+from lab.answers import answer_tokens, prompt_text
+from lovagestage.sessions import HEADER_MOVED_FROM, HEADER_SESSION
+
+LEAVE_S = 3.0
+"""A caller that may send again leaves an entry that says nothing so long."""
+WAIT_S = 30.0
+GIVE_UP_S = 25.0
+HEALTH_S = 0.25
+HEALTH_TIMEOUT_S = 1.0
+TURNS = 5
+TURN_PAUSE_S = 0.7
+
+
+class Kind(enum.Enum):
+    """Kinds of requests."""
+
+    PLAIN = "plain"
+    STREAM = "stream"
+    KEYED = "keyed"
+    KEYED_STREAM = "keyed_stream"
+    ONCE = "once"
+    """No key, and may not run twice."""
+    VERSION = "version"
+    """Names the version that will be withdrawn."""
+    TURN = "turn"
+    """One request of a session."""
+
+    @property
+    def is_keyed(self) -> bool:
+        """Whether it comes with a request key."""
+        return self in (Kind.KEYED, Kind.KEYED_STREAM)
+
+    @property
+    def runs_once(self) -> bool:
+        """Whether it may not run twice."""
+        return self.is_keyed or self is Kind.ONCE
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is streamed."""
+        return self in (Kind.STREAM, Kind.KEYED_STREAM)
+
+
+WEIGHTS = {
+    Kind.PLAIN: 45,
+    Kind.STREAM: 15,
+    Kind.KEYED: 15,
+    Kind.KEYED_STREAM: 8,
+    Kind.ONCE: 10,
+    Kind.VERSION: 7,
+}
+
+
+@dataclasses.dataclass
+class Send:
+    """One HTTP request as its caller saw it.
+
+    Attributes:
+        tag: Names the request at the engines; one for each send, but for
+            sends with the same key.
+        kind: Its kind.
+        entry: Where it went.
+        sent_s: Unix time of the start.
+        ended_s: Unix time of the end.
+        status: HTTP status; 0 where there was none.
+        run: Run state of a refusal.
+        code: Code of a refusal, or of the error that ended a stream.
+        request_id: Request that the answer is billed under.
+        version: Version that answered.
+        tokens: Tokens of a whole answer; 0 for any other.
+        is_wrong: The answer has bytes that it should not have.
+        is_cut: Broken after a part of the answer.
+        has_left: The caller did not wait for the end.
+        retry_after_s: When to come back; None where it makes no sense.
+    """
+
+    tag: str
+    kind: Kind
+    entry: str
+    sent_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    run: str = ""
+    code: str = ""
+    request_id: str = ""
+    version: str = ""
+    tokens: int = 0
+    is_wrong: bool = False
+    is_cut: bool = False
+    has_left: bool = False
+    retry_after_s: float | None = None
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the whole answer has come."""
+        return self.status == 200 and self.tokens > 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Served:
+    """A request over all its sends, for times without service."""
+
+    kind: Kind
+    started_s: float
+    took_s: float
+    is_answered: bool
+
+
+class Traffic:
+    """Open-loop traffic through all entries that look healthy.
+
+    Args:
+        rng: Source of randomness.
+        get_urls: Tells the URLs of the entries by name, as they are now.
+    """
+
+    def __init__(
+        self, rng: random.Random, get_urls: Callable[[], dict[str, str]]
+    ) -> None:
+        self.sends: list[Send] = []
+        self.served: list[Served] = []
+        self.changed_sessions = 0
+        self.urls = get_urls()
+        self._get_urls = get_urls
+        self._rng = rng
+        self._healthy: set[str] = set(self.urls)
+        self._count = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self, duration_s: float, rate_per_s: float) -> None:
+        """Sends for a time and waits for all ends."""
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        async with aiohttp.ClientSession(connector=connector) as self._http:
+            health = asyncio.create_task(self._watch_health())
+            end_s = time.time() + duration_s
+            kinds, weights = list(WEIGHTS), list(WEIGHTS.values())
+            due_s = time.time()
+            while due_s < end_s:
+                await asyncio.sleep(max(0.0, due_s - time.time()))
+                (kind,) = self._rng.choices(kinds, weights)
+                self._start(self._serve(kind))
+                if self._rng.random() < 1.0 / rate_per_s:
+                    self._start(self._hold_session())
+                due_s += self._rng.expovariate(rate_per_s)
+            await asyncio.gather(*self._tasks)
+            health.cancel()
+
+    def _start(self, work: Any) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def _watch_health(self) -> None:
+        while True:
+            self.urls = self._get_urls()
+            for name, url in self.urls.items():
+                self._start(self._check_health(name, url))
+            await asyncio.sleep(HEALTH_S)
+
+    async def _check_health(self, name: str, url: str) -> None:
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        try:
+            async with self._http.get(
+                f"{url}/healthz", timeout=timeout
+            ) as answer:
+                is_healthy = answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            is_healthy = False
+        if self.urls.get(name) == url:
+            (self._healthy.add if is_healthy else self._healthy.discard)(name)
+
+    def _choose_entry(self, last: str) -> str:
+        names = sorted(self._healthy & set(self.urls)) or sorted(self.urls)
+        others = [name for name in names if name != last] or names
+        return self._rng.choice(others)
+
+    def _make_tag(self) -> str:
+        self._count += 1
+        return f"r{self._count}"
+
+    async def _serve(self, kind: Kind) -> None:
+        started_s = time.time()
+        tag, last = self._make_tag(), ""
+        tokens = 30 if kind.is_stream else 6
+        while True:
+            last = self._choose_entry(last)
+            send = await self._send(kind, tag, last, tokens)
+            waited_s = time.time() - started_s
+            if not _may_send_again(send) or waited_s > GIVE_UP_S:
+                break
+            if not kind.is_keyed:
+                tag = self._make_tag()
+            if send.status:
+                pause_s = min(send.retry_after_s or 0.2, 1.0)
+                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+        took_s = time.time() - started_s
+        self.served.append(Served(kind, started_s, took_s, send.is_answered))
+
+    async def _hold_session(self) -> None:
+        model = self._rng.choice(["vault", "large@1", "large@2"])
+        token, version, last = "", "", ""
+        for _ in range(TURNS):
+            last = self._choose_entry(last)
+            send, fresh, moved = await self._send_turn(last, model, token)
+            if send.is_answered:
+                if version and version != send.version and not moved:
+                    self.changed_sessions += 1
+                token, version = fresh or token, send.version
+            await asyncio.sleep(TURN_PAUSE_S)
+
+    async def _send_turn(
+        self, entry: str, model: str, token: str
+    ) -> tuple[Send, str, str]:
+        headers = {HEADER_SESSION: token} if token else {}
+        send = Send(self._make_tag(), Kind.TURN, entry, time.time())
+        answer = await self._post(send, model, 6, headers, WAIT_S)
+        return (
+            send,
+            answer.get(HEADER_SESSION, ""),
+            answer.get(HEADER_MOVED_FROM, ""),
+        )
+
+    async def _send(
+        self, kind: Kind, tag: str, entry: str, tokens: int
+    ) -> Send:
+        send = Send(tag, kind, entry, time.time())
+        headers: dict[str, str] = {}
+        model = "large@2" if kind is Kind.VERSION else "vault"
+        if kind.is_keyed:
+            headers["Idempotency-Key"] = f"key-{tag}"
+        if kind.runs_once:
+            headers["X-Request-Class"] = "policy-draft"
+        wait_s = WAIT_S if kind is Kind.ONCE or kind.is_stream else LEAVE_S
+        await self._post(send, model, tokens, headers, wait_s)
+        return send
+
+    async def _post(
+        self,
+        send: Send,
+        model: str,
+        tokens: int,
+        headers: dict[str, str],
+        wait_s: float,
+    ) -> Mapping[str, str]:
+        messages = [{"role": "user", "content": f"{send.tag} why"}]
+        body = {
+            "model": model,
+            "messages": messages,
+            "max_tokens": tokens,
+            "stream": send.kind.is_stream,
+        }
+        data = b""
+        sent: Mapping[str, str] = {}
+        url = f"{self.urls[send.entry]}/v1/chat/completions"
+        headers = {**headers, "Authorization": "Bearer key-audit"}
+        self.sends.append(send)
+        try:
+            async with (
+                asyncio.timeout(wait_s),
+                self._http.post(url, json=body, headers=headers) as answer,
+            ):
+                send.status = answer.status
+                sent = answer.headers
+                send.request_id = sent.get("X-Request-Id", "")
+                send.version = sent.get("X-Model-Version", "")
+                async for part in answer.content.iter_any():
+                    data += part
+        except TimeoutError:
+            send.has_left = True
+        except aiohttp.ClientError:
+            send.is_cut = send.status != 0
+        send.ended_s = time.time()
+        text = prompt_text(messages)
+        _judge(send, data, text, tokens, sent.get("Retry-After"))
+        return sent
+
+
+def _may_send_again(send: Send) -> bool:
+    if send.is_answered:
+        return False
+    if send.kind is Kind.ONCE:
+        return send.run == "not_run" and send.retry_after_s is not None
+    if send.status in (0, 200):
+        return True
+    return send.retry_after_s is not None
+
+
+def _judge(
+    send: Send, data: bytes, prompt: str, tokens: int, retry_after: str | None
+) -> None:
+    send.retry_after_s = float(retry_after) if retry_after else None
+    if send.status not in (0, 200):
+        if not send.is_cut and not send.has_left:
+            error = json.loads(data)["error"]
+            send.run, send.code = error.get("run", ""), error["code"]
+        return
+    if not data:
+        return
+    wanted = answer_tokens(prompt, send.version, tokens)
+    if send.kind.is_stream:
+        _judge_stream(send, data, wanted)
+    elif not send.has_left and not send.is_cut:
+        message = json.loads(data)["choices"][0]["message"]
+        send.is_wrong = message["content"] != "".join(wanted)
+        send.tokens = tokens
+
+
+def _judge_stream(send: Send, data: bytes, wanted: list[str]) -> None:
+    text = ""
+    for line in data[: data.rfind(b"\n\n") + 1].splitlines():
+        if not line.startswith(b"data: "):
+            continue
+        if line == b"data: [DONE]":
+            send.tokens = len(wanted)
+            continue
+        event = json.loads(line[6:])
+        if "error" in event:
+            send.run = event["error"].get("run", "")
+            send.code = event["error"]["code"]
+            continue
+        for choice in event["choices"]:
+            text += choice["delta"].get("content", "")
+    whole = "".join(wanted)
+    send.is_wrong = text != whole if send.tokens else not whole.startswith(text)
+    send.is_cut = not send.tokens and not send.code and not send.has_left
