Keep a proof that a request ran over later attempts

Cause: Result.run took the latest state that was not not_run, so a proved 'ran' was told as 'unknown' after another attempt had failed unclearly. Ruled out: a 'not_run' after an earlier attempt with unknown state; choosing, admission and refusal of a later attempt keep the earlier state (the cases of test_refusals that passed before, and fail without the join). Change: states of attempts are joined; ran stands, then unknown. Shown by: tests/test_refusals.py, [ran, unknown] failed before.

--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -122,8 +122,7 @@
         """Keeps what is known of the run over all attempts."""
         self.passed_on = self.passed_on or attempt.passed_on
         self.waits += isinstance(error, SuspectWaitingError)
-        if error.run is not RunState.NOT_RUN:
-            self.run = error.run
+        self.run = _join_states(self.run, error.run)
 
 
 class Dispatcher:
@@ -171,9 +170,8 @@
             async for data in self._run(request, result):
                 yield data
         except RequestRefusedError as error:
-            if error.run is RunState.NOT_RUN:
-                # The last attempt may not have run while one before did.
-                error.run = result.run
+            # The last attempt may not have run while one before did.
+            error.run = _join_states(result.run, error.run)
             raise
 
     async def _run(
@@ -456,6 +454,13 @@
                 )
 
 
+def _join_states(earlier: RunState, later: RunState) -> RunState:
+    """Run state of two attempts together: a proof of a run stands."""
+    if RunState.RAN in (earlier, later):
+        return RunState.RAN
+    return earlier if later is RunState.NOT_RUN else later
+
+
 def _make_failure(
     request: Request, result: Result, error: RequestRefusedError
 ) -> Failure:
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,97 @@
+"""What a refusal says of earlier attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+
+import pytest
+
+from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.exceptions import RequestRefusedError, SuspectWaitingError
+from lovagestage.messages import Dispatch, Refused
+from lovagestage.routing import UpstreamView
+from lovagestage.types import ModelVersion, RunState
+
+VERSION = ModelVersion("large", "1")
+
+
+class FakeUpstreams:
+    """One upstream, which answers each dispatch with the next state."""
+
+    def __init__(self, states):
+        self.links = {}
+        self.states = states
+
+    def subscribe(self, on_message, on_reconnect, on_gone):
+        self.on_message = on_message
+
+    def get_views(self):
+        return [UpstreamView(vm, "z", {str(VERSION)}, 0, 9) for vm in "ab"]
+
+    def get_heartbeat(self, vm):
+        return None
+
+    def may_return(self, version, excluded):
+        return False
+
+    def send(self, vm, message):
+        if isinstance(message, Dispatch):
+            key = (message.request_id, message.attempt)
+            refused = Refused(*key, "upstream_failed", "x", self.states.pop(0))
+            asyncio.get_running_loop().call_soon(self.on_message, vm, refused)
+
+
+class FakeTimers:
+    def subscribe(self, interval_s, callback):
+        pass
+
+
+class FakeCrashes:
+    """Lets so many attempts run, and holds up the next."""
+
+    def __init__(self, count):
+        self.count = count
+
+    async def admit(self, name, run, deadline_at_s):
+        self.count -= 1
+        if self.count < 0:
+            raise SuspectWaitingError("waiting")
+        return False
+
+    def get_strikes(self, name):
+        return 0
+
+    def watch(self, name, run, probe):
+        return contextlib.nullcontext()
+
+
+@pytest.mark.parametrize(
+    ("states", "admitted", "told"),
+    [
+        (["unknown", "not_run", "not_run"], 9, "unknown"),
+        (["unknown", "unknown", "unknown"], 9, "unknown"),
+        (["ran", "not_run", "not_run"], 9, "ran"),
+        (["ran", "unknown", "unknown"], 9, "ran"),
+        (["unknown", "not_run"], 1, "unknown"),
+        (["not_run", "not_run", "not_run"], 9, "not_run"),
+        (["not_run"], 1, "not_run"),
+    ],
+)
+async def test_refusal_speaks_for_all_attempts(states, admitted, told):
+    # A first attempt may have run. A later one is proved not run, finds no
+    # upstream or is not admitted. Were the caller told of that one alone, it
+    # would send a request again that has run.
+    upstreams = FakeUpstreams([RunState(state) for state in states])
+    dispatcher = Dispatcher(
+        upstreams, "z", random.Random(1), FakeTimers(), FakeCrashes(admitted)
+    )
+    request = Request(
+        "r", "w", "s", VERSION, 1, True, time.monotonic() + 5, False, b"{}"
+    )
+    with pytest.raises(RequestRefusedError) as caught:
+        async for _ in dispatcher.run(request, Result(VERSION)):
+            pass
+    assert caught.value.run is RunState(told)
