--- a/src/lovagestage/usage.py
+++ b/src/lovagestage/usage.py
@@ -11,7 +11,12 @@
 import zlib
 from typing import TYPE_CHECKING
 
-from lovagestage.billing import BILLING_STREAM, Bill, decode_batch
+from lovagestage.billing import (
+    BILLING_STREAM,
+    Bill,
+    BillOutcome,
+    decode_batch,
+)
 from lovagestage.exceptions import (
     EXIT_INVALID,
     BelowHorizonError,
@@ -85,12 +90,14 @@
         self._passes = passes
         self._totals = totals
         self._share = 0
-        self._seen: set[str] = set()
+        self._finished: set[str] = set()
+        self._cancelled: dict[str, Bill] = {}
 
     def start_pass(self, share: int) -> None:
         """Goes on with another share of the requests, from 0."""
         self._share = share
-        self._seen = set()
+        self._finished = set()
+        self._cancelled = {}
 
     def add(self, data: bytes) -> None:
         """Counts the bills of a record that are of the present share."""
@@ -108,21 +115,46 @@
             digest = zlib.crc32(bill.request_id.encode())
             if digest % self._passes != self._share:
                 return False
-        wanted = self._wanted
-        if wanted.workspace not in (None, bill.workspace):
-            return False
-        return wanted.day in (None, get_day(bill.at_s))
+        return self._wanted.workspace in (None, bill.workspace)
 
     def _count(self, bill: Bill) -> None:
-        if bill.request_id in self._seen:
+        # A caller leaves and is billed for what it had; its retry with the
+        # same key gets the whole answer, billed under the same id, perhaps on
+        # another day and from another entry, so in either order. The whole
+        # answer is what the request cost.
+        name = bill.request_id
+        earlier = self._cancelled.get(name)
+        if name in self._finished:
+            self._totals.duplicates += 1
+            return
+        if earlier is not None:
             self._totals.duplicates += 1
+            if _get_rank(bill) <= _get_rank(earlier):
+                return
+            self._add(earlier, -1)
+            del self._cancelled[name]
+        if bill.outcome is BillOutcome.FINISHED:
+            self._finished.add(name)
+        else:
+            self._cancelled[name] = bill
+        self._add(bill, 1)
+
+    def _add(self, bill: Bill, sign: int) -> None:
+        day = get_day(bill.at_s)
+        if self._wanted.day not in (None, day):
             return
-        self._seen.add(bill.request_id)
-        key = UsageKey(get_day(bill.at_s), bill.workspace, bill.version)
+        key = UsageKey(day, bill.workspace, bill.version)
         total = self._totals.sums.setdefault(key, UsageSum())
-        total.requests += 1
-        total.prompt_tokens += bill.prompt_tokens
-        total.completion_tokens += bill.completion_tokens
+        total.requests += sign
+        total.prompt_tokens += sign * bill.prompt_tokens
+        total.completion_tokens += sign * bill.completion_tokens
+        if total.requests == 0:
+            del self._totals.sums[key]
+
+
+def _get_rank(bill: Bill) -> tuple[bool, int, int]:
+    is_finished = bill.outcome is BillOutcome.FINISHED
+    return is_finished, bill.completion_tokens, -bill.at_s
 
 
 def get_day(at_s: int) -> str:
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -27,9 +27,9 @@
 vms = st.sampled_from(VMS)
 
 
-def make_bill(request_id="r1", at_s=0, tokens=7, workspace="audit"):
+def make_bill(request_id="r1", at_s=0, tokens=7, workspace="audit", **more):
     return billing.Bill(
-        request_id, workspace, "vault", "large@1", at_s, 3, tokens
+        request_id, workspace, "vault", "large@1", at_s, 3, tokens, **more
     )
 
 
@@ -341,3 +341,21 @@
     counter.add(billing.encode_batch(ledger.make_batch()))
     assert [k.day for k in totals.sums] == ["1970-01-02"]
     assert dataclasses.asdict(next(iter(totals.sums.values())))["requests"] == 1
+
+
+@pytest.mark.parametrize("order", [1, -1])
+@pytest.mark.parametrize("day", [None, "1970-01-01", "1970-01-02"])
+def test_whole_answer_is_billed_over_what_a_leaving_caller_had(order, day):
+    # A caller leaves in the middle of a stream and is billed for 3 tokens.
+    # Its retry with the same key, after midnight, gets the whole answer under
+    # the same id. The two bills come from two entries, in either order.
+    cancelled = make_bill("r", 0, 3, outcome=billing.BillOutcome.CANCELLED)
+    whole = make_bill("r", 24 * 3600, 30)
+    ledger = make_ledger()
+    for bill in [cancelled, whole, cancelled][::order]:
+        ledger.add(bill)
+    totals = usage.Totals()
+    counter = usage.UsageCounter(usage.Filter(None, day), 1, totals)
+    counter.add(billing.encode_batch(ledger.make_batch()))
+    found = {k.day: s.completion_tokens for k, s in totals.sums.items()}
+    assert found == ({} if day == "1970-01-01" else {"1970-01-02": 30})
