Read a service's history from the oldest record left

Cause: get_history read from offset 0 first, which the log refuses as below its horizon once records have expired. Change: it goes on from the first offset that the refusal names, also where records expire between two reads. Shown by: tests/test_history.py, BelowHorizonError before.

--- a/src/lovagestage/operator_client.py
+++ b/src/lovagestage/operator_client.py
@@ -18,6 +18,7 @@
 from lovagestage.control import ControlReader
 from lovagestage.document import ServiceDocument
 from lovagestage.exceptions import (
+    BelowHorizonError,
     CodecError,
     DocumentInvalidError,
     LogUnavailableError,
@@ -210,10 +211,16 @@
     async def get_history(self, service: str) -> list[HistoryEntry]:
         """Changes of a service that the log still has, oldest first."""
         entries = []
-        page = await self._log.read(CONTROL_STREAM, Offset(0), 1, 0.0)
-        start = page.first_offset
+        start = Offset(0)
         while start < self.control.folded.next_offset:
-            page = await self._log.read(CONTROL_STREAM, start, READ_LIMIT, 0.0)
+            try:
+                page = await self._log.read(
+                    CONTROL_STREAM, start, READ_LIMIT, 0.0
+                )
+            except BelowHorizonError as error:
+                # Records expire, also between two reads.
+                start = Offset(error.first_offset)
+                continue
             if not page.records:
                 break
             for offset, data in page.records:
--- a/tests/control_log.py
+++ b/tests/control_log.py
@@ -20,7 +20,8 @@
 
     def __init__(self, service, server, session, stack):
         self.faults = service.faults
-        self.log = HttpLog(session, str(server.make_url("")))
+        self.url = str(server.make_url(""))
+        self.log = HttpLog(session, self.url)
         self._stack = stack
 
     async def start(self, service):
