Test that request keys need the same epoch and the later claim

Cause: no test failed where the past of a slot was told in another epoch, or where an earlier claim replaced a later one.

--- a/tests/test_request_keys_rules.py
+++ b/tests/test_request_keys_rules.py
@@ -11,6 +11,7 @@
     ClaimOutcome,
     Copy,
     CopyAnswer,
+    Pull,
     RunId,
     RunKnown,
 )
@@ -100,6 +101,51 @@
     assert stale.outcome is ClaimOutcome.STALE_VIEW
 
 
+def make_pair():
+    view = make_view(("a", "z1"), ("b", "z2"), slots=1)
+    ledgers = {}
+    for member in view.get_holders(0):
+        ledgers[member] = Ledger(member, 10, 100.0, slots=1)
+        ledgers[member].apply_view(view)
+        ledgers[member].finish_pull(view, 0)
+    return view, *ledgers.values()
+
+
+@pytest.mark.parametrize("behind", ["asker", "asked"])
+def test_past_of_a_slot_is_told_only_in_the_same_epoch(behind):
+    # A new holder asks one that has not read of the change yet. That one may
+    # go on granting in the old epoch after it has answered, and the new
+    # holder would think it knew the slot whole: the key would run twice.
+    view, owner, _ = make_pair()
+    decide(view, owner, make_claim(view))
+    epoch = view.epoch + (1 if behind == "asked" else -1)
+    answer = owner.answer_pull(view, Pull(epoch, 0), 0.0)
+    assert (answer.entries, answer.whole_start) == ([], -1)
+    same = owner.answer_pull(view, Pull(view.epoch, 0), 0.0)
+    assert (len(same.entries), same.whole_start) == (1, view.epoch)
+
+
+def test_earlier_claim_that_comes_late_replaces_no_later_one():
+    # Run 1 of a key is proved not run and run 2 replaces it. The copy gets
+    # the two claims in the wrong order; with the earlier one on top it would
+    # name run 1, which is forbidden, and let the key pass to a third run.
+    view, owner, copy = make_pair()
+    first = owner.claim(view, make_claim(view), 0.0, 0)
+    second = owner.claim(
+        view,
+        make_claim(view, request="r2", after=first.entry.run),
+        0.0,
+        0,
+    )
+    assert copy.take_copy(view, second, 0.0).taken
+    assert not copy.take_copy(view, first, 0.0).taken
+    stale = owner.answer_pull(view, Pull(view.epoch, 0), 0.0)
+    stale.entries[:] = [first.entry]
+    copy.merge(0, stale, 0.0)
+    (held,) = copy.slots[0].entries.values()
+    assert held.run == second.entry.run
+
+
 def test_full_ledger_refuses_new_keys_and_answers_old_ones():
     view, ledger = make_alone(max_entries=1)
     assert decide(view, ledger, make_claim(view)) is ClaimOutcome.GRANTED
