--- a/lab/relay.py
+++ b/lab/relay.py
@@ -54,9 +54,12 @@
     ) -> None:
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
-        for task in asyncio.all_tasks(self._loop):
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
             task.cancel()
-        self._loop.run_until_complete(self._loop.shutdown_asyncgens())
+        self._loop.run_until_complete(
+            asyncio.gather(*tasks, return_exceptions=True)
+        )
 
     def swallow_existing(self) -> None:
         """Drops every further byte of the connections that are open now."""
