Check orders against the log as it is when they arrive

Cause: a sidecar that was paused finds an order in its socket and checks it against the state from before the pause, which calls itself read to the end. If the lease has passed on meanwhile, an engine that ignores fencing obeys the earlier holder. Ruled out: the paused holder itself; after its pause the lease's time is over by its own clock and it sends nothing. Left: a pause between the check and the call to the engine.

--- a/src/lovagestage/control.py
+++ b/src/lovagestage/control.py
@@ -141,6 +141,23 @@
             },
         }
 
+    async def read_to_end(self) -> None:
+        """Reads what the log has now, beside the follower.
+
+        Raises:
+            LogError: The log can't be read, or not from here on.
+        """
+        while True:
+            start = self.folded.next_offset
+            page = await self._platform_log.read(
+                CONTROL_STREAM, start, READ_LIMIT, 0.0
+            )
+            if start == self.folded.next_offset:
+                self._apply(page)
+                self._publish()
+            if page.next_offset <= self.folded.next_offset:
+                return
+
     @mode.Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
--- a/src/lovagestage/orders.py
+++ b/src/lovagestage/orders.py
@@ -30,7 +30,7 @@
     async def _answer(self, message: Message) -> Message:
         assert isinstance(message, Order)
         try:
-            self._gate.check(message.lease, message.fencing)
+            await self._gate.check_now(message.lease, message.fencing)
             state = await self._engine.order(message.version, message.fencing)
         except EngineError as error:
             return OrderResult(OrderState.UNKNOWN, error.message)
