--- a/lab/experiments/failover.py
+++ b/lab/experiments/failover.py
@@ -15,6 +15,7 @@
 import threading
 import time
 import urllib.error
+from collections import Counter
 from typing import Any
 
 import aiohttp
@@ -166,7 +167,7 @@
         "gap_alone_p99_s": _get_quantile(alone, 0.99),
         "kills": len(gaps_s),
         "requests": len(traffic.served),
-        "requests_given_up": len(unserved),
+        "given_up": dict(Counter(s.code or "silent" for s in unserved)),
         "runs": len(evidence.runs),
         "bills": len({bill.request_id for bill in evidence.bills}),
         "sends": count_codes(traffic.sends),
--- a/lab/fault_plan.py
+++ b/lab/fault_plan.py
@@ -50,10 +50,13 @@
 
 
 _RELAYED = ("0", "1")
-_TARGETS = (
+_KILLS = (
     [(FaultKind.KILL, f"entry-{i}") for i in range(3)]
     + [(FaultKind.KILL, f"sidecar-{i}") for i in (2, 3)]
     + [(FaultKind.KILL, f"engine-{i}") for i in range(4)]
+)
+_TARGETS = (
+    _KILLS * 2
     + [(FaultKind.PAUSE, f"entry-{i}") for i in range(3)]
     + [(FaultKind.PAUSE, f"sidecar-{i}") for i in range(4)]
     + [(FaultKind.PAUSE, f"engine-{i}") for i in (0, 3)]
--- a/lab/relay.py
+++ b/lab/relay.py
@@ -54,6 +54,8 @@
     ) -> None:
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
+        # The open connections end here on purpose; nobody is to be told.
+        self._loop.set_exception_handler(lambda loop, context: None)
         tasks = asyncio.all_tasks(self._loop)
         for task in tasks:
             task.cancel()
--- a/lab/traffic.py
+++ b/lab/traffic.py
@@ -119,6 +119,8 @@
     started_s: float
     took_s: float
     is_answered: bool
+    code: str
+    """Of the last refusal, where it was given up."""
 
 
 class Traffic:
@@ -207,7 +209,9 @@
                 pause_s = min(send.retry_after_s or 0.2, 1.0)
                 await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
         took_s = time.time() - started_s
-        self.served.append(Served(kind, started_s, took_s, send.is_answered))
+        self.served.append(
+            Served(kind, started_s, took_s, send.is_answered, send.code)
+        )
 
     async def _hold_session(self) -> None:
         model = self._rng.choice(["vault", "large@1", "large@2"])
@@ -291,6 +295,8 @@
 def _may_send_again(send: Send) -> bool:
     if send.is_answered:
         return False
+    if send.kind.runs_once and send.run == "ran":
+        return False
     if send.kind is Kind.ONCE:
         return send.run == "not_run" and send.retry_after_s is not None
     if send.status in (0, 200):
