Refuse dispatches that a paused sidecar finds in its sockets

Cause: a sidecar that goes on after a pause handles what its sockets kept before it has read the log, and runs requests on a version that was withdrawn meanwhile, however long ago. Ruled out: the entry's cancel; it comes on a later connection. Change: each dispatch brings back the sidecar's clock as the entry last heard it (appended field, -1 where unknown); one older than 5 s is barred and refused as not run. The tombstone table decides what the refusal may say.

--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -371,8 +371,15 @@
             attempt.incarnation,
             strikes=strikes,
             probe=probe,
+            clock_ms=self._get_clock_ms(attempt),
         )
 
+    def _get_clock_ms(self, attempt: Attempt) -> int:
+        heartbeat = self._upstreams.get_heartbeat(attempt.vm)
+        if heartbeat is None or heartbeat.incarnation != attempt.incarnation:
+            return -1
+        return heartbeat.clock_ms
+
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
         self._close(attempt)
         if result.finished is None:
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -112,6 +112,8 @@
         permit_ms: That process's clock when it was chosen, where keyed.
         strikes: Crashes at which the request was in flight.
         probe: It must not run beside others that have strikes.
+        clock_ms: That process's clock as the entry had heard it last; -1
+            where it had not.
     """
 
     request_id: RequestId
@@ -129,6 +131,7 @@
     permit_ms: int = 0
     strikes: int = 0
     probe: bool = False
+    clock_ms: int = -1
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -39,6 +39,9 @@
 DELIVERY_POLL_S = 0.05
 TOMBSTONES = 50_000
 TOMBSTONE_KEEP_S = 3_600.0
+MAX_DISPATCH_AGE_MS = 5_000
+"""By the own clock that a dispatch brings back; heartbeats tell it twice a
+second, and an entry sends nothing once they have stayed away for 2 s."""
 
 _TRACE_STATES = {
     RunTrace.BARRED: (RunState.NOT_RUN, "dispatch_lost"),
@@ -119,6 +122,11 @@
             # its entry has been told that it will not run.
             self._refuse(peer, key, trace)
             return
+        if self._is_late(dispatch):
+            self.forbid(dispatch)
+            trace = self._tombstones.bar(key, time.monotonic())
+            self._refuse(peer, key, trace)
+            return
         if not self._may_start(dispatch):
             self._hub.send(peer, self._make_gate_refusal(dispatch))
             return
@@ -130,6 +138,15 @@
         self._hub.send(peer, Accepted(*key))
         run.task = asyncio.create_task(self._execute(run))
 
+    def _is_late(self, dispatch: Dispatch) -> bool:
+        # A process that was paused comes to what its sockets have kept before
+        # it has read the log: it would run a version that was withdrawn long
+        # ago, for an entry that has given the attempt up. The age shows by
+        # this process's clock alone, which goes on while it is paused.
+        if dispatch.clock_ms < 0:
+            return False
+        return self.get_clock_ms() - dispatch.clock_ms > MAX_DISPATCH_AGE_MS
+
     def _may_start(self, dispatch: Dispatch) -> bool:
         return not dispatch.keyed or self.gate.may_start(
             (dispatch.request_id, dispatch.attempt),
--- /dev/null
+++ b/tests/test_paused_sidecar.py
@@ -0,0 +1,51 @@
+"""A sidecar that was paused with requests in its sockets."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import openai
+import pytest
+
+from lab.demo import make_client
+from lab.fleet import EXAMPLES, SHAPES, Fleet
+from lovagestage.commands import make_withdrawal
+from lovagestage.document import ServiceDocument
+from lovagestage.settings import parse_file
+from tests.test_thin_path import MESSAGES
+
+DOCUMENT = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
+
+
+def test_resumed_sidecar_runs_nothing_on_a_withdrawn_version():
+    # The sidecars are paused with requests in their sockets, and the version
+    # is withdrawn meanwhile. They go on and come to the requests before they
+    # have read of it; the engines may get none, however long the pause was.
+    withdrawn = make_withdrawal("large@2")(DOCUMENT)
+    with Fleet(SHAPES["thin"]) as fleet:
+        for index in (0, 1):
+            fleet.suspend(f"sidecar-{index}")
+        callers = [
+            threading.Thread(target=ask, args=(fleet, entry))
+            for entry in range(2)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(1.0)
+        fleet.publish_document(withdrawn, 1)
+        time.sleep(5.0)
+        for index in (0, 1):
+            fleet.resume(f"sidecar-{index}")
+        for caller in callers:
+            caller.join()
+        time.sleep(1.0)
+        runs = [fleet.get_stats(each.name)["runs"] for each in fleet.engines]
+    assert runs == [{}, {}]
+
+
+def ask(fleet, entry):
+    with pytest.raises(openai.APIStatusError):
+        make_client(fleet, entry=entry).chat.completions.create(
+            model="large@2", messages=MESSAGES
+        )
