--- a/lab/relay.py
+++ b/lab/relay.py
@@ -30,6 +30,8 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._port = 0
+        # A connection gone silent may be known to nobody but its own tasks.
+        self._connections: set[asyncio.Task[None] | None] = set()
 
     @property
     def address(self) -> str:
@@ -77,6 +79,7 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._connections.add(asyncio.current_task())
         number = self._accepted
         self._accepted += 1
         try:
