--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -16,6 +16,7 @@
     "vms": "lab.vms",
     "weights": "lab.weights",
     "rater": "lab.rater",
+    "pages": "lab.pages",
     "plain": "lab.plain",
     "balancer": "lab.balancer",
     "naive_proxy": "lab.naive_proxy",
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -34,6 +34,9 @@
     def get_heartbeat(self, vm):
         return None
 
+    def note_sent(self, vm):
+        pass
+
     def may_return(self, version, excluded):
         return False
 
@@ -86,7 +89,7 @@
     # would send a request again that has run.
     upstreams = FakeUpstreams([RunState(state) for state in states])
     dispatcher = Dispatcher(
-        upstreams, "z", random.Random(1), FakeTimers(), FakeCrashes(admitted)
+        upstreams, random.Random(1), FakeTimers(), FakeCrashes(admitted)
     )
     request = Request(
         "r", "w", "s", VERSION, 1, True, time.monotonic() + 5, False, b"{}"
