--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -19,6 +19,7 @@
     "pages": "lab.pages",
     "plain": "lab.plain",
     "balancer": "lab.balancer",
+    "naive_proxy": "lab.naive_proxy",
     "bench": "lab.bench",
     "demo": "lab.demo",
     "up": "lab.up",
--- a/lab/relay.py
+++ b/lab/relay.py
@@ -30,6 +30,8 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._port = 0
+        # A connection gone silent may be known to nobody but its own tasks.
+        self._connections: set[asyncio.Task[None] | None] = set()
 
     @property
     def address(self) -> str:
@@ -54,6 +56,14 @@
     ) -> None:
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
+        # The open connections end here on purpose; nobody is to be told.
+        self._loop.set_exception_handler(lambda loop, context: None)
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
+            task.cancel()
+        self._loop.run_until_complete(
+            asyncio.gather(*tasks, return_exceptions=True)
+        )
 
     def swallow_existing(self) -> None:
         """Drops every further byte of the connections that are open now."""
@@ -69,6 +79,7 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._connections.add(asyncio.current_task())
         number = self._accepted
         self._accepted += 1
         try:
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -142,8 +142,7 @@
         self.waits += isinstance(error, SuspectWaitingError)
         # A retry that succeeds would hide a version that fails now and then.
         self.version_failed |= is_version_at_fault(error)
-        if error.run is not RunState.NOT_RUN:
-            self.run = error.run
+        self.run = _join_states(self.run, error.run)
 
 
 class Dispatcher:
@@ -188,9 +187,8 @@
             async for data in self._run(request, result):
                 yield data
         except RequestRefusedError as error:
-            if error.run is RunState.NOT_RUN:
-                # The last attempt may not have run while one before did.
-                error.run = result.run
+            # The last attempt may not have run while one before did.
+            error.run = _join_states(result.run, error.run)
             raise
 
     async def _run(
@@ -387,8 +385,15 @@
             attempt.incarnation,
             strikes=strikes,
             probe=probe,
+            clock_ms=self._get_clock_ms(attempt),
         )
 
+    def _get_clock_ms(self, attempt: Attempt) -> int:
+        heartbeat = self._upstreams.get_heartbeat(attempt.vm)
+        if heartbeat is None or heartbeat.incarnation != attempt.incarnation:
+            return -1
+        return heartbeat.clock_ms
+
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
         self._close(attempt)
         if result.finished is None:
@@ -485,6 +490,13 @@
     )
 
 
+def _join_states(earlier: RunState, later: RunState) -> RunState:
+    """Run state of two attempts together: a proof of a run stands."""
+    if RunState.RAN in (earlier, later):
+        return RunState.RAN
+    return earlier if later is RunState.NOT_RUN else later
+
+
 def _make_failure(
     request: Request, result: Result, error: RequestRefusedError
 ) -> Failure:
