Route calls to plain services as ordinary runs

Cause: the document's `routes` were read by nobody; a path such as /portal/charge answered 404 `model_not_found`, so the services beside the models had none of the promises.

Ruled out: a proxy of its own beside the dispatcher (at most once, proofs of not_run and draining a second time); headers within what a request key stands for (a trace header would make each try another call); one table of prefixes over all documents; kept connections to the upstream.

Change: a sidecar with `sidecar.pool` stands beside a plain upstream and names the pool in its heartbeat. The entry sends method, path and body as the body of a request and passes the answer's one chunk back. Roll-outs count engines only. A deadline that passes before any answer says `unknown`, not `ran`: the request may still have waited. The test double of the sidecar's settings is the real type now, since it lacked the new field.

Conclusion: plain calls share dispatch, keys, retries and draining with model requests. They are not billed and their answers are not streamed.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -56,6 +56,7 @@
         engines: Model workers.
         plains: Plain service workers.
         models: Versions that each engine has loaded at the start.
+        pool: Pool of the plain service.
     """
 
     service: str
@@ -64,11 +65,26 @@
     engines: int
     plains: int
     models: str = "small@1,large@1,large@2"
+    pool: str = ""
 
 
 SHAPES = {
-    "lahore": Shape("vault", ("lhe-a", "lhe-b", "lhe-c", "lhe-d"), 3, 5, 4),
-    "tasmania": Shape("toyshop", ("tas-a", "tas-b", "tas-c"), 2, 6, 3),
+    "lahore": Shape(
+        "vault",
+        ("lhe-a", "lhe-b", "lhe-c", "lhe-d"),
+        entries=3,
+        engines=5,
+        plains=4,
+        pool="portal",
+    ),
+    "tasmania": Shape(
+        "toyshop",
+        ("tas-a", "tas-b", "tas-c"),
+        entries=2,
+        engines=6,
+        plains=3,
+        pool="shop",
+    ),
     "thin": Shape("vault", ("lhe-a", "lhe-b"), 2, 2, 0),
 }
 
@@ -161,6 +177,11 @@
         """The engine stand-ins."""
         return [c for n, c in self.children.items() if n.startswith("engine")]
 
+    @property
+    def plains(self) -> list[Child]:
+        """The plain service stand-ins."""
+        return [c for n, c in self.children.items() if n.startswith("plain")]
+
     def start(self) -> None:
         """Starts everything and waits until every entry is ready."""
         for name in ("log", "vms", "rater", "weights"):
@@ -168,8 +189,10 @@
         self._wait_for_stand_ins()
         for index in range(self.shape.engines):
             self.start_engine(index)
+        for index in range(self.shape.plains):
+            self._start_stand_in(f"plain-{index}", "plain")
         self._wait_for_stand_ins()
-        for index in range(self.shape.engines):
+        for index in range(self.shape.engines + self.shape.plains):
             self.start_sidecar(index)
         for index in range(self.shape.entries):
             self.start_entry(index)
@@ -198,10 +221,15 @@
         return child
 
     def start_sidecar(self, index: int) -> Child:
-        """Starts the sidecar beside an engine."""
-        engine = self.children[f"engine-{index}"]
-        role = {"sidecar": {"upstream_url": engine.url}}
-        return self._start_daemon("sidecar", index, role)
+        """Starts a sidecar: first come those of engines, then of plains."""
+        plain = index - self.shape.engines
+        if plain < 0:
+            upstream = self.children[f"engine-{index}"]
+            role = {"upstream_url": upstream.url}
+        else:
+            upstream = self.children[f"plain-{plain}"]
+            role = {"upstream_url": upstream.url, "pool": self.shape.pool}
+        return self._start_daemon("sidecar", index, {"sidecar": role})
 
     def start_entry(self, index: int) -> Child:
         """Starts an entry."""
--- a/lab/plain.py
+++ b/lab/plain.py
@@ -39,6 +39,7 @@
         app = make_app(self.faults, self.stats)
         app.router.add_post("/charge", self._handle)
         app.router.add_get("/lookup", self._handle)
+        app.router.add_route("*", "/echo", self._handle)
         return app
 
     def stats(self) -> dict[str, Any]:
@@ -66,13 +67,18 @@
                 request.transport.abort()
             return web.Response()
         await asyncio.sleep(self.faults.slow_ms / 1000)
-        return web.json_response(
+        response = web.json_response(
             {
                 "path": request.path,
                 "query": request.query_string,
                 "body": body,
-            }
+                "headers": list(request.headers.items()),
+            },
+            status=int(request.headers.get("Status", "200")),
         )
+        response.set_cookie("a", "1")
+        response.set_cookie("b", "2")
+        return response
 
     def _count(self, request: web.Request) -> None:
         self._by_path[request.path] += 1
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -33,9 +33,12 @@
     NotReadyError,
     RequestRefusedError,
     UnknownModelError,
+    UnknownRouteError,
     WrongKeyError,
 )
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.plain_api import PlainApi
+from lovagestage.plain_calls import find_route
 from lovagestage.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
@@ -134,6 +137,7 @@
         self._settings = settings
         self._control = control
         self._dispatcher = dispatcher
+        self._plain = PlainApi(dispatcher, keyed, settings.default_deadline_s)
         self._signer = SessionSigner(settings.session_keys)
 
     def make_app(self) -> web.Application:
@@ -146,6 +150,7 @@
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_post("/v1/chat/completions", self._post_chat)
+        app.router.add_route("*", "/{path:.*}", self._handle_call)
         return app
 
     async def _on_response_prepare(
@@ -175,10 +180,6 @@
                     f" {self._settings.max_body_bytes} bytes."
                 )
             )
-        except web.HTTPNotFound:
-            return make_error_response(
-                UnknownModelError(f"There is nothing at {request.path!r}.")
-            )
         finally:
             self.open_requests -= 1
             if self.open_requests == 0:
@@ -233,6 +234,16 @@
                 )
             return await self._answer_plain(parts, caller, admitted, result)
 
+    async def _handle_call(self, request: web.Request) -> web.Response:
+        caller = self._get_caller(request)
+        route = find_route(caller.document, request.raw_path)
+        if route is None:
+            raise UnknownRouteError(f"There is nothing at {request.path!r}.")
+        content = await self._read_body(request)
+        return await self._plain.answer(
+            request, content, caller.workspace, caller.document, route
+        )
+
     def _run(
         self, request: web.Request, admitted: Request, result: Result
     ) -> AsyncIterator[bytes]:
--- a/src/lovagestage/checks.py
+++ b/src/lovagestage/checks.py
@@ -256,6 +256,12 @@
             )
         if prefix in seen:
             yield Fault(f"{path}.prefix", f"{prefix!r} stands twice.")
+        if not _NAME.match(route.pool):
+            yield Fault(
+                f"{path}.pool",
+                f"Found the pool {route.pool!r}; expected lower-case letters,"
+                " digits, '.', '_' and '-', at most 63.",
+            )
         seen.add(prefix)
 
 
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -33,6 +33,7 @@
     Message,
     Refused,
 )
+from lovagestage.plain_calls import Header
 from lovagestage.retries import (
     COME_BACK_S,
     Failure,
@@ -79,6 +80,7 @@
         stream: Whether the caller reads chunks.
         body: The JSON body.
         session: The session that it came with.
+        headers: Headers of a call to a plain service.
     """
 
     request_id: RequestId
@@ -91,6 +93,7 @@
     stream: bool
     body: bytes
     session: Session | None = None
+    headers: tuple[Header, ...] = ()
 
 
 @dataclasses.dataclass
@@ -373,6 +376,7 @@
             attempt.incarnation,
             strikes=strikes,
             probe=probe,
+            headers=request.headers,
         )
 
     def _end_attempt(self, attempt: Attempt, result: Result) -> None:
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -271,6 +271,21 @@
     kind = "permission_error"
 
 
+class UnknownRouteError(RequestRefusedError):
+    """The path belongs to no route of the caller's service."""
+
+    code = "route_not_found"
+    status = 404
+
+
+class RouteNotAllowedError(RequestRefusedError):
+    """The workspace has no route to the plain service."""
+
+    code = "route_not_allowed"
+    status = 403
+    kind = "permission_error"
+
+
 class VersionWithdrawnError(RequestRefusedError):
     """The version was retired or withdrawn after the entry had chosen it."""
 
@@ -440,6 +455,7 @@
         WrongKeyError,
         UnknownModelError,
         ModelNotAllowedError,
+        RouteNotAllowedError,
         VersionWithdrawnError,
         SessionInvalidError,
         SessionExpiredError,
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -24,11 +24,13 @@
     Pull,
     PullAnswer,
 )
+from lovagestage.plain_calls import Header
 from lovagestage.types import (
     FencingNumber,
     Fingerprint,
     LeaseId,
     Offset,
+    PoolId,
     RequestId,
     RunState,
     VmId,
@@ -73,6 +75,8 @@
         clock_ms: Its own clock, from which runs of keyed requests take
             their permit.
         heard_sequence: Sequence of the latest `Hello` on this connection.
+        pool: Pool of its plain service; empty beside an engine.
+        is_up: Whether the plain service takes calls.
     """
 
     vm: VmId
@@ -88,6 +92,8 @@
     control_offset: int
     clock_ms: int = 0
     heard_sequence: int = 0
+    pool: PoolId = PoolId("")
+    is_up: bool = False
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
@@ -112,6 +118,7 @@
         permit_ms: That process's clock when it was chosen, where keyed.
         strikes: Crashes at which the request was in flight.
         probe: It must not run beside others that have strikes.
+        headers: Headers of a call to a plain service.
     """
 
     request_id: RequestId
@@ -129,6 +136,7 @@
     permit_ms: int = 0
     strikes: int = 0
     probe: bool = False
+    headers: tuple[Header, ...] = ()
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
--- /dev/null
+++ b/src/lovagestage/plain_api.py
@@ -0,0 +1,112 @@
+"""The entry's handler of calls to plain services."""
+
+from __future__ import annotations
+
+import secrets
+import time
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.document import RouteSpec, ServiceDocument
+from lovagestage.exceptions import CodecError, UpstreamFailedError
+from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.plain_calls import (
+    HEADER_REQUEST_ID,
+    Header,
+    PlainAnswer,
+    PlainCall,
+    decode_answer,
+    encode_call,
+    is_repeatable,
+    make_pool_version,
+    make_request_headers,
+    make_target,
+)
+from lovagestage.types import PoolId, RequestId, RunState, WorkspaceId
+
+HEADER_ATTEMPTS = "X-Attempts"
+PRIORITY = 1
+
+
+class PlainApi:
+    """Answers calls that a route leads to a plain service.
+
+    Args:
+        dispatcher: Runs requests.
+        keyed: Runs requests that have a key.
+        deadline_s: Deadline of each call.
+    """
+
+    def __init__(
+        self, dispatcher: Dispatcher, keyed: KeyedRuns, deadline_s: float
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._keyed = keyed
+        self._deadline_s = deadline_s
+
+    async def answer(
+        self,
+        request: web.Request,
+        content: bytes,
+        workspace: WorkspaceId,
+        document: ServiceDocument,
+        route: RouteSpec,
+    ) -> web.Response:
+        """Runs a call and passes its answer back.
+
+        Raises:
+            RequestRefusedError: There is no answer; says what was run.
+        """
+        admitted = self._admit(request, content, workspace, document, route)
+        result = Result(admitted.version)
+        key = request.headers.get(HEADER_KEY)
+        parts = (
+            self._dispatcher.run(admitted, result)
+            if key is None
+            else self._keyed.run(admitted, key, result)
+        )
+        data = b"".join([part async for part in parts])
+        return _make_response(_decode(data), admitted, result)
+
+    def _admit(
+        self,
+        request: web.Request,
+        content: bytes,
+        workspace: WorkspaceId,
+        document: ServiceDocument,
+        route: RouteSpec,
+    ) -> Request:
+        target = make_target(route, request.raw_path)
+        headers = (Header(str(n), v) for n, v in request.headers.items())
+        return Request(
+            RequestId(secrets.token_hex(16)),
+            workspace,
+            document.service,
+            make_pool_version(PoolId(route.pool)),
+            PRIORITY,
+            is_repeatable(route, request.method),
+            time.monotonic() + self._deadline_s,
+            True,
+            encode_call(PlainCall(request.method, target, content)),
+            headers=tuple(make_request_headers(headers)),
+        )
+
+
+def _decode(data: bytes) -> PlainAnswer:
+    try:
+        return decode_answer(data)
+    except CodecError as error:
+        raise UpstreamFailedError(error.message, RunState.RAN) from error
+
+
+def _make_response(
+    answer: PlainAnswer, admitted: Request, result: Result
+) -> web.Response:
+    headers = CIMultiDict((h.name, h.value) for h in answer.headers)
+    headers[HEADER_REQUEST_ID] = result.request_id or admitted.request_id
+    headers[HEADER_ATTEMPTS] = str(result.attempts)
+    return web.Response(
+        status=answer.status, headers=headers, body=answer.content
+    )
--- /dev/null
+++ b/src/lovagestage/plain_service.py
@@ -0,0 +1,157 @@
+"""A plain service behind a protocol, with its HTTP adapter."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Protocol, runtime_checkable
+
+import aiohttp
+import yarl
+from multidict import CIMultiDict
+
+from lovagestage.exceptions import EngineError, EngineRefusedError
+from lovagestage.plain_calls import (
+    Header,
+    PlainAnswer,
+    PlainCall,
+    make_answer_headers,
+)
+from lovagestage.types import RequestId, RunState
+
+CONNECT_TIMEOUT_S = 2.0
+_CALL = aiohttp.ClientTimeout(
+    total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=None
+)
+"""The run's deadline ends a call: see `runs`."""
+_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
+
+@runtime_checkable
+class PlainService(Protocol):
+    """The plain service beside a sidecar."""
+
+    async def call(
+        self, call: PlainCall, headers: Sequence[Header]
+    ) -> PlainAnswer:
+        """Makes one call, once; any status is an answer.
+
+        Raises:
+            EngineRefusedError: It certainly did not reach the service.
+            EngineError: There is no whole answer, with what is known.
+        """
+
+    async def cancel(self, request_id: RequestId) -> None:
+        """Does nothing: what a plain service has begun is not taken back."""
+
+    async def is_up(self) -> bool:
+        """Whether it takes connections."""
+
+
+class _SendOnce:
+    """Keeps aiohttp from sending one request twice.
+
+    When a connection breaks before the answer, aiohttp by itself sends GET,
+    PUT, DELETE and their like again, so a PUT on a route that may not be
+    repeated would run twice. The middleware runs before each connection is
+    made; ending the second pass there leaves the first as the only one.
+    """
+
+    def __init__(self) -> None:
+        self._was_sent = False
+
+    async def __call__(
+        self,
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        if self._was_sent:
+            raise aiohttp.ServerDisconnectedError
+        self._was_sent = True
+        return await handler(request)
+
+
+class HttpPlainService:
+    """A plain service over HTTP.
+
+    Args:
+        session: HTTP client; it must make a new connection for each call. A
+            kept one that the service has just closed would make a call that
+            never ran look as if it might have run.
+        url: Base URL.
+        max_answer_bytes: Larger answers are refused.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        max_answer_bytes: int,
+    ) -> None:
+        self._session = session
+        self._url = yarl.URL(url.rstrip("/"))
+        self._max_answer_bytes = max_answer_bytes
+
+    async def call(
+        self, call: PlainCall, headers: Sequence[Header]
+    ) -> PlainAnswer:
+        """See `PlainService.call`."""
+        try:
+            async with self._session.request(
+                call.method,
+                yarl.URL(f"{self._url}{call.target}", encoded=True),
+                data=call.content or None,
+                headers=CIMultiDict((h.name, h.value) for h in headers),
+                skip_auto_headers=_AUTO_HEADERS,
+                allow_redirects=False,
+                auto_decompress=False,
+                timeout=_CALL,
+                middlewares=(_SendOnce(),),
+            ) as response:
+                return PlainAnswer(
+                    response.status,
+                    _get_headers(response),
+                    await self._read_content(response),
+                )
+        except aiohttp.ClientConnectorError as error:
+            raise EngineRefusedError(
+                f"The plain service can't be reached: {error}."
+            ) from error
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise EngineError(
+                f"The plain service's answer is lost: {error!r}.",
+                RunState.UNKNOWN,
+            ) from error
+
+    async def cancel(self, request_id: RequestId) -> None:
+        """See `PlainService.cancel`."""
+
+    async def is_up(self) -> bool:
+        """See `PlainService.is_up`."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(
+                    self._url.host, self._url.port
+                )
+        except OSError:  # A TimeoutError is one too.
+            return False
+        writer.close()
+        return True
+
+    async def _read_content(self, response: aiohttp.ClientResponse) -> bytes:
+        content = bytearray()
+        async for data in response.content.iter_any():
+            content += data
+            if len(content) > self._max_answer_bytes:
+                raise EngineError(
+                    "Expected an answer of at most"
+                    f" {self._max_answer_bytes} bytes.",
+                    RunState.RAN,
+                )
+        return bytes(content)
+
+
+def _get_headers(response: aiohttp.ClientResponse) -> list[Header]:
+    return make_answer_headers(
+        Header(str(name), value) for name, value in response.headers.items()
+    )
--- /dev/null
+++ b/src/lovagestage/plain_stream.py
@@ -0,0 +1,68 @@
+"""Reads the answer of a plain service as the one block of a run."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+from lovagestage.adapters import Engine
+from lovagestage.engine_stream import EngineStream
+from lovagestage.events import Block
+from lovagestage.exceptions import CodecError, EngineRefusedError
+from lovagestage.messages import Dispatch
+from lovagestage.plain_calls import (
+    HEADER_REQUEST_ID,
+    HEADER_WORKSPACE,
+    Header,
+    decode_call,
+    encode_answer,
+)
+from lovagestage.plain_service import PlainService
+from lovagestage.settings import SidecarSettings
+
+
+class PlainStream:
+    """One call; it is made once, whatever becomes of it.
+
+    Args:
+        service: The upstream.
+        dispatch: The call.
+    """
+
+    def __init__(self, service: PlainService, dispatch: Dispatch) -> None:
+        self._service = service
+        self._dispatch = dispatch
+
+    async def read(self) -> AsyncIterator[Block]:
+        """Yields the answer.
+
+        Raises:
+            EngineError: There is none, with what is known of the run.
+        """
+        dispatch = self._dispatch
+        headers = [
+            *dispatch.headers,
+            Header(HEADER_REQUEST_ID, dispatch.request_id),
+            Header(HEADER_WORKSPACE, dispatch.workspace),
+        ]
+        try:
+            call = decode_call(dispatch.body)
+        except CodecError as error:
+            raise EngineRefusedError(error.message) from error
+        answer = await self._service.call(call, headers)
+        yield Block(encode_answer(answer), 1, None, True)
+
+
+def open_stream(
+    upstream: Engine | PlainService,
+    dispatch: Dispatch,
+    settings: SidecarSettings,
+) -> EngineStream | PlainStream:
+    """Opens the answer of a run at either kind of upstream."""
+    if isinstance(upstream, PlainService):
+        return PlainStream(upstream, dispatch)
+    return EngineStream(
+        upstream,
+        dispatch,
+        settings.first_token_timeout_s,
+        settings.progress_timeout_s,
+    )
--- a/src/lovagestage/retries.py
+++ b/src/lovagestage/retries.py
@@ -10,6 +10,7 @@
     ModelNotAllowedError,
     RequestCrashesUpstreamsError,
     RequestRefusedError,
+    RouteNotAllowedError,
     SuspectWaitingError,
 )
 from lovagestage.types import RunState
@@ -29,6 +30,7 @@
     DeadlineExceededError,
     ModelNotAllowedError,
     RequestCrashesUpstreamsError,
+    RouteNotAllowedError,
 )
 
 
--- a/src/lovagestage/rollout_driver.py
+++ b/src/lovagestage/rollout_driver.py
@@ -126,7 +126,7 @@
 
     def _observe(self, rollout: Rollout) -> Observation:
         spec, progress = rollout.spec, rollout.progress
-        views = self._upstreams.get_views()
+        views = self._get_engines()
         entered_s = self._get_entered_s(progress)
         long_enough = time.monotonic() - entered_s >= spec.step_min_s
         return Observation(
@@ -139,6 +139,11 @@
             stopped=bool(progress.stop_reason),
         )
 
+    def _get_engines(self) -> list[UpstreamView]:
+        # A plain service never has a version; were it asked to load one, no
+        # roll-out would get past its first phase.
+        return [v for v in self._upstreams.get_views() if v.is_engine]
+
     def _get_entered_s(self, progress: Progress) -> float:
         key = (progress.key, progress.count)
         if key not in self._seen_s:
@@ -152,7 +157,7 @@
 
     async def _load_missing(self, version: str) -> None:
         now_s = time.monotonic()
-        missing = _get_missing(self._upstreams.get_views(), version)
+        missing = _get_missing(self._get_engines(), version)
         self._loading = {
             key: since_s
             for key, since_s in self._loading.items()
--- a/src/lovagestage/routing.py
+++ b/src/lovagestage/routing.py
@@ -22,10 +22,11 @@
     Attributes:
         vm: The upstream's VM.
         zone: Its availability zone.
-        versions: Versions it has loaded.
+        versions: Versions it has loaded, or its pool.
         running: Requests running there, with those that this entry has sent
             since the last heartbeat.
         max_running: Requests that may run at once.
+        is_engine: Whether it is a model engine.
     """
 
     vm: VmId
@@ -33,6 +34,7 @@
     versions: frozenset[str]
     running: int
     max_running: int
+    is_engine: bool = True
 
 
 def choose_upstream(
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -14,7 +14,6 @@
 import xxhash
 
 from lovagestage.adapters import Engine
-from lovagestage.engine_stream import EngineStream
 from lovagestage.events import Usage, make_plain_answer
 from lovagestage.exceptions import EngineCrashedError, EngineError
 from lovagestage.hub import Hub
@@ -29,6 +28,8 @@
     Message,
     Refused,
 )
+from lovagestage.plain_service import PlainService
+from lovagestage.plain_stream import open_stream
 from lovagestage.readers import Run, get_pace_s
 from lovagestage.run_gate import RunGate
 from lovagestage.settings import SidecarSettings
@@ -62,7 +63,7 @@
 
     def __init__(
         self,
-        engine: Engine,
+        engine: Engine | PlainService,
         hub: Hub,
         settings: SidecarSettings,
         incarnation: int,
@@ -262,8 +263,10 @@
         except EngineError as error:
             end = _make_engine_refusal(run, error)
         except TimeoutError:
+            # The request may still have waited at the upstream.
+            state = RunState.RAN if run.chunks else RunState.UNKNOWN
             end = _make_refusal(
-                run, "deadline_exceeded", "The deadline has passed."
+                run, "deadline_exceeded", "The deadline has passed.", state
             )
             await self._engine.cancel(run.dispatch.request_id)
         except asyncio.CancelledError:
@@ -277,12 +280,7 @@
         collected: list[bytes] = []
         digest = xxhash.xxh3_64()
         usage = Usage()
-        stream = EngineStream(
-            self._engine,
-            dispatch,
-            self._settings.first_token_timeout_s,
-            self._settings.progress_timeout_s,
-        )
+        stream = open_stream(self._engine, dispatch, self._settings)
         async for block in stream.read():
             usage = block.usage or usage
             if dispatch.stream:
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from lovagestage.exceptions import SettingsError
-from lovagestage.types import VmId, ZoneId
+from lovagestage.types import PoolId, VmId, ZoneId
 
 _STRING_OR_COMMENT = re.compile(
     r'("(?:\\.|[^"\\\n])*")|(//[^\n]*|/\*.*?\*/)', re.DOTALL
@@ -144,6 +144,9 @@
             resumed on a new connection to the engine.
         progress_timeout_s: A stream without a further event for so long is
             resumed on a new connection to the engine.
+        pool: Pool of the plain service; empty where the upstream is an
+            engine.
+        max_answer_bytes: Larger answers of a plain service are refused.
     """
 
     upstream_url: str
@@ -153,6 +156,8 @@
     replay_limit_bytes: int = 16 * 1024 * 1024
     first_token_timeout_s: float = 20.0
     progress_timeout_s: float = 3.0
+    pool: PoolId = PoolId("")
+    max_answer_bytes: int = 8 * 1024 * 1024
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -13,6 +13,7 @@
 from lovagestage.adapters import Engine, EngineLoad
 from lovagestage.control import ControlReader
 from lovagestage.document import (
+    ServiceDocument,
     get_allowed_versions,
     get_open_versions,
     is_version_granted,
@@ -31,11 +32,18 @@
     Message,
     Refused,
 )
+from lovagestage.plain_calls import has_pool, make_pool_version
+from lovagestage.plain_service import PlainService
 from lovagestage.runs import RunTable
 from lovagestage.settings import Settings, SidecarSettings
 from lovagestage.timers import TimerService
 from lovagestage.transport import PeerId
-from lovagestage.types import RunState, ServiceId, parse_model_version
+from lovagestage.types import (
+    PoolId,
+    RunState,
+    ServiceId,
+    parse_model_version,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -70,7 +78,7 @@
         settings: Settings,
         role: SidecarSettings,
         control: ControlReader,
-        engine: Engine,
+        engine: Engine | PlainService,
         runs: RunTable,
         timers: TimerService,
         hub: Hub,
@@ -85,6 +93,7 @@
         self._leaving = False
         self._load = _NO_LOAD
         self._versions: list[str] = []
+        self._is_up = False
         self._peers: dict[PeerId, float] = {}
         self._work: set[asyncio.Task[None]] = set()
         self._hub = hub
@@ -184,6 +193,10 @@
         service = self._control.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
+        if self._role.pool:
+            return _get_plain_refusal(
+                service.document, dispatch, self._role.pool
+            )
         version = parse_model_version(dispatch.version)
         # The entry may act on an older document than this process; the later
         # of the two checks decides, so that a withdrawn version gets no work
@@ -214,17 +227,23 @@
         self._runs.on_timer()
 
     async def _refresh_load(self) -> None:
-        known = self._versions
+        known = (self._versions, self._is_up)
+        if isinstance(self._engine, PlainService):
+            self._is_up = await self._engine.is_up()
+        else:
+            await self._refresh_engine(self._engine)
+        if (self._versions, self._is_up) != known:
+            # Entries would otherwise refuse a version that is there, or send
+            # requests for one that is gone, until the next heartbeat.
+            self._send_heartbeats()
+
+    async def _refresh_engine(self, engine: Engine) -> None:
         try:
-            self._load = await self._engine.get_load()
-            self._versions = await self._engine.get_versions()
+            self._load = await engine.get_load()
+            self._versions = await engine.get_versions()
         except EngineError as error:
             self._versions = []
             _log.warning("engine_load_failed", extra={"error": error.message})
-        if self._versions != known:
-            # Entries would otherwise refuse a version that is there, or send
-            # requests for one that is gone, until the next heartbeat.
-            self._send_heartbeats()
 
     def _send_heartbeats(self) -> None:
         horizon_s = time.monotonic() - self._settings.bus.silent_after_s
@@ -250,6 +269,8 @@
             self._control.folded.next_offset,
             self._runs.get_clock_ms(),
             heard_sequence,
+            self._role.pool,
+            self._is_up,
         )
 
     def _make_dump(self) -> bytes:
@@ -260,6 +281,8 @@
                 "zone": self._settings.zone,
                 "leaving": self._leaving,
                 "versions": self._versions,
+                "pool": self._role.pool,
+                "is_up": self._is_up,
                 "runs": self._runs.get_sizes(),
                 "peers": len(self._peers),
                 "control": self._control.get_dump(),
@@ -270,3 +293,16 @@
         task = asyncio.create_task(work)
         self._work.add(task)
         task.add_done_callback(self._work.discard)
+
+
+def _get_plain_refusal(
+    document: ServiceDocument, dispatch: Dispatch, pool: PoolId
+) -> tuple[str, str] | None:
+    if dispatch.version == str(make_pool_version(pool)) and has_pool(
+        document, dispatch.workspace, pool
+    ):
+        return None
+    return (
+        "route_not_allowed",
+        f"Workspace {dispatch.workspace!r} has no route to pool {pool!r}.",
+    )
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -13,6 +13,8 @@
 ServiceId = NewType("ServiceId", str)
 ModelId = NewType("ModelId", str)
 VersionId = NewType("VersionId", str)
+PoolId = NewType("PoolId", str)
+"""A pool of upstreams of one plain service."""
 RequestId = NewType("RequestId", str)
 ChangeId = NewType("ChangeId", str)
 Fingerprint = NewType("Fingerprint", str)
--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/upstreams.py
@@ -6,6 +6,7 @@
 
 from lovagestage.links import LinkTable
 from lovagestage.messages import Heartbeat, Hello, Message
+from lovagestage.plain_calls import make_pool_version
 from lovagestage.routing import UpstreamView
 from lovagestage.settings import BusSettings
 from lovagestage.timers import TimerService
@@ -28,7 +29,7 @@
     def has_heard_all(self) -> bool:
         """Whether each listed sidecar has said which versions it has."""
         return bool(self.links) and all(
-            name in self._heartbeats and self._heartbeats[name].versions
+            name in self._heartbeats and _get_targets(self._heartbeats[name])
             for name in self.links
         )
 
@@ -45,7 +46,7 @@
             and not self.is_lost(link)
             and name in self._heartbeats
             and not self._heartbeats[name].leaving
-            and version in self._heartbeats[name].versions
+            and version in _get_targets(self._heartbeats[name])
             for name, link in self.links.items()
         )
 
@@ -73,12 +74,19 @@
         return UpstreamView(
             vm,
             link.vm.zone,
-            frozenset(heartbeat.versions),
+            _get_targets(heartbeat),
             max(heartbeat.running, link.in_use),
             heartbeat.max_running,
+            not heartbeat.pool,
         )
 
 
+def _get_targets(heartbeat: Heartbeat) -> frozenset[str]:
+    if heartbeat.is_up:
+        return frozenset({str(make_pool_version(heartbeat.pool))})
+    return frozenset(heartbeat.versions)
+
+
 def _is_newer(message: Heartbeat, known: Heartbeat | None) -> bool:
     if known is None:
         return True
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -32,6 +32,7 @@
 from lovagestage.messages import Hello
 from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
+from lovagestage.plain_service import HttpPlainService
 from lovagestage.rollout_driver import NoEvidence, RolloutDriver
 from lovagestage.rollouts import ROLLOUT_LEASE
 from lovagestage.runs import RunTable
@@ -85,8 +86,7 @@
     context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
     authenticator = KeyAuthenticator(context, settings.bus.accepted_keys)
     authenticator.start()
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with _make_session(settings) as session:
         base = _make_base(settings, context, session)
         process, services = _make_role(base)
         listener = Listener(context, settings.bus, base.hub.on_message)
@@ -106,6 +106,18 @@
     return 0
 
 
+def _make_session(settings: Settings) -> aiohttp.ClientSession:
+    role = settings.sidecar
+    is_plain = role is not None and bool(role.pool)
+    return aiohttp.ClientSession(
+        # Each call to a plain service needs its own connection: see
+        # `HttpPlainService`.
+        connector=aiohttp.TCPConnector(limit=0, force_close=is_plain),
+        # One caller's cookies must not be sent with another's call.
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
 def _make_stop_event() -> asyncio.Event:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -248,12 +260,23 @@
     )
 
 
+def _make_upstream(
+    base: _Base, role: SidecarSettings
+) -> HttpEngine | HttpPlainService:
+    if not role.pool:
+        return HttpEngine(base.session, role.upstream_url)
+    return HttpPlainService(
+        base.session, role.upstream_url, role.max_answer_bytes
+    )
+
+
 def _make_sidecar(
     base: _Base, role: SidecarSettings
 ) -> tuple[_Process, list[mode.Service]]:
-    engine = HttpEngine(base.session, role.upstream_url)
+    engine = _make_upstream(base, role)
     runs = RunTable(engine, base.hub, role, base.own.incarnation)
-    OrderService(engine, FencingGate(base.control), base.hub)
+    if isinstance(engine, HttpEngine):
+        OrderService(engine, FencingGate(base.control), base.hub)
     sidecar = Sidecar(
         base.settings,
         role,
--- /dev/null
+++ b/tests/test_plain_services.py
@@ -0,0 +1,257 @@
+"""Plain services through real processes: routed, run once, refused, drained."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+import time
+
+import msgspec
+import pytest
+
+from lab.fleet import EXAMPLES, Fleet, Shape
+from lovagestage.document import RouteSpec, ServiceDocument, get_key_digest
+from lovagestage.plain_calls import find_route
+from lovagestage.settings import parse_file
+
+SHAPE = Shape("vault", ("lhe-a", "lhe-b"), 2, 1, 2, "small@1", "portal")
+KEY = {"Authorization": "Bearer key-audit"}
+MAX_BODY_BYTES = 100_000
+NEAREST = "plain-1"
+"""In the zone of the first entry, which prefers it."""
+
+
+@pytest.fixture(scope="module")
+def started():
+    with Fleet(SHAPE, entry_options={"max_body_bytes": MAX_BODY_BYTES}) as one:
+        wait_until_keys_are_held(one)
+        yield one
+
+
+@pytest.fixture
+def fleet(started):
+    yield started
+    for plain in started.plains:
+        started.set_fault(plain.name, drop_after_run=0, slow_ms=0, stall=False)
+
+
+def wait_until_keys_are_held(fleet):
+    end_s = time.monotonic() + 15
+    while time.monotonic() < end_s:
+        keys = [fleet.get_dump(e.name)["request_keys"] for e in fleet.entries]
+        if all(
+            len(k["members"]) == 2 and k["slots_whole"] == k["slots_held"]
+            for k in keys
+        ):
+            return
+        time.sleep(0.1)
+    raise AssertionError(keys)
+
+
+def call(fleet, method, path, body=b"", entry=0, **headers):
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", fleet.entries[entry].port, timeout=20
+    )
+    connection.request(method, path, body, KEY | named)
+    response = connection.getresponse()
+    data = response.read()
+    connection.close()
+    return response, json.loads(data) if data else None
+
+
+def count(fleet, kind, name):
+    return sum(
+        fleet.get_stats(plain.name)[kind].get(name, 0) for plain in fleet.plains
+    )
+
+
+def set_fault(fleet, **faults):
+    for plain in fleet.plains:
+        fleet.set_fault(plain.name, **faults)
+
+
+def test_call_reaches_the_service_and_its_answer_comes_back(fleet):
+    response, answer = call(fleet, "POST", "/portal/charge?till=4", b"5 AUD")
+    assert response.status == 200
+    assert answer["path"] == "/charge"
+    assert (answer["query"], answer["body"]) == ("till=4", "5 AUD")
+    request_id = response.headers["X-Request-Id"]
+    assert count(fleet, "runs", request_id) == 1
+
+
+def test_status_and_headers_of_the_answer_are_passed_back(fleet):
+    more = {"Status": "418", "Connection": "x-hop", "X_Hop": "1"}
+    response, answer = call(fleet, "POST", "/portal/echo", **more)
+    assert response.status == 418
+    assert response.headers.get_all("Set-Cookie") == [
+        "a=1; Path=/",
+        "b=2; Path=/",
+    ]
+    seen = {name.lower() for name, _ in answer["headers"]}
+    assert "x-workspace" in seen
+    assert not seen & {"authorization", "x-hop"}
+
+
+def test_cookies_of_one_caller_are_not_sent_with_anothers_call(fleet):
+    for _ in range(4):
+        _, answer = call(fleet, "POST", "/portal/echo")
+    assert "cookie" not in {name.lower() for name, _ in answer["headers"]}
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "key", "status", "code"),
+    [
+        ("/portal/charge", b"", "wrong", 401, "invalid_api_key"),
+        ("/other/charge", b"", "key-audit", 404, "route_not_found"),
+        ("/portal/%2E./x", b"", "key-audit", 400, "malformed_request"),
+        ("/portal/charge", b" " * (MAX_BODY_BYTES + 1), "key-audit", 413, None),
+    ],
+)
+def test_wrong_call_is_refused_and_not_run(
+    fleet, path, body, key, status, code
+):
+    before = count(fleet, "runs_by_path", "/charge")
+    response, answer = call(
+        fleet, "POST", path, body, Authorization=f"Bearer {key}"
+    )
+    assert response.status == status
+    assert answer["error"]["code"] == (code or "body_too_large")
+    assert answer["error"]["run"] == "not_run"
+    assert count(fleet, "runs_by_path", "/charge") == before
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+def test_dropped_answer_is_unknown_and_not_run_again(fleet, method):
+    # The service carries a call out and its connection breaks before the
+    # answer. The call may not be repeated, so it is sent to nobody else, and
+    # the caller is told that it may have run. PUT and DELETE are those that
+    # an HTTP client library repeats by itself on a kept connection.
+    call(fleet, method, "/portal/echo")
+    before = count(fleet, "runs_by_path", "/echo")
+    set_fault(fleet, drop_after_run=1)
+    response, answer = call(fleet, method, "/portal/echo")
+    assert response.status == 502
+    assert answer["error"]["run"] == "unknown"
+    assert response.headers["X-Run-State"] == "unknown"
+    assert count(fleet, "runs_by_path", "/echo") == before + 1
+
+
+def test_lookup_is_sent_again(fleet):
+    # One service drops an answer. A GET has no effect, so the entry sends it
+    # to the other one, and the caller sees nothing but a second attempt.
+    fleet.set_fault(NEAREST, drop_after_run=1)
+    answers = [call(fleet, "GET", "/portal/lookup?x=1") for _ in range(8)]
+    assert {response.status for response, _ in answers} == {200}
+    attempts = [int(response.headers["X-Attempts"]) for response, _ in answers]
+    assert sum(attempts) == len(answers) + 1
+
+
+def test_charge_repeated_through_another_entry_runs_once(fleet):
+    # The caller's connection breaks while the charge runs. It repeats the
+    # charge with the same key, but through the other entry and with other
+    # headers: it gets the first one's answer.
+    set_fault(fleet, slow_ms=800)
+    first = http.client.HTTPConnection("127.0.0.1", fleet.entries[0].port)
+    first.request(
+        "POST", "/portal/charge", b"7", KEY | {"Idempotency-Key": "charge-7"}
+    )
+    time.sleep(0.4)
+    first.close()
+    for trace in ("b", "c"):
+        response, answer = call(
+            fleet,
+            "POST",
+            "/portal/charge",
+            b"7",
+            1,
+            Idempotency_Key="charge-7",
+            Traceparent=trace,
+        )
+        assert (response.status, answer["body"]) == (200, "7")
+    assert count(fleet, "runs_by_key", "charge-7") == 1
+
+
+def test_keyed_charge_whose_answer_was_dropped_stays_unknown(fleet):
+    # The service carried the charge out and dropped the answer. Whoever
+    # repeats it, through either entry, learns that and causes no second run.
+    set_fault(fleet, drop_after_run=1)
+    for entry in (0, 1, 0):
+        response, answer = call(
+            fleet, "POST", "/portal/charge", b"8", entry, Idempotency_Key="c-8"
+        )
+        assert (response.status, answer["error"]["run"]) == (502, "unknown")
+    assert count(fleet, "runs_by_key", "c-8") == 1
+
+
+def test_same_key_with_another_body_is_refused(fleet):
+    call(fleet, "POST", "/portal/charge", b"1", Idempotency_Key="same")
+    response, answer = call(
+        fleet, "POST", "/portal/charge", b"2", Idempotency_Key="same"
+    )
+    assert response.status == 422
+    assert answer["error"]["code"] == "idempotency_key_reused"
+
+
+def test_planned_stop_of_a_sidecar_cuts_off_no_charge(fleet):
+    # A charge is slow; its sidecar is told to stop meanwhile. The charge is
+    # answered, later ones go to the other sidecar, and the process exits 0.
+    set_fault(fleet, slow_ms=1200)
+    seen = []
+    threads = [
+        threading.Thread(
+            target=lambda: seen.append(call(fleet, "POST", "/portal/charge"))
+        )
+        for _ in range(6)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    codes = [fleet.stop("sidecar-1")]
+    for thread in threads:
+        thread.join()
+    set_fault(fleet, slow_ms=0)
+    seen += [call(fleet, "POST", "/portal/charge") for _ in range(6)]
+    fleet.start_sidecar(1)
+    assert codes == [0]
+    assert [response.status for response, _ in seen] == [200] * 12
+
+
+def test_two_services_may_have_one_prefix(fleet):
+    # A second service publishes the same prefix with a pool that nothing
+    # serves. Each caller gets the route of the service that has its key.
+    document = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
+    spec = msgspec.structs.replace(
+        document.workspaces["audit"], key_digests=[get_key_digest("key-other")]
+    )
+    fleet.publish_document(
+        msgspec.structs.replace(
+            document,
+            service="other",
+            workspaces={"other": spec},
+            routes=[RouteSpec("/portal/", "empty")],
+        ),
+        0,
+    )
+    other = {"Authorization": "Bearer key-other"}
+    end_s = time.monotonic() + 5
+    while time.monotonic() < end_s:
+        refused, answer = call(fleet, "POST", "/portal/charge", **other)
+        if refused.status != 401:
+            break
+    assert answer["error"]["code"] == "no_capacity"
+    assert answer["error"]["run"] == "not_run"
+    assert call(fleet, "POST", "/portal/charge")[0].status == 200
+
+
+def test_longest_prefix_wins():
+    document = msgspec.structs.replace(
+        parse_file(EXAMPLES / "vault.jsonc", ServiceDocument),
+        routes=[RouteSpec("/a/", "one"), RouteSpec("/a/b/", "two")],
+    )
+    pools = [
+        route.pool if (route := find_route(document, path)) else None
+        for path in ("/a/x", "/a/b/x", "/a/b", "/b/")
+    ]
+    assert pools == ["one", "two", "one", None]
--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -10,6 +10,7 @@
 from lovagestage.fold import ServiceInForce
 from lovagestage.hub import Hub
 from lovagestage.messages import Dispatch, Refused
+from lovagestage.settings import SidecarSettings
 from lovagestage.sidecar import Sidecar
 from tests.test_sessions import make_document
 
@@ -61,7 +62,7 @@
     hub.set_listener(recorder)
     Sidecar(
         None,
-        types.SimpleNamespace(max_running=1),
+        SidecarSettings("http://unused", max_running=1),
         control,
         None,
         recorder,
