Show both users' fleets in the demo, with operations and plain services

Cause: the demo had five rows on one shape; sessions, request keys, plain services, roll-outs, withdrawals, planned stops and bills were not shown.

Editing the log behind the operators' backs: rows use the commands as processes; retiring a class's only version is refused by them, so the row edits the classes in the same change.

There is no cascade row: entries don't run cascades yet.

--- a/lab/demo.py
+++ b/lab/demo.py
@@ -1,132 +1,85 @@
-"""Shows each thing that the product does, on a fleet of real processes."""
+"""Shows each thing that the product does, on fleets of real processes."""
 
 from __future__ import annotations
 
 import argparse
-import dataclasses
+import concurrent.futures
 import pathlib
+import sys
 import time
-from collections.abc import Callable
 
 import openai
 
+from lab.clients import CommandError
+from lab.clients import make_client as make_client
+from lab.demo_operations import OPERATION_ROWS
+from lab.demo_requests import REQUEST_ROWS
+from lab.demo_stage import Row, Stage
 from lab.fleet import SHAPES, Fleet
 
-MESSAGE = "Explain the failed snapshot of Tuesday night"
-ROW = "{:<28} {:<6} {:>7} ms  {}"
-
-
-@dataclasses.dataclass(frozen=True)
-class Row:
-    """One line of the table."""
-
-    name: str
-    check: Callable[[Fleet], str]
+ROW = "{:<30} {:<6} {:>6} ms  {}"
+STAGES = {
+    "lahore": ("audit", "policy-draft"),
+    "tasmania": ("buyers", "gift-wrap"),
+}
+"""By fleet: the workspace that asks, and a class that may not be repeated."""
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
-    """Adds `--binary`."""
+    """Adds `--binary` and `--fleet`."""
     parser.add_argument(
         "--binary",
         type=pathlib.Path,
         help="run the daemons from this file instead of the source",
     )
+    parser.add_argument("--fleet", choices=sorted(STAGES), help="only this one")
 
 
 def run(args: argparse.Namespace) -> int:
-    """Runs all rows; 0 only where every row held."""
-    failures = 0
-    with Fleet(SHAPES["lahore"], binary=args.binary) as fleet:
-        for row in ROWS:
-            failures += not _run_row(row, fleet)
+    """Runs all rows on each fleet; 0 only where every row held."""
+    names = [args.fleet] if args.fleet else list(STAGES)
+    with concurrent.futures.ThreadPoolExecutor(len(names)) as pool:
+        runs = [pool.submit(_run_fleet, name, args.binary) for name in names]
+        failures = sum(run.result() for run in runs)
     print("all rows held" if not failures else f"{failures} rows failed")
     return 1 if failures else 0
 
 
-def _run_row(row: Row, fleet: Fleet) -> bool:
+def _run_fleet(name: str, binary: pathlib.Path | None) -> int:
+    shape = SHAPES[name]
+    start_s = time.monotonic()
+    options = {"billing_interval_s": 1.0}
+    with Fleet(shape, binary=binary, entry_options=options) as fleet:
+        spent_s = time.monotonic() - start_s
+        _print_line(
+            name,
+            f"{shape.entries} entries, {shape.engines} engines,"
+            f" {shape.plains} plain services in {len(shape.zones)} zones,"
+            f" started in {spent_s:.1f} s",
+        )
+        stage = Stage(fleet, *STAGES[name])
+        rows = (*REQUEST_ROWS, *OPERATION_ROWS)
+        return sum(not _run_row(name, row, stage) for row in rows)
+
+
+def _run_row(fleet: str, row: Row, stage: Stage) -> bool:
     start_s = time.monotonic()
     try:
-        shown, held = row.check(fleet), True
-    except (AssertionError, openai.OpenAIError, OSError) as error:
+        shown, held = row.check(stage), True
+    except (
+        AssertionError,
+        CommandError,
+        openai.OpenAIError,
+        OSError,
+    ) as error:
         shown, held = f"{type(error).__name__}: {error}", False
     spent_ms = round((time.monotonic() - start_s) * 1000)
-    print(ROW.format(row.name, "held" if held else "FAILED", spent_ms, shown))
+    status = "held" if held else "FAILED"
+    _print_line(fleet, ROW.format(row.name, status, spent_ms, shown))
     return held
 
 
-def make_client(
-    fleet: Fleet, workspace: str = "audit", entry: int = 0
-) -> openai.OpenAI:
-    """An unmodified OpenAI client for one workspace."""
-    return openai.OpenAI(
-        base_url=f"{fleet.entries[entry].url}/v1", api_key=f"key-{workspace}"
-    )
-
-
-def check_plain(fleet: Fleet) -> str:
-    """A plain answer by service name."""
-    answer = make_client(fleet).chat.completions.create(
-        model="vault", messages=[{"role": "user", "content": MESSAGE}]
-    )
-    text = answer.choices[0].message.content or ""
-    assert answer.usage is not None
-    assert len(text.split()) == answer.usage.completion_tokens
-    return f"{answer.model}, {answer.usage.completion_tokens} tokens"
-
-
-def check_streamed(fleet: Fleet) -> str:
-    """A streamed answer has the same text as a plain one."""
-    client = make_client(fleet, entry=1)
-    stream = client.chat.completions.create(
-        model="large@1",
-        messages=[{"role": "user", "content": MESSAGE}],
-        stream=True,
-        stream_options={"include_usage": True},
-    )
-    text, usage = "", None
-    for chunk in stream:
-        usage = chunk.usage or usage
-        if chunk.choices:
-            text += chunk.choices[0].delta.content or ""
-    assert usage is not None
-    assert len(text.split()) == usage.completion_tokens
-    return f"{usage.completion_tokens} tokens, usage in the last chunk"
-
-
-def check_models(fleet: Fleet) -> str:
-    """A workspace sees only what it may use."""
-    names = [m.id for m in make_client(fleet, "trial").models.list()]
-    assert names == ["vault", "small@1"], names
-    return ", ".join(names)
-
-
-def check_refused(fleet: Fleet) -> str:
-    """A model that the workspace may not use is refused, and not run."""
-    try:
-        make_client(fleet, "trial").chat.completions.create(
-            model="large@1", messages=[{"role": "user", "content": MESSAGE}]
-        )
-    except openai.PermissionDeniedError as error:
-        assert error.response.headers["X-Run-State"] == "not_run"
-        return f"{error.status_code} {error.code}, not_run"
-    raise AssertionError("The request was not refused.")
-
-
-def check_killed(fleet: Fleet) -> str:
-    """A repeatable request outlives the kill of an upstream's sidecar."""
-    fleet.kill("sidecar-0")
-    client = make_client(fleet)
-    for _ in range(8):
-        client.chat.completions.create(
-            model="small@1", messages=[{"role": "user", "content": MESSAGE}]
-        )
-    return "8 answers after the kill of a sidecar"
-
-
-ROWS = (
-    Row("plain", check_plain),
-    Row("streamed", check_streamed),
-    Row("models of a workspace", check_models),
-    Row("refused", check_refused),
-    Row("upstream killed", check_killed),
-)
+def _print_line(fleet: str, text: str) -> None:
+    # One write a line: both fleets print at the same time.
+    sys.stdout.write(f"{fleet:<10} {text}\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/lab/demo_operations.py
@@ -0,0 +1,180 @@
+"""Rows of the demo that show operators' changes, losses and planned stops."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import time
+
+import msgspec
+import openai
+
+from lab.clients import edit_document, run_command
+from lab.demo_stage import Row, Stage, ask, read_stream, wait_until
+from lovagestage.document import ClassSpec, ServiceDocument, VersionState
+
+IN_FORCE_S = 8.0
+"""An accepted change is in force everywhere by then."""
+ROLLOUT_S = 20.0
+BILLED_S = 10.0
+STREAMS = 6
+STREAM_TOKENS = 100
+STREAM_HEAD_START_S = 0.4
+
+
+def check_session(stage: Stage) -> str:
+    """A session stays on its version while that is retired."""
+    session = ask(stage, "large").session
+    _set_state(stage, "large@1", VersionState.RETIRED)
+    wait_until(
+        lambda: ask(stage, "large", 1).version == "large@2",
+        IN_FORCE_S,
+        "retiring large@1",
+    )
+    kept = [
+        ask(stage, "large", i % 2, headers={"X-Session": session}).version
+        for i in range(4)
+    ]
+    _set_state(stage, "large@1", VersionState.ACTIVE)
+    assert kept == ["large@1"] * 4, kept
+    return "new ones on large@2, the session on large@1 through 2 entries"
+
+
+def check_rollout(stage: Stage) -> str:
+    """A roll-out goes from start to done in short steps."""
+    start_s = time.monotonic()
+    command = ("rollout", "start", "large@1", "large@2")
+    run_command(
+        stage.fleet, *command, "--steps", "0.5,1", "--step-min-s", "0.5"
+    )
+    wait_until(lambda: _get_phase(stage) == "done", ROLLOUT_S, "the roll-out")
+    spent_s = time.monotonic() - start_s
+    return f"large@1 to large@2 in steps of 50 % and 100 %, {spent_s:.1f} s"
+
+
+def check_withdrawn(stage: Stage) -> str:
+    """A withdrawn version takes no work; others go on."""
+    run_command(stage.fleet, "withdraw", "large@1")
+    for entry in range(len(stage.fleet.entries)):
+        wait_until(
+            lambda entry=entry: _is_refused(stage, entry),  # type: ignore[misc]
+            IN_FORCE_S,
+            "withdrawing large@1",
+        )
+    before = _count_tokens(stage, "large@1")
+    versions = {ask(stage, "large", i % 2).version for i in range(6)}
+    assert versions == {"large@2"}, versions
+    assert _count_tokens(stage, "large@1") == before
+    return "large@1 refused at each entry, large answers with large@2"
+
+
+def check_killed(stage: Stage) -> str:
+    """Requests that may be repeated outlive the kill of a sidecar."""
+    stage.fleet.kill("sidecar-0")
+    for index in range(8):
+        ask(stage, "small@1", index % 2)
+    return "8 answers after the kill of a sidecar"
+
+
+def check_sidecar_stop(stage: Stage) -> str:
+    """A sidecar that stops as planned cuts off no stream."""
+    return _stop_during_streams(stage, "sidecar-1", entry=0)
+
+
+def check_entry_stop(stage: Stage) -> str:
+    """An entry that stops as planned cuts off no stream."""
+    return _stop_during_streams(stage, "entry-1", entry=1)
+
+
+def check_usage(stage: Stage) -> str:
+    """What was answered is billed, each request once."""
+    ran = _get_request_ids(stage)
+    wait_until(lambda: _count_billed(stage) >= len(ran), BILLED_S, "billing")
+    billed = _count_billed(stage)
+    assert billed == len(ran), f"{billed} billed, {len(ran)} ran"
+    return f"{billed} requests ran, {billed} billed"
+
+
+def _set_state(stage: Stage, name: str, state: VersionState) -> None:
+    def edit(document: ServiceDocument) -> ServiceDocument:
+        versions = [
+            msgspec.structs.replace(v, state=state) if v.name == name else v
+            for v in document.versions
+        ]
+        # Every class needs an active version, so the classes of this one get
+        # the next one with the same change.
+        classes = {
+            key: _add_version(spec, name, "large@2")
+            for key, spec in document.classes.items()
+        }
+        return msgspec.structs.replace(
+            document, versions=versions, classes=classes
+        )
+
+    edit_document(stage.fleet, edit)
+
+
+def _add_version(spec: ClassSpec, beside: str, added: str) -> ClassSpec:
+    if beside not in spec.cascade or added in spec.cascade:
+        return spec
+    return msgspec.structs.replace(spec, cascade=[*spec.cascade, added])
+
+
+def _get_phase(stage: Stage) -> str:
+    rows = run_command(stage.fleet, "rollout", "status")
+    return str(rows[0]["phase"]) if rows else ""
+
+
+def _is_refused(stage: Stage, entry: int) -> bool:
+    try:
+        ask(stage, "large@1", entry)
+    except openai.PermissionDeniedError:
+        return True
+    except openai.InternalServerError:
+        # The sidecar knows already, this entry does not yet.
+        return False
+    return False
+
+
+def _stop_during_streams(stage: Stage, name: str, entry: int) -> str:
+    with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+        open_streams = [
+            pool.submit(read_stream, stage, "small@1", entry, STREAM_TOKENS)
+            for _ in range(STREAMS)
+        ]
+        time.sleep(STREAM_HEAD_START_S)
+        code = stage.fleet.stop(name)
+        words = [stream.result() for stream in open_streams]
+    assert code == 0, f"exit code {code}"
+    assert words == [STREAM_TOKENS] * STREAMS, words
+    return f"{STREAMS} streams of {STREAM_TOKENS} tokens whole, exit code 0"
+
+
+def _count_tokens(stage: Stage, version: str) -> int:
+    return sum(
+        stage.fleet.get_stats(engine.name)["tokens_by_model"].get(version, 0)
+        for engine in stage.fleet.engines
+    )
+
+
+def _get_request_ids(stage: Stage) -> set[str]:
+    return {
+        request_id
+        for engine in stage.fleet.engines
+        for request_id in stage.fleet.get_stats(engine.name)["runs"]
+    }
+
+
+def _count_billed(stage: Stage) -> int:
+    sums = run_command(stage.fleet, "usage")["sums"]
+    return sum(int(each["requests"]) for each in sums)
+
+
+OPERATION_ROWS = (
+    Row("session", check_session),
+    Row("roll-out", check_rollout),
+    Row("withdrawn version", check_withdrawn),
+    Row("upstream killed", check_killed),
+    Row("planned stop of a sidecar", check_sidecar_stop),
+    Row("planned stop of an entry", check_entry_stop),
+    Row("usage", check_usage),
+)
--- /dev/null
+++ b/lab/demo_requests.py
@@ -0,0 +1,132 @@
+"""Rows of the demo that show what single requests get."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import json
+
+import openai
+
+from lab.clients import call_plain, make_client
+from lab.demo_stage import MESSAGE, Row, Stage, ask
+from lab.fleet import Child
+
+
+def check_plain(stage: Stage) -> str:
+    """A plain answer by service name."""
+    answer = stage.make_client().chat.completions.create(
+        model=stage.fleet.shape.service,
+        messages=[{"role": "user", "content": MESSAGE}],
+    )
+    text = answer.choices[0].message.content or ""
+    assert answer.usage is not None
+    assert len(text.split()) == answer.usage.completion_tokens
+    return f"{answer.model}, {answer.usage.completion_tokens} tokens"
+
+
+def check_streamed(stage: Stage) -> str:
+    """A streamed answer is whole and says its usage."""
+    stream = stage.make_client(entry=1).chat.completions.create(
+        model="large@1",
+        messages=[{"role": "user", "content": MESSAGE}],
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    text, usage = "", None
+    for chunk in stream:
+        usage = chunk.usage or usage
+        if chunk.choices:
+            text += chunk.choices[0].delta.content or ""
+    assert usage is not None
+    assert len(text.split()) == usage.completion_tokens
+    return f"{usage.completion_tokens} tokens, usage in the last chunk"
+
+
+def check_models(stage: Stage) -> str:
+    """A workspace sees only what it may use."""
+    names = [m.id for m in make_client(stage.fleet, "trial").models.list()]
+    assert names == [stage.fleet.shape.service, "small@1"], names
+    return ", ".join(names)
+
+
+def check_refused(stage: Stage) -> str:
+    """A model that the workspace may not use is refused, and not run."""
+    try:
+        make_client(stage.fleet, "trial").chat.completions.create(
+            model="large@1", messages=[{"role": "user", "content": MESSAGE}]
+        )
+    except openai.PermissionDeniedError as error:
+        assert error.response.headers["X-Run-State"] == "not_run"
+        return f"{error.status_code} {error.code}, not_run"
+    raise AssertionError("The request was not refused.")
+
+
+def check_once(stage: Stage) -> str:
+    """One key through two entries at the same time runs once."""
+    headers = {
+        "Idempotency-Key": "demo-draft",
+        "X-Request-Class": stage.once_class,
+    }
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        replies = list(
+            pool.map(
+                lambda i: ask(stage, "large@1", i % 2, 40, headers), range(4)
+            )
+        )
+    runs = _count(stage, stage.fleet.engines, "runs", replies[0].request_id)
+    assert len({(r.request_id, r.text) for r in replies}) == 1
+    assert runs == 1, f"it ran {runs} times"
+    return f"4 equal answers through 2 entries, class {stage.once_class}, 1 run"
+
+
+def check_charge(stage: Stage) -> str:
+    """A charge at a plain service, sent again with its key, runs once."""
+    urls = [
+        f"{entry.url}/{stage.fleet.shape.pool}/charge" for entry in _two(stage)
+    ]
+    answers = [
+        call_plain(url, stage.workspace, "demo-charge", b"5")
+        for url in (*urls, *urls)
+    ]
+    assert [a.status for a in answers] == [200] * 4, answers
+    assert {json.loads(a.body)["body"] for a in answers} == {"5"}
+    runs = _count(stage, stage.fleet.plains, "runs_by_key", "demo-charge")
+    assert runs == 1, f"it ran {runs} times"
+    return "sent 4 times through 2 entries, 1 run"
+
+
+def check_dropped_charge(stage: Stage) -> str:
+    """A charge whose answer is dropped is not sent again."""
+    url = f"{stage.route_url}/charge"
+    before = _count(stage, stage.fleet.plains, "runs_by_path", "/charge")
+    for plain in stage.fleet.plains:
+        stage.fleet.set_fault(plain.name, drop_after_run=1)
+    answer = call_plain(url, stage.workspace)
+    for plain in stage.fleet.plains:
+        stage.fleet.set_fault(plain.name, drop_after_run=0)
+    after = _count(stage, stage.fleet.plains, "runs_by_path", "/charge")
+    assert answer.run == "unknown", answer
+    assert after - before == 1, f"it ran {after - before} times"
+    return f"{answer.status}, unknown, 1 run"
+
+
+def _two(stage: Stage) -> list[Child]:
+    return stage.fleet.entries[:2]
+
+
+def _count(stage: Stage, children: list[Child], kind: str, name: str) -> int:
+    return sum(
+        stage.fleet.get_stats(child.name)[kind].get(name, 0)
+        for child in children
+    )
+
+
+REQUEST_ROWS = (
+    Row("plain", check_plain),
+    Row("streamed", check_streamed),
+    Row("models of a workspace", check_models),
+    Row("refused", check_refused),
+    Row("non-idempotent", check_once),
+    Row("plain service, charge", check_charge),
+    Row("plain service, answer dropped", check_dropped_charge),
+)
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -167,6 +167,11 @@
     ) -> None:
         self.kill_all()
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """Where settings and logs go."""
+        return self._folder
+
     @property
     def entries(self) -> list[Child]:
         """The entry processes."""
--- a/src/lovagestage/commands.py
+++ b/src/lovagestage/commands.py
@@ -198,7 +198,9 @@
 
 def run_rollout_start(options: argparse.Namespace) -> int:
     """Starts or resumes a roll-out."""
-    spec = RolloutSpec(options.old, options.new, options.steps)
+    spec = RolloutSpec(
+        options.old, options.new, options.steps, options.step_min_s
+    )
     return _run_rollout_edit(options, options.new, spec)
 
 
@@ -442,6 +444,12 @@
         default=[0.01, 0.1, 0.5, 1.0],
         help="shares of traffic, such as 0.01,0.1,1",
     )
+    start.add_argument(
+        "--step-min-s",
+        type=float,
+        default=60.0,
+        help="shortest time at a step, in seconds",
+    )
     for verb, state in (
         ("pause", RolloutState.PAUSED),
         ("abort", RolloutState.ABORTED),
