--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,8 @@
 test: lint types unit
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src lab tests
-	$(BIN)/ruff check src lab tests
+	$(BIN)/ruff format --check src lab tests examples
+	$(BIN)/ruff check src lab tests examples
 
 types: $(STAMP)
 	$(BIN)/mypy
@@ -35,8 +35,8 @@
 	$(RUN) -m pytest -n 4 --dist loadfile
 
 format: $(STAMP)
-	$(BIN)/ruff format src lab tests
-	$(BIN)/ruff check --fix src lab tests
+	$(BIN)/ruff format src lab tests examples
+	$(BIN)/ruff check --fix src lab tests examples
 
 binary: $(STAMP)
 	rm -rf build/site
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -41,6 +43,9 @@
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 HOST = "127.0.0.1"
+LISTENER_PORTS = range(10_000, 32_000)
+"""Below the range for outgoing connections on Linux."""
+_PORTS = random.Random()
 OPERATOR = "lab"
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
@@ -250,6 +255,16 @@
         child.port = port
         return child
 
+    def start_balancer(self) -> Child:
+        """Starts the balancer in front of the entries."""
+        backends = ",".join(f"{HOST}:{entry.port}" for entry in self.entries)
+        child = self._start_stand_in(
+            "balancer", "balancer", "--backends", backends
+        )
+        self._wait_for_stand_ins()
+        self.wait_until_ready(child)
+        return child
+
     def publish(self, path: pathlib.Path, base: int = 0) -> None:
         """Appends a document to the log, signed by the lab's operator.
 
@@ -398,7 +413,7 @@
                 line = child.process.stdout.readline()
                 if not line.startswith("ready port="):
                     raise FleetError(f"{child.name} said {line!r}.")
-                child.port = int(line.partition("=")[2])
+                child.port = int(line.split()[1].partition("=")[2])
 
     def _start_daemon(
         self, role: str, index: int, settings: dict[str, Any]
@@ -480,10 +495,17 @@
 
 
 def get_free_port() -> int:
-    """Finds a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Finds a port that nothing uses.
+
+    A port that the kernel picks may be picked again for an outgoing
+    connection before the process that is to listen on it has started, which
+    then ends with "address already in use". The kernel picks none of these.
+    """
+    while True:
+        port = _PORTS.choice(LISTENER_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def call(method: str, url: str, body: bytes | None = None) -> bytes:
--- a/lab/up.py
+++ b/lab/up.py
@@ -24,6 +24,7 @@
     with Fleet(shape) as fleet:
         for entry in fleet.entries:
             print(f"entry={entry.url}")
+        print(f"balancer={fleet.start_balancer().url}")
         print(f"log={fleet.children['log'].url}")
         for workspace in document.workspaces:
             print(f"workspace={workspace} key=key-{workspace}")
