Say `not_run` of a keyed request only where its key has not run

Cause: checks before a key's claim (API key, body, model, session, route, room for a bill) refused with `not_run`, also where an earlier request with the key had run; its caller could take that as said of the key and use another one.

Ruled out: the earlier run's answer (the check has just said that the workspace may not have it); `unknown` for every keyed refusal (a caller with a new key would be held up for nothing).

Change: before such a refusal the holders are asked with the claim that names no run. `not_run` stays where they agree that the key is new or was used with another body; an unknown API key leaves nobody to ask and gives `unknown`.

Refusals without a key are as before.

--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -36,6 +36,7 @@
     UnknownRouteError,
     WrongKeyError,
 )
+from lovagestage.keyed_refusals import KeyedRefusals, get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
 from lovagestage.plain_api import PlainApi
 from lovagestage.plain_calls import find_route
@@ -114,6 +115,7 @@
         upstreams: Connections to sidecars.
         keyed: Runs requests that have a key.
         billing: Takes the bills.
+        refusals: Makes refusals of requests with a key true.
     """
 
     def __init__(
@@ -124,9 +126,11 @@
         upstreams: UpstreamTable,
         billing: BillingService,
         keyed: KeyedRuns,
+        refusals: KeyedRefusals,
     ) -> None:
         self._billing = billing
         self._keyed = keyed
+        self._refusals = refusals
         self._upstreams = upstreams
         self._started_at_s = time.monotonic()
         self._ready = False
@@ -172,19 +176,24 @@
         try:
             return await handler(request)
         except RequestRefusedError as error:
-            return make_error_response(error)
+            return await self._answer_refusal(request, error)
         except web.HTTPRequestEntityTooLarge:
-            return make_error_response(
-                BodyTooLargeError(
-                    "Expected a body of at most"
-                    f" {self._settings.max_body_bytes} bytes."
-                )
+            too_large = BodyTooLargeError(
+                "Expected a body of at most"
+                f" {self._settings.max_body_bytes} bytes."
             )
+            return await self._answer_refusal(request, too_large)
         finally:
             self.open_requests -= 1
             if self.open_requests == 0:
                 self.idle.set()
 
+    async def _answer_refusal(
+        self, request: web.Request, error: RequestRefusedError
+    ) -> web.Response:
+        await self._refusals.correct(request, error)
+        return make_error_response(error)
+
     async def _get_health(self, request: web.Request) -> web.Response:
         del request
         if self.leaving or not self._is_ready():
@@ -223,11 +232,13 @@
     async def _post_chat(self, request: web.Request) -> web.StreamResponse:
         caller = self._get_caller(request)
         body = await self._read_body(request)
+        get_progress(request).body = body
         form = _parse_form(body)
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
         parts = self._run(request, admitted, result)
         with self._billing.reserve():
+            get_progress(request).is_claiming = True
             if form.stream:
                 return await self._answer_stream(
                     request, parts, caller, admitted, result
@@ -262,6 +273,7 @@
         for service in self._control.services.values():
             for name, workspace in service.document.workspaces.items():
                 if digest in workspace.key_digests:
+                    get_progress(request).workspace = name
                     return Caller(name, service.document)
         raise WrongKeyError("The API key belongs to no workspace.")
 
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -15,6 +15,7 @@
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
+from lovagestage.keyed_refusals import KeyedRefusals
 from lovagestage.keyed_runs import KeyedRuns
 from lovagestage.links import LinkTable
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
@@ -70,7 +71,13 @@
         self._keys = keys
         keyed = KeyedRuns(keys, dispatcher, upstreams)
         self._api = CallerApi(
-            role, control, dispatcher, upstreams, billing, keyed
+            role,
+            control,
+            dispatcher,
+            upstreams,
+            billing,
+            keyed,
+            KeyedRefusals(keys),
         )
         self._runner = web.AppRunner(
             self._api.make_app(), access_log=None, handler_cancellation=True
--- a/src/lovagestage/keyed_runs.py
+++ b/src/lovagestage/keyed_runs.py
@@ -203,7 +203,7 @@
                 self._keys.view.epoch,
                 request.workspace,
                 key,
-                hashlib.blake2b(request.body, digest_size=16).digest(),
+                get_body_digest(request.body),
                 run,
                 str(request.version),
                 request.repeatable,
@@ -281,6 +281,11 @@
         return answer.known if isinstance(answer, InquiryAnswer) else None
 
 
+def get_body_digest(body: bytes) -> bytes:
+    """What a key's holders compare bodies by."""
+    return hashlib.blake2b(body, digest_size=16).digest()
+
+
 def check_key(key: str) -> None:
     """Checks the form of a request key.
 
--- a/src/lovagestage/plain_api.py
+++ b/src/lovagestage/plain_api.py
@@ -11,6 +11,7 @@
 from lovagestage.dispatcher import Dispatcher, Request, Result
 from lovagestage.document import RouteSpec, ServiceDocument
 from lovagestage.exceptions import CodecError, UpstreamFailedError
+from lovagestage.keyed_refusals import get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
 from lovagestage.plain_calls import (
     HEADER_REQUEST_ID,
@@ -61,6 +62,7 @@
         """
         admitted = self._admit(request, content, workspace, document, route)
         result = Result(admitted.version)
+        get_progress(request).is_claiming = True
         key = request.headers.get(HEADER_KEY)
         parts = (
             self._dispatcher.run(admitted, result)
