--- a/lab/plain.py
+++ b/lab/plain.py
@@ -57,7 +57,9 @@
             os._exit(1)
         if self.faults.stall:
             await hang(request)
-        if self.faults.outage or self.faults.stall:
+            # Also where the fault has been switched off in the meantime.
+            return error(503, "stall")
+        if self.faults.outage:
             return error(503, "outage")
         self._count(request)
         if self.faults.drop_after_run > 0:
--- a/tests/test_plain_services.py
+++ b/tests/test_plain_services.py
@@ -18,13 +18,16 @@
 SHAPE = Shape("vault", ("lhe-a", "lhe-b"), 2, 1, 2, "small@1", "portal")
 KEY = {"Authorization": "Bearer key-audit"}
 MAX_BODY_BYTES = 100_000
+DEADLINE_S = 3.0
+HEARTBEATS_S = 1.0
+OPTIONS = {"max_body_bytes": MAX_BODY_BYTES, "default_deadline_s": DEADLINE_S}
 NEAREST = "plain-1"
 """In the zone of the first entry, which prefers it."""
 
 
 @pytest.fixture(scope="module")
 def started():
-    with Fleet(SHAPE, entry_options={"max_body_bytes": MAX_BODY_BYTES}) as one:
+    with Fleet(SHAPE, entry_options=OPTIONS) as one:
         wait_until_keys_are_held(one)
         yield one
 
@@ -72,6 +75,20 @@
         fleet.set_fault(plain.name, **faults)
 
 
+def restart_sidecar(fleet, name):
+    """Returns once the entries have heard that its service is up."""
+    fleet.start_sidecar(int(name.rpartition("-")[2]))
+    end_s = time.monotonic() + 10
+    while not all(
+        link["heard_s_ago"] < 1 and not link["gone"]
+        for entry in fleet.entries
+        for link in fleet.get_dump(entry.name)["upstreams"]
+    ):
+        assert time.monotonic() < end_s
+        time.sleep(0.1)
+    time.sleep(HEARTBEATS_S)
+
+
 def test_call_reaches_the_service_and_its_answer_comes_back(fleet):
     response, answer = call(fleet, "POST", "/portal/charge?till=4", b"5 AUD")
     assert response.status == 200
@@ -194,6 +211,41 @@
     assert answer["error"]["code"] == "idempotency_key_reused"
 
 
+def test_call_that_is_never_answered_ends_at_its_deadline(fleet):
+    # The service takes the call and says nothing. The caller is not held up
+    # past the deadline and is not told that nothing was run.
+    set_fault(fleet, stall=True)
+    start_s = time.monotonic()
+    response, answer = call(fleet, "POST", "/portal/charge")
+    assert response.status == 504
+    assert answer["error"]["run"] == "unknown"
+    assert DEADLINE_S - 0.5 < time.monotonic() - start_s < DEADLINE_S + 1
+
+
+def test_charge_whose_sidecar_is_killed_is_not_run_again(fleet):
+    # The charge runs when its sidecar is killed. The entry sees the process
+    # gone, sends the charge to no other sidecar and says that it may have run.
+    set_fault(fleet, slow_ms=1000)
+    before = count(fleet, "runs_by_path", "/charge")
+    seen = []
+    thread = threading.Thread(
+        target=lambda: seen.append(call(fleet, "POST", "/portal/charge"))
+    )
+    thread.start()
+    time.sleep(0.4)
+    name = next(
+        name
+        for name in ("sidecar-1", "sidecar-2")
+        if fleet.get_dump(name)["runs"]["running"]
+    )
+    fleet.kill(name)
+    thread.join()
+    restart_sidecar(fleet, name)
+    ((response, answer),) = seen
+    assert (response.status, answer["error"]["run"]) == (502, "unknown")
+    assert count(fleet, "runs_by_path", "/charge") == before + 1
+
+
 def test_planned_stop_of_a_sidecar_cuts_off_no_charge(fleet):
     # A charge is slow; its sidecar is told to stop meanwhile. The charge is
     # answered, later ones go to the other sidecar, and the process exits 0.
@@ -201,9 +253,12 @@
     seen = []
     threads = [
         threading.Thread(
-            target=lambda: seen.append(call(fleet, "POST", "/portal/charge"))
+            target=lambda entry: seen.append(
+                call(fleet, "POST", "/portal/charge", entry=entry)
+            ),
+            args=[number % 2],
         )
-        for _ in range(6)
+        for number in range(6)
     ]
     for thread in threads:
         thread.start()
@@ -213,7 +268,7 @@
         thread.join()
     set_fault(fleet, slow_ms=0)
     seen += [call(fleet, "POST", "/portal/charge") for _ in range(6)]
-    fleet.start_sidecar(1)
+    restart_sidecar(fleet, "sidecar-1")
     assert codes == [0]
     assert [response.status for response, _ in seen] == [200] * 12
 
