--- a/examples/client.py
+++ b/examples/client.py
@@ -1,7 +1,7 @@
 """Asks lovagestage with the unmodified OpenAI client.
 
 Start a fleet with `make up`, then run this with two of its entries, the key
-of a workspace and the service that it prints:
+of a workspace and the service that it prints, or a model or a version:
 
     python examples/client.py http://127.0.0.1:PORT http://127.0.0.1:PORT \
         key-audit vault
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -21,6 +21,7 @@
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
 from lovagestage.transport import PeerId
+from lovagestage.trials import Trials
 from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -43,6 +44,7 @@
         hub: Hands over what arrives at the listener.
         billing: Takes the bills.
         keys: Request keys.
+        trials: Roll-outs.
     """
 
     def __init__(
@@ -57,8 +59,10 @@
         hub: Hub,
         billing: BillingService,
         keys: KeyService,
+        trials: Trials,
     ) -> None:
         super().__init__()
+        self._trials = trials
         self._settings = settings
         self._role = role
         self._control = control
@@ -77,6 +81,7 @@
             upstreams,
             billing,
             keyed,
+            trials,
             KeyedRefusals(keys),
         )
         self._runner = web.AppRunner(
@@ -136,6 +141,7 @@
                 "request_keys": self._keys.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
                 "billing": self._billing.get_sizes(),
+                "rollouts": self._trials.get_dump(),
                 "control": self._control.get_dump(),
             }
         )
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.exposure import Evidence
 from lovagestage.key_messages import (
     Claim,
     ClaimAnswer,
@@ -24,6 +25,7 @@
     Pull,
     PullAnswer,
 )
+from lovagestage.learned import LearnedDelta
 from lovagestage.plain_calls import Header
 from lovagestage.types import (
     FencingNumber,
@@ -33,6 +35,7 @@
     PoolId,
     RequestId,
     RunState,
+    ServiceId,
     VmId,
     WorkspaceId,
     ZoneId,
@@ -75,6 +78,7 @@
         clock_ms: Its own clock, from which runs of keyed requests take
             their permit.
         heard_sequence: Sequence of the latest `Hello` on this connection.
+        max_batch: Requests that the engine works on at once; 0 if unknown.
         pool: Pool of its plain service; empty beside an engine.
         is_up: Whether the plain service takes calls.
     """
@@ -92,6 +96,7 @@
     control_offset: int
     clock_ms: int = 0
     heard_sequence: int = 0
+    max_batch: int = 0
     pool: PoolId = PoolId("")
     is_up: bool = False
 
@@ -410,11 +415,34 @@
     last_number: int
 
 
+class EvidenceReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="evidence_report"
+):
+    """What an entry tells the others of one roll-out.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        evidence: What it saw since its last report.
+    """
+
+    service: ServiceId
+    model: str
+    evidence: Evidence
+
+
 EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease
+PeerMessage = (
+    CrashReport
+    | BillCopy
+    | BillCopied
+    | BillRelease
+    | EvidenceReport
+    | LearnedDelta
+)
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
     Claim
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -58,12 +58,16 @@
         rater_url: The answer rater; empty where there is none.
         operators_root_key: Hex Ed25519 key that names the operators; where
             it is empty, whoever may append to the log may edit documents.
+        log_keys: Secrets with which the system signs its snapshots in the
+            log; the first signs, each is accepted. Set them wherever
+            `operators_root_key` is set.
     """
 
     log_url: str
     vms_url: str
     rater_url: str = ""
     operators_root_key: str = ""
+    log_keys: list[str] = []
 
 
 class BusSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -110,6 +114,8 @@
         billing_batch_bytes: Most bytes of one append of bills.
         member_silence_s: An entry that was not heard for so long holds no
             request keys from then on.
+        learning_window_s: Length of the windows in which ratings are counted;
+            those of the last six are used.
         key_window_s: How long a request key is remembered.
         key_limit: Most request keys held by this process; past it new ones
             are refused.
@@ -129,6 +135,7 @@
     member_silence_s: float = 10.0
     key_window_s: float = 86_400.0
     key_limit: int = 200_000
+    learning_window_s: float = 600.0
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -269,6 +269,7 @@
             self._control.folded.next_offset,
             self._runs.get_clock_ms(),
             heard_sequence,
+            self._load.max_batch,
             self._role.pool,
             self._is_up,
         )
--- a/tests/test_up.py
+++ b/tests/test_up.py
@@ -59,7 +59,7 @@
             str(ROOT / "examples" / "client.py"),
             *get_values(lines, "entry")[:2],
             "key-audit",
-            "vault",
+            "large@1",
         ],
         capture_output=True,
         text=True,
@@ -68,7 +68,7 @@
     )
     shown = dict(line.split(": ", 1) for line in done.stdout.splitlines())
     assert shown["stream"].partition("chunks, ")[2] == shown["plain"]
-    assert shown["session"].split() == ["small@1"] * 3
+    assert shown["session"].split() == ["large@1"] * 3
     assert len(set(shown["key"].split())) == 1
 
 
