--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -35,9 +35,13 @@
     NotReadyError,
     RequestRefusedError,
     UnknownModelError,
+    UnknownRouteError,
     WrongKeyError,
 )
+from lovagestage.keyed_refusals import KeyedRefusals, get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.plain_api import PlainApi
+from lovagestage.plain_calls import find_route
 from lovagestage.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
@@ -115,6 +119,7 @@
         keyed: Runs requests that have a key.
         billing: Takes the bills.
         trials: Assigns requests to roll-outs.
+        refusals: Makes refusals of requests with a key true.
     """
 
     def __init__(
@@ -126,10 +131,12 @@
         billing: BillingService,
         keyed: KeyedRuns,
         trials: Trials,
+        refusals: KeyedRefusals,
     ) -> None:
         self._trials = trials
         self._billing = billing
         self._keyed = keyed
+        self._refusals = refusals
         self._upstreams = upstreams
         self._started_at_s = time.monotonic()
         self._ready = False
@@ -141,6 +148,7 @@
         self._control = control
         self._dispatcher = dispatcher
         self._escalation = Escalation(dispatcher)
+        self._plain = PlainApi(dispatcher, keyed, settings.default_deadline_s)
         self._signer = SessionSigner(settings.session_keys)
 
     def make_app(self) -> web.Application:
@@ -153,6 +161,7 @@
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_post("/v1/chat/completions", self._post_chat)
+        app.router.add_route("*", "/{path:.*}", self._handle_call)
         return app
 
     async def _on_response_prepare(
@@ -174,23 +183,24 @@
         try:
             return await handler(request)
         except RequestRefusedError as error:
-            return make_error_response(error)
+            return await self._answer_refusal(request, error)
         except web.HTTPRequestEntityTooLarge:
-            return make_error_response(
-                BodyTooLargeError(
-                    "Expected a body of at most"
-                    f" {self._settings.max_body_bytes} bytes."
-                )
-            )
-        except web.HTTPNotFound:
-            return make_error_response(
-                UnknownModelError(f"There is nothing at {request.path!r}.")
+            too_large = BodyTooLargeError(
+                "Expected a body of at most"
+                f" {self._settings.max_body_bytes} bytes."
             )
+            return await self._answer_refusal(request, too_large)
         finally:
             self.open_requests -= 1
             if self.open_requests == 0:
                 self.idle.set()
 
+    async def _answer_refusal(
+        self, request: web.Request, error: RequestRefusedError
+    ) -> web.Response:
+        await self._refusals.correct(request, error)
+        return make_error_response(error)
+
     async def _get_health(self, request: web.Request) -> web.Response:
         del request
         if self.leaving or not self._is_ready():
@@ -229,17 +239,29 @@
     async def _post_chat(self, request: web.Request) -> web.StreamResponse:
         caller = self._get_caller(request)
         body = await self._read_body(request)
+        get_progress(request).body = body
         form = _parse_form(body)
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
         parts = self._run(request, admitted, result)
         with self._billing.reserve():
+            get_progress(request).is_claiming = True
             if form.stream:
                 return await self._answer_stream(
                     request, parts, caller, admitted, result
                 )
             return await self._answer_plain(parts, caller, admitted, result)
 
+    async def _handle_call(self, request: web.Request) -> web.Response:
+        caller = self._get_caller(request)
+        route = find_route(caller.document, request.raw_path)
+        if route is None:
+            raise UnknownRouteError(f"There is nothing at {request.path!r}.")
+        content = await self._read_body(request)
+        return await self._plain.answer(
+            request, content, caller.workspace, caller.document, route
+        )
+
     def _run(
         self, request: web.Request, admitted: Request, result: Result
     ) -> AsyncIterator[bytes]:
@@ -262,6 +284,7 @@
         for service in self._control.services.values():
             for name, workspace in service.document.workspaces.items():
                 if digest in workspace.key_digests:
+                    get_progress(request).workspace = name
                     document = self._trials.get_document(service.document)
                     return Caller(name, document)
         raise WrongKeyError("The API key belongs to no workspace.")
--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/upstreams.py
@@ -9,6 +9,7 @@
 
 from lovagestage.links import LinkTable
 from lovagestage.messages import Heartbeat, Hello, Message
+from lovagestage.plain_calls import make_pool_version
 from lovagestage.routing import UpstreamView
 from lovagestage.settings import BusSettings
 from lovagestage.timers import TimerService
@@ -22,7 +23,7 @@
     """What this entry adds to an upstream's latest heartbeat.
 
     Attributes:
-        versions: The heartbeat's versions.
+        versions: What the heartbeat says may be sent there.
         in_use: Own requests there when the heartbeat came.
         last_sent: See `UpstreamView`.
     """
@@ -51,7 +52,7 @@
     def has_heard_all(self) -> bool:
         """Whether each listed sidecar has said which versions it has."""
         return bool(self.links) and all(
-            name in self._heartbeats and self._heartbeats[name].versions
+            name in self._heartbeats and _get_targets(self._heartbeats[name])
             for name in self.links
         )
 
@@ -68,7 +69,7 @@
             and not self.is_lost(link)
             and name in self._heartbeats
             and not self._heartbeats[name].leaving
-            and version in self._heartbeats[name].versions
+            and version in _get_targets(self._heartbeats[name])
             for name, link in self.links.items()
         )
 
@@ -110,7 +111,7 @@
             # otherwise all begin with the same upstream.
             note = _Note(last_sent=-self._rng.randrange(FIRST_TURNS))
             self._notes[vm] = note
-        note.versions = frozenset(heartbeat.versions)
+        note.versions = _get_targets(heartbeat)
         note.in_use = self.links[vm].in_use
 
     def _make_view(self, vm: VmId, heartbeat: Heartbeat) -> UpstreamView:
@@ -124,9 +125,16 @@
             heartbeat.max_batch,
             heartbeat.token_interval_ms,
             note.last_sent,
+            not heartbeat.pool,
         )
 
 
+def _get_targets(heartbeat: Heartbeat) -> frozenset[str]:
+    if heartbeat.is_up:
+        return frozenset({str(make_pool_version(heartbeat.pool))})
+    return frozenset(heartbeat.versions)
+
+
 def _is_newer(message: Heartbeat, known: Heartbeat | None) -> bool:
     if known is None:
         return True
