Resolve a version only where no plan is followed

The allowed versions were listed three times for a request that names the service: by the plan, by resolve_version and by the roll-out. They are now listed once, and again only where a roll-out is in force; the saving was not measured end to end.

--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -284,10 +284,9 @@
         spec = _get_class(class_name, caller.document)
         deadline_s = spec.deadline_s or self._settings.default_deadline_s
         session = self._read_session(request, caller, form)
-        version = resolve_session_version(session, form.model, caller, spec)
         choice = self._choose_planned(
             session, form.model, caller, class_name, len(body)
-        ) or self._choose(session, form.model, version, caller)
+        ) or self._choose(session, form.model, caller, spec)
         return Request(
             RequestId(secrets.token_hex(16)),
             caller.workspace,
@@ -327,9 +326,10 @@
         self,
         session: Session | None,
         name: str,
-        resolved: ModelVersion,
         caller: Caller,
+        spec: ClassSpec,
     ) -> Choice:
+        resolved = resolve_session_version(session, name, caller, spec)
         if is_pinned(session, resolved):
             return Choice(resolved)
         return self._trials.choose(
--- a/src/lovagestage/exposure_service.py
+++ b/src/lovagestage/exposure_service.py
@@ -110,10 +110,10 @@
         rollout = self._control.folded.rollouts.get(
             document.service, resolved.model
         )
+        if rollout is None:
+            return Choice(resolved)
         allowed = get_open_versions(document, workspace)
-        if rollout is None or not is_in_rollout(
-            name, resolved, rollout.spec, allowed
-        ):
+        if not is_in_rollout(name, resolved, rollout.spec, allowed):
             return Choice(resolved)
         assignment = self._get_gate(rollout).assign(self._rng)
         spec = rollout.spec
