--- a/lab/experiments/failover.py
+++ b/lab/experiments/failover.py
@@ -166,6 +166,7 @@
         "gap_p99_s": _get_quantile(gaps_s, 0.99),
         "gap_alone_p99_s": _get_quantile(alone, 0.99),
         "kills": len(gaps_s),
+        "kills_alone": len(alone),
         "requests": len(traffic.served),
         "given_up": dict(Counter(s.code or "silent" for s in unserved)),
         "runs": len(evidence.runs),
