Connect each entry to a subset; idle links beat slowly

Cause: each entry linked to every sidecar and entry and beat each 0.5 s with all version names.

Change: rendezvous subsets with a hash ring that gives each target at least four followers (subsets.py); other links on demand, closed when idle; idle links beat every 4.5 s with a hash for what the reader knows, used ones as before, and a request on an idle link asks at once; silence counts from the first unanswered heartbeat. Crash reports are passed on; entries watch their subset; versions missing from a subset are asked for at other entries; the roll-out driver follows all sidecars while it drives.

Ruled out: own picks alone (some sidecars had no follower).

--- a/src/lovagestage/billing_service.py
+++ b/src/lovagestage/billing_service.py
@@ -183,7 +183,7 @@
 
     def _get_holder(self) -> VmId | None:
         link = self._peers.links.get(self._holder) if self._holder else None
-        if link is None or not self._peers.is_heard(link):
+        if link is None or not link.kept or not self._peers.is_heard(link):
             self._holder = self._choose_holder()
         return self._holder
 
--- a/src/lovagestage/crash_watch.py
+++ b/src/lovagestage/crash_watch.py
@@ -24,6 +24,8 @@
 
 WAIT_POLL_S = 0.05
 WAIT_LIMIT_S = 10.0
+MAX_TOLD = 10_000
+"""Reports remembered so as not to pass them on twice."""
 
 
 class CrashWatch:
@@ -37,6 +39,7 @@
     def __init__(self, peers: LinkTable, hub: Hub) -> None:
         self._peers = peers
         self._table = SuspectTable()
+        self._told: dict[CrashReport, None] = {}
         hub.register(CrashReport, self._on_report)
 
     def __len__(self) -> int:
@@ -97,10 +100,19 @@
             self._tell(report)
 
     def _tell(self, report: CrashReport) -> None:
-        for vm in self._peers.links:
+        self._told[report] = None
+        while len(self._told) > MAX_TOLD:
+            del self._told[next(iter(self._told))]
+        for vm in self._peers.get_kept():
             self._peers.send(vm, report)
 
     def _on_report(self, peer: PeerId, message: Message) -> None:
+        # An entry is connected to some of the others. Each passes on what is
+        # new to it, so that all hear; connections keep the order, and so no
+        # end of a probe overtakes its beginning.
         del peer
         assert isinstance(message, CrashReport)
+        if message in self._told:
+            return
         self._table.apply(message, time.monotonic())
+        self._tell(message)
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -340,9 +340,7 @@
     def _open(self, key: AttemptKey, vm: VmId, incarnation: int) -> Attempt:
         attempt = Attempt(key, vm, incarnation)
         self._attempts.setdefault(key, []).append(attempt)
-        link = self._upstreams.links.get(vm)
-        if link is not None:
-            link.in_use += 1
+        self._upstreams.change_use(vm, 1)
         return attempt
 
     def _close(self, attempt: Attempt) -> None:
@@ -350,9 +348,7 @@
         readers.remove(attempt)
         if not readers:
             del self._attempts[attempt.key]
-        link = self._upstreams.links.get(attempt.vm)
-        if link is not None and link.in_use > 0:
-            link.in_use -= 1
+        self._upstreams.change_use(attempt.vm, -1)
 
     def _get_attempts(self) -> list[Attempt]:
         return [each for readers in self._attempts.values() for each in readers]
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -20,6 +20,7 @@
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
 from lovagestage.transport import PeerId
+from lovagestage.types import VmId
 from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -38,7 +39,6 @@
         upstreams: Connections to sidecars.
         peers: Connections to the other entries.
         dispatcher: Runs requests.
-        own: Name and incarnation of this process.
         hub: Hands over what arrives at the listener.
         billing: Takes the bills.
         keys: Request keys.
@@ -52,7 +52,6 @@
         upstreams: UpstreamTable,
         peers: LinkTable,
         dispatcher: Dispatcher,
-        own: Hello,
         hub: Hub,
         billing: BillingService,
         keys: KeyService,
@@ -64,7 +63,6 @@
         self._upstreams = upstreams
         self._peers = peers
         self._dispatcher = dispatcher
-        self._own = own
         self._hub = hub
         self._billing = billing
         self._keys = keys
@@ -107,9 +105,7 @@
 
     def _on_hello(self, peer: PeerId, message: Message) -> None:
         assert isinstance(message, Hello)
-        answer = msgspec.structs.replace(
-            self._own, heard_sequence=message.sequence
-        )
+        answer = Hello(VmId(""), 0, heard_sequence=message.sequence)
         self._hub.send(peer, answer)
 
     def _on_dump_request(self, peer: PeerId, message: Message) -> None:
--- a/src/lovagestage/membership.py
+++ b/src/lovagestage/membership.py
@@ -27,6 +27,8 @@
 CHECK_INTERVAL_S = 0.5
 MAX_CHECK_GAP_S = 1.5
 RANK_DELAY_S = 1.0
+MAX_RANKS = 8
+"""Turns; two watchers with the same one append the same record twice."""
 APPEND_RETRY_S = 1.0
 
 
@@ -127,7 +129,7 @@
         others = [
             MemberId(m.vm, m.incarnation)
             for m in self.view.members.values()
-            if m.vm != own.vm
+            if m.vm != own.vm and self._peers.is_watched(m.vm)
         ]
         silent = [m for m in others if self._is_silent(m, len(others), now_s)]
         if len(others) > 2 and len(silent) * 2 > len(others):
@@ -148,11 +150,13 @@
     def _is_silent(self, member: MemberId, others: int, now_s: float) -> bool:
         link = self._peers.links.get(member.vm)
         known_s = self._heard_s.setdefault(member, now_s)
-        if link is not None and link.heard_s > known_s:
-            self._heard_s[member] = known_s = link.heard_s
-        # The entries take turns by name: one record, not one from each.
+        if link is not None:
+            # What has been asked nothing since it answered is not silent.
+            heard_s = now_s if link.asked_s is None else link.heard_s
+            self._heard_s[member] = known_s = max(known_s, heard_s)
+        # The watchers take turns by name: one record, not one from each.
         rank = sorted(self.view.members).index(self.own.vm)
-        delay_s = RANK_DELAY_S * min(rank, others)
+        delay_s = RANK_DELAY_S * min(rank % MAX_RANKS, others)
         return now_s - known_s > self._silence_s + delay_s
 
     def _is_listed(self, vm: VmId) -> bool:
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -47,12 +47,16 @@
         incarnation: Start time of the process; a restart has a higher one.
         sequence: Counts up on a link; its answer carries it back.
         heard_sequence: Where this is an answer: the sequence it answers.
+        known_state: `state_hash` of the latest heartbeat; an answer may then
+            leave out what has that hash. 0 asks for all. With it, `vm` and
+            `incarnation` are left out too: the connection has said them.
     """
 
     vm: VmId
     incarnation: int
     sequence: int = 0
     heard_sequence: int = 0
+    known_state: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
@@ -73,6 +77,8 @@
         clock_ms: Its own clock, from which runs of keyed requests take
             their permit.
         heard_sequence: Sequence of the latest `Hello` on this connection.
+        state_hash: Hash of VM, zone and versions; never 0.
+        shortened: These three are left out: the reader has that hash.
     """
 
     vm: VmId
@@ -88,6 +94,8 @@
     control_offset: int
     clock_ms: int = 0
     heard_sequence: int = 0
+    state_hash: int = 0
+    shortened: bool = False
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
@@ -402,11 +410,41 @@
     last_number: int
 
 
+class VersionQuestion(
+    msgspec.Struct, frozen=True, array_like=True, tag="version_question"
+):
+    """Asks another entry which sidecars have versions loaded."""
+
+    versions: list[str]
+
+
+class VersionPlace(msgspec.Struct, frozen=True, array_like=True):
+    """A sidecar that has a version loaded."""
+
+    vm: VmId
+    version: str
+
+
+class VersionAnswer(
+    msgspec.Struct, frozen=True, array_like=True, tag="version_answer"
+):
+    """Some of the sidecars that have the versions."""
+
+    places: list[VersionPlace]
+
+
 EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease
+PeerMessage = (
+    CrashReport
+    | BillCopy
+    | BillCopied
+    | BillRelease
+    | VersionQuestion
+    | VersionAnswer
+)
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
     Claim
--- a/src/lovagestage/rollout_driver.py
+++ b/src/lovagestage/rollout_driver.py
@@ -97,8 +97,13 @@
     @mode.Service.task
     async def _drive(self) -> None:
         while not self.should_stop:
-            if self._lease.is_held and self._control.is_usable:
-                for rollout in self._control.folded.rollouts.get_all():
+            rollouts = self._control.folded.rollouts.get_all()
+            is_driver = self._lease.is_held and self._control.is_usable
+            # The driver orders loads at each upstream of the fleet. Judged by
+            # its subset alone, a version would count as loaded everywhere
+            # while most upstreams lack it.
+            if self._upstreams.follow_all(is_driver and bool(rollouts)):
+                for rollout in rollouts:
                     await self._drive_one(rollout)
             await self.sleep(INTERVAL_S)
 
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -74,12 +74,17 @@
         public_key: CURVE public key of this process, Z85.
         secret_key: CURVE secret key of this process, Z85.
         accepted_keys: Public keys of processes that may connect, Z85.
-        heartbeat_interval_s: Time between heartbeats.
-        silent_after_s: A connection with no heartbeat answered for so long
-            is replaced.
+        heartbeat_interval_s: Time between heartbeats of a connection that
+            is in use or has one unanswered.
+        silent_after_s: A connection on which a heartbeat goes unanswered for
+            so long is replaced.
         lost_after_s: A process that stays silent for so long, over
             reconnections, is lost. One whose port refuses connections is
             lost at once.
+        idle_heartbeat_interval_s: Time between heartbeats of a connection
+            that nothing uses.
+        idle_close_s: A connection outside the subset that nothing used for
+            so long is closed.
     """
 
     bind: str
@@ -89,6 +94,8 @@
     heartbeat_interval_s: float = 0.5
     silent_after_s: float = 2.0
     lost_after_s: float = 5.0
+    idle_heartbeat_interval_s: float = 4.5
+    idle_close_s: float = 30.0
 
 
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -113,6 +120,9 @@
         key_window_s: How long a request key is remembered.
         key_limit: Most request keys held by this process; past it new ones
             are refused.
+        upstream_subset: Sidecars that this entry picks to stay connected to;
+            all of them where there are fewer.
+        peer_subset: The same, of entries.
     """
 
     http_host: str
@@ -129,6 +139,8 @@
     member_silence_s: float = 10.0
     key_window_s: float = 86_400.0
     key_limit: int = 200_000
+    upstream_subset: int = 64
+    peer_subset: int = 8
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import time
 from collections.abc import Coroutine
 
 import mode
 import msgspec
+import xxhash
 
 from lovagestage.adapters import Engine, EngineLoad
 from lovagestage.control import ControlReader
@@ -35,7 +37,13 @@
 from lovagestage.settings import Settings, SidecarSettings
 from lovagestage.timers import TimerService
 from lovagestage.transport import PeerId
-from lovagestage.types import RunState, ServiceId, parse_model_version
+from lovagestage.types import (
+    RunState,
+    ServiceId,
+    VmId,
+    ZoneId,
+    parse_model_version,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -52,6 +60,21 @@
 _NO_LOAD = EngineLoad(0, 0, 0, 0.0, 0.0)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Told:
+    """What entries are told at once when it changes."""
+
+    leaving: bool
+    full: bool
+    versions: tuple[str, ...]
+
+
+def get_state_hash(vm: VmId, zone: ZoneId, versions: list[str]) -> int:
+    """Hash of what a heartbeat may leave out; never 0."""
+    text = "\0".join((vm, zone, *versions))
+    return int(xxhash.xxh32_intdigest(text.encode())) or 1
+
+
 class Sidecar(mode.Service):
     """Runs requests at one upstream for any number of entries.
 
@@ -85,6 +108,7 @@
         self._leaving = False
         self._load = _NO_LOAD
         self._versions: list[str] = []
+        self._told = _Told(False, False, ())
         self._peers: dict[PeerId, float] = {}
         self._work: set[asyncio.Task[None]] = set()
         self._hub = hub
@@ -118,7 +142,16 @@
     def _on_hello(self, peer: PeerId, message: Message) -> None:
         assert isinstance(message, Hello)
         self._peers[peer] = time.monotonic()
-        self._hub.send(peer, self._make_heartbeat(message.sequence))
+        heartbeat = self._make_heartbeat(message.sequence)
+        if message.known_state == heartbeat.state_hash:
+            heartbeat = msgspec.structs.replace(
+                heartbeat,
+                vm=VmId(""),
+                zone=ZoneId(""),
+                versions=[],
+                shortened=True,
+            )
+        self._hub.send(peer, heartbeat)
 
     def _on_attach(self, peer: PeerId, message: Message) -> None:
         assert isinstance(message, Attach)
@@ -208,7 +241,9 @@
 
     def _on_heartbeat(self) -> None:
         self._start_task(self._refresh_load())
-        self._send_heartbeats()
+        self._drop_silent_peers()
+        if self._get_told() != self._told:
+            self._send_heartbeats()
 
     def _on_expiry(self) -> None:
         self._runs.on_timer()
@@ -227,13 +262,29 @@
             self._send_heartbeats()
 
     def _send_heartbeats(self) -> None:
-        horizon_s = time.monotonic() - self._settings.bus.silent_after_s
+        self._told = self._get_told()
         heartbeat = self._make_heartbeat()
-        for peer, seen_s in list(self._peers.items()):
-            if seen_s < horizon_s or not self._hub.send(peer, heartbeat):
+        for peer in list(self._peers):
+            if not self._hub.send(peer, heartbeat):
                 del self._peers[peer]
                 self._runs.drop_peer(peer)
 
+    def _drop_silent_peers(self) -> None:
+        # An entry with a run open sends heartbeats often: one that does not
+        # reads no more. An idle one has nothing open and sends them rarely.
+        bus = self._settings.bus
+        now_s = time.monotonic()
+        for peer, seen_s in list(self._peers.items()):
+            silent_s = now_s - seen_s
+            if silent_s > bus.silent_after_s:
+                self._runs.drop_peer(peer)
+            if silent_s > bus.silent_after_s + bus.idle_heartbeat_interval_s:
+                del self._peers[peer]
+
+    def _get_told(self) -> _Told:
+        is_full = self._runs.running >= self._role.max_running
+        return _Told(self._leaving, is_full, tuple(self._versions))
+
     def _make_heartbeat(self, heard_sequence: int = 0) -> Heartbeat:
         self._sequence += 1
         return Heartbeat(
@@ -250,6 +301,9 @@
             self._control.folded.next_offset,
             self._runs.get_clock_ms(),
             heard_sequence,
+            get_state_hash(
+                self._settings.vm, self._settings.zone, self._versions
+            ),
         )
 
     def _make_dump(self) -> bytes:
--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import zmq
 
 from lovagestage.links import LinkTable
@@ -9,7 +10,7 @@
 from lovagestage.routing import UpstreamView
 from lovagestage.settings import BusSettings
 from lovagestage.timers import TimerService
-from lovagestage.types import Role, VmId, VmState
+from lovagestage.types import Role, VmId, VmState, ZoneId
 
 
 class UpstreamTable(LinkTable):
@@ -21,8 +22,12 @@
         settings: BusSettings,
         own: Hello,
         timers: TimerService,
+        zone: ZoneId,
+        subset_size: int,
     ) -> None:
-        super().__init__(Role.SIDECAR, context, settings, own, timers)
+        super().__init__(
+            Role.SIDECAR, context, settings, own, timers, zone, subset_size
+        )
         self._heartbeats: dict[VmId, Heartbeat] = {}
 
     def has_heard_all(self) -> bool:
@@ -61,9 +66,33 @@
         """Keeps the newest heartbeat; hands on everything else."""
         if not isinstance(message, Heartbeat):
             super().on_frame(vm, message)
-        elif _is_newer(message, self._heartbeats.get(vm)):
+            return
+        known = self._heartbeats.get(vm)
+        if message.shortened:
+            if known is None or known.state_hash != message.state_hash:
+                return
+            message = _fill(message, known)
+        if _is_newer(message, known):
             self._heartbeats[vm] = message
 
+    def get_known_state(self, vm: VmId) -> int:
+        """Hash of what the sidecar has said of itself; 0 for nothing."""
+        heartbeat = self._heartbeats.get(vm)
+        return heartbeat.state_hash if heartbeat else 0
+
+    def get_versions(self) -> dict[VmId, list[str]]:
+        """Versions at each sidecar that takes new work."""
+        return {
+            name: self._heartbeats[name].versions
+            for name in self.get_live()
+            if name in self._heartbeats and not self._heartbeats[name].leaving
+        }
+
+    def get_subset_versions(self) -> dict[VmId, list[str]]:
+        """The same, without connections beside the subset."""
+        versions = self.get_versions()
+        return {vm: versions[vm] for vm in versions if self.is_watched(vm)}
+
     def on_removed(self, vm: VmId) -> None:
         """Forgets the heartbeat."""
         self._heartbeats.pop(vm, None)
@@ -79,6 +108,16 @@
         )
 
 
+def _fill(message: Heartbeat, known: Heartbeat) -> Heartbeat:
+    return msgspec.structs.replace(
+        message,
+        vm=known.vm,
+        zone=known.zone,
+        versions=known.versions,
+        shortened=False,
+    )
+
+
 def _is_newer(message: Heartbeat, known: Heartbeat | None) -> bool:
     if known is None:
         return True
--- /dev/null
+++ b/src/lovagestage/version_search.py
@@ -0,0 +1,180 @@
+"""Finds upstreams of versions that an entry's own subset lacks.
+
+A subset is chosen by names alone, so that a version which few upstreams have
+loaded may be at none of it. Other entries have other subsets: some are asked
+which of their sidecars have the version, and these are connected to as well.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Iterable, Mapping, Sequence
+
+import mode
+
+from lovagestage.control import ControlReader
+from lovagestage.hub import Hub
+from lovagestage.links import LinkTable
+from lovagestage.messages import (
+    Message,
+    VersionAnswer,
+    VersionPlace,
+    VersionQuestion,
+)
+from lovagestage.types import VmId
+from lovagestage.upstreams import UpstreamTable
+
+_log = logging.getLogger(__name__)
+
+CHECK_INTERVAL_S = 1.0
+MAX_PAUSE_S = 30.0
+"""Longest pause between searches that find nothing new."""
+ASK_TIMEOUT_S = 1.0
+MAX_ASKED = 8
+MIN_UPSTREAMS = 4
+"""Upstreams of each version that an entry wants to know."""
+
+
+def get_scarce(
+    wanted: Iterable[str], loaded: Mapping[VmId, Sequence[str]]
+) -> list[str]:
+    """Wanted versions that too few known upstreams have loaded."""
+    counts = dict.fromkeys(wanted, 0)
+    for versions in loaded.values():
+        for version in counts.keys() & set(versions):
+            counts[version] += 1
+    return sorted(v for v, count in counts.items() if count < MIN_UPSTREAMS)
+
+
+def choose_places(
+    versions: Iterable[str], loaded: Mapping[VmId, Sequence[str]]
+) -> list[VersionPlace]:
+    """For each version some of the upstreams that have it."""
+    places = []
+    for version in versions:
+        having = (vm for vm in sorted(loaded) if version in loaded[vm])
+        places += [
+            VersionPlace(vm, version)
+            for vm, _ in zip(having, range(MIN_UPSTREAMS), strict=False)
+        ]
+    return places
+
+
+def choose_extra(
+    places: Iterable[VersionPlace],
+    wanted: Iterable[str],
+    known: Mapping[VmId, Sequence[str]],
+) -> frozenset[VmId]:
+    """Upstreams to connect to beside the subset.
+
+    Args:
+        places: What others have told, over time.
+        wanted: Versions in the documents.
+        known: Versions at the subset.
+    """
+    scarce = set(get_scarce(wanted, known))
+    extra: dict[str, list[VmId]] = {version: [] for version in scarce}
+    for place in places:
+        vms = extra.get(place.version)
+        if vms is not None and len(vms) < MIN_UPSTREAMS:
+            vms.append(place.vm)
+    return frozenset(vm for vms in extra.values() for vm in vms)
+
+
+class VersionSearch(mode.Service):
+    """Asks other entries for versions, and answers them.
+
+    Args:
+        control: Configuration in force.
+        upstreams: Connections to sidecars.
+        peers: Connections to the other entries.
+        hub: Hands over the other entries' questions.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        control: ControlReader,
+        upstreams: UpstreamTable,
+        peers: LinkTable,
+        hub: Hub,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._control = control
+        self._upstreams = upstreams
+        self._peers = peers
+        self._rng = rng
+        self._places: list[VersionPlace] = []
+        self._pause_s = CHECK_INTERVAL_S
+        self._search_at_s = 0.0
+        hub.register_answer(VersionQuestion, self._answer)
+
+    @mode.Service.task
+    async def _search_often(self) -> None:
+        while not self.should_stop:
+            await self.sleep(CHECK_INTERVAL_S)
+            await self.search(time.monotonic())
+
+    async def search(self, now_s: float) -> None:
+        """Asks for what is scarce, more and more rarely while in vain."""
+        scarce = get_scarce(self._get_wanted(), self._upstreams.get_versions())
+        if not scarce or self._upstreams.has_all:
+            self._pause_s = CHECK_INTERVAL_S
+            return
+        if now_s < self._search_at_s:
+            return
+        found = await self._ask(scarce)
+        new = [place for place in found if place not in self._places]
+        self._pause_s = (
+            CHECK_INTERVAL_S if new else min(MAX_PAUSE_S, self._pause_s * 2)
+        )
+        self._search_at_s = now_s + self._pause_s
+        self._apply(found)
+
+    def _apply(self, found: list[VersionPlace]) -> None:
+        # What the extra links' own heartbeats say decides over what was told:
+        # a place that has lost the version since is not held on to.
+        loaded = self._upstreams.get_versions()
+        held = [
+            place
+            for place in self._places
+            if place.version in loaded.get(place.vm, ()) and place not in found
+        ]
+        self._places = held + found
+        known = self._upstreams.get_subset_versions()
+        wanted = self._get_wanted()
+        extra = choose_extra(self._places, wanted, known)
+        if extra:
+            _log.info("versions_found", extra={"upstreams": len(extra)})
+        self._upstreams.set_extra(extra)
+
+    def _get_wanted(self) -> set[str]:
+        return {
+            version.name
+            for service in self._control.services.values()
+            for version in service.document.versions
+        }
+
+    async def _ask(self, versions: list[str]) -> list[VersionPlace]:
+        names = self._peers.get_listed()
+        asked = self._rng.sample(names, min(MAX_ASKED, len(names)))
+        question = VersionQuestion(versions)
+        answers = await asyncio.gather(
+            *(self._peers.ask(vm, question, ASK_TIMEOUT_S) for vm in asked)
+        )
+        places = [
+            place
+            for answer in answers
+            if isinstance(answer, VersionAnswer)
+            for place in answer.places
+        ]
+        return list(dict.fromkeys(places))
+
+    async def _answer(self, message: Message) -> Message:
+        assert isinstance(message, VersionQuestion)
+        loaded = self._upstreams.get_versions()
+        return VersionAnswer(choose_places(message.versions, loaded))
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -46,6 +46,7 @@
 from lovagestage.transport import KeyAuthenticator, Listener
 from lovagestage.types import Role
 from lovagestage.upstreams import UpstreamTable
+from lovagestage.version_search import VersionSearch
 from lovagestage.vmwatch import VmWatch
 from lovagestage.writer import ControlWriter
 
@@ -150,8 +151,8 @@
 ) -> tuple[_Process, list[mode.Service]]:
     settings = base.settings
     common = (base.context, settings.bus, base.own, base.timers)
-    upstreams = UpstreamTable(*common)
-    peers = LinkTable(Role.ENTRY, *common)
+    upstreams = UpstreamTable(*common, settings.zone, role.upstream_subset)
+    peers = LinkTable(Role.ENTRY, *common, settings.zone, role.peer_subset)
     watch = VmWatch(HttpVmList(base.session, settings.platform.vms_url))
     watch.subscribe(upstreams.apply_vm_list)
     watch.subscribe(peers.apply_vm_list)
@@ -173,7 +174,6 @@
         upstreams,
         peers,
         dispatcher,
-        base.own,
         base.hub,
         billing,
         keys,
@@ -183,7 +183,10 @@
         *_make_rollout_driver(base, role, upstreams),
     ]
     peer_state = PeerState(base.control, [peers, upstreams], upstreams)
-    links = [watch, upstreams, peers, peer_state]
+    search = VersionSearch(
+        base.control, upstreams, peers, base.hub, random.Random()
+    )
+    links = [watch, upstreams, peers, peer_state, search]
     return entry, [*links, billing, membership, keys, *work, entry]
 
 
--- /dev/null
+++ b/tests/test_subsets.py
@@ -0,0 +1,96 @@
+"""Subsets of an entry: enough followers, balance, few moves, reach."""
+
+from __future__ import annotations
+
+import collections
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lovagestage.subsets import MIN_FOLLOWERS, Place, choose_subset
+
+ENTRIES, SIDECARS, ZONES, SIZE, PEERS = 98, 425, 4, 64, 8
+"""A quarter of the target's VMs; a sidecar has as many followers."""
+
+
+def make_places(role: str, count: int, zones: int) -> list[Place]:
+    return [Place(f"{role}-{n}", f"zone-{n % zones}") for n in range(count)]
+
+
+def choose_all(entries, targets, size):
+    names = [entry.vm for entry in entries]
+    return {
+        entry.vm: choose_subset(entry, names, targets, size)
+        for entry in entries
+    }
+
+
+def count_followers(chosen) -> collections.Counter[str]:
+    return collections.Counter(vm for each in chosen.values() for vm in each)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.integers(1, 20),
+    st.integers(0, 60),
+    st.integers(1, 5),
+    st.integers(1, 12),
+)
+def test_each_target_has_its_followers(entries, sidecars, zones, size):
+    # Without the targets' own picks some sidecars had no entry at all: an
+    # upstream that nobody sends work to, or an entry that nobody watches.
+    places = make_places("entry", entries, zones)
+    for targets in (make_places("sidecar", sidecars, zones), places):
+        chosen = choose_all(places, targets, size)
+        followers = count_followers(chosen)
+        for target in targets:
+            others = entries - (target.vm in chosen)
+            assert followers[target.vm] >= min(MIN_FOLLOWERS, others)
+        for vm, subset in chosen.items():
+            assert vm not in subset
+            others = len(targets) - (targets is places)
+            assert len(subset) >= min(size, others)
+
+
+@pytest.fixture(scope="module")
+def entries():
+    return make_places("entry", ENTRIES, ZONES)
+
+
+def test_followers_are_balanced(entries):
+    sidecars = make_places("sidecar", SIDECARS, ZONES)
+    chosen = choose_all(entries, sidecars, SIZE)
+    counts = [count_followers(chosen)[s.vm] for s in sidecars]
+    sizes = [len(subset) for subset in chosen.values()]
+    mean = sum(counts) / len(counts)
+    assert max(counts) < 2.5 * mean
+    assert max(sizes) < 2 * SIZE
+    zones = {sidecar.vm: sidecar.zone for sidecar in sidecars}
+    for entry in entries:
+        near = [vm for vm in chosen[entry.vm] if zones[vm] == entry.zone]
+        assert SIZE // 2 <= len(near) <= len(chosen[entry.vm]) - SIZE // 4
+
+
+@pytest.mark.parametrize("role", ["entry", "sidecar"])
+def test_one_vm_that_goes_moves_few_links(entries, role):
+    sidecars = make_places("sidecar", SIDECARS, ZONES)
+    before = choose_all(entries, sidecars, SIZE)
+    if role == "entry":
+        after = choose_all(entries[1:], sidecars, SIZE)
+        del before[entries[0].vm]
+    else:
+        after = choose_all(entries, sidecars[1:], SIZE)
+    opened = sum(len(after[vm] - before[vm]) for vm in before)
+    assert opened < sum(map(len, before.values())) / 50
+
+
+def test_a_report_reaches_every_entry_over_the_subsets(entries):
+    chosen = choose_all(entries, entries, PEERS)
+    for start in (entries[0].vm, entries[-1].vm):
+        reached, fresh = {start}, [start]
+        while fresh:
+            told = set().union(*(chosen[vm] for vm in fresh))
+            fresh = list(told - reached)
+            reached |= told
+        assert len(reached) == ENTRIES
