--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
+from lovagestage.exposure import Evidence
 from lovagestage.key_messages import (
     Claim,
     ClaimAnswer,
@@ -24,6 +25,7 @@
     Pull,
     PullAnswer,
 )
+from lovagestage.learned import LearnedDelta
 from lovagestage.types import (
     FencingNumber,
     Fingerprint,
@@ -31,6 +33,7 @@
     Offset,
     RequestId,
     RunState,
+    ServiceId,
     VmId,
     WorkspaceId,
     ZoneId,
@@ -77,6 +80,7 @@
         clock_ms: Its own clock, from which runs of keyed requests take
             their permit.
         heard_sequence: Sequence of the latest `Hello` on this connection.
+        max_batch: Requests that the engine works on at once; 0 if unknown.
         state_hash: Hash of VM, zone and versions; never 0.
         shortened: These three are left out: the reader has that hash.
     """
@@ -94,6 +98,7 @@
     control_offset: int
     clock_ms: int = 0
     heard_sequence: int = 0
+    max_batch: int = 0
     state_hash: int = 0
     shortened: bool = False
 
@@ -120,6 +125,8 @@
         permit_ms: That process's clock when it was chosen, where keyed.
         strikes: Crashes at which the request was in flight.
         probe: It must not run beside others that have strikes.
+        clock_ms: That process's clock as the entry had heard it last; -1
+            where it had not.
     """
 
     request_id: RequestId
@@ -137,6 +144,7 @@
     permit_ms: int = 0
     strikes: int = 0
     probe: bool = False
+    clock_ms: int = -1
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
@@ -433,6 +441,22 @@
     places: list[VersionPlace]
 
 
+class EvidenceReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="evidence_report"
+):
+    """What an entry tells the others of one roll-out.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        evidence: What it saw since its last report.
+    """
+
+    service: ServiceId
+    model: str
+    evidence: Evidence
+
+
 EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
@@ -442,6 +466,8 @@
     | BillCopy
     | BillCopied
     | BillRelease
+    | EvidenceReport
+    | LearnedDelta
     | VersionQuestion
     | VersionAnswer
 )
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -302,6 +302,7 @@
             self._control.folded.next_offset,
             self._runs.get_clock_ms(),
             heard_sequence,
+            self._load.max_batch,
             get_state_hash(
                 self._settings.vm, self._settings.zone, self._versions
             ),
