--- a/src/lovagestage/exposure_service.py
+++ b/src/lovagestage/exposure_service.py
@@ -177,7 +177,7 @@
             gate = ExposureGate(
                 rollout.spec,
                 key.revision,
-                len(self._peers.links) + 1,
+                len(self._peers.get_listed()) + 1,
                 self._own.vm,
                 self._own.incarnation,
             )
@@ -187,7 +187,7 @@
 
     def _follow_one(self, gate: ExposureGate, rollout: Rollout) -> None:
         progress = rollout.progress
-        gate.raise_entries(len(self._peers.links) + 1)
+        gate.raise_entries(len(self._peers.get_listed()) + 1)
         done = progress.phase is RolloutPhase.DONE
         step = len(rollout.spec.steps) if done else progress.step
         gate.follow(step, rollout.get_share())
@@ -228,7 +228,8 @@
 
     def _share(self, key: RolloutKey, gate: ExposureGate) -> None:
         report = EvidenceReport(key.service, key.model, gate.make_evidence())
-        for vm in self._peers.links:
+        # To all entries, not to the subset: one that misses a stop goes on.
+        for vm in self._peers.get_listed():
             self._peers.send(vm, report)
 
     def _on_report(self, peer: PeerId, message: Message) -> None:
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -52,12 +52,16 @@
         incarnation: Start time of the process; a restart has a higher one.
         sequence: Counts up on a link; its answer carries it back.
         heard_sequence: Where this is an answer: the sequence it answers.
+        known_state: `state_hash` of the latest heartbeat; an answer may then
+            leave out what has that hash. 0 asks for all. With it, `vm` and
+            `incarnation` are left out too: the connection has said them.
     """
 
     vm: VmId
     incarnation: int
     sequence: int = 0
     heard_sequence: int = 0
+    known_state: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
@@ -81,6 +85,8 @@
         max_batch: Requests that the engine works on at once; 0 if unknown.
         pool: Pool of its plain service; empty beside an engine.
         is_up: Whether the plain service takes calls.
+        state_hash: Hash of VM, zone and versions; never 0.
+        shortened: These three are left out: the reader has that hash.
     """
 
     vm: VmId
@@ -99,6 +105,8 @@
     max_batch: int = 0
     pool: PoolId = PoolId("")
     is_up: bool = False
+    state_hash: int = 0
+    shortened: bool = False
 
 
 class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
@@ -418,6 +426,29 @@
     last_number: int
 
 
+class VersionQuestion(
+    msgspec.Struct, frozen=True, array_like=True, tag="version_question"
+):
+    """Asks another entry which sidecars have versions loaded."""
+
+    versions: list[str]
+
+
+class VersionPlace(msgspec.Struct, frozen=True, array_like=True):
+    """A sidecar that has a version loaded."""
+
+    vm: VmId
+    version: str
+
+
+class VersionAnswer(
+    msgspec.Struct, frozen=True, array_like=True, tag="version_answer"
+):
+    """Some of the sidecars that have the versions."""
+
+    places: list[VersionPlace]
+
+
 class EvidenceReport(
     msgspec.Struct, frozen=True, array_like=True, tag="evidence_report"
 ):
@@ -445,6 +476,8 @@
     | BillRelease
     | EvidenceReport
     | LearnedDelta
+    | VersionQuestion
+    | VersionAnswer
 )
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
--- a/src/lovagestage/rollout_driver.py
+++ b/src/lovagestage/rollout_driver.py
@@ -47,6 +47,7 @@
 that loads serves less."""
 THROTTLED_PAUSE_S = 2.0
 LOADING_TIMEOUT_S = 120.0
+_FINAL = (RolloutPhase.DONE, RolloutPhase.ROLLED_BACK)
 
 
 class Evidence(Protocol):
@@ -88,8 +89,16 @@
     @mode.Service.task
     async def _drive(self) -> None:
         while not self.should_stop:
-            if self._lease.is_held and self._control.is_usable:
-                for rollout in self._control.folded.rollouts.get_all():
+            rollouts = self._control.folded.rollouts.get_all()
+            is_driver = self._lease.is_held and self._control.is_usable
+            # The driver orders loads at each upstream of the fleet. Judged by
+            # its subset alone, a version would count as loaded everywhere
+            # while most upstreams lack it.
+            is_open = any(
+                rollout.progress.phase not in _FINAL for rollout in rollouts
+            )
+            if self._upstreams.follow_all(is_driver and is_open):
+                for rollout in rollouts:
                     await self._drive_one(rollout)
             await self.sleep(INTERVAL_S)
 
