--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -35,6 +35,7 @@
     Message,
     Refused,
 )
+from lovagestage.plain_calls import Header
 from lovagestage.retries import (
     COME_BACK_S,
     Failure,
@@ -83,6 +84,7 @@
         trial: Its part in a roll-out.
         class_name: Its request class.
         arm: What its answer counts for, where it follows a plan.
+        headers: Headers of a call to a plain service.
     """
 
     request_id: RequestId
@@ -98,6 +100,7 @@
     trial: Trial | None = None
     class_name: str = ""
     arm: Arm | None = None
+    headers: tuple[Header, ...] = ()
 
 
 @dataclasses.dataclass
@@ -386,6 +389,7 @@
             strikes=strikes,
             probe=probe,
             clock_ms=self._get_clock_ms(attempt),
+            headers=request.headers,
         )
 
     def _get_clock_ms(self, attempt: Attempt) -> int:
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -26,11 +26,13 @@
     PullAnswer,
 )
 from lovagestage.learned import LearnedDelta
+from lovagestage.plain_calls import Header
 from lovagestage.types import (
     FencingNumber,
     Fingerprint,
     LeaseId,
     Offset,
+    PoolId,
     RequestId,
     RunState,
     ServiceId,
@@ -81,6 +83,8 @@
             their permit.
         heard_sequence: Sequence of the latest `Hello` on this connection.
         max_batch: Requests that the engine works on at once; 0 if unknown.
+        pool: Pool of its plain service; empty beside an engine.
+        is_up: Whether the plain service takes calls.
         state_hash: Hash of VM, zone and versions; never 0.
         shortened: These three are left out: the reader has that hash.
     """
@@ -99,6 +103,8 @@
     clock_ms: int = 0
     heard_sequence: int = 0
     max_batch: int = 0
+    pool: PoolId = PoolId("")
+    is_up: bool = False
     state_hash: int = 0
     shortened: bool = False
 
@@ -127,6 +133,7 @@
         probe: It must not run beside others that have strikes.
         clock_ms: That process's clock as the entry had heard it last; -1
             where it had not.
+        headers: Headers of a call to a plain service.
     """
 
     request_id: RequestId
@@ -145,6 +152,7 @@
     strikes: int = 0
     probe: bool = False
     clock_ms: int = -1
+    headers: tuple[Header, ...] = ()
 
 
 class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -15,6 +15,7 @@
 from lovagestage.adapters import Engine, EngineLoad
 from lovagestage.control import ControlReader
 from lovagestage.document import (
+    ServiceDocument,
     get_allowed_versions,
     get_open_versions,
     is_version_granted,
@@ -33,11 +34,14 @@
     Message,
     Refused,
 )
+from lovagestage.plain_calls import has_pool, make_pool_version
+from lovagestage.plain_service import PlainService
 from lovagestage.runs import RunTable
 from lovagestage.settings import Settings, SidecarSettings
 from lovagestage.timers import TimerService
 from lovagestage.transport import PeerId
 from lovagestage.types import (
+    PoolId,
     RunState,
     ServiceId,
     VmId,
@@ -66,6 +70,7 @@
 
     leaving: bool
     full: bool
+    is_up: bool
     versions: tuple[str, ...]
 
 
@@ -102,7 +107,7 @@
         settings: Settings,
         role: SidecarSettings,
         control: ControlReader,
-        engine: Engine,
+        engine: Engine | PlainService,
         runs: RunTable,
         timers: TimerService,
         hub: Hub,
@@ -117,7 +122,8 @@
         self._leaving = False
         self._load = _NO_LOAD
         self._versions: list[str] = []
-        self._told = _Told(False, False, ())
+        self._is_up = False
+        self._told = _Told(False, False, False, ())
         self._peers: dict[PeerId, float] = {}
         self._work: set[asyncio.Task[None]] = set()
         self._hub = hub
@@ -218,6 +224,10 @@
         service = self._control.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
+        if self._role.pool:
+            return _get_plain_refusal(
+                service.document, dispatch, self._role.pool
+            )
         version = parse_model_version(dispatch.version)
         # The entry may act on an older document than this process; the later
         # of the two checks decides, so that a withdrawn version gets no work
@@ -250,17 +260,23 @@
         self._runs.on_timer()
 
     async def _refresh_load(self) -> None:
-        known = self._versions
+        known = (self._versions, self._is_up)
+        if isinstance(self._engine, PlainService):
+            self._is_up = await self._engine.is_up()
+        else:
+            await self._refresh_engine(self._engine)
+        if (self._versions, self._is_up) != known:
+            # Entries would otherwise refuse a version that is there, or send
+            # requests for one that is gone, until the next heartbeat.
+            self._send_heartbeats()
+
+    async def _refresh_engine(self, engine: Engine) -> None:
         try:
-            self._load = await self._engine.get_load()
-            self._versions = await self._engine.get_versions()
+            self._load = await engine.get_load()
+            self._versions = await engine.get_versions()
         except EngineError as error:
             self._versions = []
             _log.warning("engine_load_failed", extra={"error": error.message})
-        if self._versions != known:
-            # Entries would otherwise refuse a version that is there, or send
-            # requests for one that is gone, until the next heartbeat.
-            self._send_heartbeats()
 
     def _send_heartbeats(self) -> None:
         self._told = self._get_told()
@@ -284,7 +300,7 @@
 
     def _get_told(self) -> _Told:
         is_full = self._runs.running >= self._role.max_running
-        return _Told(self._leaving, is_full, tuple(self._versions))
+        return _Told(self._leaving, is_full, self._is_up, tuple(self._versions))
 
     def _make_heartbeat(self, heard_sequence: int = 0) -> Heartbeat:
         self._sequence += 1
@@ -303,6 +319,8 @@
             self._runs.get_clock_ms(),
             heard_sequence,
             self._load.max_batch,
+            self._role.pool,
+            self._is_up,
             get_state_hash(
                 self._settings.vm, self._settings.zone, self._versions
             ),
@@ -316,6 +334,8 @@
                 "zone": self._settings.zone,
                 "leaving": self._leaving,
                 "versions": self._versions,
+                "pool": self._role.pool,
+                "is_up": self._is_up,
                 "runs": self._runs.get_sizes(),
                 "peers": len(self._peers),
                 "control": self._control.get_dump(),
@@ -326,3 +346,16 @@
         task = asyncio.create_task(work)
         self._work.add(task)
         task.add_done_callback(self._work.discard)
+
+
+def _get_plain_refusal(
+    document: ServiceDocument, dispatch: Dispatch, pool: PoolId
+) -> tuple[str, str] | None:
+    if dispatch.version == str(make_pool_version(pool)) and has_pool(
+        document, dispatch.workspace, pool
+    ):
+        return None
+    return (
+        "route_not_allowed",
+        f"Workspace {dispatch.workspace!r} has no route to pool {pool!r}.",
+    )
--- a/src/lovagestage/version_search.py
+++ b/src/lovagestage/version_search.py
@@ -24,7 +24,8 @@
     VersionPlace,
     VersionQuestion,
 )
-from lovagestage.types import VmId
+from lovagestage.plain_calls import make_pool_version
+from lovagestage.types import PoolId, VmId
 from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -153,11 +154,15 @@
         self._upstreams.set_extra(extra)
 
     def _get_wanted(self) -> set[str]:
-        return {
-            version.name
-            for service in self._control.services.values()
-            for version in service.document.versions
-        }
+        wanted = set()
+        for service in self._control.services.values():
+            document = service.document
+            wanted |= {version.name for version in document.versions}
+            wanted |= {
+                str(make_pool_version(PoolId(route.pool)))
+                for route in document.routes
+            }
+        return wanted
 
     async def _ask(self, versions: list[str]) -> list[VersionPlace]:
         names = self._peers.get_listed()
--- a/tests/test_version_search.py
+++ b/tests/test_version_search.py
@@ -53,7 +53,7 @@
 
 def make_search(upstreams, peers) -> VersionSearch:
     version = types.SimpleNamespace(name=RARE)
-    document = types.SimpleNamespace(versions=[version])
+    document = types.SimpleNamespace(versions=[version], routes=[])
     service = types.SimpleNamespace(document=document)
     control = types.SimpleNamespace(services={"s": service})
     rng = random.Random(1)
