--- a/src/lovagestage/links.py
+++ b/src/lovagestage/links.py
@@ -268,6 +268,7 @@
                 "zone": link.vm.zone,
                 "state": link.vm.state.value,
                 "heard_s_ago": round(now_s - link.heard_s, 3),
+                "silent_s": round(link.get_silent_s(now_s), 3),
                 "in_use": link.in_use,
                 "answered": link.answered,
                 "gone": link.gone,
--- a/tests/test_plain_services.py
+++ b/tests/test_plain_services.py
@@ -80,7 +80,7 @@
     fleet.start_sidecar(int(name.rpartition("-")[2]))
     end_s = time.monotonic() + 10
     while not all(
-        link["heard_s_ago"] < 1 and not link["gone"]
+        link["silent_s"] < 1 and not link["gone"]
         for entry in fleet.entries
         for link in fleet.get_dump(entry.name)["upstreams"]
     ):
