--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/upstreams.py
@@ -155,12 +155,6 @@
         )
 
 
-def _get_targets(heartbeat: Heartbeat) -> frozenset[str]:
-    if heartbeat.is_up:
-        return frozenset({str(make_pool_version(heartbeat.pool))})
-    return frozenset(heartbeat.versions)
-
-
 def _fill(message: Heartbeat, known: Heartbeat) -> Heartbeat:
     return msgspec.structs.replace(
         message,
@@ -171,6 +165,12 @@
     )
 
 
+def _get_targets(heartbeat: Heartbeat) -> frozenset[str]:
+    if heartbeat.is_up:
+        return frozenset({str(make_pool_version(heartbeat.pool))})
+    return frozenset(heartbeat.versions)
+
+
 def _is_newer(message: Heartbeat, known: Heartbeat | None) -> bool:
     if known is None:
         return True
--- a/src/lovagestage/version_search.py
+++ b/src/lovagestage/version_search.py
@@ -154,14 +154,15 @@
         self._upstreams.set_extra(extra)
 
     def _get_wanted(self) -> set[str]:
-        documents = [held.document for held in self._control.services.values()]
-        versions = {v.name for each in documents for v in each.versions}
-        pools = {
-            str(make_pool_version(PoolId(route.pool)))
-            for each in documents
-            for route in each.routes
-        }
-        return versions | pools
+        wanted = set()
+        for service in self._control.services.values():
+            document = service.document
+            wanted |= {version.name for version in document.versions}
+            wanted |= {
+                str(make_pool_version(PoolId(route.pool)))
+                for route in document.routes
+            }
+        return wanted
 
     async def _ask(self, versions: list[str]) -> list[VersionPlace]:
         names = self._peers.get_listed()
