Limit workspaces' tokens over all entries

Cause: documents have had limits that nothing enforced.

Ruled out: an even part for each entry (uneven arrivals get too little); leased shares from one owner (a lost owner halves or doubles the limit); counters at sidecars or in the log (too many writers).

Refusals are `workspace_limit_exceeded`.

Weights are not used yet.

--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -36,6 +36,7 @@
     WrongKeyError,
 )
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.limit_service import LimitService
 from lovagestage.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
@@ -77,12 +78,16 @@
         messages: At least one.
         stream: Whether the caller reads chunks.
         metadata: `request_class` and `session` may be given here.
+        max_tokens: Most tokens of the answer.
+        max_completion_tokens: The same by its newer name.
     """
 
     model: str
     messages: list[dict[str, object]]
     stream: bool = False
     metadata: dict[str, str] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
 
 
 _form_decoder = msgspec.json.Decoder(ChatForm)
@@ -111,6 +116,7 @@
         upstreams: Connections to sidecars.
         keyed: Runs requests that have a key.
         billing: Takes the bills.
+        limits: Charges workspaces.
     """
 
     def __init__(
@@ -121,7 +127,9 @@
         upstreams: UpstreamTable,
         billing: BillingService,
         keyed: KeyedRuns,
+        limits: LimitService,
     ) -> None:
+        self._limits = limits
         self._billing = billing
         self._keyed = keyed
         self._upstreams = upstreams
@@ -226,7 +234,10 @@
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
         parts = self._run(request, admitted, result)
-        with self._billing.reserve():
+        keyed = HEADER_KEY in request.headers
+        most = form.max_completion_tokens or form.max_tokens
+        charge = self._limits.charge(admitted, result, most, keyed)
+        with self._billing.reserve(), charge:
             if form.stream:
                 return await self._answer_stream(
                     request, parts, caller, admitted, result
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -16,6 +16,7 @@
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
 from lovagestage.keyed_runs import KeyedRuns
+from lovagestage.limit_service import LimitService
 from lovagestage.links import LinkTable
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
@@ -42,6 +43,7 @@
         hub: Hands over what arrives at the listener.
         billing: Takes the bills.
         keys: Request keys.
+        limits: Charges workspaces.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         hub: Hub,
         billing: BillingService,
         keys: KeyService,
+        limits: LimitService,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -68,9 +71,10 @@
         self._hub = hub
         self._billing = billing
         self._keys = keys
+        self._limits = limits
         keyed = KeyedRuns(keys, dispatcher, upstreams)
         self._api = CallerApi(
-            role, control, dispatcher, upstreams, billing, keyed
+            role, control, dispatcher, upstreams, billing, keyed, limits
         )
         self._runner = web.AppRunner(
             self._api.make_app(), access_log=None, handler_cancellation=True
@@ -129,6 +133,7 @@
                 "request_keys": self._keys.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
                 "billing": self._billing.get_sizes(),
+                "limits": self._limits.get_dump(),
                 "control": self._control.get_dump(),
             }
         )
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -313,6 +313,14 @@
     kind = "overloaded_error"
 
 
+class WorkspaceLimitError(RequestRefusedError):
+    """The workspace has used up its token limit for now."""
+
+    code = "workspace_limit_exceeded"
+    status = 429
+    kind = "rate_limit_error"
+
+
 class BillingUnavailableError(RequestRefusedError):
     """There is no room for the request's bill."""
 
@@ -446,6 +454,7 @@
         SessionVersionConflictError,
         SessionVersionWithdrawnError,
         NoCapacityError,
+        WorkspaceLimitError,
         NotReadyError,
         UpstreamLostError,
         DispatchLostError,
--- /dev/null
+++ b/src/lovagestage/limits.py
@@ -0,0 +1,338 @@
+"""Token limits of workspaces over all entries: pure, no clock or socket.
+
+Each entry has a token bucket for each workspace. It is refilled with the
+entry's share of the limit, which follows the entry's part of the demand, and
+with a part of the balance of the whole fleet, which is what the limit has
+granted less what all entries have used. The shares may be wrong for a while
+after a change; the balance makes up for it. What others use and are asked
+for comes in `UsageReport` messages: cumulative counters of one process, so
+that a lost or repeated message does no harm.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+import xxhash
+
+from lovagestage.messages import UsageReport, UsageRow
+from lovagestage.types import ServiceId, VmId, WorkspaceId, WorkspaceTag
+
+DEFAULT_TOKENS = 256.0
+"""Estimate for a request that names no maximum, before any was answered."""
+MEAN_WEIGHT = 0.05
+"""Weight of the latest answer in the mean number of tokens."""
+DEMAND_TIME_S = 3.0
+SHARE_TIME_CYCLES = 2.0
+"""An entry that hears of no other demand yet takes its share slowly. Where it
+took all at once, all entries would do so until the first reports."""
+BALANCE_TIME_CYCLES = 5.0
+"""Longer than reports take, or the corrections would overshoot."""
+MAX_CUT_RATIO = 0.5
+MAX_RAISE_RATIO = 1.0
+MAX_DEBT_S = 20.0
+"""A wrong count can hold a workspace back for no longer than this."""
+STALE_CYCLES = 3.0
+KEEP_PEER_S = 600.0
+FLOOR_RATIO = 0.02
+"""Demand that each entry counts with at least, as a part of its even share."""
+MIN_BURST_S = 1.0
+CLASS_RESERVE_RATIO = 0.15
+"""Part of the bucket that a class leaves to each more urgent one."""
+MAX_CLASS_STEPS = 3
+AMPLE_RATIO = 0.1
+"""Part of the whole bucket that must be there for an entry to borrow."""
+BORROW_PARTS = 4.0
+"""Most that an entry may borrow, in even parts of the bucket."""
+REPORT_RATIO = 0.25
+"""Demand under this part of an even share is not reported: were all entries
+as low, the workspace would be far from its limit."""
+MAX_RETRY_AFTER_S = 60
+
+
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """A workspace's limit, as its document says.
+
+    Attributes:
+        tokens_per_s: Generated tokens over all entries.
+        burst_tokens: How far it may go over the limit at once.
+    """
+
+    tokens_per_s: float
+    burst_tokens: float
+
+    @property
+    def depth_tokens(self) -> float:
+        """Depth of the bucket of the whole fleet."""
+        return max(self.burst_tokens, self.tokens_per_s * MIN_BURST_S)
+
+
+@dataclasses.dataclass(frozen=True)
+class Charge:
+    """What admission said.
+
+    Attributes:
+        tokens: Estimate that was charged; 0 where refused.
+        retry_after_s: Where refused, when a retry may help.
+    """
+
+    tokens: float
+    retry_after_s: int | None = None
+
+
+@dataclasses.dataclass
+class _PeerUsage:
+    incarnation: int
+    used_tokens: float
+    demand_per_s: float
+    heard_s: float
+
+
+class _Usage:
+    """One workspace at one entry."""
+
+    def __init__(
+        self, limit: Limit, entries: int, balance_tokens: float, now_s: float
+    ) -> None:
+        self.limit = limit
+        self.share = 1.0 / entries
+        self.level_tokens = limit.depth_tokens / entries
+        self.balance_tokens = balance_tokens
+        self.demand_per_s = 0.0
+        self.used_tokens = 0.0
+        self.mean_tokens = 0.0
+        self.updated_s = now_s
+        self.peers: dict[VmId, _PeerUsage] = {}
+
+    def get_estimate(self, max_tokens: int | None) -> float:
+        mean = self.mean_tokens
+        if max_tokens is None:
+            return mean or DEFAULT_TOKENS
+        return min(mean, max_tokens) if mean else float(max_tokens)
+
+    def get_refill_per_s(self, cycle_s: float) -> float:
+        rate = self.limit.tokens_per_s
+        correction = self.balance_tokens / (BALANCE_TIME_CYCLES * cycle_s)
+        correction = max(correction, -MAX_CUT_RATIO * rate)
+        correction = min(correction, MAX_RAISE_RATIO * rate)
+        return self.share * (rate + correction)
+
+    def get_depth_tokens(self, entries: int) -> float:
+        return self.limit.depth_tokens * max(self.share, 1.0 / entries)
+
+    def get_floor_tokens(self, priority: int, entries: int) -> float:
+        steps = min(max(priority, 0), MAX_CLASS_STEPS)
+        reserve = CLASS_RESERVE_RATIO * steps
+        depth = self.limit.depth_tokens
+        if self.balance_tokens > (AMPLE_RATIO + reserve) * depth:
+            # An even part of a small bucket is less than one request: a
+            # workspace far below its limit would be refused now and then.
+            return -BORROW_PARTS * depth / entries
+        return self.get_depth_tokens(entries) * reserve
+
+    def spend(self, tokens: float) -> None:
+        self.level_tokens -= tokens
+        self.balance_tokens -= tokens
+        self.used_tokens += tokens
+
+
+class LimitTable:
+    """Usage of all workspaces, as one entry knows it.
+
+    Args:
+        vm: The entry's VM.
+        incarnation: Start time of the process.
+        now_s: Monotonic time.
+    """
+
+    def __init__(self, vm: VmId, incarnation: int, now_s: float) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._started_s = now_s
+        self._usages: dict[WorkspaceTag, _Usage] = {}
+        self._limits: dict[WorkspaceTag, Limit] = {}
+        self._live: frozenset[VmId] = frozenset()
+        self._cycle_s = 1.0
+
+    @property
+    def entries(self) -> int:
+        """Entries that share the limits, with this one."""
+        return len(self._live) + 1
+
+    def set_peers(self, live: Iterable[VmId], cycle_s: float) -> None:
+        """Says who shares the limits.
+
+        Args:
+            live: The other entries that are heard.
+            cycle_s: Time in which each entry reports to all others.
+        """
+        self._live = frozenset(live)
+        self._cycle_s = cycle_s
+
+    def set_limit(self, tag: WorkspaceTag, limit: Limit) -> None:
+        """Sets a limit in force; reports of unknown workspaces are ignored."""
+        self._limits[tag] = limit
+        usage = self._usages.get(tag)
+        if usage is not None:
+            usage.limit = limit
+
+    def admit(
+        self,
+        tag: WorkspaceTag,
+        max_tokens: int | None,
+        priority: int,
+        now_s: float,
+    ) -> Charge:
+        """Charges a request's estimate, or refuses it.
+
+        A request is admitted while there is anything above its class's part
+        of the bucket, whatever its size: a debt holds back the next ones, and
+        no request is too large for ever.
+        """
+        usage = self._advance(tag, now_s)
+        estimate = usage.get_estimate(max_tokens)
+        usage.demand_per_s += estimate / self._get_demand_time_s()
+        floor = usage.get_floor_tokens(priority, self.entries)
+        if usage.level_tokens > floor:
+            usage.spend(estimate)
+            return Charge(estimate)
+        refill = usage.get_refill_per_s(self._cycle_s)
+        wait_s = (floor - usage.level_tokens) / refill
+        return Charge(0.0, min(max(1, math.ceil(wait_s)), MAX_RETRY_AFTER_S))
+
+    def settle(
+        self,
+        tag: WorkspaceTag,
+        charge: Charge,
+        used_tokens: float,
+        now_s: float,
+    ) -> None:
+        """Replaces an estimate by what was used; 0 where nothing ran."""
+        usage = self._advance(tag, now_s)
+        usage.spend(used_tokens - charge.tokens)
+        if used_tokens == 0:
+            return
+        if usage.mean_tokens == 0.0:
+            usage.mean_tokens = used_tokens
+        change = used_tokens - usage.mean_tokens
+        usage.mean_tokens += MEAN_WEIGHT * change
+
+    def make_report(self, now_s: float) -> UsageReport | None:
+        """What the other entries are told; None where nothing matters."""
+        rows = []
+        for tag in list(self._usages):
+            usage = self._advance(tag, now_s)
+            even = usage.limit.tokens_per_s / self.entries
+            if usage.demand_per_s < REPORT_RATIO * even:
+                continue
+            used, demand = usage.used_tokens, usage.demand_per_s
+            rows.append(UsageRow(tag, round(used), round(demand)))
+        if not rows:
+            return None
+        return UsageReport(self._vm, self._incarnation, rows)
+
+    def apply_report(self, report: UsageReport, now_s: float) -> None:
+        """Takes what another entry tells."""
+        for row in report.rows:
+            if row.tag in self._limits:
+                usage = self._advance(row.tag, now_s)
+                self._apply_row(usage, report, row, now_s)
+
+    def get_dump(self) -> list[dict[str, object]]:
+        """Usage by workspace tag, for the state dump."""
+        return [
+            {
+                "workspace": f"{tag:016x}",
+                "share": round(usage.share, 4),
+                "level_tokens": round(usage.level_tokens),
+                "balance_tokens": round(usage.balance_tokens),
+                "used_tokens": round(usage.used_tokens),
+                "demand_per_s": round(usage.demand_per_s),
+                "peers": len(usage.peers),
+            }
+            for tag, usage in self._usages.items()
+        ]
+
+    def _apply_row(
+        self, usage: _Usage, report: UsageReport, row: UsageRow, now_s: float
+    ) -> None:
+        known = usage.peers.get(report.entry)
+        if known is not None and report.incarnation < known.incarnation:
+            return
+        most = usage.limit.tokens_per_s * self._cycle_s
+        if known is not None and report.incarnation == known.incarnation:
+            used = row.used_tokens - known.used_tokens
+            most *= 1.0 + (now_s - known.heard_s) / self._cycle_s
+        elif now_s - self._started_s < 2.0 * self._cycle_s:
+            # This process is new: what the others have used before is no
+            # part of its balance, or it would serve nothing for long.
+            used = 0.0
+        else:
+            used = row.used_tokens
+        # Rows of low demand are not sent, so the first one after a long time
+        # may bring hours of use at once, which the limit has granted since.
+        usage.balance_tokens -= min(used, most + usage.limit.depth_tokens)
+        usage.peers[report.entry] = _PeerUsage(
+            report.incarnation, row.used_tokens, row.demand_per_s, now_s
+        )
+
+    def _advance(self, tag: WorkspaceTag, now_s: float) -> _Usage:
+        usage = self._usages.get(tag)
+        if usage is None:
+            usage = self._make_usage(self._limits[tag], now_s)
+            self._usages[tag] = usage
+        elapsed_s = now_s - usage.updated_s
+        if elapsed_s > 0:
+            usage.updated_s = now_s
+            self._refill(usage, elapsed_s, now_s)
+        return usage
+
+    def _make_usage(self, limit: Limit, now_s: float) -> _Usage:
+        # A new process knows nothing of what was used before it. Were its
+        # balance full, each replaced entry would grant the burst once more.
+        granted = limit.tokens_per_s * (now_s - self._started_s)
+        balance = min(limit.depth_tokens, granted)
+        return _Usage(limit, self.entries, balance, now_s)
+
+    def _refill(self, usage: _Usage, elapsed_s: float, now_s: float) -> None:
+        usage.demand_per_s *= math.exp(-elapsed_s / self._get_demand_time_s())
+        target = self._get_target_share(usage, now_s)
+        kept = math.exp(-elapsed_s / (SHARE_TIME_CYCLES * self._cycle_s))
+        usage.share = target + (usage.share - target) * kept
+        limit = usage.limit
+        gained = usage.get_refill_per_s(self._cycle_s) * elapsed_s
+        depth = usage.get_depth_tokens(self.entries)
+        usage.level_tokens = min(depth, usage.level_tokens + gained)
+        balance = usage.balance_tokens + limit.tokens_per_s * elapsed_s
+        balance = max(balance, -MAX_DEBT_S * limit.tokens_per_s)
+        usage.balance_tokens = min(balance, limit.depth_tokens)
+
+    def _get_target_share(self, usage: _Usage, now_s: float) -> float:
+        floor = FLOOR_RATIO * usage.limit.tokens_per_s / self.entries
+        own = usage.demand_per_s + floor
+        others = self._get_others_demand(usage, now_s)
+        return own / (own + others + floor * len(self._live))
+
+    def _get_others_demand(self, usage: _Usage, now_s: float) -> float:
+        total = 0.0
+        for vm, peer in list(usage.peers.items()):
+            silent_s = now_s - peer.heard_s
+            if silent_s > KEEP_PEER_S:
+                del usage.peers[vm]
+            elif vm in self._live and silent_s < STALE_CYCLES * self._cycle_s:
+                total += peer.demand_per_s
+        return total
+
+    def _get_demand_time_s(self) -> float:
+        return max(DEMAND_TIME_S, self._cycle_s)
+
+
+def get_workspace_tag(
+    service: ServiceId, workspace: WorkspaceId
+) -> WorkspaceTag:
+    """Short name of a service's workspace in reports."""
+    name = f"{service}/{workspace}".encode()
+    return WorkspaceTag(xxhash.xxh64_intdigest(name))
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -33,6 +33,7 @@
     RunState,
     VmId,
     WorkspaceId,
+    WorkspaceTag,
     ZoneId,
 )
 
@@ -402,11 +403,41 @@
     last_number: int
 
 
+class UsageRow(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry knows first-hand of one workspace.
+
+    Attributes:
+        tag: The workspace.
+        used_tokens: Charged since the process has started.
+        demand_per_s: Tokens that callers ask for, smoothed.
+    """
+
+    tag: WorkspaceTag
+    used_tokens: int
+    demand_per_s: int
+
+
+class UsageReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="usage_report"
+):
+    """Tells another entry what was used through this one.
+
+    Attributes:
+        entry: The sender.
+        incarnation: Start time of its process.
+        rows: Workspaces with demand that matters.
+    """
+
+    entry: VmId
+    incarnation: int
+    rows: list[UsageRow]
+
+
 EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
 )
-PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease
+PeerMessage = CrashReport | BillCopy | BillCopied | BillRelease | UsageReport
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
     Claim
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -17,6 +17,8 @@
 ChangeId = NewType("ChangeId", str)
 Fingerprint = NewType("Fingerprint", str)
 """Hash of a request's workspace and body."""
+WorkspaceTag = NewType("WorkspaceTag", int)
+"""64-bit hash of a service's and a workspace's name."""
 LeaseId = NewType("LeaseId", str)
 Offset = NewType("Offset", int)
 """Position of a record in one stream of the log, from 0."""
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -25,6 +25,8 @@
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
 from lovagestage.leasing import LeaseKeeper
+from lovagestage.limit_service import LimitService
+from lovagestage.limits import LimitTable
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
 from lovagestage.members import MemberJoined
@@ -166,6 +168,13 @@
         CrashWatch(peers, base.hub),
     )
     billing = _make_billing(base, role, peers)
+    limits = LimitService(
+        LimitTable(settings.vm, base.own.incarnation, time.monotonic()),
+        base.control,
+        peers,
+        base.timers,
+        base.hub,
+    )
     entry = Entry(
         settings,
         role,
@@ -177,6 +186,7 @@
         base.hub,
         billing,
         keys,
+        limits,
     )
     work = [
         *_make_snapshot_services(base, role),
@@ -184,7 +194,7 @@
     ]
     peer_state = PeerState(base.control, [peers, upstreams], upstreams)
     links = [watch, upstreams, peers, peer_state]
-    return entry, [*links, billing, membership, keys, *work, entry]
+    return entry, [*links, billing, limits, membership, keys, *work, entry]
 
 
 def _make_rollout_driver(
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,187 @@
+"""Token limits of workspaces over all entries."""
+
+from __future__ import annotations
+
+import pytest
+
+from lab.experiments import limits as experiment
+from lovagestage.dispatcher import Request, Result
+from lovagestage.limit_service import (
+    FRAME_BYTES,
+    REPORT_INTERVAL_S,
+    get_report_count,
+    get_used_tokens,
+)
+from lovagestage.limits import Limit, LimitTable, get_workspace_tag
+from lovagestage.messages import Finished, UsageReport, UsageRow
+from lovagestage.types import (
+    ModelId,
+    ModelVersion,
+    RequestId,
+    ServiceId,
+    VersionId,
+    VmId,
+    WorkspaceId,
+)
+
+TAG = get_workspace_tag(ServiceId("vault"), WorkspaceId("audit"))
+LIMIT = Limit(100.0, 200.0)
+PEER = VmId("b")
+VERSION = ModelVersion(ModelId("small"), VersionId("1"))
+
+
+def make_table(started_s=0.0, peers=(), vm="a", incarnation=1):
+    table = LimitTable(VmId(vm), incarnation, started_s)
+    table.set_limit(TAG, LIMIT)
+    table.set_peers(peers, 1.0)
+    return table
+
+
+def fill(table, now_s, tokens=10):
+    """Admits and settles at once until refused; returns the tokens."""
+    used = 0
+    while True:
+        charge = table.admit(TAG, tokens, 0, now_s)
+        if charge.retry_after_s is not None:
+            return used
+        table.settle(TAG, charge, tokens, now_s)
+        used += tokens
+
+
+def make_report(used, demand=400, incarnation=1):
+    return UsageReport(PEER, incarnation, [UsageRow(TAG, used, demand)])
+
+
+def get_balance(table):
+    return table.get_dump()[0]["balance_tokens"]
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_limit_holds_over_entries_with_one_lost(seed):
+    # A workspace sends three times its limit through eight entries, crowded
+    # on some of them; one is killed and its VM comes back empty. Each minute
+    # it gets its limit within 5%, and a workspace under its limit is refused
+    # no more than one central bucket would refuse it, but for 1%.
+    result = experiment.run(seed)
+    assert result.ok, result
+
+
+def test_replaced_entry_grants_no_second_burst():
+    # A VM is replaced while its workspace is over the limit. Were the new
+    # process's balance full, each replacement would give the burst again.
+    table = make_table(started_s=50.0, peers=[PEER])
+    table.admit(TAG, 10, 0, 50.0)
+    assert get_balance(table) <= 0
+
+
+def test_new_entry_is_not_charged_for_history():
+    # A new process first hears of a peer that has used the limit for a day.
+    # Charged for that, it would refuse everybody until it had been repaid.
+    table = make_table(peers=[PEER])
+    table.apply_report(make_report(8_000_000), 0.5)
+    assert get_balance(table) >= 0
+
+
+def test_silent_peer_returning_charges_a_bounded_debt():
+    # Rows of low demand are left out for hours; the next one brings all that
+    # was used meanwhile. Taken whole, it would stop the workspace for hours.
+    table = make_table(peers=[PEER])
+    table.apply_report(make_report(0), 10.0)
+    table.apply_report(make_report(40_000, incarnation=1), 11.0)
+    assert get_balance(table) >= -4 * LIMIT.tokens_per_s
+
+
+def test_repeated_and_old_reports_charge_nothing():
+    # A report comes twice, and one of the process before it comes last: a
+    # connection was replaced and the old one still had it.
+    table = make_table(peers=[PEER])
+    table.apply_report(make_report(0, incarnation=2), 10.0)
+    table.apply_report(make_report(150, incarnation=2), 10.0)
+    before = get_balance(table)
+    table.apply_report(make_report(150, incarnation=2), 10.0)
+    table.apply_report(make_report(9_000, incarnation=1), 10.0)
+    table.apply_report(make_report(150, incarnation=2), 10.0)
+    assert get_balance(table) == before
+
+
+def test_lost_entry_leaves_its_share_to_the_others():
+    # All demand but a little comes through a peer, which is killed; callers
+    # go to this entry, and within seconds it grants the whole limit.
+    table = make_table(peers=[PEER])
+    for tick in range(200):
+        now_s = tick / 10
+        table.apply_report(make_report(10 * tick, demand=400), now_s)
+        fill(table, now_s)
+    table.set_peers([], 1.0)
+    used = [fill(table, 20 + tick / 10) for tick in range(200)]
+    assert sum(used[100:]) == pytest.approx(1000, rel=0.1)
+
+
+def test_unused_estimate_is_given_back():
+    # A request asks for 5000 tokens and is refused by every upstream: what
+    # it was charged comes back, so the next request is served.
+    table = make_table()
+    charge = table.admit(TAG, 5000, 0, 5.0)
+    assert table.admit(TAG, 10, 0, 5.0).retry_after_s is not None
+    table.settle(TAG, charge, 0, 5.0)
+    assert table.admit(TAG, 10, 0, 5.0).retry_after_s is None
+
+
+def test_lower_classes_are_shed_first():
+    # The workspace's tokens run short: its urgent requests are served from
+    # what the others leave.
+    table = make_table()
+    fill(table, 5.0)
+    refused = [
+        table.admit(TAG, 1, priority, 5.4).retry_after_s is not None
+        for priority in range(4)
+    ]
+    assert refused == [False, False, True, True]
+
+
+def test_retry_after_is_true():
+    # A caller that comes back when it was told to is served.
+    table = make_table()
+    charge = table.admit(TAG, 1500, 0, 5.0)
+    table.settle(TAG, charge, 1500, 5.0)
+    refused = table.admit(TAG, 10, 2, 5.0)
+    later_s = 5.0 + refused.retry_after_s
+    assert table.admit(TAG, 10, 2, later_s).retry_after_s is None
+
+
+@pytest.mark.parametrize("size_bytes", [60, 500, 2000])
+def test_reports_keep_the_budget_at_390_entries(size_bytes):
+    count = get_report_count(size_bytes, 389)
+    sent = count * (size_bytes + FRAME_BYTES) / REPORT_INTERVAL_S
+    assert sent <= 3000 or count == 1
+
+
+@pytest.mark.parametrize(
+    ("result", "is_proved_not_run", "expected"),
+    [
+        (Result(VERSION), True, 0),
+        # The caller left while it read: the run is paid for, or leaving
+        # before the end would make every answer free.
+        (Result(VERSION, attempts=1), False, 64),
+        (Result(VERSION, request_id=RequestId("other")), False, 0),
+        (
+            Result(VERSION, finished=Finished(RequestId("r"), 1, 3, 5, 12, "")),
+            False,
+            12,
+        ),
+    ],
+)
+def test_used_tokens(result, is_proved_not_run, expected):
+    request = Request(
+        RequestId("r"),
+        WorkspaceId("audit"),
+        ServiceId("vault"),
+        VERSION,
+        1,
+        True,
+        0.0,
+        False,
+        b"",
+    )
+    used = get_used_tokens(request, result, 64.0, is_proved_not_run)
+    assert used == expected
