--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -22,6 +22,7 @@
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
 from lovagestage.transport import PeerId
+from lovagestage.trials import Trials
 from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -44,6 +45,7 @@
         hub: Hands over what arrives at the listener.
         billing: Takes the bills.
         keys: Request keys.
+        trials: Roll-outs.
         limits: Charges workspaces.
         deferrals: Holds deferrable requests.
     """
@@ -60,10 +62,12 @@
         hub: Hub,
         billing: BillingService,
         keys: KeyService,
+        trials: Trials,
         limits: LimitService,
         deferrals: DeferralService,
     ) -> None:
         super().__init__()
+        self._trials = trials
         self._settings = settings
         self._role = role
         self._control = control
@@ -84,6 +88,7 @@
             upstreams,
             billing,
             keyed,
+            trials,
             limits,
             deferrals,
         )
@@ -145,6 +150,7 @@
                 "request_keys": self._keys.get_dump(),
                 "dispatcher": self._dispatcher.get_sizes(),
                 "billing": self._billing.get_sizes(),
+                "rollouts": self._trials.get_dump(),
                 "limits": self._limits.get_dump(),
                 "deferrals": self._deferrals.get_sizes(),
                 "control": self._control.get_dump(),
