--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -41,6 +43,9 @@
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 HOST = "127.0.0.1"
+LISTENER_PORTS = range(10_000, 32_000)
+"""Below the range for outgoing connections on Linux."""
+_PORTS = random.Random()
 OPERATOR = "lab"
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
@@ -56,6 +61,7 @@
         engines: Model workers.
         plains: Plain service workers.
         models: Versions that each engine has loaded at the start.
+        pool: Pool of the plain service.
     """
 
     service: str
@@ -64,11 +70,26 @@
     engines: int
     plains: int
     models: str = "small@1,large@1,large@2"
+    pool: str = ""
 
 
 SHAPES = {
-    "lahore": Shape("vault", ("lhe-a", "lhe-b", "lhe-c", "lhe-d"), 3, 5, 4),
-    "tasmania": Shape("toyshop", ("tas-a", "tas-b", "tas-c"), 2, 6, 3),
+    "lahore": Shape(
+        "vault",
+        ("lhe-a", "lhe-b", "lhe-c", "lhe-d"),
+        entries=3,
+        engines=5,
+        plains=4,
+        pool="portal",
+    ),
+    "tasmania": Shape(
+        "toyshop",
+        ("tas-a", "tas-b", "tas-c"),
+        entries=2,
+        engines=6,
+        plains=3,
+        pool="shop",
+    ),
     "thin": Shape("vault", ("lhe-a", "lhe-b"), 2, 2, 0),
 }
 
@@ -152,6 +173,11 @@
     ) -> None:
         self.kill_all()
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """Where settings and logs go."""
+        return self._folder
+
     @property
     def entries(self) -> list[Child]:
         """The entry processes."""
@@ -162,6 +188,11 @@
         """The engine stand-ins."""
         return [c for n, c in self.children.items() if n.startswith("engine")]
 
+    @property
+    def plains(self) -> list[Child]:
+        """The plain service stand-ins."""
+        return [c for n, c in self.children.items() if n.startswith("plain")]
+
     def start(self) -> None:
         """Starts everything and waits until every entry is ready."""
         for name in ("log", "vms", "rater", "weights"):
@@ -169,8 +200,10 @@
         self._wait_for_stand_ins()
         for index in range(self.shape.engines):
             self.start_engine(index)
+        for index in range(self.shape.plains):
+            self._start_stand_in(f"plain-{index}", "plain")
         self._wait_for_stand_ins()
-        for index in range(self.shape.engines):
+        for index in range(self.shape.engines + self.shape.plains):
             self.start_sidecar(index)
         for index in range(self.shape.entries):
             self.start_entry(index)
@@ -199,10 +232,15 @@
         return child
 
     def start_sidecar(self, index: int) -> Child:
-        """Starts the sidecar beside an engine."""
-        engine = self.children[f"engine-{index}"]
-        role = {"sidecar": {"upstream_url": engine.url}}
-        return self._start_daemon("sidecar", index, role)
+        """Starts a sidecar: first come those of engines, then of plains."""
+        plain = index - self.shape.engines
+        if plain < 0:
+            upstream = self.children[f"engine-{index}"]
+            role = {"upstream_url": upstream.url}
+        else:
+            upstream = self.children[f"plain-{plain}"]
+            role = {"upstream_url": upstream.url, "pool": self.shape.pool}
+        return self._start_daemon("sidecar", index, {"sidecar": role})
 
     def start_entry(self, index: int) -> Child:
         """Starts an entry."""
@@ -218,6 +256,16 @@
         child.port = port
         return child
 
+    def start_balancer(self) -> Child:
+        """Starts the balancer in front of the entries."""
+        backends = ",".join(f"{HOST}:{entry.port}" for entry in self.entries)
+        child = self._start_stand_in(
+            "balancer", "balancer", "--backends", backends
+        )
+        self._wait_for_stand_ins()
+        self.wait_until_ready(child)
+        return child
+
     def publish(self, path: pathlib.Path, base: int = 0) -> None:
         """Appends a document to the log, signed by the lab's operator.
 
@@ -366,7 +414,7 @@
                 line = child.process.stdout.readline()
                 if not line.startswith("ready port="):
                     raise FleetError(f"{child.name} said {line!r}.")
-                child.port = int(line.partition("=")[2])
+                child.port = int(line.split()[1].partition("=")[2])
 
     def _start_daemon(
         self, role: str, index: int, settings: dict[str, Any]
@@ -449,10 +497,17 @@
 
 
 def get_free_port() -> int:
-    """Finds a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Finds a port that nothing uses.
+
+    A port that the kernel picks may be picked again for an outgoing
+    connection before the process that is to listen on it has started, which
+    then ends with "address already in use". The kernel picks none of these.
+    """
+    while True:
+        port = _PORTS.choice(LISTENER_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def call(method: str, url: str, body: bytes | None = None) -> bytes:
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -40,10 +40,14 @@
     NotReadyError,
     RequestRefusedError,
     UnknownModelError,
+    UnknownRouteError,
     WrongKeyError,
 )
+from lovagestage.keyed_refusals import KeyedRefusals, get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
 from lovagestage.limit_service import LimitService
+from lovagestage.plain_api import PlainApi
+from lovagestage.plain_calls import find_route
 from lovagestage.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
@@ -126,6 +130,7 @@
         keyed: Runs requests that have a key.
         billing: Takes the bills.
         trials: Assigns requests to roll-outs.
+        refusals: Makes refusals of requests with a key true.
         limits: Charges workspaces.
         deferrals: Holds deferrable requests.
     """
@@ -139,6 +144,7 @@
         billing: BillingService,
         keyed: KeyedRuns,
         trials: Trials,
+        refusals: KeyedRefusals,
         limits: LimitService,
         deferrals: DeferralService,
     ) -> None:
@@ -147,6 +153,7 @@
         self._deferrals = deferrals
         self._billing = billing
         self._keyed = keyed
+        self._refusals = refusals
         self._upstreams = upstreams
         self._started_at_s = time.monotonic()
         self._ready = False
@@ -158,6 +165,7 @@
         self._control = control
         self._dispatcher = dispatcher
         self._escalation = Escalation(dispatcher)
+        self._plain = PlainApi(dispatcher, keyed, settings.default_deadline_s)
         self._signer = SessionSigner(settings.session_keys)
 
     def make_app(self) -> web.Application:
@@ -170,6 +178,7 @@
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_post("/v1/chat/completions", self._post_chat)
+        app.router.add_route("*", "/{path:.*}", self._handle_call)
         return app
 
     async def _on_response_prepare(
@@ -191,23 +200,24 @@
         try:
             return await handler(request)
         except RequestRefusedError as error:
-            return make_error_response(error)
+            return await self._answer_refusal(request, error)
         except web.HTTPRequestEntityTooLarge:
-            return make_error_response(
-                BodyTooLargeError(
-                    "Expected a body of at most"
-                    f" {self._settings.max_body_bytes} bytes."
-                )
-            )
-        except web.HTTPNotFound:
-            return make_error_response(
-                UnknownModelError(f"There is nothing at {request.path!r}.")
+            too_large = BodyTooLargeError(
+                "Expected a body of at most"
+                f" {self._settings.max_body_bytes} bytes."
             )
+            return await self._answer_refusal(request, too_large)
         finally:
             self.open_requests -= 1
             if self.open_requests == 0:
                 self.idle.set()
 
+    async def _answer_refusal(
+        self, request: web.Request, error: RequestRefusedError
+    ) -> web.Response:
+        await self._refusals.correct(request, error)
+        return make_error_response(error)
+
     async def _get_health(self, request: web.Request) -> web.Response:
         del request
         if self.leaving or not self._is_ready():
@@ -246,6 +256,7 @@
     async def _post_chat(self, request: web.Request) -> web.StreamResponse:
         caller = self._get_caller(request)
         body = await self._read_body(request)
+        get_progress(request).body = body
         form = _parse_form(body)
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
@@ -259,12 +270,23 @@
         )
         charge = self._limits.charge(admitted, result, most, keyed)
         with self._billing.reserve(), charge:
+            get_progress(request).is_claiming = True
             if form.stream:
                 return await self._answer_stream(
                     request, parts, caller, admitted, result
                 )
             return await self._answer_plain(parts, caller, admitted, result)
 
+    async def _handle_call(self, request: web.Request) -> web.Response:
+        caller = self._get_caller(request)
+        route = find_route(caller.document, request.raw_path)
+        if route is None:
+            raise UnknownRouteError(f"There is nothing at {request.path!r}.")
+        content = await self._read_body(request)
+        return await self._plain.answer(
+            request, content, caller.workspace, caller.document, route
+        )
+
     def _run(
         self, request: web.Request, admitted: Request, result: Result
     ) -> AsyncIterator[bytes]:
@@ -287,6 +309,7 @@
         for service in self._control.services.values():
             for name, workspace in service.document.workspaces.items():
                 if digest in workspace.key_digests:
+                    get_progress(request).workspace = name
                     document = self._trials.get_document(service.document)
                     return Caller(name, document)
         raise WrongKeyError("The API key belongs to no workspace.")
@@ -312,10 +335,9 @@
         )
         deadline_s = deadline_s or self._settings.default_deadline_s
         session = self._read_session(request, caller, form)
-        version = resolve_session_version(session, form.model, caller, spec)
         choice = self._choose_planned(
             session, form.model, caller, class_name, len(body)
-        ) or self._choose(session, form.model, version, caller)
+        ) or self._choose(session, form.model, caller, spec)
         return Request(
             RequestId(secrets.token_hex(16)),
             caller.workspace,
@@ -330,7 +352,7 @@
             choice.trial,
             class_name,
             choice.arm,
-            spec.deferrable,
+            deferrable=spec.deferrable,
         )
 
     def _choose_planned(
@@ -356,9 +378,10 @@
         self,
         session: Session | None,
         name: str,
-        resolved: ModelVersion,
         caller: Caller,
+        spec: ClassSpec,
     ) -> Choice:
+        resolved = resolve_session_version(session, name, caller, spec)
         if is_pinned(session, resolved):
             return Choice(resolved)
         return self._trials.choose(
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -16,6 +16,7 @@
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
+from lovagestage.keyed_refusals import KeyedRefusals
 from lovagestage.keyed_runs import KeyedRuns
 from lovagestage.limit_service import LimitService
 from lovagestage.links import LinkTable
@@ -89,6 +90,7 @@
             billing,
             keyed,
             trials,
+            KeyedRefusals(keys),
             limits,
             deferrals,
         )
--- a/src/lovagestage/routing.py
+++ b/src/lovagestage/routing.py
@@ -20,7 +20,7 @@
     Attributes:
         vm: The upstream's VM.
         zone: Its availability zone.
-        versions: Versions it has loaded.
+        versions: Versions it has loaded, or its pool.
         running: Requests there, as of the last heartbeat, corrected by those
             that this entry has sent and seen ended since.
         max_running: Requests that may be there at once.
@@ -28,6 +28,7 @@
         token_interval_ms: Time between tokens of a stream; 0 if unknown.
         last_sent: Grows with each request that this entry sends anywhere; the
             value at the last one sent there.
+        is_engine: Whether it is a model engine.
     """
 
     vm: VmId
@@ -38,6 +39,7 @@
     max_batch: int = 0
     token_interval_ms: float = 0.0
     last_sent: int = 0
+    is_engine: bool = True
 
 
 def choose_upstream(
