--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -17,6 +17,11 @@
 from lovagestage.billed import BilledStream, make_bill
 from lovagestage.billing_service import BillingService
 from lovagestage.control import ControlReader
+from lovagestage.deferral_service import (
+    HEADER_DEADLINE,
+    DeferralService,
+    resolve_deadline_s,
+)
 from lovagestage.dispatcher import Dispatcher, Request, Result
 from lovagestage.document import (
     DEFAULT_CLASS,
@@ -40,6 +45,7 @@
 )
 from lovagestage.keyed_refusals import KeyedRefusals, get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.limit_service import LimitService
 from lovagestage.plain_api import PlainApi
 from lovagestage.plain_calls import find_route
 from lovagestage.sessions import (
@@ -83,13 +89,18 @@
         model: A service, a model or `MODEL@VERSION`.
         messages: At least one.
         stream: Whether the caller reads chunks.
-        metadata: `request_class` and `session` may be given here.
+        metadata: `request_class`, `session` and `deadline_s` may be given
+            here.
+        max_tokens: Most tokens of the answer.
+        max_completion_tokens: The same by its newer name.
     """
 
     model: str
     messages: list[dict[str, object]]
     stream: bool = False
     metadata: dict[str, str] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
 
 
 _form_decoder = msgspec.json.Decoder(ChatForm)
@@ -120,6 +131,8 @@
         billing: Takes the bills.
         trials: Assigns requests to roll-outs.
         refusals: Makes refusals of requests with a key true.
+        limits: Charges workspaces.
+        deferrals: Holds deferrable requests.
     """
 
     def __init__(
@@ -132,8 +145,12 @@
         keyed: KeyedRuns,
         trials: Trials,
         refusals: KeyedRefusals,
+        limits: LimitService,
+        deferrals: DeferralService,
     ) -> None:
         self._trials = trials
+        self._limits = limits
+        self._deferrals = deferrals
         self._billing = billing
         self._keyed = keyed
         self._refusals = refusals
@@ -243,8 +260,16 @@
         form = _parse_form(body)
         admitted = self._admit(request, caller, form, body)
         result = Result(admitted.version)
-        parts = self._run(request, admitted, result)
-        with self._billing.reserve():
+        most = form.max_completion_tokens or form.max_tokens
+        keyed = HEADER_KEY in request.headers
+        parts = self._deferrals.run(
+            admitted,
+            most,
+            keyed,
+            lambda: self._run(request, admitted, result),
+        )
+        charge = self._limits.charge(admitted, result, most, keyed)
+        with self._billing.reserve(), charge:
             get_progress(request).is_claiming = True
             if form.stream:
                 return await self._answer_stream(
@@ -305,7 +330,10 @@
     ) -> Request:
         class_name = _get_class_name(request, form)
         spec = _get_class(class_name, caller.document)
-        deadline_s = spec.deadline_s or self._settings.default_deadline_s
+        deadline_s = resolve_deadline_s(
+            request.headers.get(HEADER_DEADLINE), form.metadata, spec
+        )
+        deadline_s = deadline_s or self._settings.default_deadline_s
         session = self._read_session(request, caller, form)
         choice = self._choose_planned(
             session, form.model, caller, class_name, len(body)
@@ -324,6 +352,7 @@
             choice.trial,
             class_name,
             choice.arm,
+            deferrable=spec.deferrable,
         )
 
     def _choose_planned(
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -85,6 +85,7 @@
         class_name: Its request class.
         arm: What its answer counts for, where it follows a plan.
         headers: Headers of a call to a plain service.
+        deferrable: It may wait until its deadline.
     """
 
     request_id: RequestId
@@ -101,6 +102,7 @@
     class_name: str = ""
     arm: Arm | None = None
     headers: tuple[Header, ...] = ()
+    deferrable: bool = False
 
 
 @dataclasses.dataclass
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -12,11 +12,13 @@
 from lovagestage.billing_service import BillingService
 from lovagestage.callers import CallerApi
 from lovagestage.control import ControlReader
+from lovagestage.deferral_service import DeferralService
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
 from lovagestage.keyed_refusals import KeyedRefusals
 from lovagestage.keyed_runs import KeyedRuns
+from lovagestage.limit_service import LimitService
 from lovagestage.links import LinkTable
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
 from lovagestage.settings import EntrySettings, Settings
@@ -45,6 +47,8 @@
         billing: Takes the bills.
         keys: Request keys.
         trials: Roll-outs.
+        limits: Charges workspaces.
+        deferrals: Holds deferrable requests.
     """
 
     def __init__(
@@ -59,6 +63,8 @@
         billing: BillingService,
         keys: KeyService,
         trials: Trials,
+        limits: LimitService,
+        deferrals: DeferralService,
     ) -> None:
         super().__init__()
         self._trials = trials
@@ -71,6 +77,8 @@
         self._hub = hub
         self._billing = billing
         self._keys = keys
+        self._limits = limits
+        self._deferrals = deferrals
         keyed = KeyedRuns(keys, dispatcher, upstreams)
         self._api = CallerApi(
             role,
@@ -81,6 +89,8 @@
             keyed,
             trials,
             KeyedRefusals(keys),
+            limits,
+            deferrals,
         )
         self._runner = web.AppRunner(
             self._api.make_app(), access_log=None, handler_cancellation=True
@@ -106,6 +116,7 @@
         """Leaves the balancer and waits for open requests."""
         self._api.leaving = True
         _log.info("drain_started", extra={"open": self._api.open_requests})
+        self._deferrals.release()
         await asyncio.sleep(BALANCER_NOTICE_S)
         try:
             await asyncio.wait_for(
@@ -138,6 +149,8 @@
                 "dispatcher": self._dispatcher.get_sizes(),
                 "billing": self._billing.get_sizes(),
                 "rollouts": self._trials.get_dump(),
+                "limits": self._limits.get_dump(),
+                "deferrals": self._deferrals.get_sizes(),
                 "control": self._control.get_dump(),
             }
         )
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -328,6 +328,21 @@
     kind = "overloaded_error"
 
 
+class WorkspaceLimitError(RequestRefusedError):
+    """The workspace has used up its token limit for now."""
+
+    code = "workspace_limit_exceeded"
+    status = 429
+    kind = "rate_limit_error"
+
+
+class DeadlineInfeasibleError(RequestRefusedError):
+    """A deferrable request can't be promised by its deadline."""
+
+    code = "deadline_infeasible"
+    status = 422
+
+
 class BillingUnavailableError(RequestRefusedError):
     """There is no room for the request's bill."""
 
@@ -462,6 +477,8 @@
         SessionVersionConflictError,
         SessionVersionWithdrawnError,
         NoCapacityError,
+        WorkspaceLimitError,
+        DeadlineInfeasibleError,
         NotReadyError,
         UpstreamLostError,
         DispatchLostError,
--- a/src/lovagestage/links.py
+++ b/src/lovagestage/links.py
@@ -187,6 +187,15 @@
         """All processes of the role, connected to or not."""
         return list(self._listed)
 
+    def get_presumed(self) -> list[VmId]:
+        """All listed processes but those of the subset that are silent.
+
+        Nothing is heard of a process beside the subset; it counts as there
+        until the list drops it.
+        """
+        silent = set(self.get_kept()) - set(self.get_live())
+        return [vm for vm in self._listed if vm not in silent]
+
     @property
     def has_all(self) -> bool:
         """Whether all processes of the role are in the subset."""
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -38,6 +38,7 @@
     ServiceId,
     VmId,
     WorkspaceId,
+    WorkspaceTag,
     ZoneId,
 )
 
@@ -449,6 +450,36 @@
     places: list[VersionPlace]
 
 
+class UsageRow(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry knows first-hand of one workspace.
+
+    Attributes:
+        tag: The workspace.
+        used_tokens: Charged since the process has started.
+        demand_per_s: Tokens that callers ask for, smoothed.
+    """
+
+    tag: WorkspaceTag
+    used_tokens: int
+    demand_per_s: int
+
+
+class UsageReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="usage_report"
+):
+    """Tells another entry what was used through this one.
+
+    Attributes:
+        entry: The sender.
+        incarnation: Start time of its process.
+        rows: Workspaces with demand that matters.
+    """
+
+    entry: VmId
+    incarnation: int
+    rows: list[UsageRow]
+
+
 class EvidenceReport(
     msgspec.Struct, frozen=True, array_like=True, tag="evidence_report"
 ):
@@ -478,6 +509,7 @@
     | LearnedDelta
     | VersionQuestion
     | VersionAnswer
+    | UsageReport
 )
 StateMessage = StateQuestion | StateAnswer | StateOffer
 KeyMessage = (
--- a/src/lovagestage/settings.py
+++ b/src/lovagestage/settings.py
@@ -129,6 +129,9 @@
         upstream_subset: Sidecars that this entry picks to stay connected to;
             all of them where there are fewer.
         peer_subset: The same, of entries.
+        deferred_slots: Deferrable requests that this entry runs at once.
+        deferred_tokens_per_s: What one of them generates in a full engine.
+        deferred_limit: Most deferrable requests that wait.
     """
 
     http_host: str
@@ -148,6 +151,9 @@
     upstream_subset: int = 64
     peer_subset: int = 8
     learning_window_s: float = 600.0
+    deferred_slots: int = 2
+    deferred_tokens_per_s: float = 30.0
+    deferred_limit: int = 1000
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -20,6 +20,8 @@
 from lovagestage.cascade_service import CascadeService
 from lovagestage.control import ControlReader
 from lovagestage.crash_watch import CrashWatch
+from lovagestage.deadlines import DeferralQueue, SlotSpec
+from lovagestage.deferral_service import FIRST_TOKEN_S, DeferralService
 from lovagestage.dispatcher import Dispatcher
 from lovagestage.entry import Entry
 from lovagestage.exposure_service import ExposureService
@@ -28,6 +30,8 @@
 from lovagestage.key_service import KeyService
 from lovagestage.learned import Learned
 from lovagestage.leasing import LeaseKeeper
+from lovagestage.limit_service import LimitService
+from lovagestage.limits import LimitTable
 from lovagestage.links import LinkTable
 from lovagestage.logs import start_logging
 from lovagestage.members import MemberJoined
@@ -188,6 +192,13 @@
     exposure = _make_exposure(base, peers)
     cascades = _make_cascades(base, role, peers)
     quality = _make_quality(base, exposure, cascades)
+    limits = LimitService(
+        LimitTable(settings.vm, base.own.incarnation, time.monotonic()),
+        base.control,
+        peers,
+        base.timers,
+        base.hub,
+    )
     entry = Entry(
         settings,
         role,
@@ -199,6 +210,8 @@
         billing,
         keys,
         Trials(exposure, cascades, quality),
+        limits,
+        _make_deferrals(role),
     )
     work = [
         *_make_snapshot_services(base, role),
@@ -212,7 +225,14 @@
         base.control, upstreams, peers, base.hub, random.Random()
     )
     links = [watch, upstreams, peers, peer_state, search]
-    return entry, [*links, billing, membership, keys, *work, entry]
+    return entry, [*links, billing, limits, membership, keys, *work, entry]
+
+
+def _make_deferrals(role: EntrySettings) -> DeferralService:
+    spec = SlotSpec(
+        role.deferred_slots, role.deferred_tokens_per_s, FIRST_TOKEN_S
+    )
+    return DeferralService(DeferralQueue(spec, role.deferred_limit))
 
 
 def _make_exposure(base: _Base, peers: LinkTable) -> ExposureService:
