--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,68 @@
+"""The pages name tests and files that exist.
+
+A reader who looks for the proof of a promise follows a name that a rename has
+left behind, and finds nothing; the promise then only looks proved.
+"""
+
+from __future__ import annotations
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+DOCS = ROOT / "docs"
+PROMISES = DOCS / "PROMISES.md"
+STATES = ("holds", "partly", "does not hold")
+TEST_NAME = re.compile(r"`([^`\s]*\.py)::([^`]*)`")
+LINK = re.compile(r"\]\(([^)\s#]+)[^)]*\)")
+
+
+def get_names(file: Path) -> set[str]:
+    """Returns the tests that a file defines; state machines by assignment."""
+    if not file.is_file():
+        return set()
+    names: set[str] = set()
+    for node in ast.parse(file.read_text(encoding="utf-8")).body:
+        match node:
+            case ast.FunctionDef(name=name) | ast.AsyncFunctionDef(name=name):
+                names.add(name)
+            case ast.Assign(targets=[ast.Name(id=name)]):
+                names.add(name)
+    return {name for name in names if name.lower().startswith("test")}
+
+
+def test_named_tests_exist():
+    named = TEST_NAME.findall(PROMISES.read_text(encoding="utf-8"))
+    assert named
+    missing = [
+        f"{file}::{name}"
+        for file, name in named
+        if name not in get_names(ROOT / "tests" / file)
+    ]
+    assert not missing
+
+
+def test_no_row_is_empty_and_each_has_a_state():
+    page = PROMISES.read_text(encoding="utf-8").split("## Goals")[0]
+    lines = [line for line in page.splitlines() if line.startswith("| ")]
+    rows = [[cell.strip() for cell in line.split("|")[1:-1]] for line in lines]
+    rows = [row for row in rows if row[5] != "state"]
+    assert rows
+    assert [row for row in rows if len(row) != 7 or not all(row)] == []
+    assert [row[0] for row in rows if row[5] not in STATES] == []
+
+
+@pytest.mark.parametrize(
+    "page", sorted(DOCS.rglob("*.md")), ids=lambda p: p.name
+)
+def test_link_targets_exist(page):
+    targets = LINK.findall(page.read_text(encoding="utf-8"))
+    missing = [
+        target
+        for target in targets
+        if "://" not in target and not (page.parent / target).exists()
+    ]
+    assert not missing
