--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -145,6 +146,7 @@
         self.children: dict[str, Child] = {}
         self.has_rater = True
         self._engine_options = engine_options
+        self._owns_folder = folder is None
         self._folder = folder or pathlib.Path(
             tempfile.mkdtemp(prefix="lovagestage-")
         )
@@ -175,6 +177,9 @@
         trace: TracebackType | None,
     ) -> None:
         self.kill_all()
+        if self._owns_folder and error is None:
+            # Settings with keys are in it; after an error the logs are kept.
+            shutil.rmtree(self._folder, ignore_errors=True)
 
     @property
     def folder(self) -> pathlib.Path:
--- a/src/lovagestage/transport.py
+++ b/src/lovagestage/transport.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import enum
 import logging
@@ -39,7 +40,7 @@
 """Routing id that a listener gives a connection."""
 
 
-class _ReadableSocket:
+class _ReadableSocket(abc.ABC):
     """A socket drained by the loop.
 
     The file descriptor of a zmq socket is edge-triggered: an event that is
@@ -54,8 +55,9 @@
         self._loop.add_reader(socket.fileno(), self._drain)
         self._loop.call_soon(self._drain)
 
+    @abc.abstractmethod
     def on_frames(self, frames: list[bytes]) -> None:
-        raise NotImplementedError
+        """Handles one message."""
 
     def send_frames(self, frames: list[bytes]) -> bool:
         try:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -56,7 +56,9 @@
 
 
 @pytest.mark.parametrize(
-    "page", sorted(DOCS.rglob("*.md")), ids=lambda p: p.name
+    "page",
+    [ROOT / "README.md", ROOT / "SECURITY.md", *sorted(DOCS.rglob("*.md"))],
+    ids=lambda p: p.name,
 )
 def test_link_targets_exist(page):
     targets = LINK.findall(page.read_text(encoding="utf-8"))
