Split the callers' API by job

Cause: callers.py had 610 lines: application, authentication, form, admission, run, answer and refusals in one class with ten parts.

Change: callers (application, error middleware, reading of the body), authentication, chat_form, chat_admission, chat_api, chat_answers and error_answers; entry.py puts them together. Behaviour stays the same.

--- /dev/null
+++ b/src/lovagestage/chat_admission.py
@@ -0,0 +1,198 @@
+"""Admits a chat completion request: its class, deadline and version."""
+
+from __future__ import annotations
+
+import secrets
+import time
+
+from aiohttp import web
+
+from lovagestage.admission import Choice
+from lovagestage.authentication import Caller
+from lovagestage.chat_form import ChatForm, get_class_name
+from lovagestage.deferral_service import HEADER_DEADLINE, resolve_deadline_s
+from lovagestage.dispatcher import Request
+from lovagestage.document import (
+    ClassSpec,
+    Repeatable,
+    ServiceDocument,
+    get_open_versions,
+)
+from lovagestage.exceptions import (
+    MalformedRequestError,
+    ModelNotAllowedError,
+    UnknownModelError,
+)
+from lovagestage.sessions import (
+    Session,
+    SessionSigner,
+    check_session,
+    get_token,
+    is_pinned,
+    resolve_model,
+)
+from lovagestage.trials import Trials
+from lovagestage.types import ModelVersion, RequestId, parse_model_version
+
+
+class ChatAdmission:
+    """Makes the request that is run from what the caller sent.
+
+    Args:
+        trials: Assigns requests to plans and roll-outs.
+        signer: Reads the tokens of sessions.
+        default_deadline_s: Deadline of requests that come without one.
+    """
+
+    def __init__(
+        self,
+        trials: Trials,
+        signer: SessionSigner,
+        default_deadline_s: float,
+    ) -> None:
+        self._trials = trials
+        self._signer = signer
+        self._default_deadline_s = default_deadline_s
+
+    def admit(
+        self, request: web.Request, caller: Caller, form: ChatForm, body: bytes
+    ) -> Request:
+        """Chooses the version and sets the deadline of a request.
+
+        Raises:
+            RequestRefusedError: It can't be admitted.
+        """
+        class_name = get_class_name(request, form)
+        spec = _get_class(class_name, caller.document)
+        deadline_s = resolve_deadline_s(
+            request.headers.get(HEADER_DEADLINE), form.metadata, spec
+        )
+        deadline_s = deadline_s or self._default_deadline_s
+        session = self._read_session(request, caller, form)
+        choice = self._choose_planned(
+            session, form.model, caller, class_name, len(body)
+        ) or self._choose(session, form.model, caller, spec)
+        return Request(
+            RequestId(secrets.token_hex(16)),
+            caller.workspace,
+            caller.document.service,
+            choice.version,
+            spec.priority,
+            spec.repeatable is Repeatable.ALWAYS,
+            time.monotonic() + deadline_s,
+            form.stream,
+            body,
+            session,
+            choice.trial,
+            class_name,
+            choice.arm,
+            deferrable=spec.deferrable,
+        )
+
+    def _choose_planned(
+        self,
+        session: Session | None,
+        name: str,
+        caller: Caller,
+        class_name: str,
+        prompt_bytes: int,
+    ) -> Choice | None:
+        document = caller.document
+        if session is not None or name != document.service:
+            return None
+        return self._trials.choose_plan(
+            document,
+            caller.workspace,
+            class_name,
+            document.classes[class_name],
+            prompt_bytes,
+        )
+
+    def _choose(
+        self,
+        session: Session | None,
+        name: str,
+        caller: Caller,
+        spec: ClassSpec,
+    ) -> Choice:
+        resolved = resolve_session_version(session, name, caller, spec)
+        if is_pinned(session, resolved):
+            return Choice(resolved)
+        return self._trials.choose(
+            name, resolved, caller.document, caller.workspace
+        )
+
+    def _read_session(
+        self, request: web.Request, caller: Caller, form: ChatForm
+    ) -> Session | None:
+        token = get_token(request.headers, form.metadata)
+        if token is None:
+            return None
+        session = self._signer.read_token(token)
+        service = caller.document.service
+        check_session(session, caller.workspace, service, time.time())
+        return session
+
+
+def resolve_version(name: str, caller: Caller, spec: ClassSpec) -> ModelVersion:
+    """Finds the version that a request gets.
+
+    Args:
+        name: A service, a model or `MODEL@VERSION`.
+        caller: Who asks.
+        spec: The request's class.
+
+    Raises:
+        UnknownModelError: The name is none of these.
+        ModelNotAllowedError: The workspace may not use it.
+    """
+    allowed = get_open_versions(caller.document, caller.workspace)
+    if name == caller.document.service:
+        candidates = [
+            version
+            for text in spec.cascade
+            if (version := parse_model_version(text)) in allowed
+        ]
+    else:
+        candidates = [v for v in allowed if name in (v.model, str(v))]
+    chosen = candidates[0] if candidates else None
+    if chosen is not None:
+        return chosen
+    known = {
+        part
+        for version in caller.document.versions
+        for part in (version.name, version.name.partition("@")[0])
+    }
+    if name not in known and name != caller.document.service:
+        raise UnknownModelError(f"There is no model {name!r}.")
+    raise ModelNotAllowedError(
+        f"Workspace {caller.workspace!r} may not use {name!r}."
+    )
+
+
+def resolve_session_version(
+    session: Session | None, name: str, caller: Caller, spec: ClassSpec
+) -> ModelVersion:
+    """Finds the version of a request that may come with a session.
+
+    Raises:
+        RequestRefusedError: See `resolve_version` and `resolve_model`.
+    """
+    if session is None:
+        return resolve_version(name, caller, spec)
+    target = resolve_model(session, name, caller.document)
+    if target is not None:
+        return resolve_version(target, caller, spec)
+    pinned = parse_model_version(session.version)
+    assert pinned is not None
+    return pinned
+
+
+def _get_class(name: str, document: ServiceDocument) -> ClassSpec:
+    spec = document.classes.get(name)
+    if spec is None:
+        raise MalformedRequestError(
+            f"There is no request class {name!r}; expected one of"
+            f" {sorted(document.classes)}."
+        )
+    return spec
--- /dev/null
+++ b/src/lovagestage/chat_answers.py
@@ -0,0 +1,146 @@
+"""Answers to chat completion requests: plain or streamed, and billed."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import secrets
+import time
+from collections.abc import AsyncIterator
+
+import msgspec
+from aiohttp import web
+
+from lovagestage.authentication import Caller
+from lovagestage.billed import BilledStream, make_bill
+from lovagestage.billing_service import BillingService
+from lovagestage.dispatcher import Request, Result
+from lovagestage.error_answers import make_error_body
+from lovagestage.exceptions import RequestRefusedError
+from lovagestage.sessions import (
+    HEADER_MOVED_FROM,
+    HEADER_SESSION,
+    SessionSigner,
+    is_pinned,
+    make_next_session,
+)
+
+HEADER_REQUEST_ID = "X-Request-Id"
+HEADER_VERSION = "X-Model-Version"
+HEADER_ATTEMPTS = "X-Attempts"
+HEADER_BILLED = "X-Billed-Tokens"
+
+
+class ChatAnswers:
+    """Writes answers to callers.
+
+    Args:
+        billing: Takes the bills.
+        signer: Makes the tokens of sessions.
+    """
+
+    def __init__(self, billing: BillingService, signer: SessionSigner) -> None:
+        self._billing = billing
+        self._signer = signer
+
+    def _make_session_headers(
+        self, caller: Caller, admitted: Request, result: Result
+    ) -> dict[str, str]:
+        session = make_next_session(
+            admitted.session,
+            secrets.token_hex(8),
+            caller.workspace,
+            caller.document,
+            result.version,
+            time.time(),
+        )
+        token = self._signer.make_token(session)
+        if token is None:
+            return {}
+        headers = {HEADER_SESSION: token}
+        previous = admitted.session
+        if previous is not None and not is_pinned(previous, result.version):
+            headers[HEADER_MOVED_FROM] = previous.version
+        return headers
+
+    async def answer_plain(
+        self,
+        parts: AsyncIterator[bytes],
+        caller: Caller,
+        admitted: Request,
+        result: Result,
+    ) -> web.Response:
+        """Answers in one body, and bills it."""
+        body = b"".join([part async for part in parts])
+        billed = _get_billed(admitted, result)
+        await self._billing.add(make_bill(billed, result, time.time()))
+        return web.Response(
+            body=body,
+            content_type="application/json",
+            headers=_make_headers(admitted, result)
+            | self._make_session_headers(caller, admitted, result),
+        )
+
+    async def answer_stream(
+        self,
+        request: web.Request,
+        parts: AsyncIterator[bytes],
+        caller: Caller,
+        admitted: Request,
+        result: Result,
+    ) -> web.StreamResponse:
+        """Answers chunk by chunk, and bills what was sent."""
+        try:
+            # The first chunk is awaited before the status is sent, so that a
+            # request refused before it has an error status of its own.
+            first = await anext(parts, b"")
+            response = web.StreamResponse(
+                headers=_make_headers(admitted, result)
+                | self._make_session_headers(caller, admitted, result)
+            )
+            response.content_type = "text/event-stream"
+            await response.prepare(request)
+            billed = _get_billed(admitted, result)
+            stream = BilledStream(billed, result, self._billing)
+            await _write_parts(response, first, parts, stream)
+        finally:
+            await parts.aclose()  # type: ignore[attr-defined]
+        await response.write_eof()
+        return response
+
+
+async def _write_parts(
+    response: web.StreamResponse,
+    first: bytes,
+    parts: AsyncIterator[bytes],
+    stream: BilledStream,
+) -> None:
+    try:
+        await response.write(stream.add(first))
+        async for part in parts:
+            await response.write(stream.add(part))
+        await response.write(await stream.end(time.time()))
+    except RequestRefusedError as error:
+        body = msgspec.json.encode(make_error_body(error))
+        await response.write(b"data: " + body + b"\n\n")
+    except (ConnectionError, asyncio.CancelledError):
+        stream.cancel(time.time())
+        raise
+
+
+def _get_billed(admitted: Request, result: Result) -> Request:
+    # A request that joined another's run bills it under that one's id, so
+    # that the two bills are one.
+    request_id = result.request_id or admitted.request_id
+    return dataclasses.replace(admitted, request_id=request_id)
+
+
+def _make_headers(admitted: Request, result: Result) -> dict[str, str]:
+    headers = {
+        HEADER_REQUEST_ID: result.request_id or admitted.request_id,
+        HEADER_VERSION: str(result.version),
+        HEADER_ATTEMPTS: str(result.attempts),
+    }
+    if result.finished is not None:
+        headers[HEADER_BILLED] = str(result.finished.completion_tokens)
+    return headers
--- /dev/null
+++ b/src/lovagestage/chat_api.py
@@ -0,0 +1,101 @@
+"""Runs chat completion requests, from the body to the answer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+
+from lovagestage.authentication import Caller
+from lovagestage.billing_service import BillingService
+from lovagestage.chat_admission import ChatAdmission
+from lovagestage.chat_answers import ChatAnswers
+from lovagestage.chat_form import parse_form
+from lovagestage.deferral_service import DeferralService
+from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.escalation import Escalation, may_run_twice
+from lovagestage.keyed_refusals import get_progress
+from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.limit_service import LimitService
+from lovagestage.trials import Trials
+
+
+class ChatApi:
+    """Handles chat completion requests.
+
+    Args:
+        admission: Admits requests.
+        answers: Writes their answers.
+        dispatcher: Runs requests.
+        keyed: Runs requests that have a key.
+        escalation: Runs requests that may run twice.
+        trials: Watches the answers.
+        billing: Reserves room for bills.
+        limits: Charges workspaces.
+        deferrals: Holds deferrable requests.
+    """
+
+    def __init__(
+        self,
+        admission: ChatAdmission,
+        answers: ChatAnswers,
+        dispatcher: Dispatcher,
+        keyed: KeyedRuns,
+        escalation: Escalation,
+        trials: Trials,
+        billing: BillingService,
+        limits: LimitService,
+        deferrals: DeferralService,
+    ) -> None:
+        self._admission = admission
+        self._answers = answers
+        self._dispatcher = dispatcher
+        self._keyed = keyed
+        self._escalation = escalation
+        self._trials = trials
+        self._billing = billing
+        self._limits = limits
+        self._deferrals = deferrals
+
+    async def answer(
+        self, request: web.Request, body: bytes, caller: Caller
+    ) -> web.StreamResponse:
+        """Runs a request and answers it.
+
+        Raises:
+            RequestRefusedError: It is refused.
+        """
+        get_progress(request).body = body
+        form = parse_form(body)
+        admitted = self._admission.admit(request, caller, form, body)
+        result = Result(admitted.version)
+        most = form.most_tokens
+        keyed = HEADER_KEY in request.headers
+        parts = self._deferrals.run(
+            admitted,
+            most,
+            keyed,
+            lambda: self._run(request, admitted, result),
+        )
+        charge = self._limits.charge(admitted, result, most, keyed)
+        with self._billing.reserve(), charge:
+            get_progress(request).is_claiming = True
+            if form.stream:
+                return await self._answers.answer_stream(
+                    request, parts, caller, admitted, result
+                )
+            return await self._answers.answer_plain(
+                parts, caller, admitted, result
+            )
+
+    def _run(
+        self, request: web.Request, admitted: Request, result: Result
+    ) -> AsyncIterator[bytes]:
+        key = request.headers.get(HEADER_KEY)
+        if key is not None:
+            parts = self._keyed.run(admitted, key, result)
+        elif may_run_twice(admitted):
+            parts = self._escalation.run(admitted, result)
+        else:
+            parts = self._dispatcher.run(admitted, result)
+        return self._trials.watch(admitted, result, parts)
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -9,11 +9,16 @@
 import msgspec
 from aiohttp import web
 
+from lovagestage.authentication import Authenticator
 from lovagestage.billing_service import BillingService
 from lovagestage.callers import CallerApi
+from lovagestage.chat_admission import ChatAdmission
+from lovagestage.chat_answers import ChatAnswers
+from lovagestage.chat_api import ChatApi
 from lovagestage.control import ControlReader
 from lovagestage.deferral_service import DeferralService
 from lovagestage.dispatcher import Dispatcher
+from lovagestage.escalation import Escalation
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
 from lovagestage.keyed_refusals import KeyedRefusals
@@ -21,6 +26,8 @@
 from lovagestage.limit_service import LimitService
 from lovagestage.links import LinkTable
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
+from lovagestage.plain_api import PlainApi
+from lovagestage.sessions import SessionSigner
 from lovagestage.settings import EntrySettings, Settings
 from lovagestage.transport import PeerId
 from lovagestage.trials import Trials
@@ -79,19 +86,7 @@
         self._keys = keys
         self._limits = limits
         self._deferrals = deferrals
-        keyed = KeyedRuns(keys, dispatcher, upstreams)
-        self._api = CallerApi(
-            role,
-            control,
-            dispatcher,
-            upstreams,
-            billing,
-            keyed,
-            trials,
-            KeyedRefusals(keys),
-            limits,
-            deferrals,
-        )
+        self._api = self._make_api()
         self._runner = web.AppRunner(
             self._api.make_app(), access_log=None, handler_cancellation=True
         )
@@ -99,6 +94,32 @@
         hub.register(Hello, self._on_hello)
         hub.register(DumpRequest, self._on_dump_request)
 
+    def _make_api(self) -> CallerApi:
+        keyed = KeyedRuns(self._keys, self._dispatcher, self._upstreams)
+        return CallerApi(
+            self._role,
+            self._control,
+            self._upstreams,
+            Authenticator(self._control, self._trials),
+            self._make_chat_api(keyed),
+            PlainApi(self._dispatcher, keyed, self._role.default_deadline_s),
+            KeyedRefusals(self._keys),
+        )
+
+    def _make_chat_api(self, keyed: KeyedRuns) -> ChatApi:
+        signer = SessionSigner(self._role.session_keys)
+        return ChatApi(
+            ChatAdmission(self._trials, signer, self._role.default_deadline_s),
+            ChatAnswers(self._billing, signer),
+            self._dispatcher,
+            keyed,
+            Escalation(self._dispatcher),
+            self._trials,
+            self._billing,
+            self._limits,
+            self._deferrals,
+        )
+
     async def on_start(self) -> None:
         """Opens the callers' port."""
         await self._runner.setup()
