Send metrics from real processes

Cause: Metrics was built and tested, but no process made one; and its constructor looked statsd's host up, so an unknown host would have ended the process and a slow resolver would have stopped it.

Change: wiring makes one Metrics per process. measurement.py counts requests, answers, refusals by code and retries of the callers' API and times first chunks (streams) and whole answers; the balancer's health checks are no requests. Gauges of the control stream come from both roles. A host name is looked up on a daemon thread and again every 30 s; until then counts and the bounded timings are kept. Fleet takes `statsd`.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -128,6 +128,7 @@
         engine_options: Further arguments of each engine.
         entry_options: Further settings of each entry.
         bus_options: Further settings of each process's connections.
+        statsd: Where each process sends its metrics.
         folder: Where settings and logs go; a temporary one by default.
         binary: The shipped file to run; by default the package's source.
     """
@@ -140,6 +141,7 @@
         binary: pathlib.Path | None = None,
         entry_options: dict[str, Any] | None = None,
         bus_options: dict[str, Any] | None = None,
+        statsd: dict[str, Any] | None = None,
     ) -> None:
         self.shape = shape
         self.children: dict[str, Child] = {}
@@ -155,6 +157,7 @@
         package = ("-m", "lovagestage")
         program = (str(binary),) if binary else package
         self._bus_options = bus_options or {}
+        self._statsd = statsd or {}
         self._command = (sys.executable, *program)
         public, secret = zmq.curve_keypair()
         self._keys = (public.decode(), secret.decode())
@@ -470,6 +473,7 @@
                 "accepted_keys": [public],
                 **self._bus_options,
             },
+            "statsd": self._statsd,
             **role,
         }
 
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/callers.py
@@ -20,6 +20,7 @@
     UnknownRouteError,
 )
 from lovagestage.keyed_refusals import KeyedRefusals
+from lovagestage.measurement import HEALTH_PATH, Meter
 from lovagestage.plain_api import PlainApi
 from lovagestage.plain_calls import find_route
 from lovagestage.settings import EntrySettings
@@ -40,6 +41,7 @@
         chat: Answers chat completion requests.
         plain: Answers calls to plain services.
         refusals: Makes refusals of requests with a key true.
+        meter: Measures requests.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         chat: ChatApi,
         plain: PlainApi,
         refusals: KeyedRefusals,
+        meter: Meter,
     ) -> None:
         self._settings = settings
         self._control = control
@@ -59,6 +62,7 @@
         self._chat = chat
         self._plain = plain
         self._refusals = refusals
+        self._meter = meter
         self._started_at_s = time.monotonic()
         self._ready = False
         self.leaving = False
@@ -70,10 +74,10 @@
         """Builds the HTTP application."""
         app = web.Application(
             client_max_size=self._settings.max_body_bytes,
-            middlewares=[self._handle_errors],
+            middlewares=[self._handle_errors, self._meter.measure],
         )
         app.on_response_prepare.append(self._on_response_prepare)
-        app.router.add_get("/healthz", self._get_health)
+        app.router.add_get(HEALTH_PATH, self._get_health)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_post("/v1/chat/completions", self._post_chat)
         app.router.add_route("*", "/{path:.*}", self._handle_call)
@@ -94,6 +98,7 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         self.open_requests += 1
+        self._meter.set_open_requests(self.open_requests)
         self.idle.clear()
         try:
             return await handler(request)
@@ -107,6 +112,7 @@
             return await self._answer_refusal(request, too_large)
         finally:
             self.open_requests -= 1
+            self._meter.set_open_requests(self.open_requests)
             if self.open_requests == 0:
                 self.idle.set()
 
--- a/src/lovagestage/chat_answers.py
+++ b/src/lovagestage/chat_answers.py
@@ -17,6 +17,7 @@
 from lovagestage.dispatcher import Request, Result
 from lovagestage.error_answers import make_error_body
 from lovagestage.exceptions import RequestRefusedError
+from lovagestage.measurement import Measurement, get_measurement
 from lovagestage.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
@@ -94,6 +95,8 @@
             # The first chunk is awaited before the status is sent, so that a
             # request refused before it has an error status of its own.
             first = await anext(parts, b"")
+            measurement = get_measurement(request)
+            measurement.add_first_chunk()
             response = web.StreamResponse(
                 headers=_make_headers(admitted, result)
                 | self._make_session_headers(caller, admitted, result)
@@ -102,7 +105,7 @@
             await response.prepare(request)
             billed = _get_billed(admitted, result)
             stream = BilledStream(billed, result, self._billing)
-            await _write_parts(response, first, parts, stream)
+            await _write_parts(response, first, parts, stream, measurement)
         finally:
             await parts.aclose()  # type: ignore[attr-defined]
         await response.write_eof()
@@ -114,6 +117,7 @@
     first: bytes,
     parts: AsyncIterator[bytes],
     stream: BilledStream,
+    measurement: Measurement,
 ) -> None:
     try:
         await response.write(stream.add(first))
@@ -121,6 +125,7 @@
             await response.write(stream.add(part))
         await response.write(await stream.end(time.time()))
     except RequestRefusedError as error:
+        measurement.add_refusal(error.code)
         body = msgspec.json.encode(make_error_body(error))
         await response.write(b"data: " + body + b"\n\n")
     except (ConnectionError, asyncio.CancelledError):
--- a/src/lovagestage/chat_api.py
+++ b/src/lovagestage/chat_api.py
@@ -17,6 +17,7 @@
 from lovagestage.keyed_refusals import get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
 from lovagestage.limit_service import LimitService
+from lovagestage.measurement import get_measurement
 from lovagestage.trials import Trials
 
 
@@ -78,15 +79,18 @@
             lambda: self._run(request, admitted, result),
         )
         charge = self._limits.charge(admitted, result, most, keyed)
-        with self._billing.reserve(), charge:
-            get_progress(request).is_claiming = True
-            if form.stream:
-                return await self._answers.answer_stream(
-                    request, parts, caller, admitted, result
+        try:
+            with self._billing.reserve(), charge:
+                get_progress(request).is_claiming = True
+                if form.stream:
+                    return await self._answers.answer_stream(
+                        request, parts, caller, admitted, result
+                    )
+                return await self._answers.answer_plain(
+                    parts, caller, admitted, result
                 )
-            return await self._answers.answer_plain(
-                parts, caller, admitted, result
-            )
+        finally:
+            get_measurement(request).add_attempts(result.attempts)
 
     def _run(
         self, request: web.Request, admitted: Request, result: Result
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/entry.py
@@ -25,7 +25,9 @@
 from lovagestage.keyed_runs import KeyedRuns
 from lovagestage.limit_service import LimitService
 from lovagestage.links import LinkTable
+from lovagestage.measurement import Meter
 from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
+from lovagestage.metrics import Metrics
 from lovagestage.plain_api import PlainApi
 from lovagestage.sessions import SessionSigner
 from lovagestage.settings import EntrySettings, Settings
@@ -56,6 +58,7 @@
         trials: Roll-outs.
         limits: Charges workspaces.
         deferrals: Holds deferrable requests.
+        metrics: What is measured.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         trials: Trials,
         limits: LimitService,
         deferrals: DeferralService,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
         self._trials = trials
@@ -86,6 +90,7 @@
         self._keys = keys
         self._limits = limits
         self._deferrals = deferrals
+        self._metrics = metrics
         self._api = self._make_api()
         self._runner = web.AppRunner(
             self._api.make_app(), access_log=None, handler_cancellation=True
@@ -104,6 +109,7 @@
             self._make_chat_api(keyed),
             PlainApi(self._dispatcher, keyed, self._role.default_deadline_s),
             KeyedRefusals(self._keys),
+            Meter(self._metrics),
         )
 
     def _make_chat_api(self, keyed: KeyedRuns) -> ChatApi:
--- a/src/lovagestage/metrics.py
+++ b/src/lovagestage/metrics.py
@@ -1,13 +1,18 @@
 """Metrics: counted in the process, sent to statsd once a second.
 
 A packet for each event would cost more than a token chunk does; counts are
-added up between sends, and of the timings a bounded sample is sent.
+added up between sends, and of the timings a bounded sample is sent. A statsd
+that can't be found or reached costs metrics, never a request.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import enum
+import ipaddress
+import logging
+import threading
+import time
 from collections import Counter
 
 import statsd
@@ -15,7 +20,11 @@
 from lovagestage.settings import StatsdSettings
 from lovagestage.timers import TimerService
 
+_log = logging.getLogger(__name__)
+
 SEND_INTERVAL_S = 1.0
+RESOLVE_INTERVAL_S = 30.0
+"""Time between look-ups of a host that has no address yet."""
 MAX_TIMINGS = 200
 """Timings of one metric sent in an interval; further ones are counted only."""
 
@@ -73,7 +82,9 @@
         MetricKind.COUNTER, "attempts", "Attempts after a request's first."
     ),
     Metric.FIRST_CHUNK: MetricSpec(
-        MetricKind.TIMER, "ms", "From the request's head to its first chunk."
+        MetricKind.TIMER,
+        "ms",
+        "From the request's head to its first chunk; streams only.",
     ),
     Metric.TOTAL: MetricSpec(
         MetricKind.TIMER, "ms", "From the request's head to its whole answer."
@@ -101,9 +112,12 @@
     """
 
     def __init__(self, settings: StatsdSettings, timers: TimerService) -> None:
-        self._client = statsd.StatsClient(
-            settings.host, settings.port, prefix=settings.prefix
-        )
+        self._settings = settings
+        self._client: statsd.StatsClient | None = None
+        self._resolver: threading.Thread | None = None
+        self._resolve_at_s = 0.0
+        if _is_address(settings.host):
+            self._resolve()
         self._counts: Counter[str] = Counter()
         self._timings: dict[str, list[float]] = {}
         self._gauges: dict[str, float] = {}
@@ -125,7 +139,13 @@
         self._gauges[metric.value] = value
 
     def send(self) -> None:
-        """Sends what was collected since the last time."""
+        """Sends what was collected since the last time.
+
+        It is kept, bounded, while the host has no address.
+        """
+        if self._client is None:
+            self._start_resolver()
+            return
         counts, self._counts = self._counts, Counter()
         timings, self._timings = self._timings, {}
         with self._client.pipeline() as pipeline:
@@ -137,6 +157,37 @@
             for name, value in self._gauges.items():
                 pipeline.gauge(name, value)
 
+    def _start_resolver(self) -> None:
+        now_s = time.monotonic()
+        is_busy = self._resolver is not None and self._resolver.is_alive()
+        if is_busy or now_s < self._resolve_at_s:
+            return
+        self._resolve_at_s = now_s + RESOLVE_INTERVAL_S
+        # The system's resolver blocks for seconds when no name server
+        # answers. A daemon thread holds up neither requests nor the exit.
+        self._resolver = threading.Thread(target=self._resolve, daemon=True)
+        self._resolver.start()
+
+    def _resolve(self) -> None:
+        settings = self._settings
+        try:
+            self._client = statsd.StatsClient(
+                settings.host, settings.port, prefix=settings.prefix
+            )
+        except (OSError, UnicodeError) as error:
+            _log.warning(
+                "statsd_not_found",
+                extra={"host": settings.host, "error": repr(error)},
+            )
+
+
+def _is_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
 
 def format_page() -> str:
     """The page docs/METRICS.md, from the specs."""
--- a/src/lovagestage/plain_api.py
+++ b/src/lovagestage/plain_api.py
@@ -13,6 +13,7 @@
 from lovagestage.exceptions import CodecError, UpstreamFailedError
 from lovagestage.keyed_refusals import get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.measurement import get_measurement
 from lovagestage.plain_calls import (
     HEADER_REQUEST_ID,
     Header,
@@ -69,7 +70,10 @@
             if key is None
             else self._keyed.run(admitted, key, result)
         )
-        data = b"".join([part async for part in parts])
+        try:
+            data = b"".join([part async for part in parts])
+        finally:
+            get_measurement(request).add_attempts(result.attempts)
         return _make_response(_decode(data), admitted, result)
 
     def _admit(
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -37,6 +37,7 @@
 from lovagestage.members import MemberJoined
 from lovagestage.membership import Membership
 from lovagestage.messages import Hello
+from lovagestage.metrics import Metric, Metrics
 from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
 from lovagestage.plain_service import HttpPlainService
@@ -78,6 +79,7 @@
     context: zmq.Context[zmq.Socket[bytes]]
     session: aiohttp.ClientSession
     timers: TimerService
+    metrics: Metrics
     log: HttpLog
     control: ControlReader
     writer: ControlWriter
@@ -109,6 +111,7 @@
         await process.drain()
         for service in reversed(started):
             await service.stop()
+        base.metrics.send()
         listener.close()
     authenticator.stop()
     context.destroy(linger=500)
@@ -147,13 +150,17 @@
         SnapshotStream(log, settings.platform.log_keys),
         settings.platform.operators_root_key,
     )
+    timers = TimerService()
+    metrics = Metrics(settings.statsd, timers)
+    _measure_control(control, metrics)
     hub = Hub()
     StateResponder(control, hub)
     return _Base(
         settings,
         context,
         session,
-        TimerService(),
+        timers,
+        metrics,
         log,
         control,
         ControlWriter(log, control),
@@ -162,6 +169,15 @@
     )
 
 
+def _measure_control(control: ControlReader, metrics: Metrics) -> None:
+    def set_gauges() -> None:
+        state = control.folded
+        metrics.set(Metric.CONTROL_OFFSET, state.next_offset)
+        metrics.set(Metric.RECORDS_REFUSED, state.undecodable)
+
+    control.subscribe(set_gauges)
+
+
 def _make_role(base: _Base) -> tuple[_Process, list[mode.Service]]:
     if base.settings.entry is not None:
         return _make_entry(base, base.settings.entry)
@@ -212,6 +228,7 @@
         Trials(exposure, cascades, quality),
         limits,
         _make_deferrals(role),
+        base.metrics,
     )
     work = [
         *_make_snapshot_services(base, role),
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,9 +2,22 @@
 
 from __future__ import annotations
 
+import http.client
+import json
 import socket
+import threading
+import time
 
-from lovagestage.metrics import MAX_TIMINGS, SPECS, Metric, Metrics
+import pytest
+
+from lab.fleet import SHAPES, Fleet
+from lovagestage.metrics import (
+    MAX_TIMINGS,
+    SEND_INTERVAL_S,
+    SPECS,
+    Metric,
+    Metrics,
+)
 from lovagestage.settings import StatsdSettings
 from lovagestage.timers import TimerService
 
@@ -20,6 +33,121 @@
         return lines
 
 
+def post(fleet: Fleet, model: str, stream: bool = False) -> int:
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", fleet.entries[0].port, timeout=30
+    )
+    messages = [{"role": "user", "content": "Explain the failed snapshot"}]
+    body = {"model": model, "messages": messages, "stream": stream}
+    headers = {"Authorization": "Bearer key-trial"}
+    connection.request(
+        "POST", "/v1/chat/completions", json.dumps(body), headers
+    )
+    response = connection.getresponse()
+    response.read()
+    connection.close()
+    return response.status
+
+
+def receive_sums(
+    server: socket.socket, wanted: dict[str, int], timeout_s: float
+) -> tuple[dict[str, int], list[str]]:
+    """Sums counters until all that is wanted has come, and two sends more."""
+    sums: dict[str, int] = {}
+    lines: list[str] = []
+    end_s = time.monotonic() + timeout_s
+    is_whole = False
+    while time.monotonic() < end_s:
+        if not is_whole and wanted.items() <= sums.items():
+            is_whole = True
+            end_s = time.monotonic() + 2 * SEND_INTERVAL_S
+        for line in server.recv(65536).decode().split("\n"):
+            name, _, rest = line.partition(":")
+            value, _, kind = rest.partition("|")
+            lines.append(line)
+            if kind == "c":
+                sums[name] = sums.get(name, 0) + int(value)
+    return sums, lines
+
+
+def test_entry_sends_what_its_callers_saw():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(10.0)
+        statsd = {"port": server.getsockname()[1], "prefix": "p"}
+        with Fleet(SHAPES["thin"], statsd=statsd) as fleet:
+            assert post(fleet, "small@1") == 200
+            assert post(fleet, "small@1", stream=True) == 200
+            assert post(fleet, "large@1") == 403
+            wanted = {
+                "p.requests": 3,
+                "p.answers": 2,
+                "p.refusals.model_not_allowed": 1,
+            }
+            sums, lines = receive_sums(server, wanted, 10.0)
+    assert sums == wanted
+    timers = [line.partition(":")[0] for line in lines if "|ms" in line]
+    assert sorted(timers) == ["p.first_chunk", "p.total", "p.total"]
+    assert "p.records_refused:0|g" in lines
+    assert "p.open_requests:0|g" in lines
+    assert any(line.startswith("p.control_offset:") for line in lines)
+
+
+def test_entry_serves_without_statsd():
+    statsd = {"host": "statsd.invalid"}
+    with Fleet(SHAPES["thin"], statsd=statsd) as fleet:
+        time.sleep(1.5)  # The first send has looked the host up.
+        assert post(fleet, "small@1") == 200
+        assert post(fleet, "large@1") == 403
+
+
+@pytest.mark.parametrize("error", [socket.gaierror(-2, "x"), UnicodeError()])
+async def test_unknown_host_loses_no_count_and_raises_nothing(
+    monkeypatch, error
+):
+    def fail(*args):
+        raise error
+
+    metrics = Metrics(StatsdSettings("statsd.invalid"), TimerService())
+    with monkeypatch.context() as patch:
+        patch.setattr(socket, "getaddrinfo", fail)
+        metrics.count(Metric.REQUESTS)
+        metrics.send()
+        metrics._resolver.join()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        address = server.getsockname()
+        family = (socket.AF_INET, socket.SOCK_DGRAM, 17, "", address)
+        monkeypatch.setattr(socket, "getaddrinfo", lambda *args: [family])
+        metrics._resolve_at_s = 0.0
+        metrics.send()
+        metrics._resolver.join()
+        assert "lovagestage.requests:1|c" in receive_all(metrics, server)
+
+
+async def test_slow_resolver_holds_up_nothing(monkeypatch):
+    asked = threading.Event()
+    release = threading.Event()
+
+    def wait(*args):
+        asked.set()
+        release.wait(10.0)
+        raise socket.gaierror(-3, "x")
+
+    monkeypatch.setattr(socket, "getaddrinfo", wait)
+    metrics = Metrics(StatsdSettings("statsd.invalid"), TimerService())
+    started_s = time.monotonic()
+    metrics.send()
+    metrics._resolve_at_s = 0.0
+    first = metrics._resolver
+    metrics.send()
+    assert time.monotonic() - started_s < 1.0
+    assert asked.wait(5.0)
+    assert metrics._resolver is first
+    release.set()
+    first.join()
+
+
 async def test_counts_are_added_up_and_timings_bounded():
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
         server.bind(("127.0.0.1", 0))
