Split the adapters by outside system

Change: adapters.py holds all protocols and their types, the plain service's too; http_log, http_vm_list, http_engine, http_rater and http_plain_service (formerly plain_service) hold one thin adapter each, http_calls their time limits. Behaviour stays the same; an unused constant is gone. test_writer shortens the same time limit where it stands now.

--- a/lab/experiments/config.py
+++ b/lab/experiments/config.py
@@ -22,9 +22,9 @@
 from lab.experiments import Result
 from lab.log import LogService
 from lab.server import start_app
-from lovagestage.adapters import HttpLog
 from lovagestage.control import READ_WAIT_S, ControlReader
 from lovagestage.documents import ServiceInForce
+from lovagestage.http_log import HttpLog
 from lovagestage.records import DocumentChange
 from lovagestage.types import ChangeId, ServiceId
 from lovagestage.writer import ControlWriter
--- a/lab/experiments/failover.py
+++ b/lab/experiments/failover.py
@@ -36,10 +36,10 @@
 from lab.recorded_runs import read_runs
 from lab.relay import Relay
 from lab.traffic import Traffic
-from lovagestage.adapters import HttpLog
 from lovagestage.billing import BILLING_STREAM, Bill, decode_batch
 from lovagestage.commands import make_withdrawal
 from lovagestage.document import ServiceDocument
+from lovagestage.http_log import HttpLog
 from lovagestage.settings import parse_file
 from lovagestage.types import Offset
 
--- a/lab/experiments/log_outage.py
+++ b/lab/experiments/log_outage.py
@@ -23,10 +23,11 @@
 from lab.experiments.config import make_document
 from lab.log import LogService
 from lab.server import start_app
-from lovagestage.adapters import HttpLog, Log, LogPage
+from lovagestage.adapters import Log, LogPage
 from lovagestage.control import ControlReader
 from lovagestage.exceptions import BelowHorizonError, LogUnavailableError
 from lovagestage.fold import Outcome
+from lovagestage.http_log import HttpLog
 from lovagestage.messages import StateAnswer
 from lovagestage.peerstate import choose_newest
 from lovagestage.records import (
--- a/lab/naive_proxy.py
+++ b/lab/naive_proxy.py
@@ -22,10 +22,10 @@
 
 from lab.faults import error
 from lab.server import add_server_arguments, run_app
-from lovagestage.adapters import HttpLog
 from lovagestage.billing import BILLING_STREAM, Batch, Bill, encode_batch
 from lovagestage.document import ServiceDocument, VersionState
 from lovagestage.exceptions import CodecError, LogError
+from lovagestage.http_log import HttpLog
 from lovagestage.records import CONTROL_STREAM, DocumentChange, decode_record
 from lovagestage.types import Offset, RequestId, ServiceId, WorkspaceId
 
--- /dev/null
+++ b/src/lovagestage/http_engine.py
@@ -0,0 +1,183 @@
+"""An OpenAI-compatible engine over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from lovagestage.adapters import EngineLoad
+from lovagestage.exceptions import EngineError, EngineRefusedError
+from lovagestage.http_calls import SHORT_CALL, STREAM
+from lovagestage.messages import OrderState
+from lovagestage.types import FencingNumber, RequestId, RunState
+
+_ORDER_STATES = {
+    200: OrderState.DONE,
+    202: OrderState.STARTED,
+    503: OrderState.THROTTLED,
+}
+
+
+class _LoadForm(msgspec.Struct):
+    running: int
+    waiting: int
+    max_batch: int
+    kv_used_ratio: float
+    token_interval_ms: float
+
+
+class _ModelForm(msgspec.Struct):
+    id: str
+
+
+class _ModelsForm(msgspec.Struct):
+    data: list[_ModelForm]
+
+
+class HttpEngine:
+    """An OpenAI-compatible engine over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def run(
+        self, request_id: RequestId, priority: int, body: bytes
+    ) -> AsyncIterator[bytes]:
+        """See `Engine.run`."""
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": request_id,
+            "X-Priority": str(priority),
+        }
+        request = self._session.post(
+            f"{self._url}/v1/chat/completions",
+            data=body,
+            headers=headers,
+            timeout=STREAM,
+        )
+        async for block in self._get_blocks(request):
+            yield block
+
+    async def resume(
+        self, request_id: RequestId, from_seq: int
+    ) -> AsyncIterator[bytes]:
+        """See `Engine.resume`."""
+        request = self._session.get(
+            f"{self._url}/v1/streams/{request_id}",
+            params={"from_seq": str(from_seq)},
+            timeout=STREAM,
+        )
+        async for block in self._get_blocks(request):
+            yield block
+
+    async def cancel(self, request_id: RequestId) -> None:
+        """See `Engine.cancel`."""
+        try:
+            async with self._session.delete(
+                f"{self._url}/v1/streams/{request_id}", timeout=SHORT_CALL
+            ):
+                pass
+        except (TimeoutError, aiohttp.ClientError):
+            # The engine ends the request itself when its batch gets to it;
+            # the tokens it spends until then are the only loss.
+            return
+
+    async def get_load(self) -> EngineLoad:
+        """See `Engine.get_load`."""
+        form = msgspec.json.decode(await self._get("/load"), type=_LoadForm)
+        return EngineLoad(
+            form.running,
+            form.waiting,
+            form.max_batch,
+            form.kv_used_ratio,
+            form.token_interval_ms,
+        )
+
+    async def get_versions(self) -> list[str]:
+        """See `Engine.get_versions`."""
+        form = msgspec.json.decode(
+            await self._get("/v1/models"), type=_ModelsForm
+        )
+        return [model.id for model in form.data]
+
+    async def order(self, version: str, fencing: FencingNumber) -> OrderState:
+        """See `Engine.order`."""
+        model, _, name = version.partition("@")
+        body = {
+            "kind": "load",
+            "model": model,
+            "version": name,
+            "fencing": fencing,
+        }
+        try:
+            async with self._session.post(
+                f"{self._url}/orders", json=body, timeout=SHORT_CALL
+            ) as response:
+                return _ORDER_STATES.get(response.status, OrderState.REFUSED)
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise EngineError(
+                f"The engine does not answer an order: {error!r}.",
+                RunState.UNKNOWN,
+            ) from error
+
+    async def _get(self, path: str) -> bytes:
+        try:
+            async with self._session.get(
+                f"{self._url}{path}", timeout=SHORT_CALL
+            ) as response:
+                response.raise_for_status()
+                return await response.read()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise EngineError(
+                f"The engine does not answer {path}: {error!r}.",
+                RunState.UNKNOWN,
+            ) from error
+
+    async def _get_blocks(
+        self, request: aiohttp.client._RequestContextManager
+    ) -> AsyncIterator[bytes]:
+        sent = False
+        try:
+            async with request as response:
+                sent = True
+                if response.status in (404, 429, 503):
+                    raise EngineRefusedError(
+                        f"The engine refused with {response.status}."
+                    )
+                if response.status != 200:
+                    raise EngineError(
+                        f"The engine answered {response.status}.",
+                        RunState.RAN,
+                    )
+                async for block in _split_events(response.content):
+                    yield block
+        except aiohttp.ClientConnectorError as error:
+            raise EngineRefusedError(
+                f"The engine can't be reached: {error}."
+            ) from error
+        except (TimeoutError, aiohttp.ClientError) as error:
+            state = "while it answered" if sent else "before it answered"
+            raise EngineError(
+                f"The engine was lost {state}: {error!r}.", RunState.UNKNOWN
+            ) from error
+
+
+async def _split_events(
+    content: aiohttp.StreamReader,
+) -> AsyncIterator[bytes]:
+    """Yields whole server-sent events, as many as have arrived together."""
+    rest = b""
+    while True:
+        data = await content.readany()
+        if not data:
+            return
+        data = rest + data
+        end = data.rfind(b"\n\n")
+        if end < 0:
+            rest = data
+            continue
+        rest = data[end + 2 :]
+        yield data[: end + 2]
--- /dev/null
+++ b/src/lovagestage/http_log.py
@@ -0,0 +1,118 @@
+"""The log over HTTP."""
+
+from __future__ import annotations
+
+import base64
+
+import aiohttp
+import msgspec
+
+from lovagestage.adapters import LogPage
+from lovagestage.exceptions import (
+    BelowHorizonError,
+    LogAnswerLostError,
+    LogUnavailableError,
+)
+from lovagestage.http_calls import (
+    SHORT_CALL,
+    SHORT_CALL_TIMEOUT_S,
+    UNREADABLE,
+)
+from lovagestage.types import Offset
+
+
+class _RecordForm(msgspec.Struct):
+    offset: int
+    data: str
+
+
+class _PageForm(msgspec.Struct):
+    first_offset: int
+    next_offset: int
+    records: list[_RecordForm]
+
+
+class _AppendForm(msgspec.Struct):
+    offset: int
+
+
+class _ErrorForm(msgspec.Struct):
+    first_offset: int = 0
+
+
+class HttpLog:
+    """The log over HTTP.
+
+    Args:
+        session: HTTP client of the process.
+        url: Base URL.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def append(self, stream: str, data: bytes) -> Offset:
+        """See `Log.append`."""
+        try:
+            async with self._session.post(
+                self._get_url(stream), data=data, timeout=SHORT_CALL
+            ) as response:
+                body = await response.read()
+                if response.status in (429, 503):
+                    raise LogUnavailableError(
+                        f"The log refused an append with {response.status}."
+                    )
+                if response.status != 200:
+                    raise LogAnswerLostError(
+                        f"The log answered {response.status} to an append."
+                    )
+                return Offset(
+                    msgspec.json.decode(body, type=_AppendForm).offset
+                )
+        except aiohttp.ClientConnectorError as error:
+            raise LogUnavailableError(f"The log is down: {error}.") from error
+        except UNREADABLE as error:
+            raise LogAnswerLostError(
+                f"The log's answer is lost: {error!r}."
+            ) from error
+
+    async def read(
+        self, stream: str, start: Offset, limit: int, wait_s: float
+    ) -> LogPage:
+        """See `Log.read`."""
+        query = {
+            "from": str(start),
+            "limit": str(limit),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        timeout = aiohttp.ClientTimeout(total=wait_s + SHORT_CALL_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                self._get_url(stream), params=query, timeout=timeout
+            ) as response:
+                body = await response.read()
+                if response.status == 410:
+                    form = msgspec.json.decode(body, type=_ErrorForm)
+                    raise BelowHorizonError(stream, form.first_offset)
+                if response.status != 200:
+                    raise LogUnavailableError(
+                        f"The log answered {response.status} to a read."
+                    )
+                return _make_page(msgspec.json.decode(body, type=_PageForm))
+        except UNREADABLE as error:
+            raise LogUnavailableError(f"The log is down: {error!r}.") from error
+
+    def _get_url(self, stream: str) -> str:
+        return f"{self._url}/v1/streams/{stream}/records"
+
+
+def _make_page(form: _PageForm) -> LogPage:
+    return LogPage(
+        Offset(form.first_offset),
+        Offset(form.next_offset),
+        [
+            (Offset(record.offset), base64.b64decode(record.data))
+            for record in form.records
+        ],
+    )
--- a/src/lovagestage/plain_service.py
+++ b/src/lovagestage/http_plain_service.py
@@ -1,16 +1,16 @@
-"""A plain service behind a protocol, with its HTTP adapter."""
+"""A plain service over HTTP."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Sequence
-from typing import Protocol, runtime_checkable
 
 import aiohttp
 import yarl
 from multidict import CIMultiDict
 
 from lovagestage.exceptions import EngineError, EngineRefusedError
+from lovagestage.http_calls import CONNECT_TIMEOUT_S
 from lovagestage.plain_calls import (
     Header,
     PlainAnswer,
@@ -19,7 +19,6 @@
 )
 from lovagestage.types import RequestId, RunState
 
-CONNECT_TIMEOUT_S = 2.0
 _CALL = aiohttp.ClientTimeout(
     total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=None
 )
@@ -27,27 +26,6 @@
 _AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
-@runtime_checkable
-class PlainService(Protocol):
-    """The plain service beside a sidecar."""
-
-    async def call(
-        self, call: PlainCall, headers: Sequence[Header]
-    ) -> PlainAnswer:
-        """Makes one call, once; any status is an answer.
-
-        Raises:
-            EngineRefusedError: It certainly did not reach the service.
-            EngineError: There is no whole answer, with what is known.
-        """
-
-    async def cancel(self, request_id: RequestId) -> None:
-        """Does nothing: what a plain service has begun is not taken back."""
-
-    async def is_up(self) -> bool:
-        """Whether it takes connections."""
-
-
 class _SendOnce:
     """Keeps aiohttp from sending one request twice.
 
--- /dev/null
+++ b/src/lovagestage/http_vm_list.py
@@ -0,0 +1,46 @@
+"""The list of VMs over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from lovagestage.adapters import Vm, VmListError
+from lovagestage.http_calls import SHORT_CALL, UNREADABLE
+from lovagestage.types import Role, VmId, VmState, ZoneId
+
+
+class _VmForm(msgspec.Struct):
+    vm: VmId
+    role: Role
+    zone: ZoneId
+    state: VmState
+    bus: str
+
+
+class _VmsForm(msgspec.Struct):
+    vms: list[_VmForm]
+
+
+class HttpVmList:
+    """The list of VMs over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def get_vms(self) -> list[Vm]:
+        """See `VmList.get_vms`."""
+        try:
+            async with self._session.get(
+                f"{self._url}/v1/vms", timeout=SHORT_CALL
+            ) as response:
+                response.raise_for_status()
+                form = msgspec.json.decode(await response.read(), type=_VmsForm)
+        except UNREADABLE as error:
+            raise VmListError(
+                f"The list of VMs can't be read: {error!r}."
+            ) from error
+        return [
+            Vm(vm.vm, vm.role, vm.zone, vm.state, vm.bus) for vm in form.vms
+        ]
--- a/src/lovagestage/operator_client.py
+++ b/src/lovagestage/operator_client.py
@@ -13,7 +13,7 @@
 import msgspec
 import zmq
 
-from lovagestage.adapters import HttpLog, HttpVmList, Vm
+from lovagestage.adapters import Vm
 from lovagestage.checks import Fault, get_faults
 from lovagestage.control import ControlReader
 from lovagestage.document import ServiceDocument
@@ -26,6 +26,8 @@
     ServiceUnknownError,
     SettingsError,
 )
+from lovagestage.http_log import HttpLog
+from lovagestage.http_vm_list import HttpVmList
 from lovagestage.messages import DumpAnswer, DumpRequest, Message
 from lovagestage.operators import sign_change
 from lovagestage.outcomes import ChangeResult, Outcome
--- a/src/lovagestage/plain_stream.py
+++ b/src/lovagestage/plain_stream.py
@@ -4,7 +4,7 @@
 
 from collections.abc import AsyncIterator
 
-from lovagestage.adapters import Engine
+from lovagestage.adapters import Engine, PlainService
 from lovagestage.engine_stream import EngineStream
 from lovagestage.events import Block
 from lovagestage.exceptions import CodecError, EngineRefusedError
@@ -16,7 +16,6 @@
     decode_call,
     encode_answer,
 )
-from lovagestage.plain_service import PlainService
 from lovagestage.settings import SidecarSettings
 
 
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from lovagestage.adapters import Engine
+from lovagestage.adapters import Engine, PlainService
 from lovagestage.events import Usage, make_plain_answer
 from lovagestage.exceptions import EngineCrashedError, EngineError
 from lovagestage.hub import Hub
@@ -28,7 +28,6 @@
     Message,
     Refused,
 )
-from lovagestage.plain_service import PlainService
 from lovagestage.plain_stream import open_stream
 from lovagestage.readers import Run, get_pace_s
 from lovagestage.run_gate import RunGate
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from lovagestage.adapters import Engine, EngineLoad
+from lovagestage.adapters import Engine, EngineLoad, PlainService
 from lovagestage.control import ControlReader
 from lovagestage.document import (
     ServiceDocument,
@@ -35,7 +35,6 @@
     Refused,
 )
 from lovagestage.plain_calls import has_pool, make_pool_version
-from lovagestage.plain_service import PlainService
 from lovagestage.runs import RunTable
 from lovagestage.settings import Settings, SidecarSettings
 from lovagestage.timers import TimerService
--- a/src/lovagestage/usage.py
+++ b/src/lovagestage/usage.py
@@ -25,7 +25,7 @@
 from lovagestage.types import Offset
 
 if TYPE_CHECKING:
-    from lovagestage.adapters import HttpLog
+    from lovagestage.http_log import HttpLog
 
 READ_LIMIT = 500
 
@@ -201,7 +201,7 @@
 async def _read(url: str, wanted: Filter, passes: int) -> Totals:
     import aiohttp
 
-    from lovagestage.adapters import HttpLog
+    from lovagestage.http_log import HttpLog
 
     totals = Totals()
     counter = UsageCounter(wanted, passes, totals)
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -14,7 +14,6 @@
 import mode
 import zmq
 
-from lovagestage.adapters import HttpEngine, HttpLog, HttpRater, HttpVmList
 from lovagestage.billing import BillingLedger
 from lovagestage.billing_service import BillingService
 from lovagestage.cascade_service import CascadeService
@@ -26,6 +25,11 @@
 from lovagestage.entry import Entry
 from lovagestage.exposure_service import ExposureService
 from lovagestage.gate import FencingGate
+from lovagestage.http_engine import HttpEngine
+from lovagestage.http_log import HttpLog
+from lovagestage.http_plain_service import HttpPlainService
+from lovagestage.http_rater import HttpRater
+from lovagestage.http_vm_list import HttpVmList
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
 from lovagestage.learned import Learned
@@ -40,7 +44,6 @@
 from lovagestage.metrics import Metric, Metrics
 from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
-from lovagestage.plain_service import HttpPlainService
 from lovagestage.quality import QualityService
 from lovagestage.rollout_driver import Evidence, RolloutDriver
 from lovagestage.rollouts import ROLLOUT_LEASE
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lovagestage import adapters, control
+from lovagestage import control, http_log
 from lovagestage.control import FollowState
 from lovagestage.exceptions import (
     ChangeUnknownError,
@@ -67,7 +67,7 @@
 async def test_stalled_append_is_unknown_with_its_change_id(monkeypatch):
     # The log takes the call and says nothing. The caller may not be told
     # "not appended"; it gets the id, with which it asks again later.
-    monkeypatch.setattr(adapters, "SHORT_CALL_TIMEOUT_S", 1.0)
+    monkeypatch.setattr(http_log, "SHORT_CALL_TIMEOUT_S", 1.0)
     async with serve_log() as served:
         writer = ControlWriter(served.log, await served.start_reader())
         served.faults.stall = True
