--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -14,7 +14,6 @@
 import mode
 import zmq
 
-from lovagestage.adapters import HttpEngine, HttpLog, HttpRater, HttpVmList
 from lovagestage.billing import BillingLedger
 from lovagestage.billing_service import BillingService
 from lovagestage.cascade_service import CascadeService
@@ -26,6 +25,11 @@
 from lovagestage.entry import Entry
 from lovagestage.exposure_service import ExposureService
 from lovagestage.gate import FencingGate
+from lovagestage.http_engine import HttpEngine
+from lovagestage.http_log import HttpLog
+from lovagestage.http_plain_service import HttpPlainService
+from lovagestage.http_rater import HttpRater
+from lovagestage.http_vm_list import HttpVmList
 from lovagestage.hub import Hub
 from lovagestage.key_service import KeyService
 from lovagestage.learned import Learned
@@ -37,9 +41,9 @@
 from lovagestage.members import MemberJoined
 from lovagestage.membership import Membership
 from lovagestage.messages import Hello
+from lovagestage.metrics import Metric, Metrics
 from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
-from lovagestage.plain_service import HttpPlainService
 from lovagestage.quality import QualityService
 from lovagestage.rollout_driver import Evidence, RolloutDriver
 from lovagestage.rollouts import ROLLOUT_LEASE
@@ -78,6 +82,7 @@
     context: zmq.Context[zmq.Socket[bytes]]
     session: aiohttp.ClientSession
     timers: TimerService
+    metrics: Metrics
     log: HttpLog
     control: ControlReader
     writer: ControlWriter
@@ -109,6 +114,7 @@
         await process.drain()
         for service in reversed(started):
             await service.stop()
+        base.metrics.send()
         listener.close()
     authenticator.stop()
     context.destroy(linger=500)
@@ -147,13 +153,17 @@
         SnapshotStream(log, settings.platform.log_keys),
         settings.platform.operators_root_key,
     )
+    timers = TimerService()
+    metrics = Metrics(settings.statsd, timers)
+    _measure_control(control, metrics)
     hub = Hub()
     StateResponder(control, hub)
     return _Base(
         settings,
         context,
         session,
-        TimerService(),
+        timers,
+        metrics,
         log,
         control,
         ControlWriter(log, control),
@@ -162,6 +172,15 @@
     )
 
 
+def _measure_control(control: ControlReader, metrics: Metrics) -> None:
+    def set_gauges() -> None:
+        state = control.folded
+        metrics.set(Metric.CONTROL_OFFSET, state.next_offset)
+        metrics.set(Metric.RECORDS_REFUSED, state.undecodable)
+
+    control.subscribe(set_gauges)
+
+
 def _make_role(base: _Base) -> tuple[_Process, list[mode.Service]]:
     if base.settings.entry is not None:
         return _make_entry(base, base.settings.entry)
@@ -212,6 +231,7 @@
         Trials(exposure, cascades, quality),
         limits,
         _make_deferrals(role),
+        base.metrics,
     )
     work = [
         *_make_snapshot_services(base, role),
