--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -73,10 +73,10 @@
 def test_other_spelling_of_the_signature_is_refused():
     # Base64 spells the same bytes in several ways. None but the one that was
     # given out is a session's token.
-    signer = SessionSigner(["key"])
+    signer = sessions.SessionSigner(["key"])
     refused = 0
     for number in range(40):
-        session = Session(str(number), "w", "s", "m@1", 1, 2)
+        session = sessions.Session(str(number), "w", "s", "m@1", 1, 2)
         token = signer.make_token(session)
         for other in (token.replace("_", "/"), token.replace("-", "+")):
             if other == token:
