Look API keys up in an index instead of all workspaces

Cause: each request compared its key's digest with those of every workspace of every document, work on the hot path that grows with the workspaces. Ruled out: rebuilding on a callback of the reader (a state that is installed from a peer would need one more); the index is checked against the folded state and its offset, which any record moves. Change: the index is made anew where the folded state has changed; the first service that names a key still keeps it. A method of the crash suspects that nothing calls is gone.

--- a/src/lovagestage/authentication.py
+++ b/src/lovagestage/authentication.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 
 from aiohttp import web
 
 from lovagestage.control import ControlReader
 from lovagestage.document import ServiceDocument, get_key_digest
+from lovagestage.documents import ServiceInForce
 from lovagestage.exceptions import NotReadyError, WrongKeyError
+from lovagestage.fold import ControlState
 from lovagestage.keyed_refusals import get_progress
 from lovagestage.trials import Trials
-from lovagestage.types import WorkspaceId
+from lovagestage.types import Offset, ServiceId, WorkspaceId
 
 _BEARER = "Bearer "
 
@@ -40,6 +43,8 @@
     def __init__(self, control: ControlReader, trials: Trials) -> None:
         self._control = control
         self._trials = trials
+        self._index: dict[str, Caller] = {}
+        self._indexed: tuple[ControlState, Offset] | None = None
 
     def get_caller(self, request: web.Request) -> Caller:
         """Finds who sent a request.
@@ -54,10 +59,31 @@
             )
         header = request.headers.get("Authorization", "")
         digest = get_key_digest(header.removeprefix(_BEARER))
-        for service in self._control.services.values():
-            for name, workspace in service.document.workspaces.items():
-                if digest in workspace.key_digests:
-                    get_progress(request).workspace = name
-                    document = self._trials.get_document(service.document)
-                    return Caller(name, document)
-        raise WrongKeyError("The API key belongs to no workspace.")
+        owner = self._get_index().get(digest)
+        if owner is None:
+            raise WrongKeyError("The API key belongs to no workspace.")
+        get_progress(request).workspace = owner.workspace
+        document = self._trials.get_document(owner.document)
+        return dataclasses.replace(owner, document=document)
+
+    def _get_index(self) -> dict[str, Caller]:
+        """Owners by key digest, made anew where records have come."""
+        folded = self._control.folded
+        current = (folded, folded.next_offset)
+        if self._indexed != current:
+            self._index = _make_index(self._control.services)
+            self._indexed = current
+        return self._index
+
+
+def _make_index(
+    services: Mapping[ServiceId, ServiceInForce],
+) -> dict[str, Caller]:
+    index: dict[str, Caller] = {}
+    for service in services.values():
+        for name, workspace in service.document.workspaces.items():
+            owner = Caller(name, service.document)
+            for digest in workspace.key_digests:
+                # The first service that names a key keeps it.
+                index.setdefault(digest, owner)
+    return index
--- a/src/lovagestage/crash_suspects.py
+++ b/src/lovagestage/crash_suspects.py
@@ -72,11 +72,6 @@
         suspect = self._get(name, now_s)
         return len(suspect.strikes) if suspect else 0
 
-    def is_convicted(self, name: Fingerprint, now_s: float) -> bool:
-        """Whether the request is known to crash upstreams."""
-        suspect = self._get(name, now_s)
-        return suspect is not None and suspect.convicted
-
     def admit(self, name: Fingerprint, now_s: float) -> Admission:
         """How the request may run now."""
         suspect = self._get(name, now_s)
