--- a/lab/worker.py
+++ b/lab/worker.py
@@ -212,18 +212,13 @@
 
     async def run(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
         model = arrival.headers.get("model-name", "")
-        more = {}
+        more = {"Content_Type": "text/event-stream"}
         if confidence and model in confidence:
             more["Confidence"] = str(confidence[model])
-        writer.write(
-            make_head(
-                200,
-                arrival,
-                Content_Type="text/event-stream",
-                Transfer_Encoding="chunked",
-                **more,
-            )
+        head = make_head(
+            200, arrival, True, Transfer_Encoding="chunked", **more
         )
+        writer.write(head)
         await writer.drain()
         first = int(arrival.headers.get("last-event-id", "0")) + 1
         for number in range(first, events + 1):
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
@@ -12,8 +13,9 @@
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.rollouts import Assignment
 from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.suspects import make_fingerprint
 from lovagestage.retries import RetryBudget
-from lovagestage.types import InstanceId, RunState, ZoneId
+from lovagestage.types import Fingerprint, InstanceId, RunState, ZoneId
 
 MAX_REFUSALS = 3
 """Upstreams that may refuse a request before its caller is told to come back:
@@ -62,6 +64,16 @@
         self._excluded: set[InstanceId] = set()
         self._refusals = 0
 
+    @functools.cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Names the request whatever its id."""
+        return make_fingerprint(self.admitted)
+
+    @property
+    def run_name(self) -> str:
+        """Names the last attempt."""
+        return f"{self.admitted.request.id}/{self.sent}"
+
     @property
     def left_s(self) -> float:
         """Time until the request's deadline."""
@@ -147,13 +159,20 @@
         now_s = asyncio.get_running_loop().time()
         return self._budget.take(now_s, ESCALATION_RESERVE)
 
-    def make_refusal(self, reason: str) -> GatewayRefusalError:
+    def make_refusal(
+        self, reason: str, comes_back: bool = True
+    ) -> GatewayRefusalError:
         """The final answer of a request that has none from an upstream.
 
         Only where no attempt can have run does it say so.
+
+        Args:
+            reason: Stable name of the reason.
+            comes_back: Whether another try could help.
         """
         if self.runs == 0:
-            return GatewayRefusalError(503, reason, COME_BACK_S)
+            retry_after_s = COME_BACK_S if comes_back else None
+            return GatewayRefusalError(503, reason, retry_after_s)
         if self.left_s <= MIN_LEFT_S:
             return GatewayRefusalError(504, reason)
         return GatewayRefusalError(502, reason)
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from lovagestage.gateway.settings import GatewaySettings
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
 from lovagestage.gateway.stream_runs import forward_stream
+from lovagestage.gateway.suspects import SuspectWatch
 from lovagestage.retries import RetryBudget
 from lovagestage.types import ServiceId
 
@@ -37,6 +38,7 @@
         deployment: What is in force.
         pool: Connections to upstreams.
         evidence: Takes what is seen of versions.
+        suspects: Requests that may crash upstreams.
         rng: Source of randomness.
     """
 
@@ -46,13 +48,16 @@
         deployment: Deployment,
         pool: ConnectionPool,
         evidence: EvidenceSink,
+        suspects: SuspectWatch,
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._deployment = deployment
         self._rng = rng
         self._budgets: dict[ServiceId, RetryBudget] = {}
-        self._parts = RunParts(pool, evidence, LatencyTable(), LoadGauge())
+        self._parts = RunParts(
+            pool, evidence, LatencyTable(), LoadGauge(), suspects
+        )
 
     async def forward(self, admitted: Admitted, sink: AnswerSink) -> Attempts:
         """Runs a request.
--- a/src/lovagestage/gateway/mailbox.py
+++ b/src/lovagestage/gateway/mailbox.py
@@ -5,14 +5,18 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any, TypeVar
 
 import mode
 
+from lovagestage.crash_reports import CrashReport
 from lovagestage.exceptions import CodecError, StoreError
 from lovagestage.gateway.notes import (
     TOPIC,
+    FailureNote,
     Letter,
     Note,
+    OutcomeNote,
     decode_letter,
     encode_letter,
 )
@@ -20,6 +24,7 @@
 from lovagestage.types import VmId
 
 _log = logging.getLogger(__name__)
+_Kind = TypeVar("_Kind", FailureNote, OutcomeNote, CrashReport)
 
 BATCH_S = 0.15
 """Notes wait this long for others: each call to the store has its price, and
@@ -38,7 +43,6 @@
         store: Client for appends.
         vm: This VM.
         incarnation: Start time of the process in nanoseconds.
-        on_note: Takes a note of another gateway.
     """
 
     def __init__(
@@ -46,16 +50,21 @@
         store: StoreClient,
         vm: VmId,
         incarnation: int,
-        on_note: Callable[[Note], None],
     ) -> None:
         super().__init__()
         self._store = store
         self._vm = vm
         self._incarnation = incarnation
-        self._on_note = on_note
+        self._readers: dict[type[Any], Callable[[Any], None]] = {}
         self._waiting: list[Note] = []
         self._added = asyncio.Event()
 
+    def subscribe(
+        self, kind: type[_Kind], reader: Callable[[_Kind], None]
+    ) -> None:
+        """Hands the other gateways' notes of one kind to a part."""
+        self._readers[kind] = reader
+
     def post(self, note: Note) -> None:
         """Tells the others."""
         self._waiting.append(note)
@@ -82,7 +91,7 @@
             ):
                 continue
             for note in letter.notes:
-                self._on_note(note)
+                self._readers[type(note)](note)
 
     def on_proof(self, at_s: float) -> None:
         """Nothing depends on the age of the letters."""
--- a/src/lovagestage/gateway/plain.py
+++ b/src/lovagestage/gateway/plain.py
@@ -12,7 +12,7 @@
     MAX_BODY_BYTES,
     RunParts,
     add_evidence,
-    get_expected_s,
+    begin_attempt,
     get_silence_limit_s,
     limit_wait,
     make_exchange,
@@ -31,7 +31,7 @@
     """
     while True:
         model = attempts.admitted.request.model
-        upstream = attempts.choose(get_expected_s(parts, attempts, model))
+        upstream = await begin_attempt(parts, attempts, model)
         started_s = asyncio.get_running_loop().time()
         try:
             head, body = await _fetch_whole(parts, attempts, upstream)
@@ -78,6 +78,7 @@
     kind = (admitted.route.name, admitted.request.model)
     failed = head.status >= 500
     upstream.performance.note_answer(failed)
+    parts.suspects.note_answered(attempts.fingerprint, attempts.run_name)
     if failed or parts.latency.is_slow(kind, time_s):
         add_evidence(parts, attempts, upstream)
     if not failed and not attempts.assignment.is_new:
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -11,6 +11,7 @@
 
 import mode
 
+from lovagestage.crash_reports import CrashReport
 from lovagestage.exceptions import SettingsError
 from lovagestage.gateway.beliefs import OperatorBeliefs, UpstreamBeliefs
 from lovagestage.gateway.clocks import get_elapsed_s
@@ -22,11 +23,12 @@
 from lovagestage.gateway.loglines import start_logging
 from lovagestage.gateway.mailbox import Mailbox
 from lovagestage.gateway.messages import CallerRequest
-from lovagestage.gateway.notes import TOPIC
+from lovagestage.gateway.notes import TOPIC, FailureNote, OutcomeNote
 from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.server import CallerConnection, CallerServer
 from lovagestage.gateway.service import GatewayService
 from lovagestage.gateway.settings import GatewaySettings
+from lovagestage.gateway.suspects import SuspectWatch
 from lovagestage.gateway.trust import Trust
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
@@ -40,7 +42,10 @@
 OPERATOR_WAIT_S = 2.0
 """The store holds a read of the configuration so long: a change arrives at
 once, and the proof that there is none is at most this and a call old."""
-UPSTREAM_WAIT_S = 4.0
+OPERATOR_WAIT_RATIO = 0.3
+"""The same as part of the time for which keys may be relied on, where that is
+shorter: one lost read must not end the trust."""
+UPSTREAM_WAIT_S = 3.0
 """The same for upstreams; nothing depends on the age of their list, so a read
 that hangs only delays what the next one finds."""
 NOTES_WAIT_S = 10.0
@@ -127,15 +132,19 @@
         self._rollouts = RolloutService(
             self._make_store(), self.deployment, rng
         )
-        mailbox = Mailbox(
-            self._make_store(),
-            settings.vm,
-            time.time_ns(),
-            self._rollouts.on_note,
-        )
+        mailbox = Mailbox(self._make_store(), settings.vm, time.time_ns())
+        suspects = SuspectWatch(mailbox.post)
+        mailbox.subscribe(CrashReport, suspects.on_report)
+        mailbox.subscribe(FailureNote, self._rollouts.on_failure_note)
+        mailbox.subscribe(OutcomeNote, self._rollouts.on_outcome_note)
         self._rollouts.set_mailbox(mailbox)
         forwarder = Forwarder(
-            settings, self.deployment, self._pool, self._rollouts, rng
+            settings,
+            self.deployment,
+            self._pool,
+            self._rollouts,
+            suspects,
+            rng,
         )
         service = GatewayService(self.deployment, forwarder, self._exposition)
         self._callers = CallerServer(service.answer, service.get_limits)
@@ -162,7 +171,10 @@
             self._make_store(),
             OPERATOR_TOPIC,
             operators,
-            OPERATOR_WAIT_S,
+            min(
+                OPERATOR_WAIT_S,
+                OPERATOR_WAIT_RATIO * self._settings.bounds.revoke_s,
+            ),
             True,
             rng,
         )
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -16,7 +16,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.mailbox import Mailbox
-from lovagestage.gateway.notes import FailureNote, Note, OutcomeNote
+from lovagestage.gateway.notes import FailureNote, OutcomeNote
 from lovagestage.gateway.rollouts import (
     Assignment,
     OutcomeRecord,
@@ -41,9 +41,6 @@
 most learn that it is written before they try."""
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.5
-ONE_VOTE_REASONS_S = 2.0
-"""Failures of one upstream within this time count once where its connections
-broke: one crash ends all that runs there."""
 
 
 class RolloutService(mode.Service):
@@ -101,22 +98,31 @@
         assert self._mailbox is not None
         self._mailbox.post(note)
 
-    def on_note(self, note: Note) -> None:
-        """Takes what another gateway tells."""
-        if not isinstance(note, FailureNote | OutcomeNote):
-            return
-        rollout = self._deployment.rollouts.get(note.service)
-        if rollout is None or rollout.offset != note.order:
-            return
-        rollout.note_age(note.age_s, get_elapsed_s())
-        if isinstance(note, FailureNote):
+    def on_failure_note(self, note: FailureNote) -> None:
+        """Takes another gateway's evidence."""
+        rollout = self._find(note.service, note.order, note.age_s)
+        if rollout is not None:
             self._count(rollout, note)
+
+    def on_outcome_note(self, note: OutcomeNote) -> None:
+        """Takes what another gateway has written for the operators."""
+        rollout = self._find(note.service, note.order, note.age_s)
+        if rollout is None:
             return
         outcome = RolloutOutcome(note.outcome)
         self._announced[note.service] = note.order
         if outcome is not RolloutOutcome.RUNNING:
             self._settle(rollout, outcome, "peer")
 
+    def _find(
+        self, service: ServiceId, order: int, age_s: float
+    ) -> Rollout | None:
+        rollout = self._deployment.rollouts.get(service)
+        if rollout is None or rollout.offset != order:
+            return None
+        rollout.note_age(age_s, get_elapsed_s())
+        return rollout
+
     def _count(self, rollout: Rollout, note: FailureNote) -> None:
         was_stopped = rollout.is_stopped
         ready = self._deployment.rotation.get_ready(note.service)
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
+from lovagestage.crash_suspects import Admission
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
@@ -17,9 +18,13 @@
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
+from lovagestage.gateway.suspects import SuspectWatch
+from lovagestage.retries import PROBE_WAIT_S
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
+LOST_REASONS = ("connection_lost", "answer_broken")
+"""Failures that a crash of the upstream looks like."""
 _Result = TypeVar("_Result")
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -42,12 +47,38 @@
         evidence: Takes what is seen of versions.
         latency: Times of answers by route and model.
         gauge: How full the upstreams are.
+        suspects: Requests that may crash upstreams.
     """
 
     pool: ConnectionPool
     evidence: EvidenceSink
     latency: LatencyTable
     gauge: LoadGauge
+    suspects: SuspectWatch
+
+
+async def begin_attempt(
+    parts: RunParts, attempts: Attempts, model: str | None
+) -> Upstream:
+    """Chooses an upstream, once the request may run.
+
+    Raises:
+        GatewayRefusalError: It may not, or none is left.
+    """
+    fingerprint = attempts.fingerprint
+    while True:
+        admission = parts.suspects.admit(fingerprint)
+        if admission is Admission.REFUSE:
+            raise attempts.make_refusal("crashes_upstreams", comes_back=False)
+        if admission is not Admission.WAIT:
+            break
+        if attempts.left_s <= PROBE_WAIT_S:
+            raise attempts.make_refusal("suspect_waiting")
+        await asyncio.sleep(PROBE_WAIT_S)
+    upstream = attempts.choose(get_expected_s(parts, attempts, model))
+    if admission is Admission.PROBE:
+        parts.suspects.start_probe(fingerprint, attempts.run_name)
+    return upstream
 
 
 def make_exchange(
@@ -151,6 +182,10 @@
         upstream.performance.note_absent(get_elapsed_s())
     if error.run is not RunState.NOT_RUN:
         add_evidence(parts, attempts, upstream)
+    if error.reason in LOST_REASONS:
+        parts.suspects.note_lost(
+            attempts.fingerprint, attempts.run_name, upstream
+        )
 
 
 def add_evidence(
--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -77,6 +77,7 @@
                 event = await self._receive()
             if not isinstance(event, h11.Request):
                 return None
+            _check_head(event, limits.head_bytes)
             arrived_s = asyncio.get_running_loop().time()
             request = wire.decode_request(event)
             async with asyncio.timeout(BODY_TIMEOUT_S):
@@ -203,6 +204,21 @@
                 ) from error
 
 
+def _check_head(event: h11.Request, limit_bytes: int) -> None:
+    """Refuses a head that is too long but came at once.
+
+    The parser's own limit is for what it has to keep.
+    """
+    size = len(event.target) + sum(
+        len(name) + len(value) + _HEADER_EXTRA_BYTES
+        for name, value in event.headers
+    )
+    if size > limit_bytes:
+        raise WrongMessageError(f"Head over {limit_bytes} bytes.", 431)
+
+
+_HEADER_EXTRA_BYTES = 4
+"""Colon, space and line end."""
 _STATUSES = frozenset(status.value for status in HTTPStatus)
 
 Handler = Callable[[CallerRequest, CallerConnection], Awaitable[None]]
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -16,7 +16,7 @@
     MAX_BODY_BYTES,
     RunParts,
     add_evidence,
-    get_expected_s,
+    begin_attempt,
     get_silence_limit_s,
     limit_wait,
     make_exchange,
@@ -66,7 +66,7 @@
     model = get_first_model(admitted.route, admitted.request)
     progress = _Progress(admitted.request.resume_after, False)
     while True:
-        upstream = attempts.choose(get_expected_s(parts, attempts, model))
+        upstream = await begin_attempt(parts, attempts, model)
         run = _StreamRun(parts, attempts, upstream, model, progress, sink)
         try:
             following = await run.run()
@@ -197,6 +197,9 @@
         if self._splitter.has_rest:
             raise AttemptFailedError("event_broken", RunState.RAN)
         self._upstream.performance.note_answer(False)
+        self._parts.suspects.note_answered(
+            attempts.fingerprint, attempts.run_name
+        )
         if not self.progress.is_started:
             await self._sink.start(head)
         await self._sink.finish()
--- /dev/null
+++ b/src/lovagestage/gateway/suspects.py
@@ -0,0 +1,115 @@
+"""Keeps requests that crash their upstreams from being sent on and on."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from lovagestage.crash_reports import CrashReport
+from lovagestage.crash_suspects import (
+    STRIKES_TO_PROBE,
+    Admission,
+    SuspectTable,
+    get_fingerprint,
+)
+from lovagestage.exceptions import ConnectionLostError
+from lovagestage.gateway.admission import Admitted
+from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.rotation import Upstream
+from lovagestage.http1 import open_channel
+from lovagestage.types import Fingerprint, WorkspaceId
+
+_log = logging.getLogger(__name__)
+
+CONFIRM_TIMEOUT_S = 0.5
+"""An upstream that takes no connection for so long after it broke one has
+crashed; one that only reset a connection takes the next at once."""
+
+
+class SuspectWatch:
+    """Tells crashes from lost connections and shares what it learns.
+
+    A lost connection alone is no strike: links break, and all requests of
+    the VM would be suspected.
+
+    Args:
+        post: Tells the other gateways.
+    """
+
+    def __init__(self, post: Callable[[CrashReport], None]) -> None:
+        self._table = SuspectTable()
+        self._post = post
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def admit(self, fingerprint: Fingerprint) -> Admission:
+        """How a request may run now."""
+        return self._table.admit(fingerprint, get_elapsed_s())
+
+    def start_probe(self, fingerprint: Fingerprint, run: str) -> None:
+        """Notes that a suspect runs alone."""
+        report = self._table.start_probe(fingerprint, run, get_elapsed_s())
+        self._post(report)
+
+    def note_lost(
+        self, fingerprint: Fingerprint, run: str, upstream: Upstream
+    ) -> None:
+        """Finds out whether the upstream crashed under a request."""
+        task = asyncio.get_running_loop().create_task(
+            self._confirm(fingerprint, run, upstream)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def note_answered(self, fingerprint: Fingerprint, run: str) -> None:
+        """Clears a request that an upstream has answered."""
+        now_s = get_elapsed_s()
+        report = self._table.add_end(fingerprint, run, True, now_s)
+        if report is not None:
+            self._post(report)
+
+    def on_report(self, report: CrashReport) -> None:
+        """Takes what another gateway tells."""
+        self._table.apply(report, get_elapsed_s())
+
+    async def _confirm(
+        self, fingerprint: Fingerprint, run: str, upstream: Upstream
+    ) -> None:
+        try:
+            channel = await open_channel(
+                upstream.entry.address, CONFIRM_TIMEOUT_S
+            )
+        except ConnectionLostError:
+            self._add_strike(fingerprint, run, upstream)
+        else:
+            channel.abort()
+
+    def _add_strike(
+        self, fingerprint: Fingerprint, run: str, upstream: Upstream
+    ) -> None:
+        now_s = get_elapsed_s()
+        # With so many strikes before this one, the run was its probe, or it
+        # began in the moment before the last strike was confirmed.
+        strikes = self._table.get_strikes(fingerprint, now_s)
+        is_last = strikes >= STRIKES_TO_PROBE
+        report = self._table.add_crash(fingerprint, run, is_last, now_s)
+        _log.warning(
+            "upstream_crashed",
+            extra={
+                "run": run,
+                "upstream": upstream.id,
+                "fingerprint": fingerprint,
+                "strikes": self._table.get_strikes(fingerprint, now_s),
+            },
+        )
+        self._post(report)
+
+
+def make_fingerprint(admitted: Admitted) -> Fingerprint:
+    """Names a request by its workspace, path and body, whatever its id."""
+    workspace = admitted.workspace
+    name = workspace.name if workspace else ""
+    path = admitted.request.target.decode("ascii")
+    return get_fingerprint(
+        WorkspaceId(f"{name}\0{path}"), admitted.request.body
+    )
