Say in a request's last line which model answered, and when it began

Cause: the line of a request's end named neither model, version nor the time of the first event, so the worst tenth of a kind of request could not be told apart.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -42,6 +42,8 @@
         sent: Attempts made.
         runs: Attempts that may have run.
         tried: Upstreams in the order of attempts.
+        model: Model of the last attempt; None where none is named.
+        first_event_s: Time from the request's head to its first event.
     """
 
     def __init__(
@@ -57,6 +59,8 @@
         self.sent = 0
         self.runs = 0
         self.tried: list[InstanceId] = []
+        self.model: str | None = None
+        self.first_event_s: float | None = None
         self._deployment = deployment
         self._budget = budget
         self._zone = zone
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -59,26 +59,25 @@
             pool, evidence, LatencyTable(), LoadGauge(), suspects
         )
 
-    async def forward(self, admitted: Admitted, sink: AnswerSink) -> Attempts:
-        """Runs a request.
+    def make_attempts(self, admitted: Admitted) -> Attempts:
+        """Prepares the attempts of a request."""
+        budget = self._get_budget(admitted.service)
+        budget.note_request(asyncio.get_running_loop().time())
+        return Attempts(
+            admitted, self._deployment, budget, self._settings.zone, self._rng
+        )
 
-        Returns:
-            The attempts that it took.
+    async def forward(self, attempts: Attempts, sink: AnswerSink) -> None:
+        """Runs a request.
 
         Raises:
             GatewayRefusalError: It has no answer of an upstream.
             AttemptFailedError: A stream broke off after it had begun.
         """
-        budget = self._get_budget(admitted.service)
-        budget.note_request(asyncio.get_running_loop().time())
-        attempts = Attempts(
-            admitted, self._deployment, budget, self._settings.zone, self._rng
-        )
-        if admitted.route.kind is RouteKind.STREAM:
+        if attempts.admitted.route.kind is RouteKind.STREAM:
             await forward_stream(self._parts, attempts, sink)
         else:
             await forward_plain(self._parts, attempts, sink)
-        return attempts
 
     def _get_budget(self, service: ServiceId) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -75,6 +75,7 @@
         if attempts.left_s <= PROBE_WAIT_S:
             raise attempts.make_refusal("suspect_waiting")
         await asyncio.sleep(PROBE_WAIT_S)
+    attempts.model = model
     upstream = attempts.choose(get_expected_s(parts, attempts, model))
     if admission is Admission.PROBE:
         parts.suspects.start_probe(fingerprint, attempts.run_name)
--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -37,6 +37,12 @@
     Args:
         channel: The connection.
         limits: What callers may send, as of now.
+
+    Attributes:
+        channel: The connection.
+        is_busy: Whether a request is being read or answered.
+        status: Status of the last answer.
+        closes: Whether the connection ends with the next answer.
     """
 
     def __init__(
@@ -44,7 +50,7 @@
     ) -> None:
         self.channel = channel
         self.is_busy = False
-        self.is_answer_begun = False
+        self.status = 0
         self.closes = False
         self._limits = limits
         self._parser = h11.Connection(
@@ -62,7 +68,6 @@
             WrongMessageError: It must not be passed on.
             ConnectionLostError: The caller reset the connection.
         """
-        self.is_answer_begun = False
         limits = self._limits()
         if not self._parser.trailing_data[0] and not self.channel.has_input:
             try:
@@ -152,6 +157,7 @@
                 *(h for h in headers if h[0].lower() != b"connection"),
                 (b"Connection", b"close"),
             ]
+        self.status = status
         reason = HTTPStatus(status).phrase if status in _STATUSES else ""
         return h11.Response(
             status_code=status, headers=headers, reason=reason.encode()
@@ -167,7 +173,6 @@
         await self.channel.drain()
 
     def _send(self, *events: h11.Event) -> None:
-        self.is_answer_begun = True
         data = b"".join(self._parser.send(event) or b"" for event in events)
         self.channel.write(data)
 
@@ -297,8 +302,12 @@
             request = await connection.read_request()
         except WrongMessageError as error:
             _log.warning(
-                "request_refused",
-                extra={"reason": error.message, "status": error.status},
+                "message_refused",
+                extra={
+                    "caller": connection.channel.get_peer(),
+                    "reason": error.message,
+                    "status": error.status,
+                },
             )
             connection.closes = True
             refusal = GatewayRefusalError(error.status, "wrong_message")
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
+from http import HTTPStatus
 
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.admission import Admitted, admit
+from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.configuration import ClientLimits
 from lovagestage.gateway.deployment import Deployment
@@ -55,29 +57,23 @@
         try:
             admitted = self._admit(request)
         except GatewayRefusalError as refusal:
-            self._log_end(request, None, refusal.reason, refusal.status)
+            self._log_refused(request, refusal)
             await connection.send_refusal(request.id, refusal)
             return
+        attempts = self._forwarder.make_attempts(admitted)
         try:
-            attempts = await self._forwarder.forward(admitted, connection)
+            await self._forwarder.forward(attempts, connection)
         except GatewayRefusalError as refusal:
-            self._log_end(request, admitted, refusal.reason, refusal.status)
+            self._log_end(attempts, refusal.reason, refusal.status)
             await connection.send_refusal(request.id, refusal)
         except AttemptFailedError as error:
-            self._log_end(request, admitted, "stream_broken", 0, error.reason)
+            self._log_end(attempts, "stream_broken", 0, error.reason)
             raise
         except asyncio.CancelledError:
-            self._log_end(request, admitted, "caller_gone", 0)
+            self._log_end(attempts, "caller_gone", 0)
             raise
         else:
-            self._log_end(
-                request,
-                admitted,
-                "answered",
-                200,
-                "",
-                ",".join(attempts.tried),
-            )
+            self._log_end(attempts, "answered", connection.status)
 
     def _admit(self, request: CallerRequest) -> Admitted:
         return admit(
@@ -87,35 +83,73 @@
             get_elapsed_s(),
         )
 
+    def _get_trust_age_s(self) -> float | None:
+        age_s = self._deployment.trust.get_age_s(get_elapsed_s())
+        return None if age_s is None else round(age_s, 2)
+
+    def _log_refused(
+        self, request: CallerRequest, refusal: GatewayRefusalError
+    ) -> None:
+        configuration = self._deployment.configuration
+        labels = f'kind="none",outcome="{refusal.reason}"'
+        self._exposition.count(Series.REQUESTS, labels)
+        _log.warning(
+            "request_refused",
+            extra={
+                "request": request.id,
+                "host": request.host,
+                "path": request.path,
+                "reason": refusal.reason,
+                "status": refusal.status,
+                "config": configuration.version if configuration else None,
+                "config_age_s": self._get_trust_age_s(),
+            },
+        )
+
     def _log_end(
         self,
-        request: CallerRequest,
-        admitted: Admitted | None,
+        attempts: Attempts,
         outcome: str,
         status: int,
-        reason: str = "",
-        upstreams: str = "",
+        reason: str | None = None,
     ) -> None:
+        admitted = attempts.admitted
+        request, route = admitted.request, admitted.route
         time_s = asyncio.get_running_loop().time() - request.arrived_s
-        trust_age_s = self._deployment.trust.get_age_s(get_elapsed_s())
-        kind = admitted.route.kind.value if admitted else "none"
-        labels = f'kind="{kind}",outcome="{outcome}"'
-        self._exposition.count(Series.REQUESTS, labels)
-        self._exposition.observe(Series.ANSWER_S, f'kind="{kind}"', time_s)
-        level = logging.INFO if outcome == "answered" else logging.WARNING
+        self._measure(attempts, outcome, time_s)
+        is_good = outcome == "answered" and status < HTTPStatus.BAD_REQUEST
         _log.log(
-            level,
+            logging.INFO if is_good else logging.WARNING,
             "request_ended",
             extra={
                 "request": request.id,
-                "route": admitted.route.name if admitted else None,
-                "service": admitted.service if admitted else None,
+                "route": route.name,
+                "service": admitted.service,
                 "outcome": outcome,
                 "status": status,
-                "reason": reason or None,
-                "upstreams": upstreams or None,
-                "time_s": round(time_s, 4),
-                "config": admitted.config_version if admitted else None,
-                "config_age_s": round(trust_age_s or -1.0, 2),
+                "reason": reason,
+                "upstreams": ",".join(attempts.tried),
+                "version": attempts.assignment.version,
+                "model": attempts.model,
+                "prompt_tokens": request.prompt_tokens or None,
+                "first_s": _round(attempts.first_event_s),
+                "time_s": _round(time_s),
+                "config": admitted.config_version,
+                "config_age_s": self._get_trust_age_s(),
             },
         )
+
+    def _measure(self, attempts: Attempts, outcome: str, time_s: float) -> None:
+        kind = attempts.admitted.route.kind.value
+        labels = f'kind="{kind}",outcome="{outcome}"'
+        self._exposition.count(Series.REQUESTS, labels)
+        self._exposition.count(Series.ATTEMPTS, "", attempts.sent)
+        self._exposition.observe(Series.ANSWER_S, f'kind="{kind}"', time_s)
+        if attempts.first_event_s is not None:
+            self._exposition.observe(
+                Series.FIRST_EVENT_S, "", attempts.first_event_s
+            )
+
+
+def _round(time_s: float | None) -> float | None:
+    return None if time_s is None else round(time_s, 4)
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -229,3 +229,6 @@
         if not attempts.assignment.is_new:
             parts.latency.add(kind, time_s)
         parts.gauge.add(time_s, route.aim_s)
+        if attempts.first_event_s is None:
+            now_s = asyncio.get_running_loop().time()
+            attempts.first_event_s = now_s - attempts.admitted.request.arrived_s
