--- a/lab/pages.py
+++ b/lab/pages.py
@@ -16,7 +16,8 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 SOURCE = ROOT / "src" / "lovagestage"
-LEVELS = ("debug", "info", "warning", "error")
+LEVELS = ("debug", "info", "warning", "error", "exception", "log")
+_LEVEL_NAMES = {"exception": "error", "log": "info or warning"}
 
 
 @dataclasses.dataclass(frozen=True, order=True)
@@ -41,8 +42,11 @@
     return sorted(
         {
             event
-            for path in SOURCE.glob("*.py")
-            for event in _find_events(path.stem, ast.parse(path.read_text()))
+            for path in SOURCE.rglob("*.py")
+            for event in _find_events(
+                path.relative_to(SOURCE).with_suffix("").as_posix(),
+                ast.parse(path.read_text()),
+            )
         }
     )
 
@@ -59,10 +63,11 @@
             and function.attr in LEVELS
         ):
             continue
-        name = node.args[0]
+        name = node.args[1 if function.attr == "log" else 0]
         if isinstance(name, ast.Constant):
             fields = _find_fields(node)
-            yield LogEvent(str(name.value), function.attr, module, fields)
+            level = _LEVEL_NAMES.get(function.attr, function.attr)
+            yield LogEvent(str(name.value), level, module, fields)
 
 
 def _find_fields(call: ast.Call) -> tuple[str, ...]:
@@ -88,7 +93,9 @@
             "",
             "Generated from the source. Every line also has `time`, `level`,"
             " `name`, `event` and `vm`;",
-            'the setting `log.format` is `"text"` (key=value) or `"json"`.',
+            'the setting `log.format` is `"text"` (key=value) or `"json"`.'
+            " A gateway (`gateway/`) always writes key=value, to standard"
+            " output, and no `name`.",
             "",
             "| event | level | module | fields |",
             "|---|---|---|---|",
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -165,6 +165,7 @@
             attempts.admitted.route,
             self._model,
             head.confidence,
+            attempts.admitted.request.prompt_tokens,
             pressure,
             attempts.left_ratio,
         )
