--- a/src/lovagestage/cli.py
+++ b/src/lovagestage/cli.py
@@ -10,6 +10,8 @@
 from lovagestage import __version__, usage
 from lovagestage.commands import add_service_parsers
 from lovagestage.exceptions import LovagestageError, SettingsError
+from lovagestage.gateway.command import add_arguments as add_gateway_arguments
+from lovagestage.gateway.command import run as run_gateway_command
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -44,6 +46,10 @@
             "--check", action="store_true", help="check the settings and exit"
         )
         command.set_defaults(run=_run_daemon, role=role)
+    text = "run the front end on the users' platform"
+    gateway = commands.add_parser("gateway", help=text, description=text)
+    add_gateway_arguments(gateway)
+    gateway.set_defaults(run=run_gateway_command)
     add_service_parsers(commands)
     completion = commands.add_parser(
         "completion", help="print a completion script for a shell"
--- /dev/null
+++ b/tests/test_gateway_loglines.py
@@ -0,0 +1,103 @@
+"""Log lines: one per event, bounded, and never a reason to wait."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+
+import pytest
+
+from lovagestage.gateway.exposition import Exposition, Series
+from lovagestage.gateway.loglines import (
+    BURST_LINES,
+    MAX_WAITING_BYTES,
+    LineHandler,
+)
+from lovagestage.logs import KeyValueFormatter
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def make_handler(descriptor, exposition=None):
+    handler = LineHandler(descriptor, exposition or Exposition())
+    handler.setFormatter(KeyValueFormatter("%(levelname)s %(message)s"))
+    return handler
+
+
+def make_record(event, created=0.0, level=logging.INFO, **fields):
+    record = logging.LogRecord("x", level, "", 0, event, None, None)
+    record.created = created
+    for name, value in fields.items():
+        setattr(record, name, value)
+    return record
+
+
+def read_lines(reader):
+    return os.read(reader, 1 << 20).decode().splitlines()
+
+
+def test_writes_one_line_per_event(pipe):
+    handler = make_handler(pipe[1])
+    handler.emit(make_record("request_ended", request="a1", reason="x y"))
+    line = 'levelname=INFO message=request_ended request=a1 reason="x y"'
+    assert read_lines(pipe[0]) == [line]
+
+
+def test_bounds_the_lines_of_an_event_and_says_how_many_are_missing(pipe):
+    # Thousands of requests fail in a second. Lines of that event beyond its
+    # allowance are counted; those of other events are still written.
+    exposition = Exposition()
+    handler = make_handler(pipe[1], exposition)
+    for _ in range(5000):
+        handler.emit(make_record("request_ended", 10.0))
+    handler.emit(make_record("store_lost", 10.0))
+    handler.emit(make_record("request_ended", 12.0))
+    lines = read_lines(pipe[0])
+    assert len(lines) == BURST_LINES + 2
+    assert "store_lost" in lines[-2]
+    assert f"left_out={5000 - int(BURST_LINES)}" in lines[-1]
+    name = Series.LINES_LEFT_OUT.value[0]
+    assert f"{name}{{}} 4880" in exposition.format_text()
+
+
+async def test_a_reader_that_stops_reading_costs_lines_not_time(pipe):
+    # Whoever reads standard output has stopped; the pipe is full. Logging
+    # must not wait, and what fits in memory is written when reading goes on.
+    reader, writer = pipe
+    handler = make_handler(writer)
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    for second in range(400):
+        for _ in range(20):
+            handler.emit(make_record("x" * 100, float(second)))
+    assert loop.time() - started_s < 2.0
+    assert handler._waiting_bytes <= MAX_WAITING_BYTES
+    total = 0
+    for _ in range(200):
+        await asyncio.sleep(0)
+        try:
+            total += len(os.read(reader, 1 << 16))
+        except BlockingIOError:
+            await asyncio.sleep(0.002)
+    assert total > MAX_WAITING_BYTES
+    assert handler._waiting_bytes == 0
+
+
+def test_histograms_are_cumulative():
+    exposition = Exposition()
+    for value_s in (0.02, 0.3, 99.0):
+        exposition.observe(Series.ANSWER_S, 'kind="safe"', value_s)
+    text = exposition.format_text()
+    name = "lovagestage_answer_seconds"
+    assert f'{name}_bucket{{kind="safe",le="0.025"}} 1' in text
+    assert f'{name}_bucket{{kind="safe",le="0.5"}} 2' in text
+    assert f'{name}_bucket{{kind="safe",le="+Inf"}} 3' in text
+    assert f'{name}_count{{kind="safe"}} 3' in text
