--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -23,6 +23,8 @@
 BACKOFF_LIMIT_S = 0.8
 """A store that refuses is asked again after this at the latest, so that what
 changed meanwhile is in force within a second of its return."""
+COLD_BACKOFF_LIMIT_S = 0.3
+"""The same before the first answer: until then every caller is refused."""
 
 
 class FeedListener(Protocol):
@@ -145,10 +147,9 @@
                 "store_lost",
                 extra={"topic": self._topic, "reason": error.message},
             )
-        limit_s = min(
-            BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2.0 ** (self._failures - 1)
-        )
-        await asyncio.sleep(limit_s * (0.5 + 0.5 * self._rng.random()))
+        limit_s = BACKOFF_LIMIT_S if self.is_synced else COLD_BACKOFF_LIMIT_S
+        delay_s = min(limit_s, BACKOFF_BASE_S * 2.0 ** (self._failures - 1))
+        await asyncio.sleep(delay_s * (0.5 + 0.5 * self._rng.random()))
 
     def _on_success(self) -> None:
         if self._failures:
--- /dev/null
+++ b/tests/test_gateway_feeds.py
@@ -0,0 +1,185 @@
+"""How feeds read the store through its failures."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from lab.metadata_store import MetadataStore
+from lab.server import start_app
+from lovagestage.exceptions import (
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoreHistoryLostError,
+    StoreUnavailableError,
+)
+from lovagestage.gateway.feeds import TopicFeed
+from lovagestage.platform.store import StoreClient
+
+TOPIC = "keyed.op"
+
+
+class Recorder:
+    def __init__(self):
+        self.records = []
+        self.proofs = []
+
+    def on_newest(self, page):
+        self.on_records(page)
+
+    def on_records(self, page):
+        self.records += [(r.key, r.value) for r in page.records]
+
+    def on_proof(self, at_s):
+        self.proofs.append(at_s)
+
+
+@contextlib.asynccontextmanager
+async def run_store():
+    store = MetadataStore()
+    runner, port = await start_app(store.make_app(), "127.0.0.1", 0)
+    client = StoreClient(f"127.0.0.1:{port}")
+    try:
+        yield store, client
+    finally:
+        client.close()
+        await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def run_feed(client, wait_s=0.2, pause_s=0.0, topic=TOPIC):
+    listener = Recorder()
+    feed = TopicFeed(
+        client,
+        topic,
+        listener,
+        wait_s,
+        pause_s,
+        topic.startswith("keyed."),
+        random.Random(1),
+    )
+    await feed.start()
+    try:
+        yield feed, listener
+    finally:
+        await feed.stop()
+
+
+async def wait_until(condition, timeout_s=3.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_a_cold_gateway_asks_again_soon():
+    # All VMs lost power while the store refuses. Until a gateway has read the
+    # store it refuses every caller, so it must find the store's return soon.
+    async with run_store() as (store, client):
+        store.put(TOPIC, "config", b"x")
+        store.faults.outage = "503"
+        async with run_feed(client) as (_, listener):
+            await asyncio.sleep(2.0)
+            loop = asyncio.get_running_loop()
+            store.faults.outage = ""
+            back_s = loop.time()
+            await wait_until(lambda: listener.records)
+            assert loop.time() - back_s < 0.4
+
+
+async def test_an_empty_read_proves_its_whole_wait():
+    # The store held the read for its wait and had nothing: no change was made
+    # before the wait's end. A read that has no answer proves nothing.
+    async with run_store() as (store, client):
+        async with run_feed(client, wait_s=0.3) as (_, listener):
+            await wait_until(lambda: len(listener.proofs) >= 3)
+            gaps = [
+                b - a
+                for a, b in zip(
+                    listener.proofs, listener.proofs[1:], strict=False
+                )
+            ]
+            assert min(gaps) > 0.2
+            count = len(listener.proofs)
+            store.faults.outage = "silent"
+            await asyncio.sleep(1.0)
+            assert len(listener.proofs) <= count + 1
+
+
+async def test_a_read_of_the_past_proves_nothing():
+    async with run_store() as (store, client):
+        for number in range(3):
+            store.put(TOPIC, "config", b"%d" % number)
+        async with run_feed(client) as (_, listener):
+            await wait_until(lambda: len(listener.proofs) >= 2)
+            store.faults.stale_by = 2
+            await asyncio.sleep(0.4)
+            count = len(listener.proofs)
+            await asyncio.sleep(0.8)
+            assert len(listener.proofs) == count
+
+
+async def test_records_in_clumps_share_a_read():
+    async with run_store() as (store, client):
+        async with run_feed(client, wait_s=2.0, pause_s=0.3) as (_, listener):
+            await wait_until(lambda: listener.proofs)
+            before = len(store.calls)
+            for number in range(20):
+                store.put(TOPIC, f"k{number}", b"x")
+                await asyncio.sleep(0.02)
+            await wait_until(lambda: len(listener.records) == 20)
+            assert len(store.calls) - before <= 4
+
+
+async def test_client_tells_what_an_append_did():
+    # 503: certainly nothing. A lost answer: perhaps. Another end: the
+    # condition failed, with the end to try again from.
+    async with run_store() as (store, client):
+        record = [("a", b"1")]
+        assert await client.append("keyed.status", record, 1.0) == 0
+        store.faults.outage = "503"
+        with pytest.raises(StoreUnavailableError):
+            await client.append("keyed.status", record, 1.0)
+        store.faults.outage = ""
+        store.faults.lose_appends = 1
+        with pytest.raises(StoreAnswerLostError):
+            await client.append("keyed.status", record, 1.0)
+        with pytest.raises(StoreConflictError) as raised:
+            await client.append("keyed.status", record, 1.0, expected_end=1)
+        assert raised.value.end == 2
+
+
+async def test_client_reads_all_pages_and_removals():
+    async with run_store() as (store, client):
+        for number in range(120):
+            store.put("keyed.status", f"k{number:03}", b"%d" % number)
+        store.put("keyed.status", "k000", b"")
+        page = await client.read_newest("keyed.status", 1.0)
+        assert (len(page.records), page.end) == (119, 121)
+        tail = await client.read("keyed.status", 119, 0.0, 1.0)
+        assert [(r.key, r.value) for r in tail.records] == [
+            ("k119", b"119"),
+            ("k000", None),
+        ]
+
+
+async def test_client_tells_where_a_shortened_topic_starts():
+    async with run_store() as (store, client):
+        for _ in range(4):
+            store.put("keyed.status", "k", b"x")
+        store.get_topic("keyed.status").forget()
+        with pytest.raises(StoreHistoryLostError) as raised:
+            await client.read("keyed.status", 1, 0.0, 1.0)
+        assert raised.value.first == 4
+
+
+async def test_client_gives_up_a_silent_connection_and_opens_another():
+    async with run_store() as (store, client):
+        store.faults.outage = "silent"
+        with pytest.raises(StoreUnavailableError):
+            await client.read("keyed.status", 0, 0.0, 0.2)
+        store.faults.outage = ""
+        page = await client.read("keyed.status", 0, 0.0, 0.5)
+        assert page.end == 0
