Weigh a new version's answers by route, within the allowed exposure

Failures of the old version weighed against the evidence (one in seven is usual on a safe route), good answers of other routes hid a bad one, and the steps up to 0.9 spent more than a version whose fault never shows may get.

Ruled out: evidence that was not told (all gateways stopped within 0.6 s once one did).

Change: per route a CUSUM of the log-likelihood ratio against the route's own failure rate; the first share follows from the allowed exposure and the traffic; one load step before the end, and completion at 0.95 only with answers enough. Gateways count each other and their answers through the topic.

--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -8,7 +8,7 @@
 from lovagestage.exceptions import CodecError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
-from lovagestage.gateway.rollouts import Rollout
+from lovagestage.gateway.rollouts import RolloutOrder
 from lovagestage.gateway.rotation import UpstreamEntry
 from lovagestage.platform.configuration import (
     CONFIG_KEY,
@@ -36,7 +36,9 @@
     """
 
     def __init__(
-        self, deployment: Deployment, on_order: Callable[[Rollout], None]
+        self,
+        deployment: Deployment,
+        on_order: Callable[[RolloutOrder, int], None],
     ) -> None:
         self._deployment = deployment
         self._on_order = on_order
@@ -75,8 +77,6 @@
         known = self._deployment.rollouts.get(order.service)
         if known is not None and known.offset >= record.offset:
             return
-        rollout = Rollout(order, record.offset, get_elapsed_s())
-        self._deployment.rollouts[order.service] = rollout
         _log.info(
             "rollout_ordered",
             extra={
@@ -86,7 +86,7 @@
                 "offset": record.offset,
             },
         )
-        self._on_order(rollout)
+        self._on_order(order, record.offset)
 
 
 class UpstreamBeliefs:
--- a/src/lovagestage/gateway/mailbox.py
+++ b/src/lovagestage/gateway/mailbox.py
@@ -13,7 +13,9 @@
 from lovagestage.exceptions import CodecError, StoreError
 from lovagestage.gateway.notes import (
     TOPIC,
+    CountNote,
     FailureNote,
+    HelloNote,
     Letter,
     Note,
     OutcomeNote,
@@ -24,7 +26,7 @@
 from lovagestage.types import VmId
 
 _log = logging.getLogger(__name__)
-_Kind = TypeVar("_Kind", FailureNote, OutcomeNote, CrashReport)
+_Kind = TypeVar("_Kind", FailureNote, CountNote, OutcomeNote, CrashReport)
 
 BATCH_S = 0.15
 """Notes wait this long for others: each call to the store has its price, and
@@ -56,8 +58,15 @@
         self._vm = vm
         self._incarnation = incarnation
         self._readers: dict[type[Any], Callable[[Any], None]] = {}
-        self._waiting: list[Note] = []
+        self._gateways = {vm}
+        self._waiting: list[Note] = [HelloNote()]
         self._added = asyncio.Event()
+        self._added.set()
+
+    @property
+    def gateways(self) -> int:
+        """Gateways that have been heard of, with this one."""
+        return len(self._gateways)
 
     def subscribe(
         self, kind: type[_Kind], reader: Callable[[_Kind], None]
@@ -90,7 +99,10 @@
                 self._incarnation,
             ):
                 continue
+            self._gateways.add(letter.vm)
             for note in letter.notes:
+                if isinstance(note, HelloNote):
+                    continue
                 self._readers[type(note)](note)
 
     def on_proof(self, at_s: float) -> None:
--- a/src/lovagestage/gateway/notes.py
+++ b/src/lovagestage/gateway/notes.py
@@ -11,23 +11,46 @@
 TOPIC = "lovagestage"
 
 
+class HelloNote(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
+    """A gateway has started."""
+
+
 class FailureNote(msgspec.Struct, frozen=True, array_like=True, tag="failure"):
-    """A failed or far too slow answer during a roll-out.
+    """The new version of a roll-out failed or was far too slow.
 
     Attributes:
         service: The service.
         order: Offset of the order.
-        upstream: Who gave it.
-        is_new: Whether that is of the new version.
-        share: Chance that the request had of going there.
+        route: Route of the request.
+        upstream: Who answered.
+        evidence: Log-likelihood ratio of this answer and of the good ones of
+            the route since the gateway's last note.
         age_s: Age of the order.
     """
 
     service: ServiceId
     order: int
+    route: str
     upstream: InstanceId
-    is_new: bool
-    share: float
+    evidence: float
+    age_s: float
+
+
+class CountNote(msgspec.Struct, frozen=True, array_like=True, tag="count"):
+    """How many answers of the new version a gateway has had.
+
+    Attributes:
+        service: The service.
+        order: Offset of the order.
+        gateway: Who counted.
+        answers: The answers so far.
+        age_s: Age of the order.
+    """
+
+    service: ServiceId
+    order: int
+    gateway: VmId
+    answers: int
     age_s: float
 
 
@@ -47,7 +70,7 @@
     age_s: float
 
 
-Note = FailureNote | OutcomeNote | CrashReport
+Note = HelloNote | FailureNote | CountNote | OutcomeNote | CrashReport
 
 
 class Letter(msgspec.Struct, frozen=True, array_like=True):
--- a/src/lovagestage/gateway/plain.py
+++ b/src/lovagestage/gateway/plain.py
@@ -79,7 +79,7 @@
     failed = head.status >= 500
     upstream.performance.note_answer(failed)
     parts.suspects.note_answered(attempts.fingerprint, attempts.run_name)
-    if failed or parts.latency.is_slow(kind, time_s):
-        add_evidence(parts, attempts, upstream)
+    is_slow = parts.latency.is_slow(kind, time_s)
+    add_evidence(parts, attempts, upstream, failed or is_slow)
     if not failed and not attempts.assignment.is_new:
         parts.latency.add(kind, time_s)
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -23,7 +23,12 @@
 from lovagestage.gateway.loglines import start_logging
 from lovagestage.gateway.mailbox import Mailbox
 from lovagestage.gateway.messages import CallerRequest
-from lovagestage.gateway.notes import TOPIC, FailureNote, OutcomeNote
+from lovagestage.gateway.notes import (
+    TOPIC,
+    CountNote,
+    FailureNote,
+    OutcomeNote,
+)
 from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.server import CallerConnection, CallerServer
 from lovagestage.gateway.service import GatewayService
@@ -139,12 +144,17 @@
         self.deployment = Deployment(Trust(settings.bounds.revoke_s))
         self._pool = ConnectionPool()
         self._rollouts = RolloutService(
-            self._make_store(), self.deployment, rng
+            self._make_store(),
+            self.deployment,
+            settings.vm,
+            settings.bounds,
+            rng,
         )
         mailbox = Mailbox(self._make_store(), settings.vm, time.time_ns())
         suspects = SuspectWatch(mailbox.post)
         mailbox.subscribe(CrashReport, suspects.on_report)
         mailbox.subscribe(FailureNote, self._rollouts.on_failure_note)
+        mailbox.subscribe(CountNote, self._rollouts.on_count_note)
         mailbox.subscribe(OutcomeNote, self._rollouts.on_outcome_note)
         self._rollouts.set_mailbox(mailbox)
         forwarder = Forwarder(
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -16,46 +16,73 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.mailbox import Mailbox
-from lovagestage.gateway.notes import FailureNote, OutcomeNote
+from lovagestage.gateway.notes import CountNote, FailureNote, OutcomeNote
+from lovagestage.gateway.risks import RiskTable
 from lovagestage.gateway.rollouts import (
+    COUNT_RATIOS,
+    EVIDENCE_FLOOR,
     Assignment,
     OutcomeRecord,
     Rollout,
+    RolloutOrder,
     RolloutOutcome,
+    get_evidence,
+    get_first_share,
 )
 from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.settings import Bounds
 from lovagestage.platform.configuration import (
     decode_outcome,
     encode_outcome,
     make_outcome_key,
 )
 from lovagestage.platform.store import OUTCOME_TOPIC, Page, StoreClient
-from lovagestage.types import ServiceId
+from lovagestage.types import ServiceId, VmId
 
 _log = logging.getLogger(__name__)
 
 CHECK_S = 0.25
 """Time between looks at what is due."""
-STAGGER_S = 1.0
+STAGGER_S = 0.4
 """The gateways that see the same due outcome try within this time, so that
 most learn that it is written before they try."""
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.5
 
 
+class _Followed:
+    """What this gateway has seen and told of one roll-out."""
+
+    def __init__(self) -> None:
+        self.answers = 0
+        self.counts_posted = 0
+        self.untold: dict[str, float] = {}
+
+
 class RolloutService(mode.Service):
     """Follows the roll-outs of all services.
 
     Args:
         store: Client for reading and writing outcomes.
         deployment: What is in force.
+        vm: This VM.
+        bounds: Limits of the deployment.
         rng: Source of randomness.
     """
 
     def __init__(
-        self, store: StoreClient, deployment: Deployment, rng: random.Random
+        self,
+        store: StoreClient,
+        deployment: Deployment,
+        vm: VmId,
+        bounds: Bounds,
+        rng: random.Random,
     ) -> None:
         super().__init__()
+        self._vm = vm
+        self._bounds = bounds
+        self._risks = RiskTable()
+        self._followed: dict[ServiceId, _Followed] = {}
         self._store = store
         self._deployment = deployment
         self._rng = rng
@@ -73,28 +100,68 @@
         """Whether the outcome of each known order has been looked up."""
         return not self._unresolved
 
-    def on_order(self, rollout: Rollout) -> None:
+    def on_order(self, order: RolloutOrder, offset: int) -> None:
         """Takes a new order; whether it is done already is looked up."""
-        self._unresolved[rollout.order.service] = rollout
+        rollout = Rollout(
+            order, offset, get_elapsed_s(), self._get_first_share(order)
+        )
+        self._deployment.rollouts[order.service] = rollout
+        self._unresolved[order.service] = rollout
+        self._followed[order.service] = _Followed()
+
+    def _get_first_share(self, order: RolloutOrder) -> float:
+        assert self._mailbox is not None
+        own_per_s = self._risks.get_rate(order.service, get_elapsed_s())
+        expected = own_per_s * self._mailbox.gateways * order.duration_s
+        return get_first_share(
+            self._bounds.exposure_ratio, self._bounds.exposure_slack, expected
+        )
 
-    def add_failure(
-        self, service: ServiceId, assignment: Assignment, upstream: Upstream
+    def add_answer(
+        self,
+        service: ServiceId,
+        route: str,
+        assignment: Assignment,
+        upstream: Upstream,
+        failed: bool,
     ) -> None:
-        """Takes an answer of this gateway that failed or was far too slow."""
+        """Takes an answer of this gateway; a far too slow one has failed."""
         rollout = self._deployment.rollouts.get(service)
-        if rollout is None or not 0.0 < assignment.share < 1.0:
+        is_new = rollout is not None and assignment.is_new
+        if not is_new:
+            self._risks.add(service, route, failed, get_elapsed_s())
             return
+        assert rollout is not None
         if rollout.outcome is not RolloutOutcome.RUNNING:
             return
+        self._add_new_answer(rollout, route, upstream, failed)
+
+    def _add_new_answer(
+        self, rollout: Rollout, route: str, upstream: Upstream, failed: bool
+    ) -> None:
+        service = rollout.order.service
+        followed = self._followed[service]
+        followed.answers += 1
+        rollout.note_answers(self._vm, followed.answers)
+        risk = self._risks.get(service, route)
+        evidence = get_evidence(risk, failed)
+        rollout.add_evidence(route, evidence)
+        untold = followed.untold.get(route, 0.0) + evidence
+        followed.untold[route] = max(EVIDENCE_FLOOR, untold)
+        if not failed:
+            return
         note = FailureNote(
             service,
             rollout.offset,
+            route,
             upstream.id,
-            assignment.is_new,
-            assignment.share,
+            followed.untold.pop(route),
             rollout.get_age_s(get_elapsed_s()),
         )
-        self._count(rollout, note)
+        self._count_failure(rollout, note)
+        self._post(note)
+
+    def _post(self, note: FailureNote | CountNote | OutcomeNote) -> None:
         assert self._mailbox is not None
         self._mailbox.post(note)
 
@@ -102,7 +169,14 @@
         """Takes another gateway's evidence."""
         rollout = self._find(note.service, note.order, note.age_s)
         if rollout is not None:
-            self._count(rollout, note)
+            rollout.add_evidence(note.route, note.evidence)
+            self._count_failure(rollout, note)
+
+    def on_count_note(self, note: CountNote) -> None:
+        """Takes how many answers another gateway has had."""
+        rollout = self._find(note.service, note.order, note.age_s)
+        if rollout is not None:
+            rollout.note_answers(note.gateway, note.answers)
 
     def on_outcome_note(self, note: OutcomeNote) -> None:
         """Takes what another gateway has written for the operators."""
@@ -123,12 +197,12 @@
         rollout.note_age(age_s, get_elapsed_s())
         return rollout
 
-    def _count(self, rollout: Rollout, note: FailureNote) -> None:
+    def _count_failure(self, rollout: Rollout, note: FailureNote) -> None:
         was_stopped = rollout.is_stopped
         ready = self._deployment.rotation.get_ready(note.service)
         target = rollout.order.version
         peers = sum(u.entry.version == target for u in ready)
-        rollout.add_failure(note.is_new, note.share, note.upstream, peers)
+        rollout.add_failure(note.upstream, peers)
         if rollout.is_stopped and not was_stopped:
             _log.warning(
                 "rollout_stopped",
@@ -162,6 +236,7 @@
         while not self.should_stop:
             try:
                 await self._resolve()
+                self._post_counts()
                 await self._write_due()
             except StoreConflictError:
                 pass  # Another gateway wrote first; the next look reads it.
@@ -172,6 +247,29 @@
                 await asyncio.sleep(RETRY_S)
             await asyncio.sleep(CHECK_S)
 
+    def _post_counts(self) -> None:
+        now_s = get_elapsed_s()
+        for service, rollout in self._deployment.rollouts.items():
+            followed = self._followed[service]
+            if rollout.outcome is not RolloutOutcome.RUNNING:
+                continue
+            if followed.counts_posted >= len(COUNT_RATIOS):
+                continue
+            due = COUNT_RATIOS[followed.counts_posted]
+            if rollout.get_ratio(now_s) < due:
+                continue
+            followed.counts_posted += 1
+            age_s = rollout.get_age_s(now_s)
+            self._post(
+                CountNote(
+                    service,
+                    rollout.offset,
+                    self._vm,
+                    followed.answers,
+                    age_s,
+                )
+            )
+
     async def _resolve(self) -> None:
         if not self._unresolved:
             return
@@ -238,8 +336,5 @@
         self._announced[service] = rollout.offset
         if outcome is not RolloutOutcome.RUNNING:
             self._settle(rollout, outcome, "own")
-        assert self._mailbox is not None
         age_s = rollout.get_age_s(get_elapsed_s())
-        self._mailbox.post(
-            OutcomeNote(service, rollout.offset, outcome.value, age_s)
-        )
+        self._post(OutcomeNote(service, rollout.offset, outcome.value, age_s))
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -9,20 +9,34 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Sequence
 
-from lovagestage.betting import FailureTest
 from lovagestage.gateway.configuration import get_share
 from lovagestage.types import ServiceId, VersionId
 
-TOLERATED_RISK = 1.5
-"""A new version that fails up to this much more often is not stopped."""
-STOP_WEALTH = 60.0
-"""Evidence at which a version is stopped: by Ville's inequality a good one is
-stopped in at most one of so many roll-outs."""
+STOP_EVIDENCE = 5.0
+"""Log-likelihood ratio at which a version is stopped, of being worse by
+`BAD_RISE` against being as good as the old one. A good version reaches it in
+about one of 150 roll-outs (Wald's bound)."""
+EVIDENCE_FLOOR = -1.0
+"""Good answers lower the evidence no further (Page's CUSUM), so that a version
+that turns bad late is found as fast as one that is bad at once."""
+BAD_RISE = 0.25
+"""Rise of the failure rate that counts as bad; faulty versions fail a third
+of their answers and more."""
+MIN_RISK, MAX_RISK = 0.02, 0.5
+"""Bounds of the old version's failure rate in the ratio."""
 MIN_NEW_FAILURES = 3
 """Failures of the new version before it is stopped, whatever their odds: two
 can come from one upstream that crashed."""
+EXPOSURE_USE = 0.8
+"""Part of the exposure that the last steps leave which the first share uses;
+the rest is for bursts."""
+SHARES = (0.015, 0.03, 0.05, 0.07, 0.1, 0.13, 0.16, 0.2, 0.25)
+"""First shares, so that gateways with about the same traffic have the same."""
+DEFAULT_SHARE = 0.05
+"""First share of a gateway that does not know its traffic yet."""
 
 
 class RolloutOutcome(enum.Enum):
@@ -70,25 +84,65 @@
     Attributes:
         from_ratio: Start, as part of the order's duration.
         share: Share of the sessions.
+        min_answers: Answers of the new version, over all gateways, without
+            which the step is not made.
     """
 
     from_ratio: float
     share: float
+    min_answers: int
+
+
+LOAD_STEP = Step(0.89, 0.6, 20)
+"""Before the end the new version is loaded as it will be loaded, for as long
+as failures take to be told: some faults show only then. Before that the share
+stands still, so that no session changes its version in the first half."""
+COUNT_RATIOS = (0.3, 0.6, 0.86, 0.93)
+"""When gateways tell each other how many answers they had."""
+COMPLETE_RATIO = 0.95
+"""Part of the duration after which an unstopped version is taken for good.
+Late: a fault that never showed still keeps within the allowed exposure."""
+COMPLETE_ANSWERS = 20
+LATE_RATIO = 0.97
+LATE_ANSWERS = 5
+"""A service with little traffic is done a little later with fewer answers, if
+none of them speaks against the version."""
+
+
+def get_first_share(
+    exposure_ratio: float, exposure_slack: float, expected_requests: float
+) -> float:
+    """Share with which a roll-out begins.
+
+    Args:
+        exposure_ratio: Part of the service's requests that an unproved
+            version may get.
+        exposure_slack: Requests beyond that part.
+        expected_requests: Requests of the service while it runs; 0 if
+            unknown.
+    """
+    if expected_requests <= 0.0:
+        return DEFAULT_SHARE
+    allowed = exposure_ratio + exposure_slack / expected_requests
+    last = LOAD_STEP.share * (COMPLETE_RATIO - LOAD_STEP.from_ratio)
+    last += 1.0 - COMPLETE_RATIO
+    limit = EXPOSURE_USE * (allowed - last) / LOAD_STEP.from_ratio
+    fitting = [share for share in SHARES if share <= limit]
+    return max(fitting, default=SHARES[0])
 
 
-STEPS = (
-    Step(0.0, 0.08),
-    Step(0.52, 0.25),
-    Step(0.62, 0.5),
-    Step(0.72, 0.9),
-)
-"""In the first half the share stands still, so that no session changes its
-version there. Later steps load the new version as it will be loaded: some
-faults show only then. The last one leaves some traffic on the old version,
-without which a failure would be no evidence against the new one."""
-COMPLETE_RATIO = 0.86
-"""Part of the duration after which an unstopped version is taken for good;
-what is left is for a store that is away."""
+def get_evidence(risk: float, failed: bool) -> float:
+    """Log-likelihood ratio of one answer of the new version.
+
+    Args:
+        risk: Rate at which the old version fails such requests.
+        failed: Whether it failed or was far too slow.
+    """
+    risk = min(MAX_RISK, max(MIN_RISK, risk))
+    worse = min(0.95, risk + BAD_RISE)
+    if failed:
+        return math.log(worse / risk)
+    return math.log((1.0 - worse) / (1.0 - risk))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,6 +167,7 @@
         order: The order.
         offset: Offset of the order in the store; names it.
         seen_s: Elapsed time at which it was first seen.
+        first_share: Share of the sessions in the first half.
 
     Attributes:
         order: The order.
@@ -122,32 +177,55 @@
         new_failures: Failures of the new version.
     """
 
-    def __init__(self, order: RolloutOrder, offset: int, seen_s: float) -> None:
+    def __init__(
+        self,
+        order: RolloutOrder,
+        offset: int,
+        seen_s: float,
+        first_share: float = DEFAULT_SHARE,
+    ) -> None:
         self.order = order
         self.offset = offset
         self.outcome = RolloutOutcome.RUNNING
         self.is_stopped = False
         self.new_failures = 0
-        self._failed_upstreams: set[str] = set()
+        self._first_share = first_share
         self._seen_s = seen_s
-        self._test = FailureTest(TOLERATED_RISK)
+        self._evidence: dict[str, float] = {}
+        self._failed_upstreams: set[str] = set()
+        self._answers: dict[str, int] = {}
 
     def note_age(self, age_s: float, now_s: float) -> None:
         """Takes another gateway's word that the order is older."""
         self._seen_s = min(self._seen_s, now_s - age_s)
 
+    def note_answers(self, gateway: str, count: int) -> None:
+        """Takes how many answers of the new version a gateway has had."""
+        known = self._answers.get(gateway, 0)
+        self._answers[gateway] = max(known, count)
+
+    def get_answers(self) -> int:
+        """Answers of the new version, over all gateways."""
+        return sum(self._answers.values())
+
     def get_age_s(self, now_s: float) -> float:
         """Time since the order was first seen by any gateway."""
         return now_s - self._seen_s
 
+    def get_ratio(self, now_s: float) -> float:
+        """Part of the order's duration that is over."""
+        return self.get_age_s(now_s) / max(1.0, self.order.duration_s)
+
     def get_share(self, now_s: float) -> float:
         """Share of the sessions that go to the new version."""
         if self.outcome is RolloutOutcome.COMPLETED:
             return 1.0
         if self.is_stopped or self.outcome is RolloutOutcome.REVERTED:
             return 0.0
-        ratio = self.get_age_s(now_s) / max(1.0, self.order.duration_s)
-        return max(s.share for s in STEPS if s.from_ratio <= ratio)
+        is_due = self.get_ratio(now_s) >= LOAD_STEP.from_ratio
+        if is_due and self.get_answers() >= LOAD_STEP.min_answers:
+            return LOAD_STEP.share
+        return self._first_share
 
     def is_new(self, seed: str, now_s: float) -> bool:
         """Whether a session goes to the new version.
@@ -156,27 +234,29 @@
         """
         return get_share(self._make_seed(seed)) < self.get_share(now_s)
 
-    def add_failure(
-        self, is_new: bool, share: float, upstream: str, peers: int
-    ) -> None:
-        """Takes a failed or far too slow answer, of any gateway.
+    def add_evidence(self, route: str, evidence: float) -> None:
+        """Takes evidence from answers of one route.
+
+        Routes are weighed apart: a version may be bad on one of them alone.
+        """
+        known = self._evidence.get(route, 0.0)
+        self._evidence[route] = max(EVIDENCE_FLOOR, known + evidence)
+
+    def add_failure(self, upstream: str, peers: int) -> None:
+        """Takes that the new version failed, after its evidence.
 
         Args:
-            is_new: Whether the new version gave it.
-            share: Chance that the request had of going there.
-            upstream: Who gave it.
-            peers: Upstreams of the new version.
+            upstream: Which of its upstreams did.
+            peers: Number of its upstreams.
         """
-        if is_new:
-            self.new_failures += 1
-            self._failed_upstreams.add(upstream)
-        self._test.add(is_new, share)
+        self.new_failures += 1
+        self._failed_upstreams.add(upstream)
         if self.new_failures < MIN_NEW_FAILURES:
             return
         if len(self._failed_upstreams) < min(2, peers):
             # One upstream of several fails by its own fault.
             return
-        if self._test.get_wealth() >= STOP_WEALTH:
+        if max(self._evidence.values(), default=0.0) >= STOP_EVIDENCE:
             self.is_stopped = True
 
     def get_due_outcome(self, now_s: float) -> RolloutOutcome:
@@ -185,8 +265,11 @@
             return RolloutOutcome.RUNNING
         if self.is_stopped:
             return RolloutOutcome.REVERTED
-        done_s = COMPLETE_RATIO * self.order.duration_s
-        if self.get_age_s(now_s) >= done_s:
+        ratio, answers = self.get_ratio(now_s), self.get_answers()
+        if ratio >= COMPLETE_RATIO and answers >= COMPLETE_ANSWERS:
+            return RolloutOutcome.COMPLETED
+        is_clean = max(self._evidence.values(), default=0.0) <= 0.0
+        if ratio >= LATE_RATIO and answers >= LATE_ANSWERS and is_clean:
             return RolloutOutcome.COMPLETED
         return RolloutOutcome.RUNNING
 
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -182,7 +182,7 @@
     else:
         upstream.performance.note_absent(get_elapsed_s())
     if error.run is not RunState.NOT_RUN:
-        add_evidence(parts, attempts, upstream)
+        add_evidence(parts, attempts, upstream, failed=True)
     if error.reason in LOST_REASONS:
         parts.suspects.note_lost(
             attempts.fingerprint, attempts.run_name, upstream
@@ -190,16 +190,21 @@
 
 
 def add_evidence(
-    parts: RunParts, attempts: Attempts, upstream: Upstream
+    parts: RunParts, attempts: Attempts, upstream: Upstream, failed: bool
 ) -> None:
-    """Counts a failed or far too slow answer against its version.
+    """Counts an answer for or against its version.
 
     Not that of a request which another version could not answer: it is a
     chosen one, and says nothing of the version's share of failures.
     """
     version = attempts.assignment.version
-    if version is None or upstream.entry.version != version:
+    if version is not None and upstream.entry.version != version:
         return
-    parts.evidence.add_failure(
-        attempts.admitted.service, attempts.assignment, upstream
+    admitted = attempts.admitted
+    parts.evidence.add_answer(
+        admitted.service,
+        admitted.route.name,
+        attempts.assignment,
+        upstream,
+        failed,
     )
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -29,7 +29,12 @@
 class EvidenceSink(Protocol):
     """Where what speaks for or against a version goes."""
 
-    def add_failure(
-        self, service: ServiceId, assignment: Assignment, upstream: Upstream
+    def add_answer(
+        self,
+        service: ServiceId,
+        route: str,
+        assignment: Assignment,
+        upstream: Upstream,
+        failed: bool,
     ) -> None:
-        """Takes a failed or far too slow answer."""
+        """Takes an answer; a far too slow one has failed."""
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -147,7 +147,7 @@
         failed = head.status >= 500
         self._upstream.performance.note_answer(failed)
         if failed:
-            add_evidence(self._parts, attempts, self._upstream)
+            add_evidence(self._parts, attempts, self._upstream, failed)
             attempts.note_failed_answer(self._upstream)
             if attempts.may_repeat():
                 return _NextRun(self._model)
@@ -225,8 +225,8 @@
         parts, attempts = self._parts, self._attempts
         route, time_s = attempts.admitted.route, self._get_time_s()
         kind = (route.name, self._model)
-        if parts.latency.is_slow(kind, time_s):
-            add_evidence(parts, attempts, self._upstream)
+        is_slow = parts.latency.is_slow(kind, time_s)
+        add_evidence(parts, attempts, self._upstream, is_slow)
         if not attempts.assignment.is_new:
             parts.latency.add(kind, time_s)
         parts.gauge.add(time_s, route.aim_s)
