Agree on a roll-out's first share before anything goes to the new version

Each gateway computed the first share from its own traffic, so a session that came to another gateway was on another side of it. Ruled out: retries at the other version (no failed answers of the new one before).

Change: the share is written with the roll-out's first state, on condition; all others take it from there or from the writer's note, and 0 goes to the new version before.

--- a/src/lovagestage/gateway/notes.py
+++ b/src/lovagestage/gateway/notes.py
@@ -61,12 +61,14 @@
         service: The service.
         order: Offset of the order.
         outcome: The state's value.
+        first_share: Share of the sessions before the load step.
         age_s: Age of the order.
     """
 
     service: ServiceId
     order: int
     outcome: str
+    first_share: float
     age_s: float
 
 
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -102,9 +102,7 @@
 
     def on_order(self, order: RolloutOrder, offset: int) -> None:
         """Takes a new order; whether it is done already is looked up."""
-        rollout = Rollout(
-            order, offset, get_elapsed_s(), self._get_first_share(order)
-        )
+        rollout = Rollout(order, offset, get_elapsed_s())
         self._deployment.rollouts[order.service] = rollout
         self._unresolved[order.service] = rollout
         self._followed[order.service] = _Followed()
@@ -183,6 +181,7 @@
         rollout = self._find(note.service, note.order, note.age_s)
         if rollout is None:
             return
+        rollout.first_share = note.first_share
         outcome = RolloutOutcome(note.outcome)
         self._announced[note.service] = note.order
         if outcome is not RolloutOutcome.RUNNING:
@@ -292,6 +291,7 @@
             if found.order != rollout.offset:
                 continue
             self._announced[rollout.order.service] = rollout.offset
+            rollout.first_share = found.first_share
             if found.outcome is not RolloutOutcome.RUNNING:
                 self._settle(rollout, found.outcome, "store")
 
@@ -326,7 +326,10 @@
         is_announced = self._announced.get(service) == rollout.offset
         if outcome is RolloutOutcome.RUNNING and is_announced:
             return
-        record = OutcomeRecord(rollout.order.version, outcome, rollout.offset)
+        share = rollout.first_share or self._get_first_share(rollout.order)
+        record = OutcomeRecord(
+            rollout.order.version, outcome, rollout.offset, share
+        )
         await self._store.append(
             OUTCOME_TOPIC,
             [(make_outcome_key(service), encode_outcome(record))],
@@ -334,7 +337,10 @@
             expected_end=page.end,
         )
         self._announced[service] = rollout.offset
+        rollout.first_share = share
         if outcome is not RolloutOutcome.RUNNING:
             self._settle(rollout, outcome, "own")
         age_s = rollout.get_age_s(get_elapsed_s())
-        self._post(OutcomeNote(service, rollout.offset, outcome.value, age_s))
+        self._post(
+            OutcomeNote(service, rollout.offset, outcome.value, share, age_s)
+        )
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -70,11 +70,14 @@
         version: The new version.
         outcome: Where it stands.
         order: Offset of the order.
+        first_share: Share of the sessions before the load step; all gateways
+            follow the first one that writes it.
     """
 
     version: VersionId
     outcome: RolloutOutcome
     order: int
+    first_share: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,7 +170,6 @@
         order: The order.
         offset: Offset of the order in the store; names it.
         seen_s: Elapsed time at which it was first seen.
-        first_share: Share of the sessions in the first half.
 
     Attributes:
         order: The order.
@@ -175,6 +177,9 @@
         outcome: Its outcome; final once it is not RUNNING.
         is_stopped: Whether the evidence speaks against the new version.
         new_failures: Failures of the new version.
+        first_share: Share of the sessions before the load step. 0 until it
+            has been agreed: with shares of their own, gateways would move
+            sessions between the versions.
     """
 
     def __init__(
@@ -182,14 +187,13 @@
         order: RolloutOrder,
         offset: int,
         seen_s: float,
-        first_share: float = DEFAULT_SHARE,
     ) -> None:
         self.order = order
         self.offset = offset
         self.outcome = RolloutOutcome.RUNNING
         self.is_stopped = False
         self.new_failures = 0
-        self._first_share = first_share
+        self.first_share = 0.0
         self._seen_s = seen_s
         self._evidence: dict[str, float] = {}
         self._failed_upstreams: set[str] = set()
@@ -225,7 +229,7 @@
         is_due = self.get_ratio(now_s) >= LOAD_STEP.from_ratio
         if is_due and self.get_answers() >= LOAD_STEP.min_answers:
             return LOAD_STEP.share
-        return self._first_share
+        return self.first_share
 
     def is_new(self, seed: str, now_s: float) -> bool:
         """Whether a session goes to the new version.
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -177,8 +177,10 @@
         {
             "State": _OUTCOMES[record.outcome],
             "Target": str(record.version),
-            # Ours: tells two orders of the same version apart.
+            # Ours: tells two orders of the same version apart, and what all
+            # gateways have agreed on.
             "Order": record.order,
+            "Share": record.first_share,
         }
     )
 
@@ -195,6 +197,7 @@
             VersionId(fields["Target"]),
             _OUTCOME_WORDS[fields["State"]],
             int(fields.get("Order", -1)),
+            float(fields.get("Share", 0.0)),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise CodecError(f"Outcome: {error!r}.") from error
