Share what waits where between gateways; count no lost connection as evidence

Cause 1: of 32 gateways each sees a thirtieth of an upstream's load, so its choice is nearly random. Change: datagrams of some 50 bytes with what each has waiting, at most a hundred a second and gateway; the best of three and the subject's upstream is taken.

Change: only answers count, not attempts without one.

--- a/src/lovagestage/gateway/choice.py
+++ b/src/lovagestage/gateway/choice.py
@@ -15,9 +15,10 @@
 hashed to, which has most likely read the shared parts before. Measured over
 the requests of the larger site: two thirds of the longest prompts are
 shared."""
-RUNNING_S = 0.01
-"""What each running request adds to the wait: its tokens are made between
-those of others."""
+SAMPLE = 3
+"""Upstreams that are compared. What others have waiting is known late; if all
+gateways chose the best of all, they would run to the same one (Mitzenmacher
+2000, "How Useful Is Old Information?")."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,7 +63,11 @@
     if work.subject is None:
         return min(good, key=lambda u: _get_place_cost(u, zone, rng))
     likely = max(good, key=lambda u: get_share(f"{work.subject}/{u.id}"))
-    return min(good, key=lambda u: _get_wait_s(u, work, u is likely, rng))
+    sample = rng.sample(good, min(SAMPLE, len(good)))
+    return min(
+        {*sample, likely},
+        key=lambda u: _get_wait_s(u, work, u is likely, rng),
+    )
 
 
 def _get_place_cost(
@@ -84,5 +89,5 @@
     """Ranks upstreams that read one prompt after another."""
     performance = upstream.performance
     own_s = work.expected_s * (1.0 - CACHED_RATIO * is_likely)
-    queue_s = performance.waiting_s + RUNNING_S * performance.running
-    return (queue_s + own_s) * performance.slowness, rng.random()
+    wait_s = performance.get_wait_s()
+    return (wait_s + own_s) * performance.slowness, rng.random()
--- /dev/null
+++ b/src/lovagestage/gateway/gossip.py
@@ -0,0 +1,161 @@
+"""Tells the other gateways what this one has waiting at each upstream.
+
+Gateways share the upstreams, and of 32 gateways each one sees a thirtieth of
+the load. Datagrams between them cost neither a call to the store nor a probe
+of an upstream. A lost one costs nothing: the next one holds the whole state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import struct
+
+import mode
+import xxhash
+
+from lovagestage.gateway.rotation import Rotation, Upstream
+from lovagestage.types import VmId
+
+_log = logging.getLogger(__name__)
+
+PERIOD_S = 0.1
+"""Time between datagrams to one peer of a few; answers begin after about as
+long."""
+PEERS_PER_PERIOD = 10
+"""With more peers the period grows, so that what a gateway sends and takes in
+is bounded: at 32 gateways a hundred datagrams of some 50 bytes a second."""
+HEARD_FOR_S = 1.0
+"""What a peer told is forgotten after this: it has stopped, or is cut off."""
+UNIT_S = 0.001
+_HEAD = struct.Struct(">4sQI")
+_ENTRY = struct.Struct(">IH")
+_MAGIC = b"lvg1"
+_MAX_WAIT = 0xFFFF
+
+
+class Gossip(mode.Service):
+    """Sends and takes in datagrams.
+
+    Args:
+        vm: This VM.
+        address: `IP:PORT` to send from and listen at.
+        rotation: Upstreams whose waiting times are told.
+    """
+
+    def __init__(self, vm: VmId, address: str, rotation: Rotation) -> None:
+        super().__init__()
+        self._own = xxhash.xxh3_64_intdigest(vm.encode())
+        self._address = address
+        self._rotation = rotation
+        self._peers: set[tuple[str, int]] = set()
+        self._heard: dict[int, tuple[float, int, dict[int, float]]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sequence = 0
+        self._was_empty = False
+
+    def add_peer(self, address: str) -> None:
+        """Takes the address of another gateway."""
+        host, _, port = address.rpartition(":")
+        if address == self._address or not port.isdigit():
+            return
+        if (host, int(port)) not in self._peers:
+            _log.info("peer_added", extra={"address": address})
+            self._peers.add((host, int(port)))
+
+    async def on_start(self) -> None:
+        """Opens the socket."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), local_addr=(host, int(port))
+        )
+        self._transport = transport
+
+    async def on_stop(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def take(self, data: bytes) -> None:
+        """Takes a datagram; one that can't be read is dropped and logged."""
+        try:
+            magic, sender, sequence = _HEAD.unpack_from(data)
+            waiting = {
+                name: units * UNIT_S
+                for name, units in _ENTRY.iter_unpack(data[_HEAD.size :])
+            }
+        except struct.error as error:
+            _log.warning("gossip_refused", extra={"error": str(error)})
+            return
+        known = self._heard.get(sender)
+        is_old = known is not None and known[1] >= sequence
+        now_s = asyncio.get_running_loop().time()
+        is_recent = known is not None and now_s - known[0] < HEARD_FOR_S
+        if magic != _MAGIC or sender == self._own or (is_old and is_recent):
+            return
+        self._heard[sender] = (now_s, sequence, waiting)
+        self._update()
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            scale = max(1.0, len(self._peers) / PEERS_PER_PERIOD)
+            await asyncio.sleep(PERIOD_S * scale)
+            self._forget()
+            self._send()
+
+    def _send(self) -> None:
+        entries = [
+            _ENTRY.pack(_get_short_name(upstream), units)
+            for upstream in self._rotation.get_all()
+            if (units := _get_units(upstream))
+        ]
+        is_empty = not entries
+        if self._transport is None or (is_empty and self._was_empty):
+            return
+        self._was_empty = is_empty
+        self._sequence += 1
+        head = _HEAD.pack(_MAGIC, self._own, self._sequence)
+        data = head + b"".join(entries)
+        for peer in self._peers:
+            self._transport.sendto(data, peer)
+
+    def _forget(self) -> None:
+        limit_s = asyncio.get_running_loop().time() - HEARD_FOR_S
+        old = [n for n, (at_s, _, w) in self._heard.items() if at_s < limit_s]
+        if any(self._heard[name][2] for name in old):
+            for name in old:
+                self._heard[name] = (*self._heard[name][:2], {})
+            self._update()
+
+    def _update(self) -> None:
+        totals: dict[int, float] = {}
+        for _, _, waiting in self._heard.values():
+            for name, wait_s in waiting.items():
+                totals[name] = totals.get(name, 0.0) + wait_s
+        for upstream in self._rotation.get_all():
+            upstream.performance.waiting_elsewhere_s = totals.get(
+                _get_short_name(upstream), 0.0
+            )
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, gossip: Gossip) -> None:
+        self._gossip = gossip
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        self._gossip.take(data)
+
+    def error_received(self, error: Exception) -> None:
+        # A peer that is gone; it is told nothing more once it is replaced.
+        _log.debug("gossip_error", extra={"error": str(error)})
+
+
+def _get_short_name(upstream: Upstream) -> int:
+    return xxhash.xxh32_intdigest(upstream.id.encode())
+
+
+def _get_units(upstream: Upstream) -> int:
+    performance = upstream.performance
+    return min(_MAX_WAIT, round(performance.get_own_wait_s() / UNIT_S))
--- a/src/lovagestage/gateway/mailbox.py
+++ b/src/lovagestage/gateway/mailbox.py
@@ -26,7 +26,9 @@
 from lovagestage.types import VmId
 
 _log = logging.getLogger(__name__)
-_Kind = TypeVar("_Kind", FailureNote, CountNote, OutcomeNote, CrashReport)
+_Kind = TypeVar(
+    "_Kind", HelloNote, FailureNote, CountNote, OutcomeNote, CrashReport
+)
 
 BATCH_S = 0.15
 """Notes wait this long for others: each call to the store has its price, and
@@ -45,6 +47,7 @@
         store: Client for appends.
         vm: This VM.
         incarnation: Start time of the process in nanoseconds.
+        peer_address: Where this gateway takes datagrams; empty for nowhere.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         store: StoreClient,
         vm: VmId,
         incarnation: int,
+        peer_address: str,
     ) -> None:
         super().__init__()
         self._store = store
@@ -59,7 +63,7 @@
         self._incarnation = incarnation
         self._readers: dict[type[Any], Callable[[Any], None]] = {}
         self._gateways = {vm}
-        self._waiting: list[Note] = [HelloNote()]
+        self._waiting: list[Note] = [HelloNote(peer_address)]
         self._added = asyncio.Event()
         self._added.set()
 
@@ -101,9 +105,9 @@
                 continue
             self._gateways.add(letter.vm)
             for note in letter.notes:
-                if isinstance(note, HelloNote):
-                    continue
-                self._readers[type(note)](note)
+                reader = self._readers.get(type(note))
+                if reader is not None:
+                    reader(note)
 
     def on_proof(self, at_s: float) -> None:
         """Nothing depends on the age of the letters."""
--- a/src/lovagestage/gateway/notes.py
+++ b/src/lovagestage/gateway/notes.py
@@ -12,7 +12,13 @@
 
 
 class HelloNote(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
-    """A gateway has started."""
+    """A gateway has started.
+
+    Attributes:
+        peer_address: Where it takes datagrams; empty for nowhere.
+    """
+
+    peer_address: str
 
 
 class FailureNote(msgspec.Struct, frozen=True, array_like=True, tag="failure"):
--- a/src/lovagestage/gateway/performance.py
+++ b/src/lovagestage/gateway/performance.py
@@ -15,6 +15,9 @@
 Above the rate of a service whose own faults fail one answer in seven."""
 
 
+RUNNING_S = 0.01
+"""What each running request adds to the wait: its tokens are made between
+those of others."""
 SPEED_GAIN = 0.1
 """Weight of the newest answer in the speed."""
 SPEED_LIMIT = 10.0
@@ -27,6 +30,8 @@
     Attributes:
         running: Requests of this gateway that are there.
         waiting_s: Time that those without an answer yet are expected to take.
+        waiting_elsewhere_s: The same of other gateways' requests, as they
+            told it last.
         slowness: Time of its answers, as a multiple of what was expected.
         failure_ratio: Running ratio of failed answers.
     """
@@ -34,11 +39,20 @@
     def __init__(self) -> None:
         self.running = 0
         self.waiting_s = 0.0
+        self.waiting_elsewhere_s = 0.0
         self.slowness = 1.0
         self.failure_ratio = 0.0
         self._suspect_until_s = 0.0
         self._suspect_s = 0.0
 
+    def get_own_wait_s(self) -> float:
+        """Expected wait behind this gateway's requests."""
+        return self.waiting_s + RUNNING_S * self.running
+
+    def get_wait_s(self) -> float:
+        """Expected wait behind the requests of all gateways."""
+        return self.get_own_wait_s() + self.waiting_elsewhere_s
+
     def is_suspect(self, now_s: float) -> bool:
         """Whether it lately failed in a way that says it is not there."""
         return now_s < self._suspect_until_s
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -20,6 +20,7 @@
 from lovagestage.gateway.exposition import Exposition
 from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.forwarder import Forwarder
+from lovagestage.gateway.gossip import Gossip
 from lovagestage.gateway.loglines import start_logging
 from lovagestage.gateway.mailbox import Mailbox
 from lovagestage.gateway.messages import CallerRequest
@@ -27,6 +28,7 @@
     TOPIC,
     CountNote,
     FailureNote,
+    HelloNote,
     OutcomeNote,
 )
 from lovagestage.gateway.rollout_service import RolloutService
@@ -149,7 +151,12 @@
             settings.bounds,
             rng,
         )
-        mailbox = Mailbox(self._make_store(), settings.vm, time.time_ns())
+        mailbox = Mailbox(
+            self._make_store(),
+            settings.vm,
+            time.time_ns(),
+            settings.peer_address or "",
+        )
         suspects = SuspectWatch(mailbox.post)
         mailbox.subscribe(CrashReport, suspects.on_report)
         mailbox.subscribe(FailureNote, self._rollouts.on_failure_note)
@@ -173,11 +180,26 @@
         timers.subscribe(SETTINGS_CHECK_S, self._check_settings)
         return [
             timers,
+            *self._make_gossip(mailbox),
             *self._make_feeds(mailbox, rng),
             mailbox,
             self._rollouts,
         ]
 
+    def _make_gossip(self, mailbox: Mailbox) -> list[mode.Service]:
+        settings = self._settings
+        if settings.peer_address is None:
+            return []
+        gossip = Gossip(
+            settings.vm, settings.peer_address, self.deployment.rotation
+        )
+
+        def add_peer(note: HelloNote) -> None:
+            gossip.add_peer(note.peer_address)
+
+        mailbox.subscribe(HelloNote, add_peer)
+        return [gossip]
+
     def _make_store(self) -> StoreClient:
         return StoreClient(self._settings.store_address)
 
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -209,6 +209,9 @@
                     "service": note.service,
                     "version": target,
                     "failures": rollout.new_failures,
+                    "route": note.route,
+                    "upstream": note.upstream,
+                    "answers": rollout.get_answers(),
                     "age_s": round(note.age_s, 2),
                 },
             )
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -162,7 +162,12 @@
     upstream: Upstream,
     error: AttemptFailedError,
 ) -> None:
-    """Learns from an attempt that gave no answer."""
+    """Learns from an attempt that gave no answer.
+
+    It is no evidence against a version: a crash or a cut link ends all that
+    runs at an upstream at once, and two such upstreams of the new version
+    would stop a good one.
+    """
     attempts.note_failure(upstream, error)
     _log.warning(
         "attempt_failed",
@@ -181,8 +186,6 @@
         upstream.performance.note_answer(True)
     else:
         upstream.performance.note_absent(get_elapsed_s())
-    if error.run is not RunState.NOT_RUN:
-        add_evidence(parts, attempts, upstream, failed=True)
     if error.reason in LOST_REASONS:
         parts.suspects.note_lost(
             attempts.fingerprint, attempts.run_name, upstream
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -45,6 +45,8 @@
         zone: The VM's availability zone.
         client_address: `IP:PORT` that callers reach.
         readiness_address: `IP:PORT` that the balancer asks.
+        peer_address: `IP:PORT` for datagrams of other gateways; None where
+            the deployment allows none.
         store_address: `IP:PORT` of the metadata store.
         bounds: Limits of the deployment.
     """
@@ -53,5 +55,6 @@
     zone: ZoneId
     client_address: str
     readiness_address: str
+    peer_address: str | None
     store_address: str
     bounds: Bounds
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -30,11 +30,19 @@
         zone=ZoneId(reader.get_text("Zone")),
         client_address=reader.get_address("Listen.Frontend"),
         readiness_address=reader.get_address("Listen.Readiness"),
+        peer_address=_decode_peer_address(reader),
         store_address=reader.get_address("Platform.Address"),
         bounds=_decode_bounds(reader),
     )
 
 
+def _decode_peer_address(reader: _Reader) -> str | None:
+    """The first of the ports that nodes may use between each other."""
+    first = reader.get_text("PortRange", "").partition(",")[0]
+    host = reader.get_text("Ip", "")
+    return f"{host}:{first}" if host and first.isdigit() else None
+
+
 def _decode_bounds(reader: _Reader) -> Bounds:
     return Bounds(
         revoke_s=reader.get_number("Bounds.RevokeMs") / 1000,
@@ -61,8 +69,10 @@
         self._lines = lines
         self._path = path
 
-    def get_text(self, key: str) -> str:
+    def get_text(self, key: str, default: str | None = None) -> str:
         value = self._fields.get(key, "")
+        if not value and default is not None:
+            return default
         if not value:
             raise self._make_error(key, "expected a value.")
         return value
--- /dev/null
+++ b/tests/test_gateway_gossip.py
@@ -0,0 +1,105 @@
+"""What gateways tell each other of the upstreams' load."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+from lovagestage.gateway.choice import Work, choose_upstream
+from lovagestage.gateway.gossip import HEARD_FOR_S, Gossip
+from lovagestage.gateway.rotation import Rotation, UpstreamEntry
+from tests.gateway_stage import get_free_port
+
+NAMES = ("w1", "w2", "w3")
+
+
+def make_rotation():
+    rotation = Rotation()
+    for number, name in enumerate(NAMES):
+        entry = UpstreamEntry("pool", f"h:{number}", "a", "v1", 8, False, 0.0)
+        rotation.apply(name, entry, number, 0.0, False)
+    return rotation
+
+
+def get_elsewhere(rotation):
+    return {
+        u.id: round(u.performance.waiting_elsewhere_s, 3)
+        for u in rotation.get_all()
+    }
+
+
+@contextlib.asynccontextmanager
+async def run_pair():
+    rotations = make_rotation(), make_rotation()
+    addresses = [f"127.0.0.1:{get_free_port()}" for _ in rotations]
+    pair = [
+        Gossip(f"edge-{number}", addresses[number], rotations[number])
+        for number in range(2)
+    ]
+    for gossip, other in zip(pair, reversed(addresses), strict=True):
+        await gossip.start()
+        gossip.add_peer(other)
+    try:
+        yield pair, rotations
+    finally:
+        for gossip in pair:
+            await gossip.stop()
+
+
+async def wait_until(condition, timeout_s=2.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_a_gateway_learns_what_another_has_waiting():
+    async with run_pair() as (_, (one, two)):
+        upstream = one.get_ready("pool")[0]
+        upstream.performance.waiting_s = 0.4
+        await wait_until(lambda: get_elsewhere(two)["w1"] == 0.4)
+        assert get_elsewhere(one)["w1"] == 0.0
+        upstream.performance.waiting_s = 0.0
+        await wait_until(lambda: get_elsewhere(two)["w1"] == 0.0)
+
+
+async def test_what_a_stopped_gateway_told_is_forgotten():
+    # A gateway is killed while it has requests waiting. What it told last
+    # must not keep others away from those upstreams for ever.
+    async with run_pair() as (pair, (one, two)):
+        one.get_ready("pool")[0].performance.waiting_s = 0.4
+        await wait_until(lambda: get_elsewhere(two)["w1"] == 0.4)
+        await pair[0].stop()
+        await asyncio.sleep(HEARD_FOR_S)
+        await wait_until(lambda: get_elsewhere(two)["w1"] == 0.0)
+
+
+async def test_datagrams_of_others_change_nothing():
+    async with run_pair() as (pair, (_, two)):
+        for data in (b"", b"x", b"lvg1" + bytes(12) + b"abc", bytes(40)):
+            pair[1].take(data)
+        assert set(get_elsewhere(two).values()) == {0.0}
+
+
+async def test_late_datagrams_do_not_undo_newer_ones():
+    async with run_pair() as (pair, (one, two)):
+        sent = []
+        pair[0]._transport.sendto = lambda data, peer: sent.append(data)
+        for wait_s in (0.9, 0.1):
+            one.get_ready("pool")[0].performance.waiting_s = wait_s
+            pair[0]._send()
+        pair[1].take(sent[1])
+        pair[1].take(sent[0])
+        assert get_elsewhere(two)["w1"] == 0.1
+
+
+def test_requests_avoid_an_upstream_that_others_have_filled():
+    rotation = make_rotation()
+    upstreams = rotation.get_ready("pool")
+    upstreams[0].performance.waiting_elsewhere_s = 2.0
+    rng = random.Random(1)
+    chosen = {
+        choose_upstream(upstreams, (), Work(0.1, str(seed)), "a", 0.0, rng).id
+        for seed in range(200)
+    }
+    assert chosen == {"w2", "w3"}
