Give requests that run once a connection of their own; drop what nothing uses

Cause: the grown deployments' workers drop idle connections without notice and reset what comes on them; a request that must not run twice then ends in 502. Before, a connection idle for up to 0.5 s was reused for it. A failing test first.

Also: settings, fields and headers that were decoded and never used are gone; a reload applies all bounds, not the trust alone.

--- a/lab/worker.py
+++ b/lab/worker.py
@@ -78,6 +78,11 @@
         for writer in list(self._writers):
             reset_connection(writer)
 
+    async def drop_connections(self) -> None:
+        """Resets the open connections and stays up."""
+        for writer in list(self._writers):
+            reset_connection(writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/lovagestage/gateway/configuration.py
+++ b/src/lovagestage/gateway/configuration.py
@@ -73,22 +73,6 @@
         return self.kind is RouteKind.SAFE
 
 
-@dataclasses.dataclass(frozen=True)
-class ServiceSpec:
-    """A service that routes lead to.
-
-    Attributes:
-        name: Its name.
-        max_connections: Connections that one upstream takes from all callers.
-        max_pin_s: Longest time that an upstream keeps an ended request's
-            memory on demand; 0 where it runs no models.
-    """
-
-    name: ServiceId
-    max_connections: int
-    max_pin_s: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True)
 class ClientLimits:
     """What callers may send and how long they may take."""
@@ -113,7 +97,6 @@
     Args:
         version: Grows with each change.
         routes: All routes.
-        services: All services.
         limits: What callers may send.
         keys: Workspace by key; None where callers need no keys.
     """
@@ -122,14 +105,12 @@
         self,
         version: int,
         routes: Sequence[Route],
-        services: Sequence[ServiceSpec],
         limits: ClientLimits,
         keys: Mapping[str, WorkspaceEntry] | None,
     ) -> None:
         self.version = version
         self.limits = limits
         self.keys = keys
-        self.services = {service.name: service for service in services}
         self._routes = {(r.host, r.prefix): r for r in routes}
 
     def __len__(self) -> int:
--- a/src/lovagestage/gateway/connections.py
+++ b/src/lovagestage/gateway/connections.py
@@ -14,10 +14,6 @@
 IDLE_LIMIT_S = 3.0
 """An idle connection is not used after this, where the upstream names no
 shorter time: common servers close after 5 s and sooner."""
-FRESH_LIMIT_S = 0.5
-"""The same for a request that must not run twice: a request that crosses the
-upstream's close may have run, and can then be neither repeated nor called
-not run."""
 IDLE_MARGIN_S = 0.7
 """Part of a named idle time that is not used; the request must arrive before
 it is over."""
@@ -33,19 +29,26 @@
         self._idle_limits_s: dict[InstanceId, float] = {}
 
     async def acquire(
-        self, upstream: Upstream, idle_limit_s: float
+        self, upstream: Upstream, may_reuse: bool
     ) -> ClientConnection:
         """Takes the connection that was used last, or opens one.
 
+        Args:
+            upstream: Where to.
+            may_reuse: Whether a kept connection will do. Not for a request
+                that must not run twice: one that crosses the upstream's
+                close may have run, and could be neither repeated nor called
+                not run. An upstream may close at any time, so age is no help.
+
         Raises:
             ConnectionLostError: None could be opened; nothing was sent.
         """
         now_s = asyncio.get_running_loop().time()
         limit_s = min(
-            idle_limit_s, self._idle_limits_s.get(upstream.id, IDLE_LIMIT_S)
+            IDLE_LIMIT_S, self._idle_limits_s.get(upstream.id, IDLE_LIMIT_S)
         )
         idle = self._idle.get(upstream.id, [])
-        while idle:
+        while may_reuse and idle:
             connection = idle.pop()
             is_young = now_s - connection.idle_since_s < limit_s
             if is_young and connection.make_reusable():
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -12,11 +12,7 @@
     ConnectionLostError,
     WrongMessageError,
 )
-from lovagestage.gateway.connections import (
-    FRESH_LIMIT_S,
-    IDLE_LIMIT_S,
-    ConnectionPool,
-)
+from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.http1 import ClientConnection
@@ -148,9 +144,10 @@
         self._waiting_s = 0.0
 
     async def _connect(self) -> ClientConnection:
-        limit_s = IDLE_LIMIT_S if self._is_repeatable else FRESH_LIMIT_S
         try:
-            self._connection = await self._pool.acquire(self.upstream, limit_s)
+            self._connection = await self._pool.acquire(
+                self.upstream, self._is_repeatable
+            )
         except ConnectionLostError as error:
             self._connection = None
             raise AttemptFailedError("unreachable", RunState.NOT_RUN) from error
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -13,7 +13,7 @@
 from lovagestage.gateway.latency import LatencyTable, LoadGauge
 from lovagestage.gateway.plain import forward_plain
 from lovagestage.gateway.runs import RunParts
-from lovagestage.gateway.settings import GatewaySettings
+from lovagestage.gateway.settings import Bounds, GatewaySettings
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
 from lovagestage.gateway.stream_runs import forward_stream
 from lovagestage.gateway.suspects import SuspectWatch
@@ -51,7 +51,8 @@
         suspects: SuspectWatch,
         rng: random.Random,
     ) -> None:
-        self._settings = settings
+        self._zone = settings.zone
+        self._bounds = settings.bounds
         self._deployment = deployment
         self._rng = rng
         self._budgets: dict[ServiceId, RetryBudget] = {}
@@ -64,7 +65,7 @@
         budget = self._get_budget(admitted.service)
         budget.note_request(asyncio.get_running_loop().time())
         return Attempts(
-            admitted, self._deployment, budget, self._settings.zone, self._rng
+            admitted, self._deployment, budget, self._zone, self._rng
         )
 
     async def forward(self, attempts: Attempts, sink: AnswerSink) -> None:
@@ -79,13 +80,17 @@
         else:
             await forward_plain(self._parts, attempts, sink)
 
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Takes new bounds; budgets start anew."""
+        self._bounds = bounds
+        self._budgets.clear()
+
     def _get_budget(self, service: ServiceId) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._settings.bounds
             budget = RetryBudget(
                 asyncio.get_running_loop().time(),
-                ratio=BUDGET_SAFETY * bounds.retry_ratio,
+                ratio=BUDGET_SAFETY * self._bounds.retry_ratio,
                 minimum_per_s=0.0,
                 limit=BUDGET_SAVED,
             )
--- a/src/lovagestage/gateway/messages.py
+++ b/src/lovagestage/gateway/messages.py
@@ -85,9 +85,6 @@
         model: Model that is to answer; None where none is named.
         resume_after: Id of the last event that is not to be sent again.
         priority: From 0 for the most urgent; None for the default.
-        pin_s: Time to keep its memory after a whole answer.
-        replica_address: Upstream that gets a copy of its memory.
-        copy_from: Address and name of the copy that it goes on from.
     """
 
     request: CallerRequest
@@ -97,9 +94,6 @@
     model: str | None = None
     resume_after: str | None = None
     priority: int | None = None
-    pin_s: float = 0.0
-    replica_address: str | None = None
-    copy_from: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,7 +108,6 @@
         is_not_run: The upstream says that it has not run the request.
         is_other_instance: Another incarnation has the address now.
         confidence: The model's rough opinion of its answer, 0 to 100.
-        retry_after_s: When the upstream wants to be asked again.
         closes: The upstream closes the connection.
         idle_timeout_s: Time after which it closes an idle connection.
         has_encoding: The body is not as the upstream made it.
@@ -127,7 +120,6 @@
     is_not_run: bool
     is_other_instance: bool
     confidence: float | None
-    retry_after_s: float
     closes: bool
     idle_timeout_s: float | None
     has_encoding: bool
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -163,7 +163,7 @@
         mailbox.subscribe(CountNote, self._rollouts.on_count_note)
         mailbox.subscribe(OutcomeNote, self._rollouts.on_outcome_note)
         self._rollouts.set_mailbox(mailbox)
-        forwarder = Forwarder(
+        self._forwarder = Forwarder(
             settings,
             self.deployment,
             self._pool,
@@ -171,7 +171,9 @@
             suspects,
             rng,
         )
-        service = GatewayService(self.deployment, forwarder, self._exposition)
+        service = GatewayService(
+            self.deployment, self._forwarder, self._exposition
+        )
         self._callers = CallerServer(service.answer, service.get_limits)
         self._probes = CallerServer(self._answer_probe, service.get_limits)
         self._metrics = CallerServer(self._answer_metrics, service.get_limits)
@@ -314,5 +316,8 @@
                 extra={"cause": cause, "error": error.message},
             )
             return
+        # Addresses and times to wait for stay as they are until a restart.
         self.deployment.trust.limit_s = settings.bounds.revoke_s
+        self._rollouts.apply_bounds(settings.bounds)
+        self._forwarder.apply_bounds(settings.bounds)
         _log.info("settings_reloaded", extra={"cause": cause})
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -95,6 +95,10 @@
         """Gives the service its way to the others; called once."""
         self._mailbox = mailbox
 
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Takes new bounds; they hold for orders that come."""
+        self._bounds = bounds
+
     @property
     def is_resolved(self) -> bool:
         """Whether the outcome of each known order has been looked up."""
--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -32,7 +32,6 @@
         version: Version of its software.
         slots: Requests that it works on at once.
         is_draining: It takes no new requests soon.
-        warmup_left_s: Time for which it is still slow.
     """
 
     service: ServiceId
@@ -41,7 +40,6 @@
     version: VersionId
     slots: int
     is_draining: bool
-    warmup_left_s: float
 
 
 class UpstreamState(enum.Enum):
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -18,11 +18,9 @@
         stop_s: A process that was told to stop is killed after this.
         retry_ratio: Arrivals beyond the first of each request, as a share of
             requests, that a service may get.
-        retry_slack: Such arrivals beyond that share, over all gateways.
         exposure_ratio: Share of a service's requests that an unproved version
             may get over its whole roll-out.
         exposure_slack: Such requests beyond that share, over all gateways.
-        session_s: Requests of a session follow each other within this.
     """
 
     revoke_s: float
@@ -30,10 +28,8 @@
     drain_s: float
     stop_s: float
     retry_ratio: float
-    retry_slack: float
     exposure_ratio: float
     exposure_slack: float
-    session_s: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -14,7 +14,6 @@
     Configuration,
     Route,
     RouteKind,
-    ServiceSpec,
     WorkspaceEntry,
 )
 from lovagestage.gateway.rollouts import (
@@ -56,7 +55,6 @@
         return Configuration(
             int(fields["Version"]),
             [_decode_route(route) for route in fields.get("Routes", ())],
-            [_decode_service(item) for item in fields.get("Services", ())],
             _decode_limits(fields.get("Limits", {})),
             _decode_keys(fields.get("Tenants")),
         )
@@ -88,15 +86,6 @@
     )
 
 
-def _decode_service(fields: Fields) -> ServiceSpec:
-    runtime = fields.get("Runtime") or {}
-    return ServiceSpec(
-        ServiceId(fields["Name"]),
-        int(fields.get("MaxConnections", 0)),
-        float(runtime.get("PinMs", 0.0)) / 1000,
-    )
-
-
 def _decode_limits(fields: Fields) -> ClientLimits:
     default = ClientLimits()
     return ClientLimits(
@@ -136,7 +125,6 @@
             version=VersionId(str(fields.get("Version", ""))),
             slots=int(fields.get("MaxBatchSize") or 1),
             is_draining=fields.get("State") != "ready",
-            warmup_left_s=float(fields.get("WarmupLeftMs") or 0) / 1000,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise CodecError(f"Upstream: {error!r}.") from error
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -25,9 +25,6 @@
 _PRIORITY = b"request-priority"
 _SESSION = b"session"
 _KEY = b"authorization"
-_PIN = b"pin-ms"
-_COPY_FROM = b"kv-from"
-_REPLICA = b"kv-replica"
 _KEY_SCHEME = "token"
 _SET_BY_US = frozenset(
     (
@@ -38,9 +35,9 @@
         _RESUME,
         _PRIORITY,
         _KEY,
-        _PIN,
-        _COPY_FROM,
-        _REPLICA,
+        b"pin-ms",
+        b"kv-from",
+        b"kv-replica",
         b"reservation",
         b"kv-fetch",
         b"expected-version",
@@ -138,12 +135,6 @@
             b"Request-Priority",
             None if call.priority is None else str(call.priority),
         ),
-        (
-            b"Pin-Ms",
-            str(int(call.pin_s * 1000)) if call.pin_s else None,
-        ),
-        (b"Kv-Replica", call.replica_address),
-        (b"Kv-From", call.copy_from),
     ):
         if value is not None:
             headers.append((name, value.encode("latin-1")))
@@ -165,7 +156,6 @@
         is_not_run=_NOT_RUN in fields or event.status_code == _MISDIRECTED,
         is_other_instance=event.status_code == _MISDIRECTED,
         confidence=float(confidence) if confidence.isdigit() else None,
-        retry_after_s=_get_number(fields, b"retry-after", 0.0),
         closes=b"close" in fields.get(b"connection", b"").lower(),
         idle_timeout_s=_get_idle_timeout(_get_text(fields, b"keep-alive")),
         has_encoding=b"content-encoding" in fields,
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -97,6 +97,22 @@
         assert (reply.status, count_runs(stage)) == (status, 1)
 
 
+async def test_an_unsafe_request_never_meets_a_dropped_connection():
+    # The upstream drops idle connections without notice and resets what comes
+    # on them. A request that must not run twice could then be neither
+    # repeated nor called not run, so it gets a connection of its own.
+    async with run_stage(workers=1) as stage:
+        worker = stage.workers["w1"]
+        await stage.call("/safe/x", request_id="a0")
+        for number in range(3):
+            await worker.drop_connections()
+            reply = await stage.call("/unsafe/x", request_id=f"a{number + 1}")
+            assert reply.status == 200
+        before = worker.connections
+        await stage.call("/unsafe/x", request_id="a9")
+        assert worker.connections == before + 1
+
+
 async def test_sends_an_unsafe_request_on_after_proof_that_it_has_not_run():
     # One upstream refuses with a proof, the other takes it: one run.
     async with run_stage(workers=0) as stage:
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -17,7 +17,7 @@
 def make_rotation():
     rotation = Rotation()
     for number, name in enumerate(NAMES):
-        entry = UpstreamEntry("pool", f"h:{number}", "a", "v1", 8, False, 0.0)
+        entry = UpstreamEntry("pool", f"h:{number}", "a", "v1", 8, False)
         rotation.apply(name, entry, number, 0.0, False)
     return rotation
 
--- a/tests/test_gateway_rotation.py
+++ b/tests/test_gateway_rotation.py
@@ -15,7 +15,7 @@
     UpstreamState,
 )
 
-ENTRY = UpstreamEntry("pool", "10.0.0.1:80", "a", "v1", 4, False, 0.0)
+ENTRY = UpstreamEntry("pool", "10.0.0.1:80", "a", "v1", 4, False)
 DRAINING = dataclasses.replace(ENTRY, is_draining=True)
 DRAIN_S = 2.0
 
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -60,7 +60,7 @@
 def test_finds_what_a_naive_search_finds(pairs, host, parts, end):
     routes = [make_route(*pair) for pair in pairs]
     path = "/" + "/".join(parts) + end
-    configuration = Configuration(1, routes, [], ClientLimits(), None)
+    configuration = Configuration(1, routes, ClientLimits(), None)
     found = configuration.get_route(host.upper(), path)
     assert found == find_naively(routes, host, path)
 
