Keep a going session on the old version in the first half of a roll-out

Change: sessions are remembered for as long as they last; one that began off the new version stays there until half of the duration is over. A failing test first.

--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -83,6 +83,12 @@
         """Whether its process runs."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Process id; the process must run."""
+        assert self._process is not None
+        return self._process.pid
+
     async def start(self) -> None:
         """Starts the process; its lines are added to its log file."""
         text = SETTINGS.replace("NAME", self.name)
--- a/src/lovagestage/gateway/admission.py
+++ b/src/lovagestage/gateway/admission.py
@@ -43,11 +43,6 @@
     deadline_s: float
     config_version: int
 
-    @property
-    def seed(self) -> str:
-        """What parts that hash requests tell sessions apart by."""
-        return self.request.session or str(self.request.id)
-
     @property
     def priority(self) -> int:
         """Rank among requests of the same upstream, 0 for first."""
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -113,7 +113,10 @@
         admitted, deployment = self.admitted, self._deployment
         now_s = get_elapsed_s()
         self.assignment = deployment.assign(
-            admitted.service, admitted.seed, now_s
+            admitted.service,
+            admitted.request.session,
+            str(admitted.request.id),
+            now_s,
         )
         own = deployment.get_upstreams(
             admitted.service, self.assignment.version
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -5,6 +5,7 @@
 import logging
 
 from lovagestage.gateway.configuration import Configuration
+from lovagestage.gateway.pins import SessionPins
 from lovagestage.gateway.rollouts import (
     Assignment,
     Rollout,
@@ -26,13 +27,15 @@
         trust: Age of its last proof.
         rotation: Upstreams.
         rollouts: The last order of each service.
+        pins: Versions that sessions are on.
     """
 
-    def __init__(self, trust: Trust) -> None:
+    def __init__(self, trust: Trust, pins: SessionPins) -> None:
         self.configuration: Configuration | None = None
         self.trust = trust
         self.rotation = Rotation()
         self.rollouts: dict[ServiceId, Rollout] = {}
+        self.pins = pins
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Takes a configuration; an older one than known is ignored.
@@ -52,12 +55,34 @@
         )
         self.configuration = configuration
 
-    def assign(self, service: ServiceId, seed: str, now_s: float) -> Assignment:
-        """Chooses the version that a request's session is on."""
+    def assign(
+        self,
+        service: ServiceId,
+        session: str | None,
+        request: str,
+        now_s: float,
+    ) -> Assignment:
+        """Chooses the version that a request's session is on.
+
+        Args:
+            service: The service.
+            session: The session; None for a request by itself.
+            request: Id of the request.
+            now_s: Elapsed time.
+        """
         ready = self.rotation.get_ready(service)
         versions = sorted({upstream.entry.version for upstream in ready})
         rollout = self.rollouts.get(service)
-        return choose_versions(rollout, versions, seed, now_s)
+        if session is None:
+            return choose_versions(rollout, versions, request, now_s)
+        is_pinned_off = rollout is not None and self.pins.is_pinned_off(
+            service, session, rollout.order.version, now_s
+        )
+        assignment = choose_versions(
+            rollout, versions, session, now_s, is_pinned_off
+        )
+        self.pins.note(service, session, assignment.version, now_s)
+        return assignment
 
     def get_upstreams(
         self, service: ServiceId, version: VersionId | None
--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -27,6 +27,8 @@
 is bounded: at 32 gateways a hundred datagrams of some 50 bytes a second."""
 HEARD_FOR_S = 1.0
 """What a peer told is forgotten after this: it has stopped, or is cut off."""
+HEARD_FOR_PERIODS = 3.0
+"""The same where periods are long: two datagrams in a row may be lost."""
 UNIT_S = 0.001
 _HEAD = struct.Struct(">4sQI")
 _ENTRY = struct.Struct(">IH")
@@ -91,7 +93,9 @@
         known = self._heard.get(sender)
         is_old = known is not None and known[1] >= sequence
         now_s = asyncio.get_running_loop().time()
-        is_recent = known is not None and now_s - known[0] < HEARD_FOR_S
+        is_recent = (
+            known is not None and now_s - known[0] < self._get_heard_for_s()
+        )
         if magic != _MAGIC or sender == self._own or (is_old and is_recent):
             return
         self._heard[sender] = (now_s, sequence, waiting)
@@ -100,11 +104,16 @@
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
-            scale = max(1.0, len(self._peers) / PEERS_PER_PERIOD)
-            await asyncio.sleep(PERIOD_S * scale)
+            await asyncio.sleep(self._get_period_s())
             self._forget()
             self._send()
 
+    def _get_period_s(self) -> float:
+        return PERIOD_S * max(1.0, len(self._peers) / PEERS_PER_PERIOD)
+
+    def _get_heard_for_s(self) -> float:
+        return max(HEARD_FOR_S, HEARD_FOR_PERIODS * self._get_period_s())
+
     def _send(self) -> None:
         entries = [
             _ENTRY.pack(_get_short_name(upstream), units)
@@ -122,7 +131,8 @@
             self._transport.sendto(data, peer)
 
     def _forget(self) -> None:
-        limit_s = asyncio.get_running_loop().time() - HEARD_FOR_S
+        now_s = asyncio.get_running_loop().time()
+        limit_s = now_s - self._get_heard_for_s()
         old = [n for n, (at_s, _, w) in self._heard.items() if at_s < limit_s]
         if any(self._heard[name][2] for name in old):
             for name in old:
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -31,6 +31,7 @@
     HelloNote,
     OutcomeNote,
 )
+from lovagestage.gateway.pins import SessionPins
 from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.server import CallerConnection, CallerServer
 from lovagestage.gateway.service import GatewayService
@@ -142,7 +143,10 @@
     def _make_parts(self) -> list[mode.Service]:
         settings = self._settings
         rng = random.Random()
-        self.deployment = Deployment(Trust(settings.bounds.revoke_s))
+        self.deployment = Deployment(
+            Trust(settings.bounds.revoke_s),
+            SessionPins(settings.bounds.session_s),
+        )
         self._pool = ConnectionPool()
         self._rollouts = RolloutService(
             self._make_store(),
@@ -293,6 +297,7 @@
 
     def _expire(self) -> None:
         self.deployment.rotation.expire(get_elapsed_s())
+        self.deployment.pins.expire(get_elapsed_s())
         self._pool.expire()
 
     def _check_settings(self) -> None:
@@ -318,6 +323,7 @@
             return
         # Addresses and times to wait for stay as they are until a restart.
         self.deployment.trust.limit_s = settings.bounds.revoke_s
+        self.deployment.pins.session_s = settings.bounds.session_s
         self._rollouts.apply_bounds(settings.bounds)
         self._forwarder.apply_bounds(settings.bounds)
         _log.info("settings_reloaded", extra={"cause": cause})
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -281,11 +281,17 @@
         return f"{self.order.service}/{self.order.version}/{seed}"
 
 
+HALF_RATIO = 0.51
+"""Until then a session stays on the old version if it began there; a little
+over the half, since gateways learn of an order at different moments."""
+
+
 def choose_versions(
     rollout: Rollout | None,
     versions: Sequence[VersionId],
     seed: str,
     now_s: float,
+    is_pinned_off: bool = False,
 ) -> Assignment:
     """Chooses the version of a request.
 
@@ -294,6 +300,8 @@
         versions: Versions of the upstreams that take requests.
         seed: The request's session, or its id.
         now_s: Elapsed time.
+        is_pinned_off: Whether the session is going on, on another version
+            than the new one.
     """
     if rollout is None:
         return Assignment(None)
@@ -307,5 +315,6 @@
     if not old:
         # A reverted version still serves where nothing else is left.
         return Assignment(target, True, share)
-    is_new = rollout.is_new(seed, now_s)
+    is_held = is_pinned_off and rollout.get_ratio(now_s) < HALF_RATIO
+    is_new = rollout.is_new(seed, now_s) and not is_held
     return Assignment(target if is_new else old[0], is_new, share)
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -21,6 +21,7 @@
         exposure_ratio: Share of a service's requests that an unproved version
             may get over its whole roll-out.
         exposure_slack: Such requests beyond that share, over all gateways.
+        session_s: Requests of a session follow each other within this.
     """
 
     revoke_s: float
@@ -30,6 +31,7 @@
     retry_ratio: float
     exposure_ratio: float
     exposure_slack: float
+    session_s: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -52,6 +52,8 @@
         retry_ratio=reader.get_number("Bounds.RetryBudgetRatio"),
         exposure_ratio=reader.get_number("Bounds.ExposureShare"),
         exposure_slack=reader.get_number("Bounds.ExposureSlack"),
+        # A deployment without model sessions does not set it.
+        session_s=reader.get_number("Bounds.SessionS", 5.0),
     )
 
 
@@ -81,7 +83,9 @@
             raise self._make_error(key, f"{value!r} is not IP:PORT.")
         return value
 
-    def get_number(self, key: str) -> float:
+    def get_number(self, key: str, default: float | None = None) -> float:
+        if default is not None and not self._fields.get(key):
+            return default
         value = self.get_text(key)
         try:
             number = float(value)
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -10,6 +10,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lab import worker as lab
+from lovagestage.gateway.deployment import Deployment
+from lovagestage.gateway.pins import SessionPins
 from lovagestage.gateway.rollouts import (
     COMPLETE_ANSWERS,
     COMPLETE_RATIO,
@@ -25,6 +27,8 @@
     get_evidence,
     get_first_share,
 )
+from lovagestage.gateway.rotation import UpstreamEntry
+from lovagestage.gateway.trust import Trust
 from tests.gateway_stage import run_stage
 
 ORDER = RolloutOrder("pool", "v2", 20.0)
@@ -194,6 +198,28 @@
     assert chosen == {"v2"}
 
 
+def test_a_session_that_goes_on_stays_on_the_old_version_in_the_first_half():
+    # A session had a request on the old version a moment before the share was
+    # agreed. Its hash is below the share, but in the first half it must not
+    # change; one that begins later goes to the new version.
+    deployment = Deployment(Trust(5.0), SessionPins(5.0))
+    for number, version in enumerate(BOTH):
+        entry = UpstreamEntry("pool", f"h:{number}", "a", version, 4, False)
+        deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
+    rollout = make_rollout()
+    moved = str(next(iter(get_new(rollout, 100.0))))
+    assert not deployment.assign("pool", moved, "q1", 98.0).is_new
+    deployment.rollouts["pool"] = rollout
+    assert not deployment.assign("pool", moved, "q2", 102.0).is_new
+    assert not deployment.assign("pool", moved, "q3", 106.0).is_new
+    assert deployment.assign("pool", moved, "q4", 112.0).is_new
+    deployment.pins.expire(200.0)
+    assert len(deployment.pins) == 0
+    again = Deployment(Trust(5.0), SessionPins(5.0))
+    again.rotation, again.rollouts = deployment.rotation, deployment.rollouts
+    assert again.assign("pool", moved, "q5", 102.0).is_new
+
+
 async def put_order(stage, version="v2", duration_s=4.0):
     data = {"Service": "pool", "Target": version, "DurationS": duration_s}
     stage.store.put("keyed.op", "rollout/pool", json.dumps(data).encode())
