Part a gateway's wiring from its process; end soaked gateways one at a time

Two overlapping restarts of one gateway in the soak started two processes of which one outlived it (five were found and ended by id); restarts of a gateway wait for each other.

--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -77,6 +77,7 @@
         self._path = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        self._ending = asyncio.Lock()
 
     @property
     def is_alive(self) -> bool:
@@ -115,12 +116,13 @@
             self.is_frozen = number is signal.SIGSTOP
 
     async def end(self, number: signal.Signals) -> None:
-        """Ends the process and starts another."""
-        self.send_signal(number)
-        if self._process is not None:
-            await self._process.wait()
-        await asyncio.sleep(RESTART_S)
-        await self.start()
+        """Ends the process and starts another, once at a time."""
+        async with self._ending:
+            self.send_signal(number)
+            if self._process is not None:
+                await self._process.wait()
+            await asyncio.sleep(RESTART_S)
+            await self.start()
 
     async def stop(self) -> None:
         """Kills the process for good."""
--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from lovagestage.exceptions import CodecError
 from lovagestage.gateway.clocks import get_elapsed_s
@@ -89,21 +90,27 @@
         self._on_order(order, record.offset)
 
 
+class EntrySource(Protocol):
+    """Where the upstreams' entries come from."""
+
+    def get_lost_age_s(self, now_s: float) -> float | None:
+        """Time since it was last out of reach; None for never."""
+
+
 class UpstreamBeliefs:
     """Takes the upstreams' entries.
 
     Args:
         deployment: What is in force.
-        get_lost_age_s: Time since the store was last out of reach.
     """
 
-    def __init__(
-        self,
-        deployment: Deployment,
-        get_lost_age_s: Callable[[float], float | None],
-    ) -> None:
+    def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
-        self._get_lost_age_s = get_lost_age_s
+        self._source: EntrySource | None = None
+
+    def set_source(self, source: EntrySource) -> None:
+        """Names the feed that reads the entries; called once."""
+        self._source = source
 
     def on_newest(self, page: Page) -> None:
         """Takes the newest entry of each upstream."""
@@ -128,7 +135,8 @@
         """Nothing depends on the age of the upstreams' list alone."""
 
     def _was_away(self, now_s: float) -> bool:
-        age_s = self._get_lost_age_s(now_s)
+        assert self._source is not None
+        age_s = self._source.get_lost_age_s(now_s)
         return age_s is not None and age_s < AWAY_MEMORY_S
 
     def _decode(
--- a/src/lovagestage/gateway/connections.py
+++ b/src/lovagestage/gateway/connections.py
@@ -73,12 +73,6 @@
         connection.idle_since_s = asyncio.get_running_loop().time()
         idle.append(connection)
 
-    def drop(self, instance: InstanceId) -> None:
-        """Closes what is kept for an incarnation."""
-        for connection in self._idle.pop(instance, ()):
-            connection.abort()
-        self._idle_limits_s.pop(instance, None)
-
     def expire(self) -> None:
         """Closes connections that are too old to be used."""
         now_s = asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/lovagestage/gateway/wiring.py
@@ -0,0 +1,207 @@
+"""Composition root of a gateway: builds its parts and connects them."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import time
+
+import mode
+
+from lovagestage.crash_reports import CrashReport
+from lovagestage.gateway.beliefs import OperatorBeliefs, UpstreamBeliefs
+from lovagestage.gateway.connections import ConnectionPool
+from lovagestage.gateway.deployment import Deployment
+from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.feeds import TopicFeed
+from lovagestage.gateway.forwarder import Forwarder
+from lovagestage.gateway.gossip import Gossip
+from lovagestage.gateway.mailbox import Mailbox
+from lovagestage.gateway.notes import (
+    TOPIC,
+    CountNote,
+    FailureNote,
+    HelloNote,
+    OutcomeNote,
+)
+from lovagestage.gateway.pins import SessionPins
+from lovagestage.gateway.rollout_service import RolloutService
+from lovagestage.gateway.service import GatewayService
+from lovagestage.gateway.settings import GatewaySettings
+from lovagestage.gateway.suspects import SuspectWatch
+from lovagestage.gateway.trust import Trust
+from lovagestage.platform.store import (
+    OPERATOR_TOPIC,
+    UPSTREAM_TOPIC,
+    StoreClient,
+)
+from lovagestage.timers import TimerService
+
+WAIT_RATIO = 0.7
+"""The store holds a read for this part of the time in which what it waits for
+must be in force. A change arrives at once; the store does not always wake a
+read that waits, and then the next one finds the change in time."""
+TRUST_WAIT_RATIO = 0.3
+"""The same as part of the time for which keys may be relied on, where that is
+shorter: one lost read must not end the trust."""
+OPERATOR_PAUSE_S = 0.2
+"""Configurations come in storms of several a second; a tenth of the time in
+which one must be in force."""
+UPSTREAM_PAUSE_S = 0.4
+"""A release changes many upstreams within seconds, and each change would wake
+every gateway: 5.6 calls a second and gateway without pauses on the quiet day
+of the largest site. A fifth of the time for which a leaving one serves."""
+NOTES_WAIT_S = 10.0
+"""Notes are rare; a read costs a call whenever it ends."""
+NOTES_PAUSE_S = 0.6
+"""Evidence comes from all gateways within moments; a verdict has seconds."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What a gateway's process runs and asks.
+
+    Attributes:
+        deployment: What the gateway believes.
+        pool: Kept connections to upstreams.
+        rollouts: Follows the roll-outs.
+        forwarder: Runs requests.
+        upstream_feed: Reads the upstreams' entries.
+        service: Answers callers.
+        timers: Calls subscribers.
+        services: What is started, in order, with the above among them.
+    """
+
+    deployment: Deployment
+    pool: ConnectionPool
+    rollouts: RolloutService
+    forwarder: Forwarder
+    upstream_feed: TopicFeed
+    service: GatewayService
+    timers: TimerService
+    services: tuple[mode.Service, ...]
+
+
+def make_parts(settings: GatewaySettings, exposition: Exposition) -> Parts:
+    """Builds all parts; nothing is started."""
+    rng = random.Random()
+    bounds = settings.bounds
+    deployment = Deployment(
+        Trust(bounds.revoke_s), SessionPins(bounds.session_s)
+    )
+    rollouts = RolloutService(
+        _make_store(settings), deployment, settings.vm, bounds, rng
+    )
+    mailbox = Mailbox(
+        _make_store(settings),
+        settings.vm,
+        time.time_ns(),
+        settings.peer_address or "",
+    )
+    rollouts.set_mailbox(mailbox)
+    suspects = SuspectWatch(mailbox.post)
+    gossip = _make_gossip(settings, deployment, mailbox)
+    _subscribe(mailbox, rollouts, suspects)
+    pool = ConnectionPool()
+    forwarder = Forwarder(settings, deployment, pool, rollouts, suspects, rng)
+    upstream_feed = _make_upstream_feed(settings, deployment, rng)
+    timers = TimerService()
+    services = (
+        timers,
+        *gossip,
+        _make_operator_feed(settings, deployment, rollouts, rng),
+        upstream_feed,
+        _make_notes_feed(settings, mailbox, rng),
+        mailbox,
+        rollouts,
+    )
+    return Parts(
+        deployment,
+        pool,
+        rollouts,
+        forwarder,
+        upstream_feed,
+        GatewayService(deployment, forwarder, exposition),
+        timers,
+        services,
+    )
+
+
+def _make_store(settings: GatewaySettings) -> StoreClient:
+    """A client of its own for each part: calls on one wait for each other."""
+    return StoreClient(settings.store_address)
+
+
+def _subscribe(
+    mailbox: Mailbox, rollouts: RolloutService, suspects: SuspectWatch
+) -> None:
+    mailbox.subscribe(CrashReport, suspects.on_report)
+    mailbox.subscribe(FailureNote, rollouts.on_failure_note)
+    mailbox.subscribe(CountNote, rollouts.on_count_note)
+    mailbox.subscribe(OutcomeNote, rollouts.on_outcome_note)
+
+
+def _make_gossip(
+    settings: GatewaySettings, deployment: Deployment, mailbox: Mailbox
+) -> list[Gossip]:
+    if settings.peer_address is None:
+        return []
+    gossip = Gossip(settings.vm, settings.peer_address, deployment.rotation)
+
+    def add_peer(note: HelloNote) -> None:
+        gossip.add_peer(note.peer_address)
+
+    mailbox.subscribe(HelloNote, add_peer)
+    return [gossip]
+
+
+def _make_operator_feed(
+    settings: GatewaySettings,
+    deployment: Deployment,
+    rollouts: RolloutService,
+    rng: random.Random,
+) -> TopicFeed:
+    bounds = settings.bounds
+    wait_s = min(
+        WAIT_RATIO * bounds.apply_s, TRUST_WAIT_RATIO * bounds.revoke_s
+    )
+    return TopicFeed(
+        _make_store(settings),
+        OPERATOR_TOPIC,
+        OperatorBeliefs(deployment, rollouts.on_order),
+        wait_s,
+        OPERATOR_PAUSE_S,
+        True,
+        rng,
+    )
+
+
+def _make_upstream_feed(
+    settings: GatewaySettings, deployment: Deployment, rng: random.Random
+) -> TopicFeed:
+    beliefs = UpstreamBeliefs(deployment)
+    feed = TopicFeed(
+        _make_store(settings),
+        UPSTREAM_TOPIC,
+        beliefs,
+        WAIT_RATIO * settings.bounds.drain_s,
+        UPSTREAM_PAUSE_S,
+        True,
+        rng,
+    )
+    beliefs.set_source(feed)
+    return feed
+
+
+def _make_notes_feed(
+    settings: GatewaySettings, mailbox: Mailbox, rng: random.Random
+) -> TopicFeed:
+    return TopicFeed(
+        _make_store(settings),
+        TOPIC,
+        mailbox,
+        NOTES_WAIT_S,
+        NOTES_PAUSE_S,
+        False,
+        rng,
+    )
