Drop the share that an assignment carried for a test no longer used

Found on reading the whole change again: evidence against a version is weighed by route and failure rate, so nothing reads Assignment.share any more, and each request computed the roll-out's share a second time for it. Behaviour is the same: the gateway's tests pass unchanged, none read the field.

Looked at and left: Exchange.fetch_body beside ClientConnection.receive_body (each maps ends of a connection to errors of its own layer); rows of the duplicates list, which are alike in shape only.

--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -155,12 +155,10 @@
     Attributes:
         version: The version; None for any.
         is_new: Whether it is the one that is rolled out.
-        share: Chance that the request had of that; 0 outside roll-outs.
     """
 
     version: VersionId | None
     is_new: bool = False
-    share: float = 0.0
 
 
 class Rollout:
@@ -336,11 +334,10 @@
         return Assignment(target)
     if target not in versions:
         return Assignment(None)
-    share = rollout.get_share(now_s)
     if not old:
         # A reverted version still serves where nothing else is left.
-        return Assignment(target, True, share)
+        return Assignment(target, True)
     is_held = is_pinned_off or seed in rollout.held
     is_held = is_held and rollout.get_ratio(now_s) < HALF_RATIO
     is_new = rollout.is_new(seed, now_s) and not is_held
-    return Assignment(target if is_new else old[0], is_new, share)
+    return Assignment(target if is_new else old[0], is_new)
