Listen for callers before the slow imports; let the first ones wait for the store

Each caller retries once and meets another gateway that starts, too. Ruled out: the store (configuration and upstreams were known 20 ms after the start).

Change: the callers' port is opened as soon as the settings are read, and accepted from once the gateway knows what it serves, 0.25 s later at the latest.

--- a/src/lovagestage/gateway/command.py
+++ b/src/lovagestage/gateway/command.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from lovagestage.exceptions import LovagestageError, SettingsError
+from lovagestage.gateway.listeners import open_listener
 from lovagestage.gateway.settings import GatewaySettings
 from lovagestage.platform.settings import SETTINGS_VARIABLE, decode_settings
 
@@ -57,9 +58,11 @@
     if options.check:
         print(f"{path}: ok")
         return 0
+    listener = open_listener(settings.client_address)
+    # What follows takes longer to import than all before.
     from lovagestage.gateway.process import run_gateway
 
-    return run_gateway(settings, path, options.metrics_port)
+    return run_gateway(settings, path, options.metrics_port, listener)
 
 
 def resolve_path(given: pathlib.Path | None) -> pathlib.Path:
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -6,11 +6,13 @@
 import logging
 import pathlib
 import signal
+import socket
 
 from lovagestage.exceptions import SettingsError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.listeners import open_listener
 from lovagestage.gateway.loglines import start_logging
 from lovagestage.gateway.messages import CallerRequest
 from lovagestage.gateway.server import CallerConnection, CallerServer
@@ -22,6 +24,11 @@
 EXPIRE_S = 0.2
 """Upstreams that lapsed are given up at most this late."""
 SETTINGS_CHECK_S = 1.0
+COLD_WAIT_S = 0.25
+"""The first callers wait so long for the store, which answers within 0.05 s
+where it is sound. A refusal would send them to gateways that have started at
+the same moment; with a store that is away it comes this much later."""
+COLD_POLL_S = 0.005
 NOTICE_S = 2.6
 """Time for the balancer to see that the gateway is leaving: two looks, a
 second apart, and the time for the answer."""
@@ -31,12 +38,15 @@
 
 
 def run_gateway(
-    settings: GatewaySettings, path: pathlib.Path, metrics_port: int
+    settings: GatewaySettings,
+    path: pathlib.Path,
+    metrics_port: int,
+    listener: socket.socket,
 ) -> int:
     """Runs a gateway until it is told to stop; returns its exit code."""
     exposition = Exposition()
     start_logging(settings.vm, exposition)
-    gateway = Gateway(settings, path, metrics_port, exposition)
+    gateway = Gateway(settings, path, metrics_port, exposition, listener)
     return asyncio.run(gateway.run())
 
 
@@ -48,6 +58,7 @@
         path: File that they came from.
         metrics_port: Port of the metrics; 0 for none.
         exposition: Takes what is measured.
+        listener: Where callers' connections arrive.
     """
 
     def __init__(
@@ -56,11 +67,13 @@
         path: pathlib.Path,
         metrics_port: int,
         exposition: Exposition,
+        listener: socket.socket,
     ) -> None:
         self._settings = settings
         self._path = path
         self._metrics_port = metrics_port
         self._exposition = exposition
+        self._listener = listener
         self._is_leaving = False
         self._settings_changed_ns = 0
         self._parts = make_parts(settings, exposition)
@@ -84,13 +97,15 @@
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
         try:
-            await self._open()
+            await self._open_probes()
             for service in self._parts.services:
                 await service.start()
             _log.info(
                 "process_started",
                 extra={"address": self._settings.client_address},
             )
+            await self._wait_for_beliefs(stop)
+            await self._callers.open(self._listener)
             await stop.wait()
             await self._leave()
         finally:
@@ -102,12 +117,20 @@
         _log.info("process_stopped", extra={"signal": "term"})
         return 0
 
-    async def _open(self) -> None:
-        await self._callers.open(self._settings.client_address)
-        await self._probes.open(self._settings.readiness_address)
+    async def _open_probes(self) -> None:
+        address = self._settings.readiness_address
+        await self._probes.open(open_listener(address))
         if self._metrics_port:
             host = self._settings.client_address.rpartition(":")[0]
-            await self._metrics.open(f"{host}:{self._metrics_port}")
+            address = f"{host}:{self._metrics_port}"
+            await self._metrics.open(open_listener(address))
+
+    async def _wait_for_beliefs(self, stop: asyncio.Event) -> None:
+        """Lets callers wait while the store is about to answer."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + COLD_WAIT_S
+        while not (self.is_ready() or stop.is_set() or loop.time() >= end_s):
+            await asyncio.sleep(COLD_POLL_S)
 
     async def _leave(self) -> None:
         """Leaves the balancer, then answers what is open."""
--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -19,6 +20,7 @@
     WrongMessageError,
 )
 from lovagestage.gateway.configuration import ClientLimits
+from lovagestage.gateway.listeners import BACKLOG
 from lovagestage.gateway.messages import AnswerHead, CallerRequest
 from lovagestage.http1 import Channel, Headers
 
@@ -26,9 +28,6 @@
 
 BODY_TIMEOUT_S = 10.0
 """Time for a whole body; a caller that stalls would hold memory for ever."""
-BACKLOG = 1024
-"""Connections that may wait to be accepted; a burst after a restart brings
-those of all callers at once."""
 
 
 class CallerConnection:
@@ -251,12 +250,11 @@
         """Requests that are being read or answered."""
         return sum(connection.is_busy for connection in self._tasks.values())
 
-    async def open(self, address: str) -> None:
-        """Listens at `IP:PORT`."""
-        host, _, port = address.rpartition(":")
+    async def open(self, listener: socket.socket) -> None:
+        """Accepts the connections of a listening socket."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._make_channel, host, int(port), backlog=BACKLOG
+            self._make_channel, sock=listener, backlog=BACKLOG
         )
 
     def close_idle(self) -> None:
--- a/tests/gateway_stage.py
+++ b/tests/gateway_stage.py
@@ -15,6 +15,7 @@
 from lab.server import start_app
 from lab.worker import Worker
 from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.listeners import open_listener
 from lovagestage.gateway.process import Gateway
 from lovagestage.platform.settings import decode_settings
 
@@ -169,7 +170,13 @@
         path = pathlib.Path(folder) / "boot.conf"
         path.write_text(text)
         settings = decode_settings(text, str(path))
-        stage.gateway = Gateway(settings, path, 0, Exposition())
+        stage.gateway = Gateway(
+            settings,
+            path,
+            0,
+            Exposition(),
+            open_listener(settings.client_address),
+        )
         task = asyncio.ensure_future(stage.gateway.run())
         try:
             await stage.wait_until(stage.gateway.is_ready)
--- /dev/null
+++ b/tests/test_gateway_start.py
@@ -0,0 +1,93 @@
+"""What callers see while a gateway starts."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import socket
+import sys
+import time
+import types
+
+from lab.caller import read_reply
+from lab.server import start_app
+from lovagestage.gateway import command
+from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.listeners import open_listener
+from lovagestage.gateway.process import COLD_WAIT_S, Gateway
+from lovagestage.platform.settings import decode_settings
+from tests.gateway_stage import Stage, make_request, make_settings_text
+
+ANSWER_LIMIT_S = 1.0
+
+
+def test_port_is_open_before_the_slow_imports(tmp_path, monkeypatch):
+    # All gateways are killed at once and start again. Callers who connect
+    # while a gateway still imports its modules must wait, not be reset: their
+    # only retry would meet another gateway that starts, too.
+    stage = Stage()
+    path = tmp_path / "boot.conf"
+    path.write_text(make_settings_text(stage.client_port, 2, 3))
+    waiting = []
+
+    def run_gateway(settings, path, metrics_port, listener):
+        with socket.create_connection(("127.0.0.1", stage.client_port), 1.0):
+            waiting.append(listener.accept()[0])
+        return 0
+
+    slow = types.ModuleType("lovagestage.gateway.process")
+    slow.run_gateway = run_gateway
+    monkeypatch.setitem(sys.modules, slow.__name__, slow)
+    options = argparse.Namespace(settings=path, check=False, metrics_port=0)
+    assert command.run(options) == 0
+    assert len(waiting) == 1
+    waiting.pop().close()
+
+
+async def send_before_start(stage, store_port):
+    """Sends a request to the open port, then starts the gateway."""
+    text = make_settings_text(
+        stage.client_port, stage.readiness_port, store_port
+    )
+    settings = decode_settings(text, "boot.conf")
+    listener = open_listener(settings.client_address)
+    reader, writer = await stage.connect()
+    writer.write(make_request("/safe/x"))
+    gateway = Gateway(
+        settings, pathlib.Path("boot.conf"), 0, Exposition(), listener
+    )
+    task = asyncio.ensure_future(gateway.run())
+    started_s = time.monotonic()
+    try:
+        reply = await asyncio.wait_for(read_reply(reader), 4.0)
+        return reply, time.monotonic() - started_s
+    finally:
+        writer.close()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_caller_of_a_starting_gateway_waits_for_the_store():
+    # The caller connected before the gateway knew any configuration. The
+    # store answers within moments, so it gets an answer, not a refusal.
+    stage = Stage()
+    runner, store_port = await start_app(stage.store.make_app(), "127.0.0.1", 0)
+    stage.put_configuration()
+    worker = await stage.add_worker("w1")
+    reply, _ = await send_before_start(stage, store_port)
+    assert reply.status == 200
+    await worker.stop()
+    await runner.cleanup()
+
+
+async def test_caller_of_a_starting_gateway_is_refused_soon_without_store():
+    # The store is away while the gateway starts. The caller is told when to
+    # come back at once, not when its time is nearly over.
+    stage = Stage()
+    with socket.socket() as nobody:
+        nobody.bind(("127.0.0.1", 0))
+        reply, took_s = await send_before_start(stage, nobody.getsockname()[1])
+    assert reply.status == 503
+    assert "retry-after" in reply.headers
+    assert took_s < COLD_WAIT_S + ANSWER_LIMIT_S
