Tell a request's story from the logs: lovagestage explain

Cause: the way from a failed request's id to its cause was a page of greps; what explains a failure mostly stands in lines without its id.

Change: `explain ID FILE…` prints the request's own lines over all processes and, around them, what each process that handled it believed then (its configuration, a lost store, the upstreams, how other requests fared there, the roll-out), with a conclusion; `--json`; exit code 1 where no line tells of it. Beliefs of a process that was restarted since are left out.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -407,6 +407,11 @@
         """What a stand-in has counted."""
         return json.loads(call("GET", f"{self.children[name].url}/_stats"))
 
+    def get_log_tail(self, name: str, lines: int = 60) -> str:
+        """The last lines that a process has logged."""
+        path = self._folder / f"{name}.log"
+        return "\n".join(path.read_text().splitlines()[-lines:])
+
     def _is_ready(self, entry: Child) -> bool:
         if entry.process.poll() is not None:
             raise FleetError(f"{entry.name} has ended; see {self._folder}.")
--- a/src/lovagestage/cli.py
+++ b/src/lovagestage/cli.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Sequence
 
-from lovagestage import __version__, usage
+from lovagestage import __version__, explain, usage
 from lovagestage.commands import add_service_parsers
 from lovagestage.exceptions import LovagestageError, SettingsError
 from lovagestage.gateway.command import add_arguments as add_gateway_arguments
@@ -57,6 +57,7 @@
     completion.add_argument("shell", choices=("bash", "zsh", "tcsh"))
     completion.set_defaults(run=_run_completion)
     usage.add_command(commands)
+    explain.add_command(commands)
     return parser
 
 
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -56,6 +56,16 @@
         self.key = key
 
 
+class LogFileError(LovagestageError):
+    """A log file can't be read."""
+
+    code = "log_file_unreadable"
+    exit_code = EXIT_USAGE
+
+    def __init__(self, file: str, reason: str) -> None:
+        super().__init__(f"{file}: {reason}.")
+
+
 class DocumentInvalidError(LovagestageError):
     """A service document has faults; the message has one line for each."""
 
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,100 @@
+"""The `explain` command, on logs as processes write them."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from lovagestage.cli import main
+from lovagestage.explain import make_story
+from lovagestage.loglines import parse_lines
+
+LOG = """\
+time=01.0 event=process_started vm=a address=x
+time=01.5 event=store_lost vm=a topic=t reason="reset by peer"
+time=02.0 event=process_started vm=a address=x
+time=02.1 event=configuration_applied vm=a version=4
+time=02.1 event=configuration_applied vm=b version=5
+time=02.2 event=upstream_added vm=a upstream=u1 service=s
+time=03.0 event=attempt_failed vm=b request=r0 upstream=u1 reason=silent
+time=03.1 event=upstream_added vm=a upstream=u9 service=s
+ 3.2 a time=03.2 event=attempt_failed vm=a request=r1 upstream=u1 reason=refused
+time=03.3 event=request_ended vm=a request=r1 outcome=refused status=503 \
+upstreams=u1 service=s
+time=04.0 event=store_lost vm=a topic=t reason=later
+"""
+
+
+def make_log_story(request_id, log=LOG):
+    return make_story(request_id, parse_lines(log.splitlines()))
+
+
+def test_story_has_the_request_and_what_explains_it():
+    story = make_log_story("r1")
+    assert [line.event for line in story.own] == [
+        "attempt_failed",
+        "request_ended",
+    ]
+    events = [(line.vm, line.event) for line in story.context]
+    assert events == [
+        ("a", "process_started"),
+        ("a", "configuration_applied"),
+        ("a", "upstream_added"),
+        ("b", "attempt_failed"),
+    ]
+    assert "Status 503" in story.conclusion
+    assert "has not run" in story.conclusion
+
+
+def test_story_leaves_out_what_an_earlier_process_believed():
+    # The store was lost and the process restarted before the request came:
+    # the new process has read everything anew, so the loss explains nothing.
+    story = make_log_story("r1")
+    assert not any(line.event == "store_lost" for line in story.context)
+
+
+def test_answered_request_names_the_attempts_before():
+    log = LOG.replace(
+        "outcome=refused status=503", "outcome=answered status=200"
+    )
+    conclusion = make_log_story("r1", log).conclusion
+    assert conclusion.startswith("Status 200.")
+    assert "attempts failed: refused" in conclusion
+
+
+@pytest.mark.parametrize(
+    ("extra", "hint"), [("", "process_started"), ("left_out=7", "left out")]
+)
+def test_unknown_request_says_what_to_look_at(extra, hint):
+    story = make_log_story("nobody", LOG.replace("address=x", extra or "a=b"))
+    assert story.own == ()
+    assert hint in story.conclusion
+
+
+def test_json_lines_are_read_too():
+    (line,) = parse_lines(
+        [
+            'x {"time": "1", "event": "request_ended", "request": "q", "n": 2}',
+            "noise",
+        ]
+    )
+    assert (line.event, line.get("request"), line.get("n")) == (
+        "request_ended",
+        "q",
+        "2",
+    )
+
+
+def test_command_prints_the_story_and_its_exit_code(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    path.write_text(LOG)
+    assert main(["explain", "r1", str(path)]) == 0
+    assert "request r1: Status 503." in capsys.readouterr().out
+    assert main(["explain", "r1", "--json", str(path)]) == 0
+    printed = json.loads(capsys.readouterr().out)
+    assert [line["event"] for line in printed["own"]][-1] == "request_ended"
+    assert main(["explain", "nobody", str(path)]) == 1
+    capsys.readouterr()
+    assert main(["explain", "r1", str(tmp_path / "none")]) == 2
+    assert "log_file_unreadable" in capsys.readouterr().err
