See a burst before its first answers are late

Cause: after a restart of all gateways, and in a burst, answers that are in doubt were all asked of a model that takes ten times as long. Load was known only from answers that had begun (mean of ten), and a request whose kind had not been answered yet counted as no load.

Change: pressure is the larger of what answers showed and of the wait at the least busy upstream now, with that of the other gateways; a request of unknown time counts 0.1 s. Tests without it fail: all of a burst of 30 were escalated. request_ended says what wait was expected at each upstream chosen.

--- a/lab/worker.py
+++ b/lab/worker.py
@@ -211,6 +211,7 @@
     break_after: int | None = None,
     pause_s: float = 0.0,
     confidence: dict[str, int] | None = None,
+    first_s: float = 0.0,
 ) -> Script:
     """A stream of events with ids from 1; resumes where it is asked to.
 
@@ -219,9 +220,11 @@
         break_after: Id of an event in whose successor it resets.
         pause_s: Pause before each event.
         confidence: Opinion of the answer by model.
+        first_s: Time until the answer begins.
     """
 
     async def run(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(first_s)
         model = arrival.headers.get("model-name", "")
         more = {"Content_Type": "text/event-stream"}
         if confidence and model in confidence:
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -42,6 +42,7 @@
         sent: Attempts made.
         runs: Attempts that may have run.
         tried: Upstreams in the order of attempts.
+        waits_s: Expected wait at each of them when it was chosen.
         model: Model of the last attempt; None where none is named.
         first_event_s: Time from the request's head to its first event.
     """
@@ -59,6 +60,7 @@
         self.sent = 0
         self.runs = 0
         self.tried: list[InstanceId] = []
+        self.waits_s: list[float] = []
         self.model: str | None = None
         self.first_event_s: float | None = None
         self._deployment = deployment
@@ -107,6 +109,7 @@
         self.sent += 1
         self.runs += 1
         self.tried.append(upstream.id)
+        self.waits_s.append(upstream.performance.get_wait_s())
         return upstream
 
     def _choose_upstream(self, expected_s: float) -> Upstream | None:
@@ -133,6 +136,13 @@
                 return upstream
         return None
 
+    def get_least_wait_s(self) -> float:
+        """Expected wait at the least busy upstream of the request's version."""
+        upstreams = self._deployment.get_upstreams(
+            self.admitted.service, self.assignment.version
+        )
+        return min((u.performance.get_wait_s() for u in upstreams), default=0.0)
+
     def note_failure(
         self, upstream: Upstream, error: AttemptFailedError
     ) -> None:
@@ -147,6 +157,7 @@
         self.sent -= 1
         self.runs -= 1
         self.tried.pop()
+        self.waits_s.pop()
 
     def note_failed_answer(self, upstream: Upstream) -> None:
         """Takes a failure that the upstream answered with into account."""
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -13,6 +13,7 @@
     WrongMessageError,
 )
 from lovagestage.gateway.connections import ConnectionPool
+from lovagestage.gateway.latency import UNKNOWN_S
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.http1 import ClientConnection
@@ -35,7 +36,8 @@
         upstream: Where to.
         call: What to send.
         is_repeatable: Whether the request may run again.
-        expected_s: Time that its answer is expected to take to begin.
+        expected_s: Time that its answer is expected to take to begin; None
+            while too little is known.
 
     Attributes:
         upstream: Where to.
@@ -49,7 +51,7 @@
         upstream: Upstream,
         call: OutgoingCall,
         is_repeatable: bool,
-        expected_s: float,
+        expected_s: float | None,
     ) -> None:
         self.upstream = upstream
         self.head: AnswerHead | None = None
@@ -58,7 +60,7 @@
         self._call = call
         self._is_repeatable = is_repeatable
         self._expected_s = expected_s
-        self._waiting_s = expected_s
+        self._waiting_s = UNKNOWN_S if expected_s is None else expected_s
         self._connection: ClientConnection | None = None
 
     async def __aenter__(self) -> Self:
@@ -85,7 +87,8 @@
     def note_begun(self, time_s: float) -> None:
         """Notes that the answer has begun, so many seconds after its call."""
         self._end_wait()
-        self.upstream.performance.note_time(time_s, self._expected_s)
+        if self._expected_s is not None:
+            self.upstream.performance.note_time(time_s, self._expected_s)
 
     async def fetch_head(self) -> AnswerHead:
         """Sends the request and reads the head of its answer.
--- a/src/lovagestage/gateway/latency.py
+++ b/src/lovagestage/gateway/latency.py
@@ -22,6 +22,12 @@
 0.3, 0.720 with 0.2 and 0.7 and one limit for all lengths (paired seeds)."""
 
 
+UNKNOWN_S = 0.1
+"""Time that an answer is expected to take while too little is known, about
+what one takes where nothing waits. After a start the first requests would
+otherwise count as no load at all, and all be sent to one upstream."""
+
+
 class _Mean:
     def __init__(self) -> None:
         self.value = 0.0
@@ -72,8 +78,15 @@
         """Takes the time of one first event."""
         self._mean.add(time_s / aim_s)
 
-    @property
-    def pressure(self) -> float:
-        """0 where nothing waits, 1 where answers are about to be late."""
+    def get_pressure(self, wait_s: float, aim_s: float) -> float:
+        """0 where nothing waits, 1 where answers are about to be late.
+
+        Args:
+            wait_s: Expected wait at the upstream that is least busy. Answers
+                show a load only once they begin; in the first second of a
+                burst, or of a process, this alone tells of it.
+            aim_s: Time within which an answer should begin.
+        """
         span = FULL_AIM_RATIO - IDLE_AIM_RATIO
-        return min(1.0, max(0.0, (self._mean.value - IDLE_AIM_RATIO) / span))
+        ratio = max(self._mean.value, wait_s / aim_s)
+        return min(1.0, max(0.0, (ratio - IDLE_AIM_RATIO) / span))
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -14,7 +14,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.exchange import Exchange
-from lovagestage.gateway.latency import LatencyTable, LoadGauge
+from lovagestage.gateway.latency import UNKNOWN_S, LatencyTable, LoadGauge
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
@@ -76,7 +76,8 @@
             raise attempts.make_refusal("suspect_waiting")
         await asyncio.sleep(PROBE_WAIT_S)
     attempts.model = model
-    upstream = attempts.choose(get_expected_s(parts, attempts, model))
+    expected_s = get_expected_s(parts, attempts, model)
+    upstream = attempts.choose(UNKNOWN_S if expected_s is None else expected_s)
     if admission is Admission.PROBE:
         parts.suspects.start_probe(fingerprint, attempts.run_name)
     return upstream
@@ -119,10 +120,10 @@
 
 def get_expected_s(
     parts: RunParts, attempts: Attempts, model: str | None
-) -> float:
+) -> float | None:
     """Time to the first sign of an answer, as others took."""
     route = attempts.admitted.route
-    return parts.latency.get((route.name, model)) or 0.0
+    return parts.latency.get((route.name, model))
 
 
 def get_silence_limit_s(
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -129,6 +129,7 @@
                 "status": status,
                 "reason": reason,
                 "upstreams": ",".join(attempts.tried),
+                "waits_s": ",".join(f"{wait:.3f}" for wait in attempts.waits_s),
                 "version": attempts.assignment.version,
                 "model": attempts.model,
                 "prompt_tokens": request.prompt_tokens or None,
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -160,9 +160,12 @@
         attempts = self._attempts
         if self.progress.is_started:
             return None
-        pressure = self._parts.gauge.pressure
+        route = attempts.admitted.route
+        pressure = self._parts.gauge.get_pressure(
+            attempts.get_least_wait_s(), route.aim_s
+        )
         larger = get_larger_model(
-            attempts.admitted.route,
+            route,
             self._model,
             head.confidence,
             attempts.admitted.request.prompt_tokens,
