Claim ports for a launcher alone, so that no two fleets share them

Change: a launcher claims its part by a lock that ends with it (lab/ports); gateway tests and the soak take their ports there, too, no longer from the kernel's range for outgoing connections.

--- a/lab/experiments/capacity.py
+++ b/lab/experiments/capacity.py
@@ -25,7 +25,8 @@
 import zmq
 
 from lab.experiments import Result
-from lab.fleet import HOST, Fleet, Shape, get_free_port
+from lab.fleet import Fleet, Shape
+from lab.ports import HOST, get_free_port
 from lab.usage import get_usage
 from lovagestage.document import (
     ClassSpec,
--- a/lab/naive_fleet.py
+++ b/lab/naive_fleet.py
@@ -4,7 +4,8 @@
 
 import json
 
-from lab.fleet import EXAMPLES, Child, Fleet, get_free_port
+from lab.fleet import EXAMPLES, Child, Fleet
+from lab.ports import get_free_port
 from lab.relay import Relay
 
 
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -6,10 +6,10 @@
 import contextlib
 import random
 
+from lab.ports import get_free_port
 from lovagestage.gateway.choice import Work, choose_upstream
 from lovagestage.gateway.gossip import HEARD_FOR_S, Gossip
 from lovagestage.gateway.rotation import Rotation, UpstreamEntry
-from tests.gateway_stage import get_free_port
 
 NAMES = ("w1", "w2", "w3")
 
