--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -120,9 +120,21 @@
         assert self._mailbox is not None
         own_per_s = self._risks.get_rate(order.service, get_elapsed_s())
         expected = own_per_s * self._mailbox.gateways * order.duration_s
-        return get_first_share(
+        share = get_first_share(
             self._bounds.exposure_ratio, self._bounds.exposure_slack, expected
         )
+        _log.info(
+            "rollout_share_proposed",
+            extra={
+                "service": order.service,
+                "version": order.version,
+                "share": share,
+                "expected": round(expected),
+                "own_per_s": round(own_per_s, 2),
+                "gateways": self._mailbox.gateways,
+            },
+        )
+        return share
 
     def add_answer(
         self,
