--- a/lab/experiments/failover.py
+++ b/lab/experiments/failover.py
@@ -37,8 +37,8 @@
 from lab.relay import Relay
 from lab.traffic import Traffic
 from lovagestage.billing import BILLING_STREAM, Bill, decode_batch
-from lovagestage.commands import make_withdrawal
 from lovagestage.document import ServiceDocument
+from lovagestage.edits import make_withdrawal
 from lovagestage.http_log import HttpLog
 from lovagestage.settings import parse_file
 from lovagestage.types import Offset
--- a/src/lovagestage/billed.py
+++ b/src/lovagestage/billed.py
@@ -4,8 +4,8 @@
 
 from lovagestage.billing import Bill, BillOutcome
 from lovagestage.billing_service import BillingService
-from lovagestage.dispatcher import Request, Result
 from lovagestage.events import DONE
+from lovagestage.request import Request, Result
 
 _CONTENT = b'"content":'
 
--- a/src/lovagestage/cascade_service.py
+++ b/src/lovagestage/cascade_service.py
@@ -11,7 +11,6 @@
 
 from lovagestage.cascade import CascadeTable, get_difficulty
 from lovagestage.control import ControlReader
-from lovagestage.dispatcher import Request, Result
 from lovagestage.document import (
     ClassSpec,
     ServiceDocument,
@@ -21,6 +20,7 @@
 from lovagestage.learned import Arm, Learned, LearnedDelta, Plan
 from lovagestage.links import LinkTable
 from lovagestage.messages import Message
+from lovagestage.request import Request, Result
 from lovagestage.timers import TimerService
 from lovagestage.transport import PeerId
 from lovagestage.types import ServiceId, WorkspaceId, parse_model_version
--- a/src/lovagestage/chat_admission.py
+++ b/src/lovagestage/chat_admission.py
@@ -11,7 +11,6 @@
 from lovagestage.authentication import Caller
 from lovagestage.chat_form import ChatForm, get_class_name
 from lovagestage.deferral_service import HEADER_DEADLINE, resolve_deadline_s
-from lovagestage.dispatcher import Request
 from lovagestage.document import (
     ClassSpec,
     Repeatable,
@@ -23,6 +22,7 @@
     ModelNotAllowedError,
     UnknownModelError,
 )
+from lovagestage.request import Request
 from lovagestage.sessions import (
     Session,
     SessionSigner,
--- a/src/lovagestage/chat_answers.py
+++ b/src/lovagestage/chat_answers.py
@@ -14,10 +14,10 @@
 from lovagestage.authentication import Caller
 from lovagestage.billed import BilledStream, make_bill
 from lovagestage.billing_service import BillingService
-from lovagestage.dispatcher import Request, Result
 from lovagestage.error_answers import make_error_body
 from lovagestage.exceptions import RequestRefusedError
 from lovagestage.measurement import Measurement, get_measurement
+from lovagestage.request import Request, Result
 from lovagestage.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
--- a/src/lovagestage/chat_api.py
+++ b/src/lovagestage/chat_api.py
@@ -12,12 +12,13 @@
 from lovagestage.chat_answers import ChatAnswers
 from lovagestage.chat_form import parse_form
 from lovagestage.deferral_service import DeferralService
-from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.dispatcher import Dispatcher
 from lovagestage.escalation import Escalation, may_run_twice
 from lovagestage.keyed_refusals import get_progress
 from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
 from lovagestage.limit_service import LimitService
 from lovagestage.measurement import get_measurement
+from lovagestage.request import Request, Result
 from lovagestage.trials import Trials
 
 
--- a/src/lovagestage/cli.py
+++ b/src/lovagestage/cli.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 
 from lovagestage import __version__, explain, usage
-from lovagestage.commands import add_service_parsers
+from lovagestage.command_parsers import add_service_parsers
 from lovagestage.exceptions import LovagestageError, SettingsError
 from lovagestage.gateway.command import add_arguments as add_gateway_arguments
 from lovagestage.gateway.command import run as run_gateway_command
--- a/src/lovagestage/commands.py
+++ b/src/lovagestage/commands.py
@@ -7,10 +7,8 @@
 import dataclasses
 import difflib
 import json
-import pathlib
 import sys
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import msgspec
 
@@ -18,36 +16,33 @@
     RolloutSpec,
     RolloutState,
     ServiceDocument,
-    VersionState,
+)
+from lovagestage.edits import (
+    make_rollout_edit,
+    make_withdrawal,
+    resolve_service,
 )
 from lovagestage.exceptions import (
-    EXIT_CONFLICT,
     EXIT_FAILURE,
     EXIT_INVALID,
     EXIT_UNKNOWN,
-    DocumentInvalidError,
-    ServiceUnknownError,
 )
 from lovagestage.operator_client import (
-    Edit,
     OperatorClient,
     PutResult,
     format_faults,
-    get_services_of,
     open_client,
 )
-from lovagestage.outcomes import Outcome
+from lovagestage.printing import (
+    format_document,
+    print_json,
+    print_result,
+    print_rows,
+)
 from lovagestage.records import OperatorsChange, OperatorSpec
 from lovagestage.settings import OperatorSettings, parse_file
 from lovagestage.writer import make_change_id
 
-_EXIT_CODES = {
-    Outcome.ACCEPTED: 0,
-    Outcome.CONFLICT: EXIT_CONFLICT,
-    Outcome.INVALID: EXIT_INVALID,
-    Outcome.FORBIDDEN: EXIT_INVALID,
-}
-
 Work = Callable[[OperatorClient], Awaitable[int]]
 
 
@@ -288,230 +283,3 @@
         return 0
 
     return run_with_client(options, work)
-
-
-def make_withdrawal(version: str) -> Edit:
-    """An edit that withdraws a version and aborts roll-outs to it."""
-
-    def edit(document: ServiceDocument) -> ServiceDocument:
-        versions = [
-            msgspec.structs.replace(v, state=VersionState.WITHDRAWN)
-            if v.name == version
-            else v
-            for v in document.versions
-        ]
-        rollouts = {
-            model: spec
-            for model, spec in document.rollouts.items()
-            if version not in (spec.old, spec.new)
-        }
-        return msgspec.structs.replace(
-            document, versions=versions, rollouts=rollouts
-        )
-
-    return edit
-
-
-def make_rollout_edit(model: str, wanted: RolloutSpec | RolloutState) -> Edit:
-    """An edit that sets a model's roll-out, or only its state."""
-
-    def edit(document: ServiceDocument) -> ServiceDocument:
-        if isinstance(wanted, RolloutSpec):
-            spec = wanted
-        elif model in document.rollouts:
-            spec = msgspec.structs.replace(
-                document.rollouts[model], state=wanted
-            )
-        else:
-            raise DocumentInvalidError(
-                f"rollouts.{model}: There is no roll-out of this model."
-            )
-        rollouts = {**document.rollouts, model: spec}
-        return msgspec.structs.replace(document, rollouts=rollouts)
-
-    return edit
-
-
-def resolve_service(
-    client: OperatorClient, service: str | None, version: str
-) -> str:
-    """The service meant: the named one, or the only one with the version.
-
-    Raises:
-        ServiceUnknownError: None or several have it.
-    """
-    if service is not None:
-        return service
-    documents = {n: h.document for n, h in client.control.services.items()}
-    names = get_services_of(documents, version)
-    if len(names) != 1:
-        raise ServiceUnknownError(
-            f"Services with {version!r}: {sorted(names)}; expected one, or"
-            " name it with --service."
-        )
-    return names[0]
-
-
-def format_document(document: ServiceDocument) -> str:
-    """A document as indented JSON."""
-    return msgspec.json.format(msgspec.json.encode(document), indent=2).decode()
-
-
-def print_result(result: PutResult, as_json: bool) -> int:
-    """Prints what became of a change; returns the exit code."""
-    if as_json:
-        print_json(msgspec.to_builtins(result))
-    else:
-        print(
-            f"{result.outcome.value} revision={result.revision}"
-            f" change_id={result.change_id}"
-        )
-    return _EXIT_CODES[result.outcome]
-
-
-def print_json(value: Any) -> None:
-    """Prints one JSON value."""
-    print(json.dumps(value, indent=2))
-
-
-def print_rows(rows: list[dict[str, Any]], as_json: bool) -> None:
-    """Prints rows as JSON, or as columns for a terminal."""
-    if as_json:
-        print_json(rows)
-        return
-    if not rows:
-        return
-    cells = [list(rows[0])] + [[str(v) for v in r.values()] for r in rows]
-    widths = [max(len(row[i]) for row in cells) for i in range(len(cells[0]))]
-    for row in cells:
-        line = "  ".join(
-            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
-        )
-        print(line.rstrip())
-
-
-def add_service_parsers(commands: Any) -> None:
-    """Adds the operators' commands to the command line."""
-    service = commands.add_parser(
-        "service", help="read and change a service's document"
-    ).add_subparsers(metavar="VERB", required=True)
-    get = _add(service, "get", run_service_get, "print the document in force")
-    get.add_argument("service")
-    put = _add(service, "put", run_service_put, "put a document in force")
-    put.add_argument("file", type=pathlib.Path)
-    put.add_argument(
-        "--base",
-        type=int,
-        required=True,
-        metavar="REVISION",
-        help="revision that was edited; 0 for a new service",
-    )
-    put.add_argument("--change-id", help="repeat a change whose result is lost")
-    diff = _add(service, "diff", run_service_diff, "compare a file with it")
-    diff.add_argument("file", type=pathlib.Path)
-    history = _add(
-        service, "history", run_service_history, "who changed it, and when"
-    )
-    history.add_argument("service")
-    result = _add(
-        service, "result", run_service_result, "what became of a change"
-    )
-    result.add_argument("change_id")
-    validate = _add(
-        service, "validate", run_service_validate, "check a file", False
-    )
-    validate.add_argument("file", type=pathlib.Path)
-    _add(service, "schema", run_service_schema, "print the schema", False)
-    _add_rollout_parsers(commands)
-    _add_operators_parsers(commands)
-    withdraw = _add(
-        commands, "withdraw", run_withdraw, "give a version no more work"
-    )
-    withdraw.add_argument("version", metavar="MODEL@VERSION")
-    withdraw.add_argument("--service")
-    _add(commands, "status", run_status, "what is in force everywhere")
-    dump = _add(commands, "dump", run_dump, "one process's state as JSON")
-    dump.add_argument("address", metavar="HOST:PORT")
-
-
-def _add_rollout_parsers(commands: Any) -> None:
-    rollout = commands.add_parser(
-        "rollout", help="start and steer roll-outs"
-    ).add_subparsers(metavar="VERB", required=True)
-    _add(rollout, "status", run_rollout_status, "print all roll-outs")
-    start = _add(rollout, "start", run_rollout_start, "start or resume one")
-    start.add_argument("old", metavar="MODEL@OLD")
-    start.add_argument("new", metavar="MODEL@NEW")
-    start.add_argument("--service")
-    start.add_argument(
-        "--steps",
-        type=_parse_steps,
-        default=[0.01, 0.1, 0.5, 1.0],
-        help="shares of traffic, such as 0.01,0.1,1",
-    )
-    start.add_argument(
-        "--step-min-s",
-        type=float,
-        default=60.0,
-        help="shortest time at a step, in seconds",
-    )
-    start.add_argument(
-        "--exposure-budget",
-        type=int,
-        default=200,
-        metavar="REQUESTS",
-        help="most requests at a step before there is evidence",
-    )
-    start.add_argument(
-        "--max-quality-drop",
-        type=float,
-        default=0.05,
-        metavar="SCORE",
-        help="drop of the mean rating that stops it",
-    )
-    for verb, state in (
-        ("pause", RolloutState.PAUSED),
-        ("abort", RolloutState.ABORTED),
-    ):
-        change = _add(rollout, verb, run_rollout_change, f"{verb} one")
-        change.add_argument("model")
-        change.add_argument("--service")
-        change.set_defaults(state=state)
-
-
-def _add_operators_parsers(commands: Any) -> None:
-    operators = commands.add_parser(
-        "operators", help="who may edit which team's documents"
-    ).add_subparsers(metavar="VERB", required=True)
-    put = _add(operators, "put", run_operators_put, "replace the list")
-    put.add_argument("file", type=pathlib.Path)
-    put.add_argument("--base", type=int, required=True, metavar="REVISION")
-    put.add_argument("--next-root-key", default="", metavar="HEX")
-    _add(operators, "keygen", run_operators_keygen, "make a key pair", False)
-
-
-def _parse_steps(text: str) -> list[float]:
-    return [float(step) for step in text.split(",")]
-
-
-def _add(
-    commands: Any,
-    name: str,
-    run: Callable[[argparse.Namespace], int],
-    text: str,
-    needs_log: bool = True,
-) -> argparse.ArgumentParser:
-    parser: argparse.ArgumentParser = commands.add_parser(
-        name, help=text, description=text
-    )
-    parser.add_argument("--json", action="store_true", help="print JSON")
-    if needs_log:
-        parser.add_argument(
-            "--settings",
-            type=pathlib.Path,
-            required=True,
-            metavar="FILE",
-            help="the operator's settings",
-        )
-    parser.set_defaults(run=run)
-    return parser
--- a/src/lovagestage/deferral_service.py
+++ b/src/lovagestage/deferral_service.py
@@ -13,13 +13,13 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 
 from lovagestage.deadlines import DeferralQueue, Deferred
-from lovagestage.dispatcher import Request
 from lovagestage.document import ClassSpec
 from lovagestage.exceptions import (
     DeadlineInfeasibleError,
     MalformedRequestError,
     RequestRefusedError,
 )
+from lovagestage.request import Request
 from lovagestage.types import RequestId, RunState
 
 HEADER_DEADLINE = "X-Deadline-S"
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 import random
 import time
@@ -11,7 +10,6 @@
 
 import msgspec
 
-from lovagestage.admission import Trial
 from lovagestage.attempts import Attempt, AttemptKey
 from lovagestage.crash_suspects import get_fingerprint
 from lovagestage.crash_watch import CrashWatch
@@ -20,13 +18,11 @@
     DeadlineExceededError,
     NoCapacityError,
     RequestRefusedError,
-    SuspectWaitingError,
     UpstreamCrashedError,
     UpstreamFailedError,
     UpstreamLostError,
 )
 from lovagestage.key_messages import RunId
-from lovagestage.learned import Arm
 from lovagestage.messages import (
     Accepted,
     Chunk,
@@ -35,7 +31,7 @@
     Message,
     Refused,
 )
-from lovagestage.plain_calls import Header
+from lovagestage.request import Request, Result, join_run_states
 from lovagestage.retries import (
     COME_BACK_S,
     Failure,
@@ -45,16 +41,12 @@
     make_final_error,
 )
 from lovagestage.routing import choose_upstream
-from lovagestage.sessions import Session, is_pinned
+from lovagestage.sessions import is_pinned
 from lovagestage.timers import TimerService
 from lovagestage.types import (
     Fingerprint,
-    ModelVersion,
-    RequestId,
     RunState,
-    ServiceId,
     VmId,
-    WorkspaceId,
 )
 from lovagestage.upstreams import UpstreamTable
 
@@ -66,90 +58,6 @@
 """A run that says nothing for so long is asked for what is missing."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Request:
-    """A request that was admitted.
-
-    Attributes:
-        request_id: Chosen by the entry.
-        workspace: Who asks.
-        service: The service.
-        version: Version to run on.
-        priority: 0 is most urgent.
-        repeatable: Whether it may run more than once.
-        deadline_at_s: Monotonic time of the deadline.
-        stream: Whether the caller reads chunks.
-        body: The JSON body.
-        session: The session that it came with.
-        trial: Its part in a roll-out.
-        class_name: Its request class.
-        arm: What its answer counts for, where it follows a plan.
-        headers: Headers of a call to a plain service.
-        deferrable: It may wait until its deadline.
-    """
-
-    request_id: RequestId
-    workspace: WorkspaceId
-    service: ServiceId
-    version: ModelVersion
-    priority: int
-    repeatable: bool
-    deadline_at_s: float
-    stream: bool
-    body: bytes
-    session: Session | None = None
-    trial: Trial | None = None
-    class_name: str = ""
-    arm: Arm | None = None
-    headers: tuple[Header, ...] = ()
-    deferrable: bool = False
-
-
-@dataclasses.dataclass
-class Result:
-    """What is known of an answer once it is whole.
-
-    Attributes:
-        version: Version that answered.
-        attempts: Attempts made.
-        request_id: The request whose run is read, where another one with
-            the same key has started it; the bill is that one's.
-        finished: Token counts and digest.
-        waits: Attempts that were refused until a probe has ended.
-        run: Whether any attempt that failed was run.
-        passed_on: Whether the caller has had a part of the answer.
-        version_failed: Whether an attempt failed as a bad version's would.
-        first: Token counts of an earlier answer that was not good enough.
-    """
-
-    version: ModelVersion
-    attempts: int = 0
-    request_id: RequestId | None = None
-    finished: Finished | None = None
-    waits: int = 0
-    run: RunState = RunState.NOT_RUN
-    passed_on: bool = False
-    version_failed: bool = False
-    first: Finished | None = None
-
-    def take(self, second: Result) -> None:
-        """Puts another version's answer in place of this one."""
-        self.first = self.finished
-        self.version = second.version
-        self.attempts = second.attempts
-        self.finished = second.finished
-
-    def note_failure(
-        self, error: RequestRefusedError, attempt: Attempt
-    ) -> None:
-        """Keeps what is known of the run over all attempts."""
-        self.passed_on = self.passed_on or attempt.passed_on
-        self.waits += isinstance(error, SuspectWaitingError)
-        # A retry that succeeds would hide a version that fails now and then.
-        self.version_failed |= is_version_at_fault(error)
-        self.run = _join_states(self.run, error.run)
-
-
 class Dispatcher:
     """Sends requests to upstreams and reads their answers.
 
@@ -193,7 +101,7 @@
                 yield data
         except RequestRefusedError as error:
             # The last attempt may not have run while one before did.
-            error.run = _join_states(result.run, error.run)
+            error.run = join_run_states(result.run, error.run)
             raise
 
     async def _run(
@@ -481,28 +389,6 @@
                 )
 
 
-def is_version_at_fault(error: RequestRefusedError) -> bool:
-    """Whether a failure may be its version's doing.
-
-    An upstream's own failures hit old and new versions alike and are told
-    apart by the exposure gate; a lack of capacity is no failure of either.
-    """
-    return isinstance(
-        error,
-        UpstreamFailedError
-        | UpstreamCrashedError
-        | UpstreamLostError
-        | DeadlineExceededError,
-    )
-
-
-def _join_states(earlier: RunState, later: RunState) -> RunState:
-    """Run state of two attempts together: a proof of a run stands."""
-    if RunState.RAN in (earlier, later):
-        return RunState.RAN
-    return earlier if later is RunState.NOT_RUN else later
-
-
 def _make_failure(
     request: Request, result: Result, error: RequestRefusedError
 ) -> Failure:
--- a/src/lovagestage/escalation.py
+++ b/src/lovagestage/escalation.py
@@ -15,8 +15,9 @@
 
 from lovagestage.answers import CUT_OFF, parse_answer
 from lovagestage.cascade import may_escalate
-from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.dispatcher import Dispatcher
 from lovagestage.exceptions import RequestRefusedError
+from lovagestage.request import Request, Result
 from lovagestage.types import parse_model_version
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/keyed_runs.py
+++ b/src/lovagestage/keyed_runs.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import AsyncIterator
 
-from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.dispatcher import Dispatcher
 from lovagestage.exceptions import (
     DeadlineExceededError,
     KeyHistoryLostError,
@@ -32,6 +32,7 @@
     RunKnown,
 )
 from lovagestage.key_service import KeyService
+from lovagestage.request import Request, Result
 from lovagestage.retries import MAX_ATTEMPTS
 from lovagestage.types import RunState, VmId, parse_model_version
 from lovagestage.upstreams import UpstreamTable
--- a/src/lovagestage/limit_service.py
+++ b/src/lovagestage/limit_service.py
@@ -10,7 +10,6 @@
 import mode
 
 from lovagestage.control import ControlReader
-from lovagestage.dispatcher import Request, Result
 from lovagestage.exceptions import (
     DeadlineInfeasibleError,
     RequestRefusedError,
@@ -20,6 +19,7 @@
 from lovagestage.limits import Limit, LimitTable, get_workspace_tag
 from lovagestage.links import LinkTable
 from lovagestage.messages import Message, UsageReport, encode_message
+from lovagestage.request import Request, Result
 from lovagestage.timers import TimerService
 from lovagestage.transport import PeerId
 from lovagestage.types import RunState, VmId
--- a/src/lovagestage/plain_api.py
+++ b/src/lovagestage/plain_api.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.dispatcher import Dispatcher
 from lovagestage.document import RouteSpec, ServiceDocument
 from lovagestage.exceptions import CodecError, UpstreamFailedError
 from lovagestage.keyed_refusals import get_progress
@@ -26,6 +26,7 @@
     make_request_headers,
     make_target,
 )
+from lovagestage.request import Request, Result
 from lovagestage.types import PoolId, RequestId, RunState, WorkspaceId
 
 HEADER_ATTEMPTS = "X-Attempts"
--- a/src/lovagestage/quality.py
+++ b/src/lovagestage/quality.py
@@ -11,8 +11,8 @@
 
 from lovagestage.adapters import RatedAnswer, Rater, RaterError
 from lovagestage.cascade_service import CascadeService
-from lovagestage.dispatcher import Request
 from lovagestage.exposure_service import ExposureService
+from lovagestage.request import Request
 from lovagestage.types import RequestId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/trials.py
+++ b/src/lovagestage/trials.py
@@ -11,11 +11,11 @@
 from lovagestage.admission import Choice, Trial
 from lovagestage.answers import Answer, parse_answer
 from lovagestage.cascade_service import CascadeService
-from lovagestage.dispatcher import Request, Result, is_version_at_fault
 from lovagestage.document import ClassSpec, ServiceDocument
 from lovagestage.exceptions import RequestRefusedError
 from lovagestage.exposure_service import ExposureService
 from lovagestage.quality import QualityService
+from lovagestage.request import Request, Result, is_version_at_fault
 from lovagestage.types import (
     ModelVersion,
     WorkspaceId,
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -15,9 +15,9 @@
     DeferralService,
     resolve_deadline_s,
 )
-from lovagestage.dispatcher import Request
 from lovagestage.document import ClassSpec
 from lovagestage.exceptions import MalformedRequestError, NoCapacityError
+from lovagestage.request import Request
 from lovagestage.types import (
     ModelId,
     ModelVersion,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,7 +5,6 @@
 import pytest
 
 from lab.experiments import limits as experiment
-from lovagestage.dispatcher import Request, Result
 from lovagestage.limit_service import (
     FRAME_BYTES,
     REPORT_INTERVAL_S,
@@ -14,6 +13,7 @@
 )
 from lovagestage.limits import Limit, LimitTable, get_workspace_tag
 from lovagestage.messages import Finished, UsageReport, UsageRow
+from lovagestage.request import Request, Result
 from lovagestage.types import (
     ModelId,
     ModelVersion,
--- a/tests/test_paused_sidecar.py
+++ b/tests/test_paused_sidecar.py
@@ -10,8 +10,8 @@
 
 from lab.demo import make_client
 from lab.fleet import EXAMPLES, SHAPES, Fleet
-from lovagestage.commands import make_withdrawal
 from lovagestage.document import ServiceDocument
+from lovagestage.edits import make_withdrawal
 from lovagestage.settings import parse_file
 from tests.test_thin_path import MESSAGES
 
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -12,7 +12,6 @@
 from lovagestage.adapters import RatedAnswer, RaterError, Rating, RatingPage
 from lovagestage.admission import Trial, is_in_rollout, withdraw_stopped
 from lovagestage.answers import parse_answer
-from lovagestage.dispatcher import Request
 from lovagestage.document import (
     RolloutSpec,
     ServiceDocument,
@@ -21,6 +20,7 @@
 )
 from lovagestage.exposure import Assignment
 from lovagestage.quality import MAX_QUEUED, QualityService
+from lovagestage.request import Request
 from lovagestage.rollouts import RolloutKey
 from lovagestage.settings import parse_file
 from lovagestage.types import parse_model_version
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from lovagestage.dispatcher import Dispatcher, Request, Result
+from lovagestage.dispatcher import Dispatcher
 from lovagestage.exceptions import RequestRefusedError, SuspectWaitingError
 from lovagestage.messages import Dispatch, Refused
+from lovagestage.request import Request, Result
 from lovagestage.routing import UpstreamView
 from lovagestage.types import ModelVersion, RunState
 
