Ask the store again at once where another feed has found it back

One gateway had its upstreams' entries back at 26.39, its operators' topic at 27.43: that call had been sent just before the return, hung until its time limit of 0.9 s, and was followed by a pause. For a second the process knew that the store answers and refused callers for lack of a proof.

Change: the feeds of a process share the return (StoreReturn). A feed that has lost the store ends its pause, and gives up a call that has no answer 0.1 s later. Only a return tells, so that a store of which only a part is back causes no storm.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 from typing import Protocol
 
 import mode
 
-from lovagestage.exceptions import StoreError, StoreHistoryLostError
+from lovagestage.exceptions import (
+    StoreError,
+    StoreHistoryLostError,
+    StoreUnavailableError,
+)
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.platform.store import Page, StoreClient
 
 _log = logging.getLogger(__name__)
+_FIRST = asyncio.FIRST_COMPLETED
 
 READ_TIMEOUT_S = 0.9
 """Time for an answer beyond the wait that was asked for: over ten times what
@@ -27,6 +33,34 @@
 """The same before the first answer: until then every caller is refused."""
 
 
+RETURN_GRACE_S = 0.1
+"""Time for the answer to a call that is under way when another feed finds that
+the store is back: a call sent before hangs until its time limit, as a rule."""
+
+
+class StoreReturn:
+    """Tells feeds that have lost the store when another one has it back.
+
+    Each feed finds the return by itself up to 1.7 s late, with a call that
+    was sent just before and hangs, and its pause. Callers are refused
+    meanwhile, though the process knows that the store answers again.
+    """
+
+    def __init__(self) -> None:
+        self._events: list[asyncio.Event] = []
+
+    def make_event(self) -> asyncio.Event:
+        """An event that is set at each return; its owner clears it."""
+        event = asyncio.Event()
+        self._events.append(event)
+        return event
+
+    def tell(self) -> None:
+        """Tells all feeds."""
+        for event in self._events:
+            event.set()
+
+
 class FeedListener(Protocol):
     """Takes what a feed reads."""
 
@@ -52,6 +86,7 @@
             come in clumps share a read.
         is_keyed: Whether to begin with the newest record of each key.
         rng: Source of randomness.
+        store_return: Shared by the feeds of a process.
     """
 
     def __init__(
@@ -63,6 +98,7 @@
         pause_s: float,
         is_keyed: bool,
         rng: random.Random,
+        store_return: StoreReturn,
     ) -> None:
         super().__init__()
         self._store = store
@@ -72,6 +108,8 @@
         self._pause_s = pause_s
         self._is_keyed = is_keyed
         self._rng = rng
+        self._store_return = store_return
+        self._is_back = store_return.make_event()
         self._next: int | None = None if is_keyed else 0
         self._failures = 0
         self._lost_s: float | None = None
@@ -85,7 +123,7 @@
     async def _run(self) -> None:
         while not self.should_stop:
             try:
-                has_records = await self._read_once()
+                has_records = await self._read_unless_back()
             except StoreHistoryLostError as error:
                 self._on_history_lost(error)
                 has_records = False
@@ -97,6 +135,26 @@
                 await asyncio.sleep(self._pause_s)
         self._store.close()
 
+    async def _read_unless_back(self) -> bool:
+        """Reads; a call that hangs is given up once the store is back."""
+        if not self._failures:
+            return await self._read_once()
+        self._is_back.clear()
+        read = asyncio.ensure_future(self._read_once())
+        back = asyncio.ensure_future(self._is_back.wait())
+        try:
+            await asyncio.wait((read, back), return_when=_FIRST)
+            if not read.done():
+                await asyncio.wait((read,), timeout=RETURN_GRACE_S)
+            if not read.done():
+                raise StoreUnavailableError("Given up: the store is back.")
+            return read.result()
+        finally:
+            back.cancel()
+            read.cancel()
+            # What is given up closes its connection before the next call.
+            await asyncio.wait((read, back))
+
     async def _read_once(self) -> bool:
         """Reads once; returns whether there were records."""
         sent_s = get_elapsed_s()
@@ -150,7 +208,10 @@
             )
         limit_s = BACKOFF_LIMIT_S if self.is_synced else COLD_BACKOFF_LIMIT_S
         delay_s = min(limit_s, BACKOFF_BASE_S * 2.0 ** (self._failures - 1))
-        await asyncio.sleep(delay_s * (0.5 + 0.5 * self._rng.random()))
+        with contextlib.suppress(TimeoutError):
+            delay_s *= 0.5 + 0.5 * self._rng.random()
+            async with asyncio.timeout(delay_s):
+                await self._is_back.wait()
 
     def _on_success(self) -> None:
         if self._failures:
@@ -158,5 +219,6 @@
                 "store_regained",
                 extra={"topic": self._topic, "failures": self._failures},
             )
+            self._store_return.tell()
         self._failures = 0
         self.is_synced = True
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -13,7 +13,7 @@
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition
-from lovagestage.gateway.feeds import TopicFeed
+from lovagestage.gateway.feeds import StoreReturn, TopicFeed
 from lovagestage.gateway.forwarder import Forwarder
 from lovagestage.gateway.gossip import Gossip
 from lovagestage.gateway.mailbox import Mailbox
@@ -108,14 +108,15 @@
     _subscribe(mailbox, rollouts, suspects)
     pool = ConnectionPool()
     forwarder = Forwarder(settings, deployment, pool, rollouts, suspects, rng)
-    upstream_feed = _make_upstream_feed(settings, deployment, rng)
+    store_return = StoreReturn()
+    upstream_feed = _make_upstream_feed(settings, deployment, rng, store_return)
     timers = TimerService()
     services = (
         timers,
         *gossip,
-        _make_operator_feed(settings, deployment, rollouts, rng),
+        _make_operator_feed(settings, deployment, rollouts, rng, store_return),
         upstream_feed,
-        _make_notes_feed(settings, mailbox, rng),
+        _make_notes_feed(settings, mailbox, rng, store_return),
         mailbox,
         rollouts,
     )
@@ -165,6 +166,7 @@
     deployment: Deployment,
     rollouts: RolloutService,
     rng: random.Random,
+    store_return: StoreReturn,
 ) -> TopicFeed:
     bounds = settings.bounds
     wait_s = min(
@@ -178,11 +180,15 @@
         OPERATOR_PAUSE_S,
         True,
         rng,
+        store_return,
     )
 
 
 def _make_upstream_feed(
-    settings: GatewaySettings, deployment: Deployment, rng: random.Random
+    settings: GatewaySettings,
+    deployment: Deployment,
+    rng: random.Random,
+    store_return: StoreReturn,
 ) -> TopicFeed:
     beliefs = UpstreamBeliefs(deployment)
     feed = TopicFeed(
@@ -193,13 +199,17 @@
         UPSTREAM_PAUSE_RATIO * settings.bounds.drain_s,
         True,
         rng,
+        store_return,
     )
     beliefs.set_source(feed)
     return feed
 
 
 def _make_notes_feed(
-    settings: GatewaySettings, mailbox: Mailbox, rng: random.Random
+    settings: GatewaySettings,
+    mailbox: Mailbox,
+    rng: random.Random,
+    store_return: StoreReturn,
 ) -> TopicFeed:
     return TopicFeed(
         _make_store(settings),
@@ -209,4 +219,5 @@
         NOTES_PAUSE_S,
         False,
         rng,
+        store_return,
     )
