--- a/src/lovagestage/explain.py
+++ b/src/lovagestage/explain.py
@@ -131,17 +131,17 @@
     own: Sequence[LogLine], before: Sequence[LogLine]
 ) -> list[LogLine]:
     """The last line of each kind at each process that handled it."""
-    processes = {line.vm for line in own}
-    last: dict[tuple[str, str], LogLine] = {}
+    last: dict[str, dict[tuple[str, str], LogLine]] = {
+        line.vm: {} for line in own
+    }
     for line in before:
-        if line.vm not in processes or line.event not in _PROCESS_EVENTS:
+        if line.vm not in last or line.event not in _PROCESS_EVENTS:
             continue
         if line.event == "process_started":
             # What the process before it believed is gone.
-            for event in _PROCESS_EVENTS:
-                last.pop((line.vm, event), None)
-        last[line.vm, line.event] = line
-    return list(last.values())
+            last[line.vm].clear()
+        last[line.vm][line.event, line.get("topic")] = line
+    return [line for lines in last.values() for line in lines.values()]
 
 
 def _get_upstream_lines(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -54,6 +54,19 @@
     assert not any(line.event == "store_lost" for line in story.context)
 
 
+def test_story_tells_each_topic_that_was_lost():
+    # Only the loss of the operators' topic ends the trust in keys; a later
+    # loss of another topic must not hide it.
+    log = LOG.replace(
+        "time=02.1 event=configuration_applied vm=a version=4",
+        "time=02.1 event=store_lost vm=a topic=op\n"
+        "time=02.2 event=store_lost vm=a topic=notes",
+    )
+    story = make_log_story("r1", log)
+    lost = [line for line in story.context if line.event == "store_lost"]
+    assert [line.get("topic") for line in lost] == ["op", "notes"]
+
+
 def test_answered_request_names_the_attempts_before():
     log = LOG.replace(
         "outcome=refused status=503", "outcome=answered status=200"
