Do not blame the caller for a stream that the gateway's own stop cut

Whatever cancels a request was logged so.

Change: a request that ends while its caller's connection is open ends with its process, and says outcome=stopped; `explain` tells it apart. Test with a stream longer than the stop fails first.

--- a/src/lovagestage/explain.py
+++ b/src/lovagestage/explain.py
@@ -62,6 +62,8 @@
     "deadline": "Its time was over before it could be sent.",
     "stream_broken": "The stream broke off and no upstream could go on.",
     "caller_gone": "The caller closed its connection first.",
+    "stopped": "The gateway's time to stop was over before the answer was"
+    " whole; its connection was cut.",
     "answered": "The upstream's answer was passed on whole.",
 }
 
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -70,7 +70,8 @@
             self._log_end(attempts, "stream_broken", 0, error.reason)
             raise
         except asyncio.CancelledError:
-            self._log_end(attempts, "caller_gone", 0)
+            is_gone = not connection.channel.is_open
+            self._log_end(attempts, "caller_gone" if is_gone else "stopped", 0)
             raise
         else:
             self._log_end(attempts, "answered", connection.status)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -45,16 +45,18 @@
 
 
 @contextlib.asynccontextmanager
-async def run_process(folder, script=None):
+async def run_process(folder, script=None, setting=""):
     stage = ProcessStage()
     runner, store_port = await start_app(stage.store.make_app(), "127.0.0.1", 0)
     stage.put_configuration()
     await stage.add_worker("w1", script)
     stage.metrics_port = get_free_port()
     stage.path = folder / "boot.conf"
-    stage.path.write_text(
-        make_settings_text(stage.client_port, stage.readiness_port, store_port)
+    text = make_settings_text(
+        stage.client_port, stage.readiness_port, store_port
     )
+    # The last line of a key is the one that counts.
+    stage.path.write_text(f"{text}\n{setting}\n")
     stage.process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -98,6 +100,23 @@
         assert await ended == 0
 
 
+async def test_stream_that_outlasts_the_stop_is_cut_and_said_so(tmp_path):
+    # SIGTERM arrives while a stream runs for longer than the process may take
+    # to stop. The caller's connection breaks without an end of the stream, and
+    # the line about the request must not blame the caller.
+    script = lab.make_stream(200, pause_s=0.1)
+    async with run_process(tmp_path, script, "Bounds.GraceS=3") as stage:
+        reader, writer = await stage.connect()
+        writer.write(make_request("/stream/x", body=b"p", request_id="long"))
+        await reader.readuntil(b"id: 2")
+        assert await stage.stop_process() == 0
+        assert not (await reader.read()).endswith(b"0\r\n\r\n")
+        lines = (await stage.process.stdout.read()).decode().splitlines()
+        (ended,) = [line for line in lines if "event=request_ended" in line]
+        assert "outcome=stopped" in ended
+        assert any("event=drain_timeout" in line for line in lines)
+
+
 async def test_writes_its_events_to_standard_output(tmp_path):
     async with run_process(tmp_path) as stage:
         await stage.call("/safe/x", request_id="seen")
