--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -56,6 +56,16 @@
         self.key = key
 
 
+class ListenError(LovagestageError):
+    """An address can't be listened at: not this VM's, or in use."""
+
+    code = "address_unavailable"
+    exit_code = EXIT_UNAVAILABLE
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(f"{address}: {reason}.")
+
+
 class LogFileError(LovagestageError):
     """A log file can't be read."""
 
--- a/src/lovagestage/gateway/command.py
+++ b/src/lovagestage/gateway/command.py
@@ -52,6 +52,7 @@
 
     Raises:
         SettingsError: The settings are missing or wrong.
+        ListenError: The callers' address can't be listened at.
     """
     path = resolve_path(options.settings)
     settings = get_settings(path)
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -13,7 +13,7 @@
     WrongMessageError,
 )
 from lovagestage.gateway.connections import ConnectionPool
-from lovagestage.gateway.latency import UNKNOWN_S
+from lovagestage.gateway.latency import resolve_time_s
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.http1 import ClientConnection
@@ -60,7 +60,7 @@
         self._call = call
         self._is_repeatable = is_repeatable
         self._expected_s = expected_s
-        self._waiting_s = UNKNOWN_S if expected_s is None else expected_s
+        self._waiting_s = resolve_time_s(expected_s)
         self._connection: ClientConnection | None = None
 
     async def __aenter__(self) -> Self:
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -19,7 +19,6 @@
 from lovagestage.platform.store import Page, StoreClient
 
 _log = logging.getLogger(__name__)
-_FIRST = asyncio.FIRST_COMPLETED
 
 READ_TIMEOUT_S = 0.9
 """Time for an answer beyond the wait that was asked for: over ten times what
@@ -143,7 +142,9 @@
         read = asyncio.ensure_future(self._read_once())
         back = asyncio.ensure_future(self._is_back.wait())
         try:
-            await asyncio.wait((read, back), return_when=_FIRST)
+            await asyncio.wait(
+                (read, back), return_when=asyncio.FIRST_COMPLETED
+            )
             if not read.done():
                 await asyncio.wait((read,), timeout=RETURN_GRACE_S)
             if not read.done():
--- a/src/lovagestage/gateway/listeners.py
+++ b/src/lovagestage/gateway/listeners.py
@@ -4,6 +4,8 @@
 
 import socket
 
+from lovagestage.exceptions import ListenError
+
 BACKLOG = 1024
 """Connections that may wait to be accepted; a burst after a restart brings
 those of all callers at once."""
@@ -18,7 +20,7 @@
     wait a few tenths of a second instead.
 
     Raises:
-        OSError: The address is not this VM's or is in use.
+        ListenError: The address is not this VM's or is in use.
     """
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -27,8 +29,8 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
         listener.listen(BACKLOG)
-    except OSError:
+    except OSError as error:
         listener.close()
-        raise
+        raise ListenError(address, str(error.strerror)) from error
     listener.setblocking(False)
     return listener
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -29,6 +29,7 @@
 where it is sound. A refusal would send them to gateways that have started at
 the same moment; with a store that is away it comes this much later."""
 COLD_POLL_S = 0.005
+"""Time between looks whether the store has answered; a call takes as long."""
 NOTICE_S = 2.6
 """Time for the balancer to see that the gateway is leaving: two looks, a
 second apart, and the time for the answer."""
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -14,7 +14,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.exchange import Exchange
-from lovagestage.gateway.latency import UNKNOWN_S, LatencyTable, LoadGauge
+from lovagestage.gateway.latency import LatencyTable, LoadGauge, resolve_time_s
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
@@ -77,7 +77,7 @@
         await asyncio.sleep(PROBE_WAIT_S)
     attempts.model = model
     expected_s = get_expected_s(parts, attempts, model)
-    upstream = attempts.choose(UNKNOWN_S if expected_s is None else expected_s)
+    upstream = attempts.choose(resolve_time_s(expected_s))
     if admission is Admission.PROBE:
         parts.suspects.start_probe(fingerprint, attempts.run_name)
     return upstream
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -12,6 +12,7 @@
 
 from lab.caller import read_reply
 from lab.server import start_app
+from lovagestage.exceptions import EXIT_UNAVAILABLE
 from lovagestage.gateway import command
 from lovagestage.gateway.exposition import Exposition
 from lovagestage.gateway.listeners import open_listener
@@ -45,6 +46,16 @@
     waiting.pop().close()
 
 
+def test_address_in_use_is_named_with_an_exit_code(tmp_path, capsys):
+    stage = Stage()
+    path = tmp_path / "boot.conf"
+    path.write_text(make_settings_text(stage.client_port, 2, 3))
+    with open_listener(f"127.0.0.1:{stage.client_port}"):
+        code = command.main(["--settings", str(path)])
+    assert code == EXIT_UNAVAILABLE
+    assert f"127.0.0.1:{stage.client_port}" in capsys.readouterr().err
+
+
 async def send_before_start(stage, store_port):
     """Sends a request to the open port, then starts the gateway."""
     text = make_settings_text(
