--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -202,41 +202,37 @@
             await wait_until(lambda: len(listener.proofs) > before, 1.5)
 
 
+@contextlib.asynccontextmanager
+async def run_lost_feed(outage):
+    """A feed that has lost the store, and a way to tell it of the return."""
+    async with run_store() as (store, client):
+        back = StoreReturn()
+        async with run_feed(client, store_return=back) as (feed, listener):
+            await wait_until(lambda: listener.proofs)
+            store.faults.outage = outage
+            await wait_until(lambda: feed.get_lost_age_s(0.0) is not None)
+            yield store, back, listener
+
+
 async def test_feed_that_hangs_asks_again_when_another_has_the_store_back():
     # The store went silent and is back; one feed has found out. The other one
     # has a call under way that was sent before and hangs. Were it to wait for
     # its time limit and its pause, keys would be refused a second longer.
-    async with run_store() as (store, client):
-        store_return = StoreReturn()
-        async with run_feed(client, store_return=store_return) as (
-            feed,
-            listener,
-        ):
-            await wait_until(lambda: listener.proofs)
-            store.faults.outage = "silent"
-            await wait_until(lambda: feed.get_lost_age_s(0.0) is not None)
-            calls = len(store.calls)
-            await wait_until(lambda: len(store.calls) > calls)
-            store.faults.outage = ""
-            before = len(listener.proofs)
-            store_return.tell()
-            await wait_until(lambda: len(listener.proofs) > before, 0.5)
+    async with run_lost_feed("silent") as (store, back, listener):
+        calls = len(store.calls)
+        await wait_until(lambda: len(store.calls) > calls)
+        store.faults.outage = ""
+        before = len(listener.proofs)
+        back.tell()
+        await wait_until(lambda: len(listener.proofs) > before, 0.5)
 
 
 async def test_call_that_answers_slowly_is_not_given_up():
     # The store is slow, not silent: another feed regains it, and this one's
     # answer is on its way. It must be taken, not asked for again.
-    async with run_store() as (store, client):
-        store_return = StoreReturn()
-        async with run_feed(client, store_return=store_return) as (
-            feed,
-            listener,
-        ):
-            await wait_until(lambda: listener.proofs)
-            store.faults.outage = "503"
-            await wait_until(lambda: feed.get_lost_age_s(0.0) is not None)
-            store.faults.outage = ""
-            store.faults.slow_ms = 50
-            before = len(listener.proofs)
-            store_return.tell()
-            await wait_until(lambda: len(listener.proofs) > before, 0.5)
+    async with run_lost_feed("503") as (store, back, listener):
+        store.faults.outage = ""
+        store.faults.slow_ms = 50
+        before = len(listener.proofs)
+        back.tell()
+        await wait_until(lambda: len(listener.proofs) > before, 0.5)
