Tell the story of a request to a pipe that closes early, and without a status

Change: a closed reader ends the command with exit code 1 and no output; no status is said where there was no answer. Both tests fail first.

--- a/src/lovagestage/cli.py
+++ b/src/lovagestage/cli.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import argparse
+import os
 import pathlib
 import sys
 from collections.abc import Sequence
 
 from lovagestage import __version__, explain, usage
 from lovagestage.command_parsers import add_service_parsers
-from lovagestage.exceptions import LovagestageError, SettingsError
+from lovagestage.exceptions import (
+    EXIT_FAILURE,
+    LovagestageError,
+    SettingsError,
+)
 from lovagestage.gateway.command import add_arguments as add_gateway_arguments
 from lovagestage.gateway.command import run as run_gateway_command
 
@@ -22,6 +27,11 @@
     except LovagestageError as error:
         print(f"lovagestage: {error.format_message()}", file=sys.stderr)
         return error.exit_code
+    except BrokenPipeError:
+        # The reader of the output, such as `head`, has seen enough. What is
+        # still buffered goes nowhere, or the interpreter would fail with it.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_FAILURE
 
 
 def make_parser() -> argparse.ArgumentParser:
--- a/src/lovagestage/explain.py
+++ b/src/lovagestage/explain.py
@@ -68,6 +68,10 @@
 }
 
 
+_NONE = ("", "0")
+"""Status of a request that had no answer."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Story:
     """What the logs say of a request.
@@ -97,7 +101,7 @@
         if attempts and cause == "answered":
             failed = ", ".join(line.get("reason") for line in attempts)
             text = f"{text} Before that, attempts failed: {failed}."
-        return f"Status {status}. {text}" if status else text
+        return f"Status {status}. {text}" if status not in _NONE else text
 
 
 def make_story(request_id: str, lines: Iterable[LogLine]) -> Story:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 
 import pytest
 
 from lovagestage.cli import main
+from lovagestage.exceptions import EXIT_FAILURE
 from lovagestage.explain import make_story
 from lovagestage.loglines import parse_lines
 
@@ -76,6 +80,25 @@
     assert "attempts failed: refused" in conclusion
 
 
+def test_request_without_an_answer_has_no_status():
+    log = LOG.replace("outcome=refused status=503", "outcome=stopped status=0")
+    assert make_log_story("r1", log).conclusion.startswith("The gateway's time")
+
+
+def test_reader_that_has_seen_enough_gets_no_stack_trace(tmp_path):
+    # The story is piped into a command that closes its end after a line.
+    path = tmp_path / "a.log"
+    path.write_text(LOG)
+    command = [sys.executable, "-m", "lovagestage", "explain", "r1", str(path)]
+    reader, writer = os.pipe()
+    os.close(reader)
+    done = subprocess.run(
+        command, stdout=writer, stderr=subprocess.PIPE, text=True, check=False
+    )
+    os.close(writer)
+    assert (done.returncode, done.stderr) == (EXIT_FAILURE, "")
+
+
 @pytest.mark.parametrize(
     ("extra", "hint"), [("", "process_started"), ("left_out=7", "left out")]
 )
