--- a/src/lovagestage/explain.py
+++ b/src/lovagestage/explain.py
@@ -10,12 +10,12 @@
 
 import argparse
 import dataclasses
-import json
 import sys
 from collections.abc import Iterable, Sequence
 
 from lovagestage.exceptions import EXIT_FAILURE, LogFileError
 from lovagestage.loglines import LogLine, parse_lines
+from lovagestage.printing import print_json
 
 _OWN_KEYS = ("request", "run")
 _PROCESS_EVENTS = frozenset(
@@ -249,7 +249,7 @@
     """
     story = make_story(options.request, _read_logs(options.files))
     if options.json:
-        print(json.dumps(_make_json(story), indent=2))
+        print_json(_make_json(story))
     else:
         print(format_story(story))
     return 0 if story.own else EXIT_FAILURE
