Check a request's version again right before it is sent

Cause: an entry checks the version only when it admits a request. It may hold the request then (until a silent upstream is heard again, or between a refusal as too late and the next attempt) and sends it with a fresh clock to a sidecar that has just gone on after a pause and has not read of the withdrawal.

Ruled out: an old dispatch in the sidecar's socket (refused by its age), and a slow caller alone (delays of 0.3 to 1.02 s before the request: 7 of 7 held).

Change: the dispatcher asks RequestRights after it has chosen an upstream and right before it sends; the sidecar asks the same functions. A keyed request that is refused so still asks for an earlier run of its key.

The new unit test fails without the check.

--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import AsyncIterator
+from typing import Protocol
 
 import msgspec
 
@@ -58,6 +59,13 @@
 """A run that says nothing for so long is asked for what is missing."""
 
 
+class RightsCheck(Protocol):
+    """Decides whether a request may still run."""
+
+    def check(self, request: Request) -> None:
+        """Passes a request; raises `RequestRefusedError` where it may not."""
+
+
 class Dispatcher:
     """Sends requests to upstreams and reads their answers.
 
@@ -66,6 +74,7 @@
         rng: Source of randomness for choices.
         timers: Timer service.
         crashes: Requests that may crash upstreams.
+        rights: Asked again right before a request is sent.
     """
 
     def __init__(
@@ -74,9 +83,11 @@
         rng: random.Random,
         timers: TimerService,
         crashes: CrashWatch,
+        rights: RightsCheck,
     ) -> None:
         self._upstreams = upstreams
         self._crashes = crashes
+        self._rights = rights
         self._rng = rng
         self._budget = RetryBudget(time.monotonic())
         self._attempts: dict[AttemptKey, list[Attempt]] = {}
@@ -215,6 +226,7 @@
 
         Raises:
             NoCapacityError: None can take the request now.
+            RequestRefusedError: It may not run any more.
         """
         version = str(request.version)
         while True:
@@ -225,6 +237,7 @@
                 self._rng,
             )
             if vm is not None:
+                self._rights.check(request)
                 return vm
             if not self._upstreams.may_return(version, excluded) or (
                 time.monotonic() + RETURN_POLL_S >= request.deadline_at_s
--- a/src/lovagestage/keyed_runs.py
+++ b/src/lovagestage/keyed_runs.py
@@ -146,7 +146,7 @@
         search.is_finding = True
         try:
             run = await self._choose_run(request, number, search.excluded)
-        except NoCapacityError:
+        except RequestRefusedError:
             # An earlier request may have run all the same: without this
             # question, "not run" would be said of a key that has.
             entry = await self._claim(request, key, None, search.after)
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -14,13 +14,13 @@
 
 from lovagestage.adapters import Engine, EngineLoad, PlainService
 from lovagestage.control import ControlReader
-from lovagestage.document import (
-    ServiceDocument,
-    get_allowed_versions,
-    get_open_versions,
-    is_version_granted,
+from lovagestage.document import ServiceDocument
+from lovagestage.exceptions import (
+    EngineError,
+    ModelNotAllowedError,
+    RequestRefusedError,
+    RouteNotAllowedError,
 )
-from lovagestage.exceptions import EngineError
 from lovagestage.hub import Hub
 from lovagestage.messages import (
     Ack,
@@ -34,7 +34,8 @@
     Message,
     Refused,
 )
-from lovagestage.plain_calls import has_pool, make_pool_version
+from lovagestage.plain_calls import make_pool_version
+from lovagestage.rights import check_pool, check_version
 from lovagestage.runs import RunTable
 from lovagestage.settings import Settings, SidecarSettings
 from lovagestage.timers import TimerService
@@ -223,30 +224,10 @@
         service = self._control.services.get(ServiceId(dispatch.service))
         if service is None:
             return "not_ready", "The sidecar has no document of the service."
-        if self._role.pool:
-            return _get_plain_refusal(
-                service.document, dispatch, self._role.pool
-            )
-        version = parse_model_version(dispatch.version)
-        # The entry may act on an older document than this process; the later
-        # of the two checks decides, so that a withdrawn version gets no work
-        # through an entry that lags.
-        if version is None or not is_version_granted(
-            service.document, dispatch.workspace, version
-        ):
-            return (
-                "model_not_allowed",
-                f"Workspace {dispatch.workspace!r} may not use"
-                f" {dispatch.version!r}.",
-            )
-        get_versions = (
-            get_allowed_versions if dispatch.in_session else get_open_versions
-        )
-        if version not in get_versions(service.document, dispatch.workspace):
-            return (
-                "version_withdrawn",
-                f"The version {dispatch.version!r} takes no new work.",
-            )
+        try:
+            _check_rights(service.document, dispatch, self._role.pool)
+        except RequestRefusedError as error:
+            return error.code, error.message
         return None
 
     def _on_heartbeat(self) -> None:
@@ -348,14 +329,19 @@
         task.add_done_callback(self._work.discard)
 
 
-def _get_plain_refusal(
+def _check_rights(
     document: ServiceDocument, dispatch: Dispatch, pool: PoolId
-) -> tuple[str, str] | None:
-    if dispatch.version == str(make_pool_version(pool)) and has_pool(
-        document, dispatch.workspace, pool
-    ):
-        return None
-    return (
-        "route_not_allowed",
-        f"Workspace {dispatch.workspace!r} has no route to pool {pool!r}.",
+) -> None:
+    if pool:
+        if dispatch.version != str(make_pool_version(pool)):
+            raise RouteNotAllowedError(
+                f"The upstream of pool {pool!r} is no {dispatch.version!r}."
+            )
+        check_pool(document, dispatch.workspace, pool)
+        return
+    version = parse_model_version(dispatch.version)
+    if version is None:
+        raise ModelNotAllowedError(f"{dispatch.version!r} is no version.")
+    check_version(
+        document, dispatch.workspace, version, in_session=dispatch.in_session
     )
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -45,6 +45,7 @@
 from lovagestage.orders import OrderService
 from lovagestage.peerstate import PeerState, StateResponder
 from lovagestage.quality import QualityService
+from lovagestage.rights import RequestRights
 from lovagestage.rollout_driver import Evidence, RolloutDriver
 from lovagestage.rollouts import ROLLOUT_LEASE
 from lovagestage.runs import RunTable
@@ -206,6 +207,7 @@
         random.Random(),
         base.timers,
         CrashWatch(peers, base.hub),
+        RequestRights(base.control),
     )
     billing = _make_billing(base, role, peers)
     exposure = _make_exposure(base, peers)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -10,7 +10,11 @@
 import pytest
 
 from lovagestage.dispatcher import Dispatcher
-from lovagestage.exceptions import RequestRefusedError, SuspectWaitingError
+from lovagestage.exceptions import (
+    RequestRefusedError,
+    SuspectWaitingError,
+    VersionWithdrawnError,
+)
 from lovagestage.messages import Dispatch, Refused
 from lovagestage.request import Request, Result
 from lovagestage.routing import UpstreamView
@@ -53,6 +57,11 @@
         pass
 
 
+class FakeRights:
+    def check(self, request):
+        pass
+
+
 class FakeCrashes:
     """Lets so many attempts run, and holds up the next."""
 
@@ -90,7 +99,11 @@
     # would send a request again that has run.
     upstreams = FakeUpstreams([RunState(state) for state in states])
     dispatcher = Dispatcher(
-        upstreams, random.Random(1), FakeTimers(), FakeCrashes(admitted)
+        upstreams,
+        random.Random(1),
+        FakeTimers(),
+        FakeCrashes(admitted),
+        FakeRights(),
     )
     request = Request(
         "r", "w", "s", VERSION, 1, True, time.monotonic() + 5, False, b"{}"
@@ -99,3 +112,42 @@
         async for _ in dispatcher.run(request, Result(VERSION)):
             pass
     assert caught.value.run is RunState(told)
+
+
+class RightsUntil:
+    """Passes so many requests; the version is withdrawn after them."""
+
+    def __init__(self, count):
+        self.count = count
+
+    def check(self, request):
+        self.count -= 1
+        if self.count < 0:
+            raise VersionWithdrawnError("withdrawn", retry_after_s=1)
+
+
+@pytest.mark.parametrize(
+    ("state", "told"), [("not_run", "not_run"), ("unknown", "unknown")]
+)
+async def test_request_is_not_sent_again_once_its_version_is_withdrawn(
+    state, told
+):
+    # The first attempt fails in a way that another upstream may help against.
+    # The version is withdrawn before the second one. The caller gets a
+    # refusal that speaks for the first one too; no upstream gets anything.
+    upstreams = FakeUpstreams([RunState(state), RunState.NOT_RUN])
+    dispatcher = Dispatcher(
+        upstreams,
+        random.Random(1),
+        FakeTimers(),
+        FakeCrashes(9),
+        RightsUntil(1),
+    )
+    request = Request(
+        "r", "w", "s", VERSION, 1, True, time.monotonic() + 5, False, b"{}"
+    )
+    with pytest.raises(VersionWithdrawnError) as caught:
+        async for _ in dispatcher.run(request, Result(VERSION)):
+            pass
+    assert caught.value.run is RunState(told)
+    assert len(upstreams.states) == 1
