Place prompts by the time that reading them takes, not by times with queues

Cause: the wait at an upstream was the sum of mean times until an answer begins, which hold the queue before it.

Ruled out as a larger gain: affinity as such.

The fixed CACHED_RATIO is gone.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -43,6 +43,8 @@
         runs: Attempts that may have run.
         tried: Upstreams in the order of attempts.
         waits_s: Expected wait at each of them when it was chosen.
+        work_s: Time that the last attempt takes of its upstream by itself.
+        is_cached: Whether that one has most likely read the subject before.
         model: Model of the last attempt; None where none is named.
         first_event_s: Time from the request's head to its first event.
     """
@@ -61,6 +63,8 @@
         self.runs = 0
         self.tried: list[InstanceId] = []
         self.waits_s: list[float] = []
+        self.work_s = 0.0
+        self.is_cached = False
         self.model: str | None = None
         self.first_event_s: float | None = None
         self._deployment = deployment
@@ -94,25 +98,25 @@
         total_s = self.admitted.deadline_s - request.arrived_s
         return self.left_s / max(0.001, total_s)
 
-    def choose(self, expected_s: float) -> Upstream:
+    def choose(self, work: choice.Work) -> Upstream:
         """Chooses the next upstream and counts the attempt.
 
-        Args:
-            expected_s: Time to its first sign of an answer.
-
         Raises:
             GatewayRefusalError: None is left.
         """
-        upstream = self._choose_upstream(expected_s)
-        if upstream is None:
+        placement = self._place(work)
+        if placement is None:
             raise self.make_refusal("no_upstream")
+        upstream = placement.upstream
+        self.work_s = placement.work_s
+        self.is_cached = placement.is_cached
         self.sent += 1
         self.runs += 1
         self.tried.append(upstream.id)
         self.waits_s.append(upstream.performance.get_wait_s())
         return upstream
 
-    def _choose_upstream(self, expected_s: float) -> Upstream | None:
+    def _place(self, work: choice.Work) -> choice.Placement | None:
         admitted, deployment = self.admitted, self._deployment
         now_s = get_elapsed_s()
         self.assignment = deployment.assign(
@@ -127,13 +131,12 @@
         other = deployment.get_fallback(admitted.service, self.assignment)
         # An answer that failed speaks against the version, not the upstream.
         groups = [other, own] if self._has_new_failed else [own, other]
-        work = choice.Work(expected_s, admitted.request.subject)
         for upstreams in groups:
-            upstream = choice.choose_upstream(
+            placement = choice.choose_upstream(
                 upstreams, self._excluded, work, self._zone, now_s, self._rng
             )
-            if upstream is not None:
-                return upstream
+            if placement is not None:
+                return placement
         return None
 
     def get_least_wait_s(self) -> float:
--- a/src/lovagestage/gateway/choice.py
+++ b/src/lovagestage/gateway/choice.py
@@ -10,12 +10,6 @@
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.types import InstanceId, ZoneId
 
-CACHED_RATIO = 0.6
-"""Part of a prompt's time that is saved at the upstream that its subject is
-hashed to, which has most likely read the shared parts before: two thirds of
-the longest prompts are shared. It matters where a subject comes again before
-its parts yield; with 0 and 0.9 the worth of days of load was the same to
-0.005, since few subjects do."""
 SAMPLE = 3
 """Upstreams that are compared. What others have waiting is known late; if all
 gateways chose the best of all, they would run to the same one (Mitzenmacher
@@ -27,14 +21,31 @@
     """What an attempt asks of an upstream.
 
     Attributes:
-        expected_s: Time to its first sign of an answer.
+        fresh_s: Time that it takes of an upstream by itself.
+        cached_s: The same where the subject has been read before.
         subject: What its prompt shares with others; None for none.
     """
 
-    expected_s: float
+    fresh_s: float
+    cached_s: float
     subject: str | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """Where an attempt goes.
+
+    Attributes:
+        upstream: The upstream.
+        is_cached: Whether it has most likely read the subject before.
+        work_s: Time that the attempt takes of it by itself.
+    """
+
+    upstream: Upstream
+    is_cached: bool
+    work_s: float
+
+
 def choose_upstream(
     upstreams: Sequence[Upstream],
     excluded: Collection[InstanceId],
@@ -42,9 +53,13 @@
     zone: ZoneId,
     now_s: float,
     rng: random.Random,
-) -> Upstream | None:
+) -> Placement | None:
     """Chooses an upstream.
 
+    All gateways expect a subject to have been read at the same upstream, the
+    one that it is hashed to. Another one is taken where the wait there is
+    shorter by more than reading the subject again takes.
+
     Args:
         upstreams: Those that take requests of the version.
         excluded: Those that already failed or refused this request.
@@ -54,7 +69,7 @@
         rng: Source of randomness.
 
     Returns:
-        The upstream; None where all are excluded.
+        Where the attempt goes; None where all are excluded.
     """
     able = [u for u in upstreams if u.id not in excluded]
     if not able:
@@ -62,13 +77,18 @@
     sound = [u for u in able if not u.performance.is_suspect(now_s)] or able
     good = [u for u in sound if not u.performance.is_grey()] or sound
     if work.subject is None:
-        return min(good, key=lambda u: _get_place_cost(u, zone, rng))
+        best = min(good, key=lambda u: _get_place_cost(u, zone, rng))
+        return Placement(best, False, work.fresh_s)
     likely = max(good, key=lambda u: get_share(f"{work.subject}/{u.id}"))
     sample = rng.sample(good, min(SAMPLE, len(good)))
-    return min(
+    best = min(
         {*sample, likely},
         key=lambda u: _get_wait_s(u, work, u is likely, rng),
     )
+    is_cached = best is likely
+    return Placement(
+        best, is_cached, work.cached_s if is_cached else work.fresh_s
+    )
 
 
 def _get_place_cost(
@@ -89,6 +109,6 @@
 ) -> tuple[float, float]:
     """Ranks upstreams that read one prompt after another."""
     performance = upstream.performance
-    own_s = work.expected_s * (1.0 - CACHED_RATIO * is_likely)
+    own_s = work.cached_s if is_likely else work.fresh_s
     wait_s = performance.get_wait_s()
     return (wait_s + own_s) * performance.slowness, rng.random()
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -13,7 +13,6 @@
     WrongMessageError,
 )
 from lovagestage.gateway.connections import ConnectionPool
-from lovagestage.gateway.latency import resolve_time_s
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.http1 import ClientConnection
@@ -38,6 +37,7 @@
         is_repeatable: Whether the request may run again.
         expected_s: Time that its answer is expected to take to begin; None
             while too little is known.
+        work_s: Time that it takes of the upstream by itself.
 
     Attributes:
         upstream: Where to.
@@ -52,6 +52,7 @@
         call: OutgoingCall,
         is_repeatable: bool,
         expected_s: float | None,
+        work_s: float,
     ) -> None:
         self.upstream = upstream
         self.head: AnswerHead | None = None
@@ -60,7 +61,7 @@
         self._call = call
         self._is_repeatable = is_repeatable
         self._expected_s = expected_s
-        self._waiting_s = resolve_time_s(expected_s)
+        self._waiting_s = work_s
         self._connection: ClientConnection | None = None
 
     async def __aenter__(self) -> Self:
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -12,6 +12,7 @@
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.latency import LatencyTable, LoadGauge
 from lovagestage.gateway.plain import forward_plain
+from lovagestage.gateway.reading import ReadingTimes
 from lovagestage.gateway.runs import RunParts
 from lovagestage.gateway.settings import Bounds, GatewaySettings
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
@@ -57,7 +58,12 @@
         self._rng = rng
         self._budgets: dict[ServiceId, RetryBudget] = {}
         self._parts = RunParts(
-            pool, evidence, LatencyTable(), LoadGauge(), suspects
+            pool,
+            evidence,
+            LatencyTable(),
+            ReadingTimes(),
+            LoadGauge(),
+            suspects,
         )
 
     def make_attempts(self, admitted: Admitted) -> Attempts:
--- a/src/lovagestage/gateway/latency.py
+++ b/src/lovagestage/gateway/latency.py
@@ -28,11 +28,6 @@
 otherwise count as no load at all, and all be sent to one upstream."""
 
 
-def resolve_time_s(expected_s: float | None) -> float:
-    """The expected time of an answer, or a guess while it is unknown."""
-    return UNKNOWN_S if expected_s is None else expected_s
-
-
 class _Mean:
     def __init__(self) -> None:
         self.value = 0.0
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -11,11 +11,13 @@
 from lovagestage.crash_suspects import Admission
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
+from lovagestage.gateway.choice import Work
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.exchange import Exchange
-from lovagestage.gateway.latency import LatencyTable, LoadGauge, resolve_time_s
+from lovagestage.gateway.latency import UNKNOWN_S, LatencyTable, LoadGauge
 from lovagestage.gateway.messages import OutgoingCall
+from lovagestage.gateway.reading import ReadingTimes, make_prompt
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.suspects import SuspectWatch
@@ -46,6 +48,7 @@
         pool: Connections to upstreams.
         evidence: Takes what is seen of versions.
         latency: Times of answers by route and model.
+        reading: Times that prompts take by themselves, by model.
         gauge: How full the upstreams are.
         suspects: Requests that may crash upstreams.
     """
@@ -53,6 +56,7 @@
     pool: ConnectionPool
     evidence: EvidenceSink
     latency: LatencyTable
+    reading: ReadingTimes
     gauge: LoadGauge
     suspects: SuspectWatch
 
@@ -76,13 +80,36 @@
             raise attempts.make_refusal("suspect_waiting")
         await asyncio.sleep(PROBE_WAIT_S)
     attempts.model = model
-    expected_s = get_expected_s(parts, attempts, model)
-    upstream = attempts.choose(resolve_time_s(expected_s))
+    upstream = attempts.choose(make_work(parts, attempts, model))
     if admission is Admission.PROBE:
         parts.suspects.start_probe(fingerprint, attempts.run_name)
     return upstream
 
 
+def make_work(parts: RunParts, attempts: Attempts, model: str | None) -> Work:
+    """What an attempt asks of an upstream."""
+    request = attempts.admitted.request
+    prompt = make_prompt(request.parts)
+    if prompt is None:
+        expected_s = get_expected_s(parts, attempts, model)
+        time_s = UNKNOWN_S if expected_s is None else expected_s
+        return Work(time_s, time_s, request.subject)
+    return Work(
+        parts.reading.get(model, prompt.fresh_tokens),
+        parts.reading.get(model, prompt.cached_tokens),
+        request.subject,
+    )
+
+
+def note_reading(parts: RunParts, attempts: Attempts, time_s: float) -> None:
+    """Learns from the time until the last attempt's answer began."""
+    prompt = make_prompt(attempts.admitted.request.parts)
+    if prompt is None:
+        return
+    tokens = prompt.cached_tokens if attempts.is_cached else prompt.fresh_tokens
+    parts.reading.add(attempts.model, tokens, time_s)
+
+
 def make_exchange(
     parts: RunParts,
     attempts: Attempts,
@@ -115,6 +142,7 @@
         call,
         admitted.route.is_repeatable,
         get_expected_s(parts, attempts, model),
+        attempts.work_s,
     )
 
 
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -21,6 +21,7 @@
     limit_wait,
     make_exchange,
     note_failure,
+    note_reading,
 )
 from lovagestage.gateway.sinks import AnswerSink
 from lovagestage.gateway.streams import EventSplitter
@@ -232,6 +233,7 @@
         add_evidence(parts, attempts, self._upstream, is_slow)
         if not attempts.assignment.is_new:
             parts.latency.add(kind, time_s)
+            note_reading(parts, attempts, time_s)
         parts.gauge.add(time_s, route.aim_s)
         if attempts.first_event_s is None:
             now_s = asyncio.get_running_loop().time()
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -99,7 +99,9 @@
     upstreams[0].performance.waiting_elsewhere_s = 2.0
     rng = random.Random(1)
     chosen = {
-        choose_upstream(upstreams, (), Work(0.1, str(seed)), "a", 0.0, rng).id
+        choose_upstream(
+            upstreams, (), Work(0.1, 0.1, str(seed)), "a", 0.0, rng
+        ).upstream.id
         for seed in range(200)
     }
     assert chosen == {"w2", "w3"}
--- /dev/null
+++ b/tests/test_gateway_reading.py
@@ -0,0 +1,108 @@
+"""How long prompts take by themselves, and where they are sent for it."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lovagestage.gateway.choice import Work, choose_upstream
+from lovagestage.gateway.latency import UNKNOWN_S
+from lovagestage.gateway.messages import PromptPart
+from lovagestage.gateway.reading import (
+    MIN_TOKENS,
+    OVERHEAD_S,
+    Prompt,
+    ReadingTimes,
+    make_prompt,
+)
+from tests.test_gateway_gossip import make_rotation
+
+TOKEN_S = 50e-6
+
+
+def make_times(waits_s, tokens=2_000):
+    times = ReadingTimes()
+    for wait_s in waits_s:
+        times.add("large", tokens, OVERHEAD_S + wait_s + tokens * TOKEN_S)
+    return times
+
+
+def test_waits_are_not_taken_for_reading():
+    # Most answers have waited behind others, by very different times. Were
+    # they taken for the prompt's own, a queue of ten would count each wait
+    # ten times over, and its upstream would seem to be full.
+    rng = random.Random(1)
+    waits_s = [rng.choice((0.0, 0.0, 0.2, 0.5, 1.5)) for _ in range(300)]
+    expected_s = OVERHEAD_S + 4_000 * TOKEN_S
+    read_s = make_times(waits_s).get("large", 4_000)
+    assert read_s == pytest.approx(expected_s, rel=0.5)
+    mean_s = sum(waits_s) / len(waits_s)
+    assert read_s < mean_s + expected_s
+
+
+def test_first_answer_that_waited_is_soon_outweighed():
+    times = make_times([3.0] + [0.0] * 20)
+    expected_s = OVERHEAD_S + 2_000 * TOKEN_S
+    assert times.get("large", 2_000) < 3 * expected_s
+
+
+def test_unknown_models_and_short_prompts():
+    times = ReadingTimes()
+    times.add("large", MIN_TOKENS - 1, 1.0)
+    times.add("large", 5_000, OVERHEAD_S / 2)
+    assert times.get("large", 9_000) == UNKNOWN_S
+    assert make_times([0.0]).get("small", 9_000) == UNKNOWN_S
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 100_000), st.floats(0, 100)), max_size=50)
+)
+def test_times_stay_positive_and_grow_with_the_prompt(samples):
+    times = ReadingTimes()
+    for tokens, time_s in samples:
+        times.add("large", tokens, time_s)
+    assert 0.0 < times.get("large", 10) <= times.get("large", 20_000)
+
+
+def test_what_is_read_of_a_prompt():
+    system = PromptPart("a", 2_000)
+    subject = PromptPart("b", 300)
+    own = PromptPart("c", 40)
+    assert make_prompt((system, subject, own)) == Prompt(340, 40)
+    assert make_prompt((own,)) == Prompt(40, 40)
+    assert make_prompt(()) is None
+
+
+def get_home(work):
+    placements = place(make_rotation().get_ready("pool"), work, range(60))
+    homes = {p.upstream.id for p in placements if p.is_cached}
+    assert len(homes) == 1
+    return homes.pop()
+
+
+def place(upstreams, work, seeds):
+    return [
+        choose_upstream(upstreams, (), work, "a", 0.0, random.Random(seed))
+        for seed in seeds
+    ]
+
+
+@pytest.mark.parametrize(("wait_s", "goes_home"), [(0.3, True), (0.5, False)])
+def test_subject_leaves_its_upstream_only_for_a_shorter_total(
+    wait_s, goes_home
+):
+    # The subject's upstream has a queue. Another one is free, but would read
+    # the shared part again, which takes 0.4 s: it is worth a wait of 0.3 s
+    # and not one of 0.5 s. What the attempt adds to the queue follows.
+    work = Work(0.5, 0.1, "subject")
+    rotation = make_rotation()
+    upstreams = rotation.get_ready("pool")
+    home = get_home(work)
+    next(u for u in upstreams if u.id == home).performance.waiting_s = wait_s
+    for placement in place(upstreams, work, range(60)):
+        assert (placement.upstream.id == home) is goes_home
+        assert placement.is_cached is goes_home
+        assert placement.work_s == (0.1 if goes_home else 0.5)
