Let a few gateways watch the store for the others

The store's answers are the same for all.

Change: from eight gateways on, one in sixteen (two at least) watches; the others ask one of them by datagram after a fifth of the time in which a change must be in force, and read the store where something is new or no sound answer came. A proof counts from the moment of the question, less the age that the watcher states, so that it needs no common clock; a watcher without the store is not relied on. Datagrams have a socket of their own (peers.py), shared with gossip; a gateway learns of others by their datagrams too, since the store forgets the notes of those that have run for long.

Ruled out: sending the records themselves. What a gateway believes still comes from the store alone.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 from typing import Protocol
 
@@ -16,6 +17,7 @@
     StoreUnavailableError,
 )
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.relay import RelayedState, RelayMode, TopicState
 from lovagestage.platform.store import Page, StoreClient
 
 _log = logging.getLogger(__name__)
@@ -30,8 +32,9 @@
 changed meanwhile is in force within a second of its return."""
 COLD_BACKOFF_LIMIT_S = 0.3
 """The same before the first answer: until then every caller is refused."""
-
-
+IDLE_LIMIT_S = 2.0
+"""A connection to the store that was idle for longer is closed before the next
+call. Other connections that went silent show it by a call that times out."""
 RETURN_GRACE_S = 0.1
 """Time for the answer to a call that is under way when another feed finds that
 the store is back: a call sent before hangs until its time limit, as a rule."""
@@ -73,6 +76,21 @@
         """Learns that nothing newer existed at a time."""
 
 
+class Watch(Protocol):
+    """Tells how a topic is followed, and what a watcher says of it."""
+
+    watch_wait_s: float
+
+    def get_mode(self) -> RelayMode:
+        """Whether this gateway reads the store or asks a watcher."""
+
+    async def wait_state(self, topic: str) -> RelayedState | None:
+        """The next state that a watcher tells; None without a sound one."""
+
+    def tell_news(self) -> None:
+        """Tells followers that a topic has grown."""
+
+
 class TopicFeed(mode.Service):
     """Reads a topic from its newest records on, for as long as it runs.
 
@@ -86,6 +104,8 @@
         is_keyed: Whether to begin with the newest record of each key.
         rng: Source of randomness.
         store_return: Shared by the feeds of a process.
+        watch: Spares reads where another gateway watches the topic; None
+            where each reads for itself.
     """
 
     def __init__(
@@ -98,6 +118,7 @@
         is_keyed: bool,
         rng: random.Random,
         store_return: StoreReturn,
+        watch: Watch | None = None,
     ) -> None:
         super().__init__()
         self._store = store
@@ -108,38 +129,96 @@
         self._is_keyed = is_keyed
         self._rng = rng
         self._store_return = store_return
+        self._watch = watch
         self._is_back = store_return.make_event()
         self._next: int | None = None if is_keyed else 0
         self._failures = 0
         self._lost_s: float | None = None
+        self._proved_s: float | None = None
+        self._read_s = get_elapsed_s()
         self.is_synced = False
 
     def get_lost_age_s(self, now_s: float) -> float | None:
         """Time since the store last failed to answer; None for never."""
         return None if self._lost_s is None else now_s - self._lost_s
 
+    def get_state(self, now_s: float) -> TopicState | None:
+        """What this gateway has read of the topic itself."""
+        if self._next is None or self._proved_s is None:
+            return None
+        lost_s = self.get_lost_age_s(now_s)
+        return TopicState(
+            self._topic,
+            self._next,
+            math.ceil(1000 * (now_s - self._proved_s)),
+            None if lost_s is None else int(1000 * lost_s),
+        )
+
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
             try:
-                has_records = await self._read_unless_back()
+                has_records = await self._follow()
             except StoreHistoryLostError as error:
                 self._on_history_lost(error)
                 has_records = False
             except StoreError as error:
                 await self._on_failure(error)
                 continue
-            self._on_success()
             if has_records:
                 await asyncio.sleep(self._pause_s)
         self._store.close()
 
-    async def _read_unless_back(self) -> bool:
+    async def _follow(self) -> bool:
+        """Learns what is new; returns whether there were records."""
+        mode = RelayMode.ALONE
+        if self._watch is not None and self.is_synced:
+            mode = self._watch.get_mode()
+        if mode is RelayMode.FOLLOWER:
+            assert self._watch is not None
+            state = await self._watch.wait_state(self._topic)
+            if state is not None and self._rely_on(state):
+                return False
+            return await self._read(0.0)
+        if mode is RelayMode.WATCHER:
+            assert self._watch is not None
+            has_records = await self._read(self._watch.watch_wait_s)
+            if has_records:
+                self._watch.tell_news()
+            return has_records
+        return await self._read(self._wait_s)
+
+    def _rely_on(self, state: RelayedState) -> bool:
+        """Takes a watcher's proof, where there is nothing new."""
+        if state.lost_s is not None:
+            # What lapsed at the store while it was away is no removal, also
+            # where this gateway asked it nothing meanwhile.
+            self._lost_s = max(state.lost_s, self._lost_s or state.lost_s)
+        if self._next is None or state.end > self._next:
+            return False
+        self._listener.on_proof(state.proved_s)
+        return True
+
+    async def _read(self, wait_s: float) -> bool:
+        """Reads the store.
+
+        A connection that went silent while nothing was asked is not noticed
+        before its next call has timed out, by when a change may be overdue:
+        one that was idle is not used again.
+        """
+        if get_elapsed_s() - self._read_s > IDLE_LIMIT_S:
+            self._store.close()
+        has_records = await self._read_unless_back(wait_s)
+        self._read_s = get_elapsed_s()
+        self._on_success()
+        return has_records
+
+    async def _read_unless_back(self, wait_s: float) -> bool:
         """Reads; a call that hangs is given up once the store is back."""
         if not self._failures:
-            return await self._read_once()
+            return await self._read_once(wait_s)
         self._is_back.clear()
-        read = asyncio.ensure_future(self._read_once())
+        read = asyncio.ensure_future(self._read_once(0.0))
         back = asyncio.ensure_future(self._is_back.wait())
         try:
             await asyncio.wait(
@@ -156,19 +235,20 @@
             # What is given up closes its connection before the next call.
             await asyncio.wait((read, back))
 
-    async def _read_once(self) -> bool:
-        """Reads once; returns whether there were records."""
+    async def _read_once(self, wait_s: float) -> bool:
+        """Reads once; returns whether there were records.
+
+        After a failure the proof is old and a change may have been missed: a
+        read that waits would renew neither until its wait is over, and keys
+        could not be relied on meanwhile. Such a read is sent without a wait.
+        """
         sent_s = get_elapsed_s()
         if self._next is None:
             page = await self._store.read_newest(self._topic, READ_TIMEOUT_S)
             self._next = page.end
             self._listener.on_newest(page)
-            self._listener.on_proof(sent_s)
+            self._prove(sent_s)
             return False
-        # After a failure the proof is old and a change may have been missed:
-        # a read that waits would renew neither until its wait is over, and
-        # keys could not be relied on meanwhile.
-        wait_s = 0.0 if self._failures else self._wait_s
         page = await self._store.read(
             self._topic, self._next, wait_s, wait_s + READ_TIMEOUT_S
         )
@@ -188,9 +268,13 @@
         if self._next >= page.end:
             # Nothing newer when the wait was over, or when it was sent.
             waited_s = 0.0 if page.records else wait_s
-            self._listener.on_proof(min(sent_s + waited_s, get_elapsed_s()))
+            self._prove(min(sent_s + waited_s, get_elapsed_s()))
         return bool(page.records)
 
+    def _prove(self, at_s: float) -> None:
+        self._proved_s = at_s
+        self._listener.on_proof(at_s)
+
     def _on_history_lost(self, error: StoreHistoryLostError) -> None:
         _log.warning(
             "store_history_lost",
--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -14,6 +14,7 @@
 import mode
 import xxhash
 
+from lovagestage.gateway.peers import PeerAddress, PeerSocket
 from lovagestage.gateway.rotation import Rotation, Upstream
 from lovagestage.types import VmId
 
@@ -30,9 +31,9 @@
 HEARD_FOR_PERIODS = 3.0
 """The same where periods are long: two datagrams in a row may be lost."""
 UNIT_S = 0.001
-_HEAD = struct.Struct(">4sQI")
+_HEAD = struct.Struct(">QI")
 _ENTRY = struct.Struct(">IH")
-_MAGIC = b"lvg1"
+KIND = b"lvg1"
 _MAX_WAIT = 0xFFFF
 
 
@@ -41,48 +42,27 @@
 
     Args:
         vm: This VM.
-        address: `IP:PORT` to send from and listen at.
+        socket: Where datagrams go and come from.
         rotation: Upstreams whose waiting times are told.
     """
 
-    def __init__(self, vm: VmId, address: str, rotation: Rotation) -> None:
+    def __init__(
+        self, vm: VmId, socket: PeerSocket, rotation: Rotation
+    ) -> None:
         super().__init__()
         self._own = xxhash.xxh3_64_intdigest(vm.encode())
-        self._address = address
+        self._socket = socket
         self._rotation = rotation
-        self._peers: set[tuple[str, int]] = set()
         self._heard: dict[int, tuple[float, int, dict[int, float]]] = {}
-        self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._was_empty = False
+        socket.register(KIND, self.take)
 
-    def add_peer(self, address: str) -> None:
-        """Takes the address of another gateway."""
-        host, _, port = address.rpartition(":")
-        if address == self._address or not port.isdigit():
-            return
-        if (host, int(port)) not in self._peers:
-            _log.info("peer_added", extra={"address": address})
-            self._peers.add((host, int(port)))
-
-    async def on_start(self) -> None:
-        """Opens the socket."""
-        host, _, port = self._address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Receiver(self), local_addr=(host, int(port))
-        )
-        self._transport = transport
-
-    async def on_stop(self) -> None:
-        """Closes the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def take(self, data: bytes) -> None:
+    def take(self, data: bytes, address: PeerAddress) -> None:
         """Takes a datagram; one that can't be read is dropped and logged."""
+        del address  # A gateway is named by its VM, which outlives a port.
         try:
-            magic, sender, sequence = _HEAD.unpack_from(data)
+            sender, sequence = _HEAD.unpack_from(data)
             waiting = {
                 name: units * UNIT_S
                 for name, units in _ENTRY.iter_unpack(data[_HEAD.size :])
@@ -96,7 +76,7 @@
         is_recent = (
             known is not None and now_s - known[0] < self._get_heard_for_s()
         )
-        if magic != _MAGIC or sender == self._own or (is_old and is_recent):
+        if sender == self._own or (is_old and is_recent):
             return
         self._heard[sender] = (now_s, sequence, waiting)
         self._update()
@@ -109,7 +89,7 @@
             self._send()
 
     def _get_period_s(self) -> float:
-        return PERIOD_S * max(1.0, len(self._peers) / PEERS_PER_PERIOD)
+        return PERIOD_S * max(1.0, len(self._socket.peers) / PEERS_PER_PERIOD)
 
     def _get_heard_for_s(self) -> float:
         return max(HEARD_FOR_S, HEARD_FOR_PERIODS * self._get_period_s())
@@ -121,14 +101,13 @@
             if (units := _get_units(upstream))
         ]
         is_empty = not entries
-        if self._transport is None or (is_empty and self._was_empty):
+        if is_empty and self._was_empty:
             return
         self._was_empty = is_empty
         self._sequence += 1
-        head = _HEAD.pack(_MAGIC, self._own, self._sequence)
-        data = head + b"".join(entries)
-        for peer in self._peers:
-            self._transport.sendto(data, peer)
+        data = _HEAD.pack(self._own, self._sequence) + b"".join(entries)
+        for peer in self._socket.peers:
+            self._socket.send(KIND, data, peer)
 
     def _forget(self) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -150,18 +129,6 @@
             )
 
 
-class _Receiver(asyncio.DatagramProtocol):
-    def __init__(self, gossip: Gossip) -> None:
-        self._gossip = gossip
-
-    def datagram_received(self, data: bytes, address: object) -> None:
-        self._gossip.take(data)
-
-    def error_received(self, error: Exception) -> None:
-        # A peer that is gone; it is told nothing more once it is replaced.
-        _log.debug("gossip_error", extra={"error": str(error)})
-
-
 def _get_short_name(upstream: Upstream) -> int:
     return xxhash.xxh32_intdigest(upstream.id.encode())
 
--- /dev/null
+++ b/src/lovagestage/gateway/peers.py
@@ -0,0 +1,97 @@
+"""The other gateways, and a socket for datagrams between them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import mode
+
+_log = logging.getLogger(__name__)
+
+KIND_BYTES = 4
+"""Each datagram begins with its kind."""
+
+PeerAddress = tuple[str, int]
+Handler = Callable[[bytes, PeerAddress], None]
+
+
+class PeerSocket(mode.Service):
+    """Sends datagrams to the other gateways and hands on theirs.
+
+    Args:
+        address: `IP:PORT` to send from and listen at.
+
+    Attributes:
+        own: The same address.
+        peers: The gateways that have been heard of.
+    """
+
+    def __init__(self, address: str) -> None:
+        super().__init__()
+        host, _, port = address.rpartition(":")
+        self.own: PeerAddress = (host, int(port))
+        self.peers: set[PeerAddress] = set()
+        self._handlers: dict[bytes, Handler] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def register(self, kind: bytes, handler: Handler) -> None:
+        """Hands datagrams of one kind, without it, to a part."""
+        self._handlers[kind] = handler
+
+    def add_peer(self, address: str) -> None:
+        """Takes the address of another gateway."""
+        host, _, port = address.rpartition(":")
+        if port.isdigit():
+            self._add((host, int(port)))
+
+    async def on_start(self) -> None:
+        """Opens the socket."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), local_addr=self.own
+        )
+        self._transport = transport
+
+    async def on_stop(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, kind: bytes, data: bytes, peer: PeerAddress) -> None:
+        """Sends a datagram, which may be lost."""
+        if self._transport is not None:
+            self._transport.sendto(kind + data, peer)
+
+    def take(self, data: bytes, sender: PeerAddress) -> None:
+        """Hands on a datagram; one of an unknown kind is dropped and logged.
+
+        Its sender is a gateway: the store forgets the notes of gateways that
+        have run for long, so that one which has just started hears of them
+        by their datagrams alone.
+        """
+        handler = self._handlers.get(data[:KIND_BYTES])
+        if handler is None:
+            _log.warning("datagram_refused", extra={"size": len(data)})
+            return
+        self._add(sender)
+        handler(data[KIND_BYTES:], sender)
+
+    def _add(self, peer: PeerAddress) -> None:
+        if peer == self.own or peer in self.peers:
+            return
+        _log.info("peer_added", extra={"address": f"{peer[0]}:{peer[1]}"})
+        self.peers.add(peer)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, owner: PeerSocket) -> None:
+        self._owner = owner
+
+    def datagram_received(self, data: bytes, address: PeerAddress) -> None:
+        self._owner.take(data, address)
+
+    def error_received(self, error: Exception) -> None:
+        # A peer that is gone; it is told nothing more once it is replaced.
+        _log.debug("datagram_error", extra={"error": str(error)})
--- /dev/null
+++ b/src/lovagestage/gateway/relay.py
@@ -0,0 +1,342 @@
+"""Gateways that watch the store for others, so that not each one has to.
+
+A few gateways, the watchers, hold reads of the store. The others, the
+followers, ask one of them a few times a second, by datagram, how far each
+topic goes and how old the proof of it is. They read the store themselves
+where there is something new, and also whenever no sound answer comes: a lost
+datagram or a dead watcher costs a call to the store and delays nothing
+further.
+
+A proof needs no common clock. It counts from the moment at which the
+follower sent its question, less the age that the watcher states: the answer
+was made after the question, so the proof is at least as young as that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import logging
+import math
+from collections.abc import Sequence
+from typing import Protocol
+
+import mode
+import msgspec
+import xxhash
+
+from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.peers import PeerAddress, PeerSocket
+
+_log = logging.getLogger(__name__)
+
+KIND = b"lvr1"
+MIN_GATEWAYS = 8
+"""Fewer gateways read the store themselves: two watchers read more often than
+they would, which outweighs what the others save."""
+MIN_WATCHERS = 2
+FOLLOWERS = 16
+"""Followers of a watcher: 27 questions a second, under a hundredth of a core,
+where they ask most often."""
+WATCH_RATIO = 0.3
+"""The store holds a watcher's read for this part of the time in which a change
+must be in force."""
+PERIOD_RATIO = 0.2
+"""A follower asks after this part of it. Together with the answer's time limit
+and the slack below, half of that time and half a second pass at most until a
+follower reads the store itself, whatever became of its watcher."""
+ANSWER_S = 0.25
+"""Time for an answer: over fifty times what it takes between zones."""
+SLACK_S = 0.25
+"""Age of a watcher's proof beyond the time of its read: what the read takes,
+ten times over where the store is slow."""
+AWAY_BASE_S = 2.0
+AWAY_LIMIT_S = 30.0
+"""A gateway that left a question unanswered is asked again after so long,
+doubled up to the limit: it may be gone for good."""
+
+
+class RelayMode(enum.Enum):
+    """What a gateway does for its view of the store."""
+
+    ALONE = "alone"
+    """There are few gateways: it reads the store."""
+    WATCHER = "watcher"
+    """It reads the store and answers others."""
+    FOLLOWER = "follower"
+    """It asks a watcher."""
+
+
+class TopicState(msgspec.Struct, frozen=True, array_like=True):
+    """What a watcher knows of a topic.
+
+    Attributes:
+        topic: The topic.
+        end: Offset up to which it has read.
+        proof_age_ms: How long ago nothing else was there.
+        lost_age_ms: How long ago the store last failed to answer; None for
+            never.
+    """
+
+    topic: str
+    end: int
+    proof_age_ms: int
+    lost_age_ms: int | None
+
+
+class Question(msgspec.Struct, frozen=True, array_like=True, tag="question"):
+    """Asks for the state of all topics.
+
+    Attributes:
+        number: Repeated in the answer.
+    """
+
+    number: int
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
+    """Answers a question.
+
+    Attributes:
+        number: Of the question.
+        states: The topics that the answering gateway reads.
+    """
+
+    number: int
+    states: tuple[TopicState, ...]
+
+
+class News(msgspec.Struct, frozen=True, array_like=True, tag="news"):
+    """Tells followers to ask at once."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Question | Answer | News)
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayedState:
+    """What a follower was told of a topic, by its own clock.
+
+    Attributes:
+        end: Offset up to which there is nothing unknown to the watcher.
+        proved_s: When that was so.
+        lost_s: When the store last failed to answer; None for never.
+    """
+
+    end: int
+    proved_s: float
+    lost_s: float | None
+
+
+class TopicSource(Protocol):
+    """A feed whose state is told to followers."""
+
+    def get_state(self, now_s: float) -> TopicState | None:
+        """What it knows from the store itself; None for nothing yet."""
+
+
+@dataclasses.dataclass
+class _Away:
+    until_s: float
+    pause_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Round:
+    number: int
+    states: dict[str, RelayedState]
+
+
+class Relay(mode.Service):
+    """Asks a watcher, or answers followers.
+
+    Args:
+        socket: Where datagrams go and come from.
+        bound_s: Shortest time in which a change must be in force.
+    """
+
+    def __init__(self, socket: PeerSocket, bound_s: float) -> None:
+        super().__init__()
+        self.watch_wait_s = WATCH_RATIO * bound_s
+        self._period_s = PERIOD_RATIO * bound_s
+        self._socket = socket
+        self._sources: list[TopicSource] = []
+        self._followers: dict[PeerAddress, float] = {}
+        self._away: dict[PeerAddress, _Away] = {}
+        self._number = 0
+        self._sent_s = 0.0
+        self._answer: asyncio.Future[dict[str, RelayedState]] | None = None
+        self._news = asyncio.Event()
+        self._round = _Round(0, {})
+        self._round_done = asyncio.Event()
+        self._consumed: dict[str, int] = {}
+        self._mode = RelayMode.ALONE
+        socket.register(KIND, self._take)
+
+    def add_source(self, source: TopicSource) -> None:
+        """Adds a feed whose state others may ask for."""
+        self._sources.append(source)
+
+    def get_mode(self) -> RelayMode:
+        """What this gateway is to do now."""
+        now = self._resolve_mode()
+        if now is not self._mode:
+            _log.info(
+                "relay_mode_changed",
+                extra={
+                    "mode": now.value,
+                    "previous": self._mode.value,
+                    "gateways": 1 + len(self._socket.peers),
+                },
+            )
+            self._mode = now
+        return now
+
+    def tell_news(self) -> None:
+        """Tells followers that a topic has grown."""
+        limit_s = get_elapsed_s() - 2 * self._period_s
+        for peer, asked_s in list(self._followers.items()):
+            if asked_s < limit_s:
+                del self._followers[peer]
+            else:
+                self._send(News(), peer)
+
+    async def wait_state(self, topic: str) -> RelayedState | None:
+        """The next state that a watcher tells; None without a sound one."""
+        limit_s = 2 * self._period_s + ANSWER_S
+        try:
+            async with asyncio.timeout(limit_s):
+                while self._round.number == self._consumed.get(topic, 0):
+                    self._round_done.clear()
+                    await self._round_done.wait()
+        except TimeoutError:
+            return None
+        self._consumed[topic] = self._round.number
+        return self._round.states.get(topic)
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            if self.get_mode() is RelayMode.FOLLOWER:
+                await self._ask()
+            self._news.clear()
+            try:
+                async with asyncio.timeout(self._period_s):
+                    await self._news.wait()
+            except TimeoutError:
+                continue
+
+    async def _ask(self) -> None:
+        watcher = self._choose_watcher()
+        self._number += 1
+        self._sent_s = get_elapsed_s()
+        self._answer = asyncio.get_running_loop().create_future()
+        self._send(Question(self._number), watcher)
+        states: dict[str, RelayedState] = {}
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                states = await self._answer
+            self._note_answer(watcher)
+        except TimeoutError:
+            self._note_silence(watcher)
+        self._answer = None
+        self._round = _Round(self._number, states)
+        self._round_done.set()
+
+    def _take(self, data: bytes, sender: PeerAddress) -> None:
+        try:
+            message = _decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            _log.warning("relay_refused", extra={"error": str(error)})
+            return
+        match message:
+            case Question():
+                self._on_question(message, sender)
+            case Answer():
+                self._on_answer(message)
+            case News():
+                self._news.set()
+
+    def _on_question(self, question: Question, sender: PeerAddress) -> None:
+        now_s = get_elapsed_s()
+        self._followers[sender] = now_s
+        states = [source.get_state(now_s) for source in self._sources]
+        known = tuple(state for state in states if state is not None)
+        self._send(Answer(question.number, known), sender)
+
+    def _on_answer(self, answer: Answer) -> None:
+        waiting = self._answer
+        # An answer to an earlier question would be dated by this one.
+        if waiting is None or waiting.done() or answer.number != self._number:
+            return
+        now_s = get_elapsed_s()
+        limit_ms = 1000 * (self.watch_wait_s + SLACK_S)
+        waiting.set_result(
+            {
+                state.topic: RelayedState(
+                    state.end,
+                    self._sent_s - state.proof_age_ms / 1000,
+                    None
+                    if state.lost_age_ms is None
+                    else now_s - state.lost_age_ms / 1000,
+                )
+                for state in answer.states
+                if state.proof_age_ms <= limit_ms
+            }
+        )
+
+    def _send(
+        self, message: Question | Answer | News, peer: PeerAddress
+    ) -> None:
+        self._socket.send(KIND, _encoder.encode(message), peer)
+
+    def _resolve_mode(self) -> RelayMode:
+        if 1 + len(self._socket.peers) < MIN_GATEWAYS:
+            return RelayMode.ALONE
+        if self._socket.own in self._get_watchers():
+            return RelayMode.WATCHER
+        return RelayMode.FOLLOWER
+
+    def _get_watchers(self) -> Sequence[PeerAddress]:
+        """The watchers, as far as this gateway knows.
+
+        All gateways find the same ones but for those which they could not
+        reach lately; one that is asked without watching says how old its
+        proof is, and the follower reads the store itself.
+        """
+        now_s = get_elapsed_s()
+        present = [
+            peer
+            for peer in (self._socket.own, *self._socket.peers)
+            if peer not in self._away or self._away[peer].until_s <= now_s
+        ]
+        gateways = 1 + len(self._socket.peers)
+        count = max(MIN_WATCHERS, math.ceil(gateways / FOLLOWERS))
+        return sorted(present, key=_get_rank)[:count]
+
+    def _choose_watcher(self) -> PeerAddress:
+        """One of the watchers: spread over them, and the same each time."""
+        own = _get_rank(self._socket.own)
+        return max(
+            self._get_watchers(), key=lambda w: _get_rank((w[0], w[1] ^ own))
+        )
+
+    def _note_answer(self, watcher: PeerAddress) -> None:
+        if self._away.pop(watcher, None) is not None:
+            _log.info("watcher_regained", extra={"watcher": watcher[0]})
+
+    def _note_silence(self, watcher: PeerAddress) -> None:
+        known = self._away.get(watcher)
+        pause_s = AWAY_BASE_S
+        if known is not None:
+            pause_s = min(AWAY_LIMIT_S, 2 * known.pause_s)
+        self._away[watcher] = _Away(get_elapsed_s() + pause_s, pause_s)
+        _log.warning(
+            "watcher_lost", extra={"watcher": watcher[0], "pause_s": pause_s}
+        )
+
+
+def _get_rank(peer: PeerAddress) -> int:
+    return xxhash.xxh3_64_intdigest(f"{peer[0]}:{peer[1]}".encode())
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -25,7 +25,9 @@
     OutcomeNote,
     SessionsNote,
 )
+from lovagestage.gateway.peers import PeerSocket
 from lovagestage.gateway.pins import SessionPins
+from lovagestage.gateway.relay import Relay
 from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.service import GatewayService
 from lovagestage.gateway.settings import Bounds, GatewaySettings
@@ -105,17 +107,26 @@
     )
     rollouts.set_mailbox(mailbox)
     suspects = SuspectWatch(mailbox.post)
-    gossip = _make_gossip(settings, deployment, mailbox)
+    socket = _make_peer_socket(settings, mailbox)
+    gossip = _make_gossip(settings, deployment, socket)
+    relay = _make_relay(settings, socket)
     _subscribe(mailbox, rollouts, suspects)
     pool = ConnectionPool()
     forwarder = Forwarder(settings, deployment, pool, rollouts, suspects, rng)
     store_return = StoreReturn()
-    upstream_feed = _make_upstream_feed(settings, deployment, rng, store_return)
+    operator_feed = _make_operator_feed(
+        settings, deployment, rollouts, rng, store_return, relay
+    )
+    upstream_feed = _make_upstream_feed(
+        settings, deployment, rng, store_return, relay
+    )
     timers = TimerService()
     services = (
         timers,
+        *([] if socket is None else [socket]),
         *gossip,
-        _make_operator_feed(settings, deployment, rollouts, rng, store_return),
+        *([] if relay is None else [relay]),
+        operator_feed,
         upstream_feed,
         _make_notes_feed(settings, mailbox, rng, store_return),
         mailbox,
@@ -148,18 +159,37 @@
     mailbox.subscribe(OutcomeNote, rollouts.on_outcome_note)
 
 
-def _make_gossip(
-    settings: GatewaySettings, deployment: Deployment, mailbox: Mailbox
-) -> list[Gossip]:
+def _make_peer_socket(
+    settings: GatewaySettings, mailbox: Mailbox
+) -> PeerSocket | None:
     if settings.peer_address is None:
-        return []
-    gossip = Gossip(settings.vm, settings.peer_address, deployment.rotation)
+        return None
+    socket = PeerSocket(settings.peer_address)
 
     def add_peer(note: HelloNote) -> None:
-        gossip.add_peer(note.peer_address)
+        socket.add_peer(note.peer_address)
 
     mailbox.subscribe(HelloNote, add_peer)
-    return [gossip]
+    return socket
+
+
+def _make_gossip(
+    settings: GatewaySettings,
+    deployment: Deployment,
+    socket: PeerSocket | None,
+) -> list[Gossip]:
+    if socket is None:
+        return []
+    return [Gossip(settings.vm, socket, deployment.rotation)]
+
+
+def _make_relay(
+    settings: GatewaySettings, socket: PeerSocket | None
+) -> Relay | None:
+    if socket is None:
+        return None
+    bounds = settings.bounds
+    return Relay(socket, min(bounds.apply_s, bounds.drain_s))
 
 
 def get_operator_wait_s(bounds: Bounds) -> float:
@@ -173,8 +203,9 @@
     rollouts: RolloutService,
     rng: random.Random,
     store_return: StoreReturn,
+    relay: Relay | None,
 ) -> TopicFeed:
-    return TopicFeed(
+    feed = TopicFeed(
         _make_store(settings),
         OPERATOR_TOPIC,
         OperatorBeliefs(deployment, rollouts.on_order),
@@ -183,7 +214,11 @@
         True,
         rng,
         store_return,
+        relay,
     )
+    if relay is not None:
+        relay.add_source(feed)
+    return feed
 
 
 def _make_upstream_feed(
@@ -191,6 +226,7 @@
     deployment: Deployment,
     rng: random.Random,
     store_return: StoreReturn,
+    relay: Relay | None,
 ) -> TopicFeed:
     beliefs = UpstreamBeliefs(deployment)
     feed = TopicFeed(
@@ -202,8 +238,11 @@
         True,
         rng,
         store_return,
+        relay,
     )
     beliefs.set_source(feed)
+    if relay is not None:
+        relay.add_source(feed)
     return feed
 
 
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -8,7 +8,8 @@
 
 from lab.ports import get_free_port
 from lovagestage.gateway.choice import Work, choose_upstream
-from lovagestage.gateway.gossip import HEARD_FOR_S, Gossip
+from lovagestage.gateway.gossip import HEARD_FOR_S, KIND, Gossip
+from lovagestage.gateway.peers import PeerSocket
 from lovagestage.gateway.rotation import Rotation, UpstreamEntry
 
 NAMES = ("w1", "w2", "w3")
@@ -33,18 +34,21 @@
 async def run_pair():
     rotations = make_rotation(), make_rotation()
     addresses = [f"127.0.0.1:{get_free_port()}" for _ in rotations]
+    sockets = [PeerSocket(address) for address in addresses]
     pair = [
-        Gossip(f"edge-{number}", addresses[number], rotations[number])
+        Gossip(f"edge-{number}", sockets[number], rotations[number])
         for number in range(2)
     ]
-    for gossip, other in zip(pair, reversed(addresses), strict=True):
+    for socket, other in zip(sockets, reversed(addresses), strict=True):
+        await socket.start()
+        socket.add_peer(other)
+    for gossip in pair:
         await gossip.start()
-        gossip.add_peer(other)
     try:
         yield pair, rotations
     finally:
-        for gossip in pair:
-            await gossip.stop()
+        for service in (*pair, *sockets):
+            await service.stop()
 
 
 async def wait_until(condition, timeout_s=2.0):
@@ -76,20 +80,20 @@
 
 async def test_datagrams_of_others_change_nothing():
     async with run_pair() as (pair, (_, two)):
-        for data in (b"", b"x", b"lvg1" + bytes(12) + b"abc", bytes(40)):
-            pair[1].take(data)
+        for data in (b"", b"x", KIND + bytes(12) + b"abc", bytes(40)):
+            pair[1]._socket.take(data, ("127.0.0.1", 1))
         assert set(get_elsewhere(two).values()) == {0.0}
 
 
 async def test_late_datagrams_do_not_undo_newer_ones():
     async with run_pair() as (pair, (one, two)):
         sent = []
-        pair[0]._transport.sendto = lambda data, peer: sent.append(data)
+        pair[0]._socket.send = lambda kind, data, peer: sent.append(data)
         for wait_s in (0.9, 0.1):
             one.get_ready("pool")[0].performance.waiting_s = wait_s
             pair[0]._send()
-        pair[1].take(sent[1])
-        pair[1].take(sent[0])
+        pair[1].take(sent[1], ("127.0.0.1", 1))
+        pair[1].take(sent[0], ("127.0.0.1", 1))
         assert get_elsewhere(two)["w1"] == 0.1
 
 
--- /dev/null
+++ b/tests/test_gateway_relay.py
@@ -0,0 +1,289 @@
+"""Gateways that watch the store for others."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from lab.metadata_store import MetadataStore
+from lab.ports import get_free_port
+from lab.server import start_app
+from lovagestage.gateway import relay as relays
+from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.feeds import StoreReturn, TopicFeed
+from lovagestage.gateway.peers import PeerSocket
+from lovagestage.gateway.relay import (
+    MIN_GATEWAYS,
+    Answer,
+    News,
+    Relay,
+    RelayMode,
+    TopicState,
+)
+from lovagestage.platform.store import StoreClient
+from tests.test_gateway_feeds import TOPIC, Recorder, wait_until
+
+BOUND_S = 3.0
+"""Rounds of 0.6 s: what comes at once is told from what comes with the next."""
+ROUND_S = relays.PERIOD_RATIO * BOUND_S + relays.ANSWER_S
+
+
+class Gateway:
+    """The parts of a gateway that learn what is in the store."""
+
+    def __init__(self, store_port):
+        self.socket = PeerSocket(f"127.0.0.1:{get_free_port()}")
+        self.relay = Relay(self.socket, BOUND_S)
+        self.listener = Recorder()
+        self.client = StoreClient(f"127.0.0.1:{store_port}")
+        self.calls = 0
+        self._exchange = self.client._exchange
+        self.client._exchange = self.count_call
+        self.feed = TopicFeed(
+            self.client,
+            TOPIC,
+            self.listener,
+            0.4,
+            0.0,
+            True,
+            random.Random(1),
+            StoreReturn(),
+            self.relay,
+        )
+        self.relay.add_source(self.feed)
+        self.services = (self.socket, self.relay, self.feed)
+
+    async def count_call(self, *arguments):
+        self.calls += 1
+        return await self._exchange(*arguments)
+
+    async def stop(self):
+        for service in reversed(self.services):
+            await service.stop()
+
+
+@contextlib.asynccontextmanager
+async def run_gateways():
+    """A store, a watcher and a follower that know of each other."""
+    store = MetadataStore()
+    runner, port = await start_app(store.make_app(), "127.0.0.1", 0)
+    pair = sorted(
+        (Gateway(port), Gateway(port)),
+        key=lambda each: relays._get_rank(each.socket.own),
+    )
+    pair[0].name, pair[1].name = "watcher", "follower"
+    add_others(pair)
+    for gateway in pair:
+        for service in gateway.services:
+            await service.start()
+    try:
+        await wait_until(lambda: all(g.listener.proofs for g in pair))
+        await wait_until(lambda: TOPIC in pair[1].relay._round.states)
+        await asyncio.sleep(0.1)
+        yield store, *pair
+    finally:
+        for gateway in pair:
+            await gateway.stop()
+        await runner.cleanup()
+
+
+def add_others(pair):
+    # The others are far down in the ranks: of the two first, one watches.
+    limit = relays._get_rank(pair[1].socket.own)
+    found = [
+        ("127.0.0.1", port)
+        for port in range(1, 60_000)
+        if relays._get_rank(("127.0.0.1", port)) > limit
+    ]
+    for gateway, other in zip(pair, reversed(pair), strict=True):
+        gateway.socket.peers = {other.socket.own, *found[: MIN_GATEWAYS - 2]}
+
+
+@pytest.fixture(autouse=True)
+def one_watcher(monkeypatch):
+    monkeypatch.setattr(relays, "MIN_WATCHERS", 1)
+
+
+async def test_follower_asks_the_store_nothing_while_nothing_changes():
+    async with run_gateways() as (_, watcher, follower):
+        assert watcher.relay.get_mode() is RelayMode.WATCHER
+        assert follower.relay.get_mode() is RelayMode.FOLLOWER
+        await asyncio.sleep(ROUND_S)
+        calls, proofs = follower.calls, len(follower.listener.proofs)
+        await asyncio.sleep(2.5)
+        assert follower.calls == calls
+        assert len(follower.listener.proofs) >= proofs + 2
+        age_s = get_elapsed_s() - follower.listener.proofs[-1]
+        assert age_s < relays.WATCH_RATIO * BOUND_S + relays.SLACK_S + ROUND_S
+
+
+async def test_change_reaches_a_follower_at_once():
+    async with run_gateways() as (store, _, follower):
+        for number in range(3):
+            store.put(TOPIC, "config", b"%d" % number)
+            await wait_until(
+                lambda value=b"%d" % number: (
+                    ("config", value) in follower.listener.records
+                ),
+                0.4,
+            )
+            await asyncio.sleep(0.7)
+
+
+async def test_change_reaches_a_follower_whose_news_are_lost():
+    # The datagram that tells of the change is lost. The next answer tells
+    # how far the topic goes, and the follower reads the store.
+    async with run_gateways() as (store, watcher, follower):
+        send = watcher.relay._send
+
+        def send_most(message, peer):
+            if not isinstance(message, News):
+                send(message, peer)
+
+        watcher.relay._send = send_most
+        store.put(TOPIC, "config", b"new")
+        await wait_until(lambda: follower.listener.records, ROUND_S + 0.5)
+
+
+async def test_follower_reads_the_store_when_its_watcher_is_gone():
+    # The watcher's process is killed, and the configuration changes. The
+    # follower gets no answer, reads the store in the same round, and goes on
+    # as a watcher itself.
+    async with run_gateways() as (store, watcher, follower):
+        await watcher.stop()
+        store.put(TOPIC, "config", b"new")
+        await wait_until(lambda: follower.listener.records, ROUND_S + 0.5)
+        await wait_until(
+            lambda: follower.relay.get_mode() is RelayMode.WATCHER, 2.0
+        )
+
+
+async def test_follower_does_not_rely_on_a_watcher_without_the_store():
+    # The store turns the watcher's VM away and serves the follower. A key is
+    # taken away meanwhile. The watcher's proof grows old; the follower must
+    # notice before a change is overdue, and read the store itself.
+    async with run_gateways() as (store, watcher, follower):
+        watcher.client._address = "127.0.0.1:1"
+        watcher.client.close()
+        store.put(TOPIC, "config", b"new")
+        limit_s = relays.WATCH_RATIO * BOUND_S + relays.SLACK_S + ROUND_S
+        await wait_until(lambda: follower.listener.records, limit_s + 0.5)
+        assert not watcher.listener.records
+
+
+async def test_proof_counts_from_the_question():
+    # The watcher makes its answer and is paused before it is sent. A key is
+    # taken away in between. Were the proof dated when the answer arrives, the
+    # follower would trust the key for longer than allowed.
+    async with run_gateways() as (_, watcher, follower):
+        send = watcher.relay._send
+        loop = asyncio.get_running_loop()
+        made_s = []
+
+        def send_late(message, peer):
+            if isinstance(message, Answer):
+                made_s.append(get_elapsed_s())
+                loop.call_later(0.2, send, message, peer)
+
+        watcher.relay._send = send_late
+        await wait_until(lambda: made_s)
+        before = len(follower.listener.proofs)
+        await wait_until(lambda: len(follower.listener.proofs) > before)
+        assert follower.listener.proofs[-1] <= made_s[-1]
+        # What the watcher itself has proved is the latest that can be known.
+        assert follower.listener.proofs[-1] <= watcher.listener.proofs[-1]
+
+
+async def test_answer_to_an_earlier_question_proves_nothing():
+    # It arrives after the next question was sent: dated by that one, its
+    # proof would be too young.
+    async with run_gateways() as (_, watcher, follower):
+        watcher.relay._send = lambda message, peer: None
+        await wait_until(lambda: follower.relay._answer is not None)
+        number = follower.relay._number
+        late = Answer(number - 1, (TopicState(TOPIC, 0, 0, None),))
+        follower.relay._on_answer(late)
+        assert not follower.relay._answer.done()
+
+
+async def test_follower_knows_of_an_outage_that_it_did_not_see():
+    # The store is away for a moment in which the follower asks it nothing.
+    # Entries of upstreams lapse meanwhile; their removal must not be taken
+    # for a leave, so the follower has to learn of the outage.
+    async with run_gateways() as (store, watcher, follower):
+        calls = follower.calls
+        store.faults.outage = "503"
+        await wait_until(
+            lambda: watcher.feed.get_lost_age_s(get_elapsed_s()) is not None
+        )
+        store.faults.outage = ""
+        await wait_until(
+            lambda: follower.feed.get_lost_age_s(get_elapsed_s()) is not None
+        )
+        assert follower.calls == calls
+
+
+async def test_few_gateways_read_the_store_themselves():
+    socket = PeerSocket("127.0.0.1:1")
+    relay = Relay(socket, BOUND_S)
+    for port in range(2, MIN_GATEWAYS):
+        socket.add_peer(f"127.0.0.1:{port}")
+        assert relay.get_mode() is RelayMode.ALONE
+    socket.add_peer(f"127.0.0.1:{MIN_GATEWAYS}")
+    assert relay.get_mode() is not RelayMode.ALONE
+
+
+@pytest.mark.parametrize(
+    ("gateways", "watchers"), [(8, 2), (32, 2), (33, 3), (390, 25)]
+)
+def test_all_gateways_find_the_same_watchers(monkeypatch, gateways, watchers):
+    monkeypatch.setattr(relays, "MIN_WATCHERS", 2)
+    addresses = [f"127.0.0.1:{port}" for port in range(1, gateways + 1)]
+    found = []
+    asked = []
+    for own in addresses:
+        socket = PeerSocket(own)
+        for each in addresses:
+            socket.add_peer(each)
+        relay = Relay(socket, BOUND_S)
+        found.append(tuple(relay._get_watchers()))
+        if relay.get_mode() is RelayMode.FOLLOWER:
+            asked.append(relay._choose_watcher())
+    assert len(set(found)) == 1
+    assert len(found[0]) == watchers
+    assert set(asked) == set(found[0])
+    most = max(asked.count(each) for each in set(asked))
+    assert most <= 2.5 * relays.FOLLOWERS
+
+
+async def test_gateway_is_known_by_its_datagrams():
+    # The store has forgotten the notes of gateways that have run for long. A
+    # gateway that has just started learns of them when they send to it.
+    one, two = (PeerSocket(f"127.0.0.1:{get_free_port()}") for _ in range(2))
+    two.register(b"kind", lambda data, sender: None)
+    for socket in (one, two):
+        await socket.start()
+    try:
+        one.send(b"kind", b"", two.own)
+        await wait_until(lambda: one.own in two.peers)
+        two.take(b"none of ours", ("127.0.0.1", 9))
+        assert two.peers == {one.own}
+    finally:
+        for socket in (one, two):
+            await socket.stop()
+
+
+async def test_connection_that_was_idle_is_not_used_again(monkeypatch):
+    # A follower's connection to the store went silent long ago, unnoticed.
+    # A call on it would time out before the change is read.
+    monkeypatch.setattr("lovagestage.gateway.feeds.IDLE_LIMIT_S", 0.1)
+    async with run_gateways() as (store, _, follower):
+        await asyncio.sleep(0.5)
+        connection = follower.client._connection
+        assert connection is not None
+        store.put(TOPIC, "config", b"new")
+        await wait_until(lambda: follower.listener.records)
+        assert follower.client._connection is not connection
