--- a/lab/soak/command.py
+++ b/lab/soak/command.py
@@ -11,7 +11,7 @@
 from lab.soak.checks import find_breaches
 from lab.soak.traffic import Callers
 from lab.soak.troubles import TROUBLES, Trouble
-from lab.soak.world import World
+from lab.soak.world import GATEWAYS, World
 
 CALLERS = 8
 SETTLE_S = 4.0
@@ -25,6 +25,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="how many")
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--gateways", type=int, default=GATEWAYS)
     parser.add_argument("--logs", type=pathlib.Path, help="keep logs here")
 
 
@@ -32,7 +33,7 @@
     """Plays the seeds; exits 1 where a promise was broken."""
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        breaches, summary = play(seed, args.seconds, args.logs)
+        breaches, summary = play(seed, args.seconds, args.logs, args.gateways)
         failed += bool(breaches)
         print(f"seed {seed}: {summary}", flush=True)
         for text in breaches[:10]:
@@ -42,19 +43,19 @@
 
 
 def play(
-    seed: int, seconds: float, logs: pathlib.Path | None = None
+    seed: int,
+    seconds: float,
+    logs: pathlib.Path | None = None,
+    gateways: int = GATEWAYS,
 ) -> tuple[list[str], str]:
     """Plays one seed; returns what was broken and a summary."""
     with tempfile.TemporaryDirectory() as temporary:
         folder = logs / str(seed) if logs else pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(_play(seed, seconds, folder))
+        return asyncio.run(_play(World(seed, folder, gateways), seconds))
 
 
-async def _play(
-    seed: int, seconds: float, folder: pathlib.Path
-) -> tuple[list[str], str]:
-    world = World(seed, folder)
+async def _play(world: World, seconds: float) -> tuple[list[str], str]:
     await world.start()
     callers = Callers(world)
     tasks = [asyncio.ensure_future(callers.watch_readiness())]
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -20,6 +20,7 @@
 from lab.worker import Arrival, Worker
 
 GATEWAYS = 3
+"""Processes of a usual soak. From eight on, some watch the store for others."""
 WORKERS = 4
 EVENTS = 6
 REVOKE_S = 2.5
@@ -38,6 +39,8 @@
 }
 SETTINGS = f"""NodeName=NAME
 Zone=a
+Ip=127.0.0.1
+PortRange=PEER,PEER
 Listen.Frontend=127.0.0.1:CLIENT
 Listen.Readiness=127.0.0.1:READY
 Platform.Address=STORE
@@ -74,6 +77,7 @@
         self.link = link
         self.is_frozen = False
         self.client_port, self.ready_port = get_free_port(), get_free_port()
+        self._peer_port = get_free_port()
         self._path = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -95,6 +99,7 @@
         text = SETTINGS.replace("NAME", self.name)
         text = text.replace("CLIENT", str(self.client_port))
         text = text.replace("READY", str(self.ready_port))
+        text = text.replace("PEER", str(self._peer_port))
         self._path.write_text(text.replace("STORE", self.link.address))
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -162,7 +167,9 @@
         disturbances: Name, start and end of each trouble that has ended.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, gateways: int = GATEWAYS
+    ) -> None:
         self.rng = random.Random(seed)
         self.store = MetadataStore()
         self.gateways: list[GatewayProcess] = []
@@ -174,6 +181,7 @@
         self.misbehaviour: dict[str, float] = {}
         self.disturbances: list[tuple[str, float, float]] = []
         self._folder = folder
+        self._gateways = gateways
         self._version = 0
         self._started = 0
 
@@ -183,7 +191,7 @@
         for _ in range(WORKERS):
             await self.add_worker()
         self.change_keys(add=3)
-        for number in range(GATEWAYS):
+        for number in range(self._gateways):
             link = Proxy(f"127.0.0.1:{port}")
             await link.start()
             gateway = GatewayProcess(f"edge-{number}", link, self._folder)
