Forget gateways that were replaced

Cause: the addresses of gateways were kept for as long as a process ran.

Change: a peer that sent nothing for ten minutes is forgotten. A gateway with nothing waiting says so once a minute. Tests fail without either.

--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -14,6 +14,7 @@
 import mode
 import xxhash
 
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.peers import PeerAddress, PeerSocket
 from lovagestage.gateway.rotation import Rotation, Upstream
 from lovagestage.types import VmId
@@ -30,6 +31,9 @@
 """What a peer told is forgotten after this: it has stopped, or is cut off."""
 HEARD_FOR_PERIODS = 3.0
 """The same where periods are long: two datagrams in a row may be lost."""
+ALIVE_S = 60.0
+"""A gateway with nothing waiting says so this often: a silent one is forgotten
+after ten times as long."""
 UNIT_S = 0.001
 _HEAD = struct.Struct(">QI")
 _ENTRY = struct.Struct(">IH")
@@ -56,6 +60,7 @@
         self._heard: dict[int, tuple[float, int, dict[int, float]]] = {}
         self._sequence = 0
         self._was_empty = False
+        self._sent_s = get_elapsed_s()
         socket.register(KIND, self.take)
 
     def take(self, data: bytes, address: PeerAddress) -> None:
@@ -101,9 +106,12 @@
             if (units := _get_units(upstream))
         ]
         is_empty = not entries
-        if is_empty and self._was_empty:
+        now_s = get_elapsed_s()
+        is_due = now_s - self._sent_s >= ALIVE_S
+        if is_empty and self._was_empty and not is_due:
             return
         self._was_empty = is_empty
+        self._sent_s = now_s
         self._sequence += 1
         data = _HEAD.pack(self._own, self._sequence) + b"".join(entries)
         for peer in self._socket.peers:
--- a/src/lovagestage/gateway/peers.py
+++ b/src/lovagestage/gateway/peers.py
@@ -8,10 +8,18 @@
 
 import mode
 
+from lovagestage.gateway.clocks import get_elapsed_s
+
 _log = logging.getLogger(__name__)
 
 KIND_BYTES = 4
 """Each datagram begins with its kind."""
+FORGET_S = 600.0
+"""A peer that sent nothing for so long was replaced: its VM is gone and would
+be sent to for ever. Longer than cuts between zones, after which gateways that
+had forgotten each other would stay apart."""
+EXPIRE_S = 30.0
+"""Time between looks for such peers."""
 
 PeerAddress = tuple[str, int]
 Handler = Callable[[bytes, PeerAddress], None]
@@ -33,6 +41,7 @@
         host, _, port = address.rpartition(":")
         self.own: PeerAddress = (host, int(port))
         self.peers: set[PeerAddress] = set()
+        self._heard_s: dict[PeerAddress, float] = {}
         self._handlers: dict[bytes, Handler] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -78,8 +87,28 @@
         self._add(sender)
         handler(data[KIND_BYTES:], sender)
 
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(EXPIRE_S)
+            self.expire(get_elapsed_s())
+
+    def expire(self, now_s: float) -> None:
+        """Forgets peers that have been silent for long."""
+        limit_s = now_s - FORGET_S
+        for peer in list(self.peers):
+            if self._heard_s.get(peer, now_s) < limit_s:
+                _log.info(
+                    "peer_forgotten", extra={"address": f"{peer[0]}:{peer[1]}"}
+                )
+                self.peers.remove(peer)
+                del self._heard_s[peer]
+
     def _add(self, peer: PeerAddress) -> None:
-        if peer == self.own or peer in self.peers:
+        if peer == self.own:
+            return
+        self._heard_s[peer] = get_elapsed_s()
+        if peer in self.peers:
             return
         _log.info("peer_added", extra={"address": f"{peer[0]}:{peer[1]}"})
         self.peers.add(peer)
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -333,6 +333,8 @@
         if known is not None:
             pause_s = min(AWAY_LIMIT_S, 2 * known.pause_s)
         self._away[watcher] = _Away(get_elapsed_s() + pause_s, pause_s)
+        for peer in self._away.keys() - self._socket.peers:
+            del self._away[peer]
         _log.warning(
             "watcher_lost", extra={"watcher": watcher[0], "pause_s": pause_s}
         )
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -11,10 +11,12 @@
 from lab.metadata_store import MetadataStore
 from lab.ports import get_free_port
 from lab.server import start_app
+from lovagestage.gateway import gossip as gossips
 from lovagestage.gateway import relay as relays
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.feeds import StoreReturn, TopicFeed
-from lovagestage.gateway.peers import PeerSocket
+from lovagestage.gateway.gossip import ALIVE_S
+from lovagestage.gateway.peers import FORGET_S, PeerSocket
 from lovagestage.gateway.relay import (
     MIN_GATEWAYS,
     Answer,
@@ -25,6 +27,7 @@
 )
 from lovagestage.platform.store import StoreClient
 from tests.test_gateway_feeds import TOPIC, Recorder, wait_until
+from tests.test_gateway_gossip import run_pair
 
 BOUND_S = 3.0
 """Rounds of 0.6 s: what comes at once is told from what comes with the next."""
@@ -287,3 +290,31 @@
         store.put(TOPIC, "config", b"new")
         await wait_until(lambda: follower.listener.records)
         assert follower.client._connection is not connection
+
+
+async def test_gateways_that_were_replaced_are_forgotten():
+    # VMs are replaced all day. Were their addresses kept, datagrams would go
+    # to ever more of them, and the first ranks would hold none that watches.
+    socket = PeerSocket("127.0.0.1:1")
+    socket.register(b"kind", lambda data, sender: None)
+    for port in (2, 3):
+        socket.add_peer(f"127.0.0.1:{port}")
+    start_s = get_elapsed_s()
+    socket.expire(start_s + FORGET_S - 1)
+    assert len(socket.peers) == 2
+    socket._heard_s[("127.0.0.1", 2)] -= FORGET_S
+    socket._heard_s[("127.0.0.1", 3)] -= FORGET_S
+    socket.take(b"kind", ("127.0.0.1", 3))
+    socket.expire(get_elapsed_s() + 1)
+    assert socket.peers == {("127.0.0.1", 3)}
+
+
+async def test_idle_gateway_is_not_taken_for_gone(monkeypatch):
+    # It has nothing waiting and so nothing to tell. It says that it is there,
+    # well before the others forget it.
+    monkeypatch.setattr(gossips, "ALIVE_S", 0.3)
+    async with run_pair() as (pair, _):
+        sent = []
+        pair[0]._socket.send = lambda kind, data, peer: sent.append(peer)
+        await wait_until(lambda: len(sent) >= 2)
+    assert 5 * ALIVE_S <= FORGET_S
