Part the lab's launcher: sizes, settings files and calls have files of their own

lab/fleet.py had 520 lines and knew how to start processes, which keys they share and what stands in their settings. Shapes, FleetSettings and call are in lab/shapes.py, lab/fleet_settings.py and lab/calls.py; 419 lines are left.

--- a/lab/demo.py
+++ b/lab/demo.py
@@ -15,7 +15,8 @@
 from lab.demo_operations import OPERATION_ROWS
 from lab.demo_requests import REQUEST_ROWS
 from lab.demo_stage import Row, Stage
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 
 ROW = "{:<30} {:<6} {:>6} ms  {}"
 STAGES = {
--- a/lab/experiments/capacity.py
+++ b/lab/experiments/capacity.py
@@ -25,8 +25,9 @@
 import zmq
 
 from lab.experiments import Result
-from lab.fleet import Fleet, Shape
+from lab.fleet import Fleet
 from lab.ports import HOST, get_free_port
+from lab.shapes import Shape
 from lab.usage import get_usage
 from lovagestage.document import (
     ClassSpec,
@@ -331,7 +332,7 @@
     context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
     sidecars, relays = [], []
     for number in range(count):
-        bus = fleet.make_bus_settings(get_free_port())
+        bus = fleet.settings.make_bus_settings(get_free_port())
         sidecars.append(_PlayedSidecar(context, bus, number))
         relay = _Relay(int(bus.bind.rpartition(":")[2]))
         port = await relay.start()
--- a/lab/experiments/failover.py
+++ b/lab/experiments/failover.py
@@ -31,10 +31,11 @@
 from lab.experiments import Result
 from lab.fault_driver import FaultDriver
 from lab.fault_plan import Fault, FaultKind, make_plan
-from lab.fleet import EXAMPLES, Fleet, Shape
+from lab.fleet import Fleet
 from lab.naive_fleet import NaiveFleet
 from lab.recorded_runs import read_runs
 from lab.relay import Relay
+from lab.shapes import EXAMPLES, Shape
 from lab.traffic import Traffic
 from lovagestage.billing import BILLING_STREAM, Bill, decode_batch
 from lovagestage.document import ServiceDocument
--- a/lab/experiments/failover_small.py
+++ b/lab/experiments/failover_small.py
@@ -17,7 +17,8 @@
 import aiohttp
 
 from lab.experiments import Result
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 
 KILLS = 12
 REQUEST_INTERVAL_S = 0.02
--- a/lab/experiments/keys.py
+++ b/lab/experiments/keys.py
@@ -15,7 +15,8 @@
 import tracemalloc
 
 from lab.experiments import Result
-from lab.fleet import Fleet, Shape
+from lab.fleet import Fleet
+from lab.shapes import Shape
 from lovagestage.key_messages import Claim, RunId
 from lovagestage.members import MemberId, MemberJoined, MemberView
 from lovagestage.request_keys import Ledger
--- a/lab/experiments/overhead.py
+++ b/lab/experiments/overhead.py
@@ -15,8 +15,9 @@
 import aiohttp
 
 from lab.experiments import Result
-from lab.fleet import Child, Fleet, Shape
+from lab.fleet import Child, Fleet
 from lab.load import Recorder, Target, run_stream
+from lab.shapes import Shape
 from lab.usage import get_usage
 
 LEVELS = (1, 32, 256)
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -16,16 +16,16 @@
 import sys
 import tempfile
 import time
-import urllib.error
-import urllib.request
 from types import TracebackType
 from typing import Any
 
 import msgspec
-import nacl.signing
 import zmq
 
+from lab.calls import call
+from lab.fleet_settings import OPERATOR, FleetSettings, StandInUrls
 from lab.ports import HOST, get_free_port
+from lab.shapes import EXAMPLES, Shape
 from lovagestage.document import ServiceDocument
 from lovagestage.operators import sign_change
 from lovagestage.records import (
@@ -35,58 +35,12 @@
     Record,
     encode_record,
 )
-from lovagestage.settings import BusSettings, parse_file
+from lovagestage.settings import parse_file
 from lovagestage.types import ChangeId
 
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
-OPERATOR = "lab"
-EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
-
-
-@dataclasses.dataclass(frozen=True)
-class Shape:
-    """Size of a user's fleet.
-
-    Attributes:
-        service: Name of the service and of its example document.
-        zones: Availability zones.
-        entries: Number of entry VMs.
-        engines: Model workers.
-        plains: Plain service workers.
-        models: Versions that each engine has loaded at the start.
-        pool: Pool of the plain service.
-    """
-
-    service: str
-    zones: tuple[str, ...]
-    entries: int
-    engines: int
-    plains: int
-    models: str = "small@1,large@1,large@2"
-    pool: str = ""
-
-
-SHAPES = {
-    "lahore": Shape(
-        "vault",
-        ("lhe-a", "lhe-b", "lhe-c", "lhe-d"),
-        entries=3,
-        engines=5,
-        plains=4,
-        pool="portal",
-    ),
-    "tasmania": Shape(
-        "toyshop",
-        ("tas-a", "tas-b", "tas-c"),
-        entries=2,
-        engines=6,
-        plains=3,
-        pool="shop",
-    ),
-    "thin": Shape("vault", ("lhe-a", "lhe-b"), 2, 2, 0),
-}
 
 
 @dataclasses.dataclass
@@ -152,12 +106,10 @@
         }
         package = ("-m", "lovagestage")
         program = (str(binary),) if binary else package
-        self._bus_options = bus_options or {}
-        self._statsd = statsd or {}
+        self.settings = FleetSettings(
+            self._folder, bus_options or {}, statsd or {}
+        )
         self._command = (sys.executable, *program)
-        public, secret = zmq.curve_keypair()
-        self._keys = (public.decode(), secret.decode())
-        self._root = nacl.signing.SigningKey.generate()
 
     def __enter__(self) -> Fleet:
         try:
@@ -293,12 +245,12 @@
         )
 
     def _publish_operators(self) -> None:
-        public = bytes(self._root.verify_key).hex()
+        public = bytes(self.settings.root.verify_key).hex()
         specs = [OperatorSpec(OPERATOR, [public], ["*"])]
         self._append(OperatorsChange(ChangeId("operators"), 0, specs))
 
     def _append(self, change: DocumentChange | OperatorsChange) -> None:
-        signed: Record = sign_change(change, bytes(self._root).hex())
+        signed: Record = sign_change(change, bytes(self.settings.root).hex())
         call(
             "POST",
             f"{self.children['log'].url}/v1/streams/control/records",
@@ -307,26 +259,7 @@
 
     def make_operator_settings(self) -> pathlib.Path:
         """Writes the settings of the lab's operator; returns their path."""
-        public, secret = self._keys
-        settings = {
-            "operator": OPERATOR,
-            "signing_key": bytes(self._root).hex(),
-            "platform": self._make_platform_settings(),
-            "bus": {
-                "bind": f"{HOST}:1",
-                "public_key": public,
-                "secret_key": secret,
-                "accepted_keys": [public],
-            },
-        }
-        path = self._folder / "operator.json"
-        path.write_text(json.dumps(settings, indent=2))
-        return path
-
-    def make_bus_settings(self, port: int) -> BusSettings:
-        """Settings of a listener that the fleet's processes connect to."""
-        public, secret = self._keys
-        return BusSettings(f"{HOST}:{port}", public, secret, [public])
+        return self.settings.write_operator(self._get_urls())
 
     def wait_until_ready(self, entry: Child) -> None:
         """Waits until an entry serves and sees every engine's versions."""
@@ -367,7 +300,7 @@
             encode_message,
         )
 
-        public, secret = self._keys
+        public, secret = self.settings.keys
         with zmq.Context() as context, context.socket(zmq.DEALER) as socket:
             socket.curve_publickey = socket.curve_serverkey = public.encode()
             socket.curve_secretkey = secret.encode()
@@ -432,9 +365,8 @@
         name = f"{role}-{index}"
         zone = self.shape.zones[index % len(self.shape.zones)]
         bus = f"{HOST}:{get_free_port()}"
-        path = self._folder / f"{name}.json"
-        path.write_text(
-            json.dumps(self._make_settings(name, zone, bus, settings), indent=2)
+        path = self.settings.write_daemon(
+            name, zone, bus, settings, self._get_urls()
         )
         command = [*self._command, role, "--settings", str(path)]
         process = self._spawn(name, command, False)
@@ -462,33 +394,12 @@
         if child.bus:
             call("DELETE", f"{self.children['vms'].url}/v1/vms/{child.name}")
 
-    def _make_settings(
-        self, name: str, zone: str, bus: str, role: dict[str, Any]
-    ) -> dict[str, Any]:
-        public, secret = self._keys
-        return {
-            "vm": name,
-            "zone": zone,
-            "platform": self._make_platform_settings(),
-            "bus": {
-                "bind": bus,
-                "public_key": public,
-                "secret_key": secret,
-                "accepted_keys": [public],
-                **self._bus_options,
-            },
-            "statsd": self._statsd,
-            **role,
-        }
-
-    def _make_platform_settings(self) -> dict[str, Any]:
-        return {
-            "log_url": self.children["log"].url,
-            "vms_url": self.children["vms"].url,
-            "rater_url": self.children["rater"].url if self.has_rater else "",
-            "operators_root_key": bytes(self._root.verify_key).hex(),
-            "log_keys": ["lab-log-key"],
-        }
+    def _get_urls(self) -> StandInUrls:
+        return StandInUrls(
+            self.children["log"].url,
+            self.children["vms"].url,
+            self.children["rater"].url if self.has_rater else "",
+        )
 
     def _spawn(
         self, name: str, command: list[str], read_output: bool
@@ -506,15 +417,3 @@
 def _get_python_path() -> str:
     root = pathlib.Path(__file__).parent.parent
     return f"{root / 'src'}{os.pathsep}{root}"
-
-
-def call(method: str, url: str, body: bytes | None = None) -> bytes:
-    """Makes one HTTP call.
-
-    Raises:
-        OSError: It failed; HTTP error statuses included.
-    """
-    request = urllib.request.Request(url, data=body, method=method)
-    with urllib.request.urlopen(request, timeout=10.0) as response:
-        data: bytes = response.read()
-        return data
--- a/lab/naive_fleet.py
+++ b/lab/naive_fleet.py
@@ -4,9 +4,10 @@
 
 import json
 
-from lab.fleet import EXAMPLES, Child, Fleet
+from lab.fleet import Child, Fleet
 from lab.ports import get_free_port
 from lab.relay import Relay
+from lab.shapes import EXAMPLES
 
 
 class NaiveFleet(Fleet):
--- a/lab/up.py
+++ b/lab/up.py
@@ -5,7 +5,8 @@
 import argparse
 import signal
 
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 from lovagestage.document import ServiceDocument
 from lovagestage.settings import parse_file
 
@@ -17,7 +18,7 @@
 
 def run(args: argparse.Namespace) -> int:
     """Starts the fleet, prints its addresses and waits."""
-    from lab.fleet import EXAMPLES
+    from lab.shapes import EXAMPLES
 
     shape = SHAPES[args.fleet]
     document = parse_file(EXAMPLES / f"{shape.service}.jsonc", ServiceDocument)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
--- a/tests/test_billing_fleet.py
+++ b/tests/test_billing_fleet.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 from lovagestage.cli import main
 from tests.test_sessions_fleet import ask
 
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -16,7 +16,8 @@
 )
 
 from lab.demo import make_client
-from lab.fleet import Fleet, Shape
+from lab.fleet import Fleet
+from lab.shapes import Shape
 from lovagestage.crash_suspects import (
     CONVICTION_KEEP_S,
     MAX_UPSTREAMS_LOST,
--- a/tests/test_deadlines_fleet.py
+++ b/tests/test_deadlines_fleet.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from lab.fleet import Fleet, Shape
+from lab.fleet import Fleet
+from lab.shapes import Shape
 
 SHAPE = Shape("toyshop", ("tas-a",), 1, 1, 0)
 JOBS = 4
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,7 +11,8 @@
 import pytest
 
 from lab.demo import make_client
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 from lovagestage.messages import Ack, Chunk, Finished
 from tests.test_connections import StreamReader, post_plain, wait_for_runs
 from tests.test_runs import (
--- a/tests/test_limits_fleet.py
+++ b/tests/test_limits_fleet.py
@@ -5,7 +5,8 @@
 import concurrent.futures
 import time
 
-from lab.fleet import EXAMPLES, Fleet, Shape
+from lab.fleet import Fleet
+from lab.shapes import EXAMPLES, Shape
 from lovagestage.document import ServiceDocument
 from lovagestage.settings import parse_file
 from lovagestage.types import WorkspaceId
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 from lovagestage.metrics import (
     MAX_TIMINGS,
     SEND_INTERVAL_S,
--- a/tests/test_paused_sidecar.py
+++ b/tests/test_paused_sidecar.py
@@ -9,7 +9,8 @@
 import pytest
 
 from lab.demo import make_client
-from lab.fleet import EXAMPLES, SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import EXAMPLES, SHAPES
 from lovagestage.document import ServiceDocument
 from lovagestage.edits import make_withdrawal
 from lovagestage.settings import parse_file
--- a/tests/test_peerstate.py
+++ b/tests/test_peerstate.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from lab.calls import call
 from lab.demo import make_client
-from lab.fleet import SHAPES, Fleet, call
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 from lovagestage.control import ControlReader
 from lovagestage.messages import StateAnswer, StateQuestion
 from lovagestage.peerstate import PeerState, StateResponder, choose_newest
--- a/tests/test_plain_services.py
+++ b/tests/test_plain_services.py
@@ -10,7 +10,8 @@
 import msgspec
 import pytest
 
-from lab.fleet import EXAMPLES, Fleet, Shape
+from lab.fleet import Fleet
+from lab.shapes import EXAMPLES, Shape
 from lovagestage.document import RouteSpec, ServiceDocument, get_key_digest
 from lovagestage.plain_calls import find_route
 from lovagestage.settings import parse_file
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from lab.fleet import EXAMPLES
+from lab.shapes import EXAMPLES
 from lovagestage.adapters import RatedAnswer, RaterError, Rating, RatingPage
 from lovagestage.admission import Trial, is_in_rollout, withdraw_stopped
 from lovagestage.answers import parse_answer
--- a/tests/test_quality_fleet.py
+++ b/tests/test_quality_fleet.py
@@ -13,7 +13,8 @@
 import msgspec
 import pytest
 
-from lab.fleet import EXAMPLES, SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import EXAMPLES, SHAPES
 from lovagestage.document import RolloutSpec, ServiceDocument
 from lovagestage.settings import parse_file
 
--- a/tests/test_request_keys.py
+++ b/tests/test_request_keys.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from lab.fleet import Fleet, Shape
+from lab.fleet import Fleet
 from lab.history import History
+from lab.shapes import Shape
 from lovagestage.members import MemberJoined, MemberView
 
 SHAPE = Shape("vault", ("lhe-a", "lhe-b"), 3, 2, 0, "large@1,small@1")
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -10,7 +10,9 @@
 import msgspec
 import pytest
 
-from lab.fleet import EXAMPLES, SHAPES, Fleet, call
+from lab.calls import call
+from lab.fleet import Fleet
+from lab.shapes import EXAMPLES, SHAPES
 from lovagestage.cli import main
 from lovagestage.document import RolloutSpec, RolloutState, ServiceDocument
 from lovagestage.records import RolloutProgress, decode_record
--- a/tests/test_sessions_fleet.py
+++ b/tests/test_sessions_fleet.py
@@ -13,7 +13,9 @@
 import msgspec
 import pytest
 
-from lab.fleet import EXAMPLES, SHAPES, Fleet, call
+from lab.calls import call
+from lab.fleet import Fleet
+from lab.shapes import EXAMPLES, SHAPES
 from lovagestage.document import OnWithdraw, ServiceDocument, VersionState
 from lovagestage.settings import parse_file
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -8,7 +8,8 @@
 import pytest
 
 from lab.demo import make_client
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 from tests.test_thin_path import MESSAGES, get_expected_text
 
 TOKENS = 120
--- a/tests/test_subsets_fleet.py
+++ b/tests/test_subsets_fleet.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from lab.fleet import Fleet, Shape
+from lab.fleet import Fleet
+from lab.shapes import Shape
 from tests.test_thin_path import MESSAGES
 
 ENTRIES = 7
--- a/tests/test_up.py
+++ b/tests/test_up.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from lab.fleet import SHAPES, Fleet
+from lab.fleet import Fleet
+from lab.shapes import SHAPES
 
 ROOT = pathlib.Path(__file__).parent.parent
 RATE_PER_S = 40
