Keep an engine's versions over a single failed reading of its state

Cause, found by reading for the 503 that a leaving sidecar's test once saw: one failed call for an engine's load made its sidecar tell entries at once that it has no version, until the next reading half a second later. Where the other upstream is leaving, requests get 503 although the engine serves them.

Change: versions are forgotten once the state can't be read for 2 s. The test fails without it.

--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -52,6 +52,11 @@
 _log = logging.getLogger(__name__)
 
 EXPIRY_INTERVAL_S = 1.0
+ENGINE_LOST_S = 2.0
+"""An engine whose state can't be read for so long is told to have no versions;
+as long as a silent sidecar is waited for. A single reading may fail on a
+connection that the engine has just closed, and entries would refuse requests
+until the next one although the engine serves them."""
 _PASSING = (
     "no_capacity",
     "version_withdrawn",
@@ -123,6 +128,7 @@
         self._load = _NO_LOAD
         self._versions: list[str] = []
         self._is_up = False
+        self._engine_read_s = time.monotonic()
         self._told = _Told(False, False, False, ())
         self._peers: dict[PeerId, float] = {}
         self._work: set[asyncio.Task[None]] = set()
@@ -254,9 +260,15 @@
         try:
             self._load = await engine.get_load()
             self._versions = await engine.get_versions()
+            self._engine_read_s = time.monotonic()
         except EngineError as error:
-            self._versions = []
-            _log.warning("engine_load_failed", extra={"error": error.message})
+            age_s = time.monotonic() - self._engine_read_s
+            if age_s > ENGINE_LOST_S:
+                self._versions = []
+            _log.warning(
+                "engine_load_failed",
+                extra={"error": error.message, "age_s": round(age_s, 1)},
+            )
 
     def _send_heartbeats(self) -> None:
         self._told = self._get_told()
--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import types
 
 import pytest
 
+from lovagestage.adapters import EngineLoad
 from lovagestage.document import VersionState
+from lovagestage.exceptions import EngineError
 from lovagestage.fold import ServiceInForce
 from lovagestage.hub import Hub
 from lovagestage.messages import Dispatch, Refused
 from lovagestage.settings import SidecarSettings
 from lovagestage.sidecar import Sidecar
+from lovagestage.types import RunState
 from tests.test_sessions import make_document
 
 
@@ -72,3 +76,40 @@
     dispatch = ("r1", 1, "audit", "vault", "large@1", 0, 9.0, False, b"{}")
     hub.on_message(b"peer", Dispatch(*dispatch, in_session))
     assert recorder.seen == [seen]
+
+
+class FlakyEngine:
+    """An engine whose state can be read or not."""
+
+    def __init__(self):
+        self.fails = False
+
+    async def get_load(self):
+        if self.fails:
+            raise EngineError("The connection was closed.", RunState.NOT_RUN)
+        return EngineLoad(0, 0, 8, 0.0, 0.0)
+
+    async def get_versions(self):
+        return ["large@1"]
+
+
+async def test_one_failed_reading_does_not_hide_an_engine(monkeypatch):
+    # A connection to the engine closes just as its state is read; requests go
+    # on to be served. Were the versions forgotten at once, entries would
+    # answer 503 until the next reading, where the other upstream is leaving.
+    monkeypatch.setattr("lovagestage.sidecar.ENGINE_LOST_S", 0.2)
+    engine, hub = FlakyEngine(), Hub()
+    hub.set_listener(Recorder())
+    role = SidecarSettings("http://unused", max_running=1)
+    sidecar = Sidecar(None, role, None, engine, Recorder(), None, hub)
+    sidecar._send_heartbeats = lambda: None
+    await sidecar._refresh_load()
+    engine.fails = True
+    await sidecar._refresh_load()
+    assert sidecar._versions == ["large@1"]
+    await asyncio.sleep(0.3)
+    await sidecar._refresh_load()
+    assert sidecar._versions == []
+    engine.fails = False
+    await sidecar._refresh_load()
+    assert sidecar._versions == ["large@1"]
