--- a/lab/experiments/limits.py
+++ b/lab/experiments/limits.py
@@ -26,7 +26,8 @@
     get_report_count,
 )
 from lovagestage.limits import Charge, Limit, LimitTable
-from lovagestage.messages import UsageReport, encode_message
+from lovagestage.messages import encode_message
+from lovagestage.peer_messages import UsageReport
 from lovagestage.types import VmId, WorkspaceTag
 
 ENTRIES = 8
--- a/src/lovagestage/attempts.py
+++ b/src/lovagestage/attempts.py
@@ -7,7 +7,8 @@
 import time
 
 from lovagestage.exceptions import RequestRefusedError
-from lovagestage.messages import (
+from lovagestage.readers import WINDOW_BYTES
+from lovagestage.run_messages import (
     Accepted,
     Ack,
     Attach,
@@ -16,7 +17,6 @@
     Finished,
     Refused,
 )
-from lovagestage.readers import WINDOW_BYTES
 from lovagestage.types import RequestId, VmId
 
 ACK_BYTES = WINDOW_BYTES // 4
--- a/src/lovagestage/billing_service.py
+++ b/src/lovagestage/billing_service.py
@@ -23,7 +23,8 @@
 from lovagestage.exceptions import BillingUnavailableError, LogError
 from lovagestage.hub import Hub
 from lovagestage.links import LinkTable
-from lovagestage.messages import BillCopied, BillCopy, BillRelease, Message
+from lovagestage.messages import Message
+from lovagestage.peer_messages import BillCopied, BillCopy, BillRelease
 from lovagestage.timers import TimerService
 from lovagestage.transport import PeerId
 from lovagestage.types import VmId
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/dispatcher.py
@@ -24,14 +24,7 @@
     UpstreamLostError,
 )
 from lovagestage.key_messages import RunId
-from lovagestage.messages import (
-    Accepted,
-    Chunk,
-    Dispatch,
-    Finished,
-    Message,
-    Refused,
-)
+from lovagestage.messages import Message
 from lovagestage.request import Request, Result, join_run_states
 from lovagestage.retries import (
     COME_BACK_S,
@@ -42,6 +35,13 @@
     make_final_error,
 )
 from lovagestage.routing import choose_upstream
+from lovagestage.run_messages import (
+    Accepted,
+    Chunk,
+    Dispatch,
+    Finished,
+    Refused,
+)
 from lovagestage.sessions import is_pinned
 from lovagestage.timers import TimerService
 from lovagestage.types import (
--- a/src/lovagestage/engine_stream.py
+++ b/src/lovagestage/engine_stream.py
@@ -11,7 +11,7 @@
 from lovagestage.adapters import Engine
 from lovagestage.events import Block, parse_block
 from lovagestage.exceptions import EngineCrashedError, EngineError
-from lovagestage.messages import Dispatch
+from lovagestage.run_messages import Dispatch
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/exposure_service.py
+++ b/src/lovagestage/exposure_service.py
@@ -16,7 +16,8 @@
 from lovagestage.exposure import ExposureGate, StopReason
 from lovagestage.hub import Hub
 from lovagestage.links import LinkTable
-from lovagestage.messages import EvidenceReport, Hello, Message
+from lovagestage.messages import Hello, Message
+from lovagestage.peer_messages import EvidenceReport
 from lovagestage.records import RolloutStop
 from lovagestage.rollouts import Rollout, RolloutKey
 from lovagestage.timers import TimerService
--- a/src/lovagestage/limit_service.py
+++ b/src/lovagestage/limit_service.py
@@ -18,7 +18,8 @@
 from lovagestage.hub import Hub
 from lovagestage.limits import Limit, LimitTable, get_workspace_tag
 from lovagestage.links import LinkTable
-from lovagestage.messages import Message, UsageReport, encode_message
+from lovagestage.messages import Message, encode_message
+from lovagestage.peer_messages import UsageReport
 from lovagestage.request import Request, Result
 from lovagestage.timers import TimerService
 from lovagestage.transport import PeerId
--- a/src/lovagestage/links.py
+++ b/src/lovagestage/links.py
@@ -22,8 +22,6 @@
 from lovagestage.exceptions import CodecError
 from lovagestage.messages import (
     Ask,
-    Attach,
-    Dispatch,
     Heartbeat,
     Hello,
     Message,
@@ -31,6 +29,7 @@
     decode_message,
     encode_message,
 )
+from lovagestage.run_messages import Attach, Dispatch
 from lovagestage.settings import BusSettings
 from lovagestage.subsets import Place, choose_subset
 from lovagestage.timers import TimerService
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages.py
@@ -15,7 +15,6 @@
 
 from lovagestage.crash_reports import CrashReport
 from lovagestage.exceptions import CodecError
-from lovagestage.exposure import Evidence
 from lovagestage.key_messages import (
     Claim,
     ClaimAnswer,
@@ -27,18 +26,31 @@
     PullAnswer,
 )
 from lovagestage.learned import LearnedDelta
-from lovagestage.plain_calls import Header
+from lovagestage.peer_messages import (
+    BillCopied,
+    BillCopy,
+    BillRelease,
+    EvidenceReport,
+    UsageReport,
+    VersionAnswer,
+    VersionQuestion,
+)
+from lovagestage.run_messages import (
+    Accepted,
+    Ack,
+    Attach,
+    Cancel,
+    Chunk,
+    Dispatch,
+    Finished,
+    Refused,
+)
 from lovagestage.types import (
     FencingNumber,
     LeaseId,
     Offset,
     PoolId,
-    RequestId,
-    RunState,
-    ServiceId,
     VmId,
-    WorkspaceId,
-    WorkspaceTag,
     ZoneId,
 )
 
@@ -110,150 +122,6 @@
     shortened: bool = False
 
 
-class Dispatch(msgspec.Struct, frozen=True, array_like=True, tag="dispatch"):
-    """Runs a request at the sidecar's upstream.
-
-    Attributes:
-        request_id: The request.
-        attempt: Attempt number from 1; names the run with the request id.
-        workspace: Who asks; the sidecar checks it again.
-        service: The service.
-        version: `MODEL@VERSION`.
-        priority: 0 is most urgent.
-        deadline_s: Time left until the deadline.
-        stream: Whether chunks are wanted as they arrive.
-        body: The request's JSON body for the engine.
-        in_session: It goes on with an open session, so that a retired version
-            takes it.
-        incarnation: The process that may run it; 0 is any. A restarted
-            sidecar remembers nothing and must not run what was meant for
-            the one before.
-        keyed: It was claimed under a request key.
-        permit_ms: That process's clock when it was chosen, where keyed.
-        strikes: Crashes at which the request was in flight.
-        probe: It must not run beside others that have strikes.
-        clock_ms: That process's clock as the entry had heard it last; -1
-            where it had not.
-        headers: Headers of a call to a plain service.
-    """
-
-    request_id: RequestId
-    attempt: int
-    workspace: WorkspaceId
-    service: str
-    version: str
-    priority: int
-    deadline_s: float
-    stream: bool
-    body: bytes
-    in_session: bool = False
-    incarnation: int = 0
-    keyed: bool = False
-    permit_ms: int = 0
-    strikes: int = 0
-    probe: bool = False
-    clock_ms: int = -1
-    headers: tuple[Header, ...] = ()
-
-
-class Attach(msgspec.Struct, frozen=True, array_like=True, tag="attach"):
-    """Asks for a run's chunks again, from `from_seq`.
-
-    Where the sidecar never saw the run, it bars it and answers `not_run`.
-
-    Attributes:
-        request_id: The request.
-        attempt: The attempt.
-        from_seq: First chunk that is wanted.
-        incarnation: The process that was to run it; 0 is any.
-    """
-
-    request_id: RequestId
-    attempt: int
-    from_seq: int
-    incarnation: int = 0
-
-
-class Ack(msgspec.Struct, frozen=True, array_like=True, tag="ack"):
-    """The reader has passed on all chunks before `next_seq`."""
-
-    request_id: RequestId
-    attempt: int
-    next_seq: int
-
-
-class Cancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
-    """Cancels a run, down to the engine."""
-
-    request_id: RequestId
-    attempt: int
-
-
-class Accepted(msgspec.Struct, frozen=True, array_like=True, tag="accepted"):
-    """The sidecar has taken the run; from here on it may have run."""
-
-    request_id: RequestId
-    attempt: int
-
-
-class Chunk(msgspec.Struct, frozen=True, array_like=True, tag="chunk"):
-    """Part of an answer.
-
-    Attributes:
-        request_id: The request.
-        attempt: The attempt.
-        seq: Number of the chunk within the run, from 0.
-        data: Bytes for the caller.
-        count: Number of chunks that are joined in `data`.
-    """
-
-    request_id: RequestId
-    attempt: int
-    seq: int
-    data: bytes
-    count: int = 1
-
-
-class Finished(msgspec.Struct, frozen=True, array_like=True, tag="finished"):
-    """The run is whole.
-
-    Attributes:
-        request_id: The request.
-        attempt: The attempt.
-        chunks: Number of chunks; all must have arrived.
-        prompt_tokens: As the engine counted.
-        completion_tokens: As the engine counted.
-        digest: xxh3 of the answer's bytes, in hex.
-    """
-
-    request_id: RequestId
-    attempt: int
-    chunks: int
-    prompt_tokens: int
-    completion_tokens: int
-    digest: str
-
-
-class Refused(msgspec.Struct, frozen=True, array_like=True, tag="refused"):
-    """The run ends without a whole answer.
-
-    Attributes:
-        request_id: The request.
-        attempt: The attempt.
-        code: Code of the error.
-        message: Whole sentences.
-        run: Whether it was run.
-        retry_after_s: When to come back; None where that does not help.
-    """
-
-    request_id: RequestId
-    attempt: int
-    code: str
-    message: str
-    run: RunState
-    retry_after_s: int | None = None
-
-
 class DumpRequest(
     msgspec.Struct, frozen=True, array_like=True, tag="dump_request"
 ):
@@ -356,120 +224,6 @@
     message: str
 
 
-class NumberedBill(msgspec.Struct, frozen=True, array_like=True):
-    """An encoded bill with its place in its owner's order, from 1."""
-
-    number: int
-    data: bytes
-
-
-class BillCopy(msgspec.Struct, frozen=True, array_like=True, tag="bill_copy"):
-    """Asks another entry to hold copies of bills.
-
-    Attributes:
-        owner: The entry that answered the requests.
-        incarnation: Start time of the owner's process.
-        bills: The bills.
-    """
-
-    owner: VmId
-    incarnation: int
-    bills: list[NumberedBill]
-
-
-class BillCopied(
-    msgspec.Struct, frozen=True, array_like=True, tag="bill_copied"
-):
-    """Says whether the copies are held; False where there is no room."""
-
-    held: bool
-
-
-class BillRelease(
-    msgspec.Struct, frozen=True, array_like=True, tag="bill_release"
-):
-    """Renews an owner's copies and drops those that the log has.
-
-    Attributes:
-        owner: The entry that answered the requests.
-        incarnation: Start time of the owner's process.
-        last_number: The log has all bills up to this number.
-    """
-
-    owner: VmId
-    incarnation: int
-    last_number: int
-
-
-class VersionQuestion(
-    msgspec.Struct, frozen=True, array_like=True, tag="version_question"
-):
-    """Asks another entry which sidecars have versions loaded."""
-
-    versions: list[str]
-
-
-class VersionPlace(msgspec.Struct, frozen=True, array_like=True):
-    """A sidecar that has a version loaded."""
-
-    vm: VmId
-    version: str
-
-
-class VersionAnswer(
-    msgspec.Struct, frozen=True, array_like=True, tag="version_answer"
-):
-    """Some of the sidecars that have the versions."""
-
-    places: list[VersionPlace]
-
-
-class UsageRow(msgspec.Struct, frozen=True, array_like=True):
-    """What one entry knows first-hand of one workspace.
-
-    Attributes:
-        tag: The workspace.
-        used_tokens: Charged since the process has started.
-        demand_per_s: Tokens that callers ask for, smoothed.
-    """
-
-    tag: WorkspaceTag
-    used_tokens: int
-    demand_per_s: int
-
-
-class UsageReport(
-    msgspec.Struct, frozen=True, array_like=True, tag="usage_report"
-):
-    """Tells another entry what was used through this one.
-
-    Attributes:
-        entry: The sender.
-        incarnation: Start time of its process.
-        rows: Workspaces with demand that matters.
-    """
-
-    entry: VmId
-    incarnation: int
-    rows: list[UsageRow]
-
-
-class EvidenceReport(
-    msgspec.Struct, frozen=True, array_like=True, tag="evidence_report"
-):
-    """What an entry tells the others of one roll-out.
-
-    Attributes:
-        service: The service.
-        model: The model.
-        evidence: What it saw since its last report.
-    """
-
-    service: ServiceId
-    model: str
-    evidence: Evidence
-
-
 EntryMessage = Hello | Dispatch | Attach | Ack | Cancel | DumpRequest | Order
 SidecarMessage = (
     Heartbeat | Accepted | Chunk | Finished | Refused | DumpAnswer | OrderResult
--- a/src/lovagestage/peerstate.py
+++ b/src/lovagestage/peerstate.py
@@ -21,12 +21,7 @@
 from lovagestage.fold import ControlState, restore_state
 from lovagestage.hub import Hub
 from lovagestage.links import LinkTable
-from lovagestage.messages import (
-    Message,
-    StateAnswer,
-    StateOffer,
-    StateQuestion,
-)
+from lovagestage.messages import Message, StateAnswer, StateOffer, StateQuestion
 from lovagestage.types import VmId
 from lovagestage.upstreams import UpstreamTable
 
--- a/src/lovagestage/plain_stream.py
+++ b/src/lovagestage/plain_stream.py
@@ -8,7 +8,6 @@
 from lovagestage.engine_stream import EngineStream
 from lovagestage.events import Block
 from lovagestage.exceptions import CodecError, EngineRefusedError
-from lovagestage.messages import Dispatch
 from lovagestage.plain_calls import (
     HEADER_REQUEST_ID,
     HEADER_WORKSPACE,
@@ -16,6 +15,7 @@
     decode_call,
     encode_answer,
 )
+from lovagestage.run_messages import Dispatch
 from lovagestage.settings import SidecarSettings
 
 
--- a/src/lovagestage/readers.py
+++ b/src/lovagestage/readers.py
@@ -6,7 +6,8 @@
 import dataclasses
 from collections.abc import Callable
 
-from lovagestage.messages import Chunk, Dispatch, Finished, Message, Refused
+from lovagestage.messages import Message
+from lovagestage.run_messages import Chunk, Dispatch, Finished, Refused
 from lovagestage.transport import PeerId
 
 WINDOW_BYTES = 128 * 1024
--- a/src/lovagestage/request.py
+++ b/src/lovagestage/request.py
@@ -15,8 +15,8 @@
     UpstreamLostError,
 )
 from lovagestage.learned import Arm
-from lovagestage.messages import Finished
 from lovagestage.plain_calls import Header
+from lovagestage.run_messages import Finished
 from lovagestage.sessions import Session
 from lovagestage.types import (
     ModelVersion,
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/runs.py
@@ -18,19 +18,19 @@
 from lovagestage.exceptions import EngineCrashedError, EngineError
 from lovagestage.hub import Hub
 from lovagestage.key_messages import Inquiry, InquiryAnswer, RunKnown
-from lovagestage.messages import (
+from lovagestage.messages import Message
+from lovagestage.plain_stream import open_stream
+from lovagestage.readers import Run, get_pace_s
+from lovagestage.run_gate import RunGate
+from lovagestage.run_messages import (
     Accepted,
     Ack,
     Attach,
     Cancel,
     Dispatch,
     Finished,
-    Message,
     Refused,
 )
-from lovagestage.plain_stream import open_stream
-from lovagestage.readers import Run, get_pace_s
-from lovagestage.run_gate import RunGate
 from lovagestage.settings import SidecarSettings
 from lovagestage.tombstones import RunKey, RunTrace, TombstoneTable
 from lovagestage.transport import PeerId
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/sidecar.py
@@ -23,19 +23,15 @@
 )
 from lovagestage.hub import Hub
 from lovagestage.messages import (
-    Ack,
-    Attach,
-    Cancel,
-    Dispatch,
     DumpAnswer,
     DumpRequest,
     Heartbeat,
     Hello,
     Message,
-    Refused,
 )
 from lovagestage.plain_calls import make_pool_version
 from lovagestage.rights import check_pool, check_version
+from lovagestage.run_messages import Ack, Attach, Cancel, Dispatch, Refused
 from lovagestage.runs import RunTable
 from lovagestage.settings import Settings, SidecarSettings
 from lovagestage.timers import TimerService
--- a/src/lovagestage/version_search.py
+++ b/src/lovagestage/version_search.py
@@ -18,8 +18,8 @@
 from lovagestage.control import ControlReader
 from lovagestage.hub import Hub
 from lovagestage.links import LinkTable
-from lovagestage.messages import (
-    Message,
+from lovagestage.messages import Message
+from lovagestage.peer_messages import (
     VersionAnswer,
     VersionPlace,
     VersionQuestion,
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -17,7 +17,7 @@
 )
 
 from lovagestage import billed, billing, usage
-from lovagestage.messages import BillCopy, BillRelease
+from lovagestage.peer_messages import BillCopy, BillRelease
 
 VMS = ("entry-0", "entry-1", "entry-2")
 ZONES = {"entry-0": "a", "entry-1": "b", "entry-2": "a"}
--- a/tests/test_escalation.py
+++ b/tests/test_escalation.py
@@ -13,8 +13,8 @@
 from lovagestage.escalation import Escalation, may_run_twice
 from lovagestage.exceptions import NoCapacityError
 from lovagestage.learned import Arm, Plan
-from lovagestage.messages import Finished
 from lovagestage.request import Request, Result
+from lovagestage.run_messages import Finished
 from lovagestage.types import RunState, parse_model_version
 
 SMALL, LARGE = parse_model_version("small@1"), parse_model_version("large@1")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,8 +12,9 @@
     get_used_tokens,
 )
 from lovagestage.limits import Limit, LimitTable, get_workspace_tag
-from lovagestage.messages import Finished, UsageReport, UsageRow
+from lovagestage.peer_messages import UsageReport, UsageRow
 from lovagestage.request import Request, Result
+from lovagestage.run_messages import Finished
 from lovagestage.types import (
     ModelId,
     ModelVersion,
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -15,9 +15,9 @@
     SuspectWaitingError,
     VersionWithdrawnError,
 )
-from lovagestage.messages import Dispatch, Refused
 from lovagestage.request import Request, Result
 from lovagestage.routing import UpstreamView
+from lovagestage.run_messages import Dispatch, Refused
 from lovagestage.types import ModelVersion, RunState
 
 VERSION = ModelVersion("large", "1")
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -10,7 +10,8 @@
 
 from lovagestage.attempts import Attempt
 from lovagestage.exceptions import EngineError, EngineRefusedError
-from lovagestage.messages import (
+from lovagestage.readers import PAUSE_BYTES, WINDOW_BYTES
+from lovagestage.run_messages import (
     Ack,
     Attach,
     Cancel,
@@ -19,7 +20,6 @@
     Finished,
     Refused,
 )
-from lovagestage.readers import PAUSE_BYTES, WINDOW_BYTES
 from lovagestage.runs import RunTable
 from lovagestage.settings import SidecarSettings
 from lovagestage.tombstones import RunTrace, TombstoneTable
--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -12,7 +12,7 @@
 from lovagestage.exceptions import EngineError
 from lovagestage.fold import ServiceInForce
 from lovagestage.hub import Hub
-from lovagestage.messages import Dispatch, Refused
+from lovagestage.run_messages import Dispatch, Refused
 from lovagestage.settings import SidecarSettings
 from lovagestage.sidecar import Sidecar
 from lovagestage.types import RunState
--- a/tests/test_version_search.py
+++ b/tests/test_version_search.py
@@ -6,7 +6,11 @@
 import types
 
 from lovagestage.hub import Hub
-from lovagestage.messages import VersionAnswer, VersionPlace, VersionQuestion
+from lovagestage.peer_messages import (
+    VersionAnswer,
+    VersionPlace,
+    VersionQuestion,
+)
 from lovagestage.version_search import (
     MAX_PAUSE_S,
     MIN_UPSTREAMS,
