Keep relayed proofs young enough for keys on any deployment

Cause, found by reading: how often followers ask followed from the bounds on configurations and drains alone. Where keys are bounded more tightly (2.5 s against 3 s), a told proof could be 1.75 s old and callers with a key be refused half a second after the store was lost, instead of after 1.5 s.

Change: the bound on keys counts too; where it leaves under half a second, each gateway reads the store for itself.

--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -27,12 +27,17 @@
 )
 from lovagestage.gateway.peers import PeerSocket
 from lovagestage.gateway.pins import SessionPins
-from lovagestage.gateway.relay import Relay
+from lovagestage.gateway.relay import (
+    PERIOD_RATIO,
+    SLACK_S,
+    WATCH_RATIO,
+    Relay,
+)
 from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.service import GatewayService
 from lovagestage.gateway.settings import Bounds, GatewaySettings
 from lovagestage.gateway.suspects import SuspectWatch
-from lovagestage.gateway.trust import Trust
+from lovagestage.gateway.trust import MARGIN_S, Trust
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
@@ -49,6 +54,12 @@
 shorter. A read that returns records proves nothing later than its sending, so
 that the proof is two waits old when the store is lost at the end of the next
 one; with 0.4, callers were refused a second after the loss."""
+OWED_RATIO = 0.6
+"""Part of the time for which keys may be relied on that must be left when the
+store is lost: callers with a key are owed service for so long after it."""
+MIN_RELAY_BOUND_S = 0.5
+"""Where less is left, followers would ask more than ten times a second: each
+gateway reads the store for itself."""
 OPERATOR_PAUSE_S = 0.2
 """Configurations come in storms of several a second; a tenth of the time in
 which one must be in force."""
@@ -186,10 +197,25 @@
 def _make_relay(
     settings: GatewaySettings, socket: PeerSocket | None
 ) -> Relay | None:
-    if socket is None:
+    bound_s = get_relay_bound_s(settings.bounds)
+    if socket is None or bound_s < MIN_RELAY_BOUND_S:
         return None
-    bounds = settings.bounds
-    return Relay(socket, min(bounds.apply_s, bounds.drain_s))
+    return Relay(socket, bound_s)
+
+
+def get_relay_bound_s(bounds: Bounds) -> float:
+    """Time within which a change must be in force at followers.
+
+    A proof that a watcher tells is older than one's own, and keys are relied
+    on only as long as it is young: it must not be so old that callers are
+    refused soon after the store is lost.
+    """
+    oldest_s = (1.0 - OWED_RATIO) * bounds.revoke_s - MARGIN_S - SLACK_S
+    return min(
+        bounds.apply_s,
+        bounds.drain_s,
+        oldest_s / (WATCH_RATIO + PERIOD_RATIO),
+    )
 
 
 def get_operator_wait_s(bounds: Bounds) -> float:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -25,6 +25,9 @@
     RelayMode,
     TopicState,
 )
+from lovagestage.gateway.settings import Bounds
+from lovagestage.gateway.trust import Trust
+from lovagestage.gateway.wiring import get_relay_bound_s
 from lovagestage.platform.store import StoreClient
 from tests.test_gateway_feeds import TOPIC, Recorder, wait_until
 from tests.test_gateway_gossip import run_pair
@@ -318,3 +321,18 @@
         pair[0]._socket.send = lambda kind, data, peer: sent.append(peer)
         await wait_until(lambda: len(sent) >= 2)
     assert 5 * ALIVE_S <= FORGET_S
+
+
+@pytest.mark.parametrize("revoke_s", [1.5, 2.5, 5.0, 60.0])
+def test_keys_outlast_the_loss_of_the_store_at_followers(revoke_s):
+    # The store is lost just before a follower's next question. The proof that
+    # it has then was told by a watcher and is as old as can be; callers with
+    # a key must be served for three fifths of the bound on keys all the same.
+    bounds = Bounds(revoke_s, 4.0, 3.0, 8.0, 0.9, 0.1, 30.0, 5.0)
+    bound_s = get_relay_bound_s(bounds)
+    assert bound_s <= 3.0
+    relay = Relay(PeerSocket("127.0.0.1:1"), bound_s)
+    oldest_s = relay.watch_wait_s + relays.SLACK_S + relay._period_s
+    trust = Trust(revoke_s)
+    trust.note_proof(0.0)
+    assert trust.holds(oldest_s + 0.599 * revoke_s)
