Wait for a charge to run before its sidecar is killed

The test now waits until the service has counted the charge, which it did not ask before, and is as strict after that.

--- a/tests/test_plain_services.py
+++ b/tests/test_plain_services.py
@@ -226,22 +226,30 @@
     assert DEADLINE_S - 0.5 < time.monotonic() - start_s < DEADLINE_S + 1
 
 
+def wait_for_run(fleet, before):
+    """Waits until a charge has reached the service; names its sidecar."""
+    end_s = time.monotonic() + 5
+    while count(fleet, "runs_by_path", "/charge") == before:
+        assert time.monotonic() < end_s, "The charge did not run."
+        time.sleep(0.02)
+    return next(
+        name
+        for name in ("sidecar-1", "sidecar-2")
+        if fleet.get_dump(name)["runs"]["running"]
+    )
+
+
 def test_charge_whose_sidecar_is_killed_is_not_run_again(fleet):
     # The charge runs when its sidecar is killed. The entry sees the process
     # gone, sends the charge to no other sidecar and says that it may have run.
-    set_fault(fleet, slow_ms=1000)
+    set_fault(fleet, slow_ms=1500)
     before = count(fleet, "runs_by_path", "/charge")
     seen = []
     thread = threading.Thread(
         target=lambda: seen.append(call(fleet, "POST", "/portal/charge"))
     )
     thread.start()
-    time.sleep(0.4)
-    name = next(
-        name
-        for name in ("sidecar-1", "sidecar-2")
-        if fleet.get_dump(name)["runs"]["running"]
-    )
+    name = wait_for_run(fleet, before)
     fleet.kill(name)
     thread.join()
     restart_sidecar(fleet, name)
