Refuse streams that are asked for long after a stop

Ruled out: a new connection (the port is closed by then) and a late notice.

Change: from the moment at which the port closes, streams are refused as not run, with a time to come back; short calls are still answered. The test fails without it (200 in place of 503).

--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -143,6 +143,7 @@
         _log.info("drain_started", extra={"open": self._callers.open_requests})
         await asyncio.sleep(NOTICE_S)
         self._callers.close()
+        self._parts.service.refuse_streams()
         while self._callers.open_requests and loop.time() < end_s:
             await asyncio.sleep(STOP_POLL_S)
             self._callers.close_idle()
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -7,10 +7,10 @@
 from http import HTTPStatus
 
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
-from lovagestage.gateway.admission import Admitted, admit
+from lovagestage.gateway.admission import COME_BACK_S, Admitted, admit
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.configuration import ClientLimits
+from lovagestage.gateway.configuration import ClientLimits, RouteKind
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.forwarder import Forwarder
@@ -40,6 +40,17 @@
         self._deployment = deployment
         self._forwarder = forwarder
         self._exposition = exposition
+        self._takes_streams = True
+
+    def refuse_streams(self) -> None:
+        """Refuses streams from now on.
+
+        A caller whose stream began before the stop may send its next request
+        on the same connection when that stream ends, seconds later. Begun
+        then, it would be cut by the end of the process; refused, it runs at
+        another gateway.
+        """
+        self._takes_streams = False
 
     def get_limits(self) -> ClientLimits:
         """What callers may send."""
@@ -77,12 +88,15 @@
             self._log_end(attempts, "answered", connection.status)
 
     def _admit(self, request: CallerRequest) -> Admitted:
-        return admit(
+        admitted = admit(
             request,
             self._deployment.configuration,
             self._deployment.trust,
             get_elapsed_s(),
         )
+        if admitted.route.kind is RouteKind.STREAM and not self._takes_streams:
+            raise GatewayRefusalError(503, "stopping", COME_BACK_S)
+        return admitted
 
     def _get_trust_age_s(self) -> float | None:
         age_s = self._deployment.trust.get_age_s(get_elapsed_s())
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -16,6 +16,7 @@
     Stage,
     get_free_port,
     make_request,
+    make_route,
     make_settings_text,
     read_reply,
 )
@@ -117,6 +118,32 @@
         assert any("event=drain_timeout" in line for line in lines)
 
 
+async def test_stream_asked_for_long_after_the_stop_is_refused(tmp_path):
+    # SIGTERM arrives while a stream runs. The caller sends its next request
+    # on the same connection, which is read when that stream has ended, most
+    # of the stop's time later. Begun then, it would be cut; it is refused as
+    # not run, with a time to come back, and runs nowhere.
+    script = lab.make_stream(34, pause_s=0.1)
+    route = make_route("stream", "streaming", Resumable=True, TimeoutMs=9000)
+    async with run_process(tmp_path, script) as stage:
+        stage.put_configuration(version=2, routes=[route])
+        await asyncio.sleep(0.5)
+        reader, writer = await stage.connect()
+        writer.write(make_request("/stream/x", body=b"p", request_id="first"))
+        await reader.readuntil(b"id: 2")
+        ended = asyncio.ensure_future(stage.stop_process())
+        await asyncio.sleep(0.3)
+        writer.write(make_request("/stream/x", body=b"p", request_id="next"))
+        await reader.readuntil(b"0\r\n\r\n")
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        assert head.startswith(b"http/1.1 503")
+        assert b"retry-after:" in head
+        assert b"connection: close" in head
+        assert await ended == 0
+        ids = [a.request_id for w in stage.workers.values() for a in w.arrivals]
+        assert ids == ["first"]
+
+
 async def test_writes_its_events_to_standard_output(tmp_path):
     async with run_process(tmp_path) as stage:
         await stage.call("/safe/x", request_id="seen")
