--- a/lab/up.py
+++ b/lab/up.py
@@ -31,5 +31,8 @@
             print(f"workspace={workspace} key=key-{workspace}")
         print(f"service={document.service}")
         print("ready", flush=True)
+        # A shell starts what runs in its background with SIGINT ignored, and
+        # an ignored signal ends no wait: the fleet would never be stopped.
+        signal.signal(signal.SIGINT, signal.default_int_handler)
         signal.sigwait({signal.SIGINT, signal.SIGTERM})
     return 0
