Wire the parts between gateways in one place

The two feeds each added themselves to the relay in the same three lines, and socket, gossip and relay were each made optional in their own way in the tuple of services. All three are None or a part now, the sources are added where the other parts are connected. No behaviour changes: lint, types and the 45 tests of start, process, relay and trust pass.

--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -131,12 +131,14 @@
     upstream_feed = _make_upstream_feed(
         settings, deployment, rng, store_return, relay
     )
+    if relay is not None:
+        relay.add_source(operator_feed)
+        relay.add_source(upstream_feed)
     timers = TimerService()
+    peer_services = (socket, gossip, relay)
     services = (
         timers,
-        *([] if socket is None else [socket]),
-        *gossip,
-        *([] if relay is None else [relay]),
+        *(each for each in peer_services if each is not None),
         operator_feed,
         upstream_feed,
         _make_notes_feed(settings, mailbox, rng, store_return),
@@ -188,10 +190,10 @@
     settings: GatewaySettings,
     deployment: Deployment,
     socket: PeerSocket | None,
-) -> list[Gossip]:
+) -> Gossip | None:
     if socket is None:
-        return []
-    return [Gossip(settings.vm, socket, deployment.rotation)]
+        return None
+    return Gossip(settings.vm, socket, deployment.rotation)
 
 
 def _make_relay(
@@ -231,7 +233,7 @@
     store_return: StoreReturn,
     relay: Relay | None,
 ) -> TopicFeed:
-    feed = TopicFeed(
+    return TopicFeed(
         _make_store(settings),
         OPERATOR_TOPIC,
         OperatorBeliefs(deployment, rollouts.on_order),
@@ -242,9 +244,6 @@
         store_return,
         relay,
     )
-    if relay is not None:
-        relay.add_source(feed)
-    return feed
 
 
 def _make_upstream_feed(
@@ -267,8 +266,6 @@
         relay,
     )
     beliefs.set_source(feed)
-    if relay is not None:
-        relay.add_source(feed)
     return feed
 
 
