Ask a relay for its mode without logging on the way

get_mode was a getter that wrote a log line and kept state, called by the relay and by each feed. The relay's own loop notes a change now, at most one period later; the getter only answers.

--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -173,7 +173,7 @@
         self._round = _Round(0, {})
         self._round_done = asyncio.Event()
         self._consumed: dict[str, int] = {}
-        self._mode = RelayMode.ALONE
+        self._noted_mode = RelayMode.ALONE
         socket.register(KIND, self._take)
 
     def add_source(self, source: TopicSource) -> None:
@@ -182,18 +182,11 @@
 
     def get_mode(self) -> RelayMode:
         """What this gateway is to do now."""
-        now = self._resolve_mode()
-        if now is not self._mode:
-            _log.info(
-                "relay_mode_changed",
-                extra={
-                    "mode": now.value,
-                    "previous": self._mode.value,
-                    "gateways": 1 + len(self._socket.peers),
-                },
-            )
-            self._mode = now
-        return now
+        if 1 + len(self._socket.peers) < MIN_GATEWAYS:
+            return RelayMode.ALONE
+        if self._socket.own in self._get_watchers():
+            return RelayMode.WATCHER
+        return RelayMode.FOLLOWER
 
     def tell_news(self) -> None:
         """Tells followers that a topic has grown."""
@@ -220,7 +213,9 @@
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
-            if self.get_mode() is RelayMode.FOLLOWER:
+            mode_now = self.get_mode()
+            self._note_mode(mode_now)
+            if mode_now is RelayMode.FOLLOWER:
                 await self._ask()
             self._news.clear()
             try:
@@ -293,12 +288,18 @@
     ) -> None:
         self._socket.send(KIND, _encoder.encode(message), peer)
 
-    def _resolve_mode(self) -> RelayMode:
-        if 1 + len(self._socket.peers) < MIN_GATEWAYS:
-            return RelayMode.ALONE
-        if self._socket.own in self._get_watchers():
-            return RelayMode.WATCHER
-        return RelayMode.FOLLOWER
+    def _note_mode(self, now: RelayMode) -> None:
+        if now is self._noted_mode:
+            return
+        _log.info(
+            "relay_mode_changed",
+            extra={
+                "mode": now.value,
+                "previous": self._noted_mode.value,
+                "gateways": 1 + len(self._socket.peers),
+            },
+        )
+        self._noted_mode = now
 
     def _get_watchers(self) -> Sequence[PeerAddress]:
         """The watchers, as far as this gateway knows.
