Keep an upstream that said it leaves out of rotation after its removal

Cause, found once by the state machine of test_gateway_rotation in `make test` from a clean clone (drain, end, up): whether an upstream leaves stood in its state alone, which its removal overwrote. An entry written late then brought it back, and requests would have been sent to it past its drain time.

Change: an incarnation that ever said so has left, whatever is written later. What is gone is remembered for ten minutes, not one: the machine's waits can add up to 90 s, after which the past would have been believed.

--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -17,8 +17,9 @@
 next heartbeat writes it again. Under the shortest time for which a leaving
 upstream still serves, so one that has really left is never sent a request
 too late."""
-FORGET_S = 60.0
-"""Upstreams that are gone are remembered for the reads that show the past."""
+FORGET_S = 600.0
+"""Upstreams that are gone are remembered for the reads that show the past, and
+for entries that are written late. With 655 that leave a day, five are kept."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +61,8 @@
         entry: What it last said of itself.
         offset: Offset of that entry in the store.
         state: Whether it takes requests.
+        has_left: Whether it ever said that it leaves. An incarnation that did
+            takes nothing any more, whatever is written of it later.
         changed_s: Elapsed time at the last change of the state.
         performance: What this gateway saw of it.
     """
@@ -71,6 +74,7 @@
         self.entry = entry
         self.offset = offset
         self.state = UpstreamState.READY
+        self.has_left = False
         self.changed_s = now_s
         self.performance = Performance()
 
@@ -133,10 +137,11 @@
             known = self._add(name, entry, offset, now_s)
         known.entry = entry
         known.offset = offset
-        if entry.is_draining:
-            known.set_state(UpstreamState.DRAINING, now_s)
-        elif known.state is not UpstreamState.DRAINING:
-            known.set_state(UpstreamState.READY, now_s)
+        known.has_left = known.has_left or entry.is_draining
+        known.set_state(
+            UpstreamState.DRAINING if known.has_left else UpstreamState.READY,
+            now_s,
+        )
 
     def replace_all(
         self,
--- a/tests/test_gateway_rotation.py
+++ b/tests/test_gateway_rotation.py
@@ -36,6 +36,28 @@
     assert get_names(rotation) == []
 
 
+def test_a_draining_upstream_does_not_come_back_after_its_removal():
+    # An upstream says that it leaves, its entry is removed, and is written
+    # once more as ready by what it sent late. It still leaves: a request that
+    # is sent there after the drain time may be cut.
+    rotation = Rotation()
+    rotation.apply("w1", DRAINING, 1, 0.0, False)
+    rotation.apply("w1", None, 2, 1.0, False)
+    rotation.apply("w1", ENTRY, 3, 1.2, False)
+    assert get_names(rotation) == []
+
+
+def test_a_leaver_is_remembered_for_minutes():
+    rotation = Rotation()
+    rotation.apply("w1", ENTRY, 1, 0.0, False)
+    rotation.apply("w1", DRAINING, 2, 1.0, False)
+    rotation.apply("w1", None, 3, 2.0, False)
+    rotation.expire(122.0)
+    rotation.apply("w1", ENTRY, 1, 122.0, False)
+    rotation.apply("w1", ENTRY, 4, 122.0, False)
+    assert get_names(rotation) == []
+
+
 def test_an_entry_that_lapsed_while_the_store_was_away_may_come_back():
     # The store was away, so upstreams could not write and their entries
     # ended. They serve on and write again within seconds.
