Wait for a silent entry that may alone know request keys

Ruled out: a fault in handing keys on at a planned stop (the tests hold without a pause).

Change: an entry that was not heard since another was removed is waited for, for 60 s, unless its port refuses connections or the VM list dropped it; one removal of a silent entry at a time. Until then callers are told to come back.

A pause of over 60 s of both still loses their keys.

--- a/src/lovagestage/membership.py
+++ b/src/lovagestage/membership.py
@@ -30,6 +30,11 @@
 MAX_RANKS = 8
 """Turns; two watchers with the same one append the same record twice."""
 APPEND_RETRY_S = 1.0
+LAST_HOLDER_SILENCE_S = 60.0
+"""Silence of an entry that may alone know claims; see `_may_hold_alone`.
+
+As long as a sidecar remembers forbidden runs for a paused sender.
+"""
 
 
 class Membership(mode.Service):
@@ -63,8 +68,11 @@
         self._listed: set[VmId] | None = None
         self._heard_s: dict[MemberId, float] = {}
         self._checked_s = time.monotonic()
+        self._members: set[VmId] = set()
+        self._removed_s = self._checked_s
         self._append_after_s = 0.0
         self._has_joined = False
+        control.subscribe(self._on_control)
 
     @property
     def view(self) -> MemberView:
@@ -79,6 +87,12 @@
         """Takes the platform's list of VMs."""
         self._listed = {vm.vm for vm in vms}
 
+    def _on_control(self) -> None:
+        members = set(self.view.members)
+        if self._members - members:
+            self._removed_s = time.monotonic()
+        self._members = members
+
     async def on_stop(self) -> None:
         """Leaves, so that others take over without waiting for silence."""
         if self.view.has(self.get_own_id()):
@@ -99,6 +113,7 @@
             # This process was paused: everyone seems silent to it, and it
             # would remove the entries that went on. It starts to count anew.
             self._heard_s.clear()
+            self._removed_s = now_s
         self._checked_s = now_s
         if not self.view.has(self.get_own_id()):
             await self._join(now_s)
@@ -111,6 +126,9 @@
                     extra={"member": removal.vm, "ended": removal.ended},
                 )
                 await self._append(removal)
+                if not removal.ended:
+                    # Who else is due may now be the last to know claims.
+                    break
 
     async def _join(self, now_s: float) -> None:
         if now_s < self._append_after_s:
@@ -157,7 +175,23 @@
         # The watchers take turns by name: one record, not one from each.
         rank = sorted(self.view.members).index(self.own.vm)
         delay_s = RANK_DELAY_S * min(rank % MAX_RANKS, others)
-        return now_s - known_s > self._silence_s + delay_s
+        limit_s = self._silence_s
+        if self._may_hold_alone(member, known_s):
+            limit_s = max(limit_s, LAST_HOLDER_SILENCE_S)
+        return now_s - known_s > limit_s + delay_s
+
+    def _may_hold_alone(self, member: MemberId, known_s: float) -> bool:
+        """Whether a silent entry may know claims that nobody else knows.
+
+        One that was not heard since another was removed may not have handed
+        on what the two held. With both removed, each key of theirs that comes
+        again is refused for the whole window, though a pause of seconds had
+        harmed nothing. Until it is heard, callers are told to come back.
+        """
+        link = self._peers.links.get(member.vm)
+        if not self._is_listed(member.vm) or (link is not None and link.gone):
+            return False
+        return known_s <= self._removed_s
 
     def _is_listed(self, vm: VmId) -> bool:
         return self._listed is None or vm in self._listed
--- a/tests/test_request_keys.py
+++ b/tests/test_request_keys.py
@@ -206,6 +206,31 @@
     check(history)
 
 
+def test_key_outlives_a_pause_of_both_that_held_it(fleet):
+    # A request has run. Both entries that held its key stand still for longer
+    # than the silence after which one is removed, as when their host stalls.
+    # One is removed; with the other the claim would go, and the retry be
+    # refused for a day. It waits for the other, and gets the answer.
+    history, key = History(fleet), "stalled"
+    owner, copy, third = get_holders(key)
+    history.send(fleet.children[third], key, "draft")
+    fleet.suspend(owner)
+    fleet.suspend(copy)
+    early = [history.send(fleet.children[third], key, "draft")]
+    time.sleep(4 * SILENCE_S)
+    early.append(history.send(fleet.children[third], key, "draft"))
+    fleet.resume(owner)
+    fleet.resume(copy)
+    wait_until_whole(fleet, SHAPE.entries)
+    late = history.send(fleet.children[third], key, "draft")
+    for refused in early:
+        assert refused.code == "key_holders_unavailable"
+        assert refused.run == "unknown"
+        assert refused.retry_after
+    assert late.status == 200
+    check(history)
+
+
 def test_key_outlives_a_planned_restart_of_every_entry(fleet):
     # The entries are stopped and started one after another. None that held
     # the key at first is left; each has handed it on.
