Count store calls, datagrams and relay questions on the metrics address

The text also had no TYPE lines, and the series of a gateway stood in no page.

Change: each series has a kind, labels and a text, from which the TYPE lines and docs/METRICS.md are made. New: store_calls_total by call and outcome, store_call_seconds (without reads that wait), datagrams_total and datagram_bytes_total by kind and way, relay_questions_total by outcome, and gauges for open requests, upstreams, peers and the age of the proof. platform/store.py tells a listener of each call; it still decides nothing.

Test: tests/test_gateway_metrics.py reads the text with a parser that refuses what breaks the format, and takes a real gateway through an outage of the store; tests/test_gateway_relay.py counts questions. They failed before for want of the series. Nothing of the requests' path is changed.

--- a/lab/pages.py
+++ b/lab/pages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from lovagestage.document import ServiceDocument
+from lovagestage.gateway import exposition
 from lovagestage.metrics import format_page
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -111,9 +112,14 @@
     return json.dumps(schema, indent=2) + "\n"
 
 
+def format_metrics_page() -> str:
+    """The page docs/METRICS.md."""
+    return f"{format_page()}\n{exposition.format_page()}"
+
+
 PAGES = {
     "docs/LOGS.md": format_log_page,
-    "docs/METRICS.md": format_page,
+    "docs/METRICS.md": format_metrics_page,
     "docs/service-document.schema.json": format_schema,
 }
 
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -7,20 +7,107 @@
 from __future__ import annotations
 
 import bisect
+import dataclasses
 import enum
+from collections.abc import Callable
 
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
 _PREFIX = "lovagestage_"
 
 
-class Series(enum.Enum):
-    """What is measured; the value is name and description."""
+class SeriesKind(enum.Enum):
+    """Kinds of the text format; the value is the format's name."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclasses.dataclass(frozen=True)
+class SeriesSpec:
+    """What a series is.
 
-    REQUESTS = ("requests_total", "Requests by kind of route and outcome.")
-    ATTEMPTS = ("attempts_total", "Attempts at upstreams.")
-    LINES_LEFT_OUT = ("log_lines_left_out_total", "Log lines over budget.")
-    ANSWER_S = ("answer_seconds", "From a request's head to its end.")
-    FIRST_EVENT_S = ("first_event_seconds", "Until a stream's first event.")
+    Attributes:
+        name: Name without the prefix; ends with the unit.
+        kind: Kind of the text format.
+        text: What it says.
+        labels: Its labels, each with a bounded number of values.
+    """
+
+    name: str
+    kind: SeriesKind
+    text: str
+    labels: tuple[str, ...] = ()
+
+
+class Series(enum.Enum):
+    """What is measured."""
+
+    REQUESTS = SeriesSpec(
+        "requests_total",
+        SeriesKind.COUNTER,
+        "Requests by kind of route and outcome.",
+        ("kind", "outcome"),
+    )
+    ATTEMPTS = SeriesSpec(
+        "attempts_total", SeriesKind.COUNTER, "Attempts at upstreams."
+    )
+    LINES_LEFT_OUT = SeriesSpec(
+        "log_lines_left_out_total", SeriesKind.COUNTER, "Log lines over budget."
+    )
+    ANSWER_S = SeriesSpec(
+        "answer_seconds",
+        SeriesKind.HISTOGRAM,
+        "From a request's head to its end.",
+        ("kind",),
+    )
+    FIRST_EVENT_S = SeriesSpec(
+        "first_event_seconds",
+        SeriesKind.HISTOGRAM,
+        "From a request's head to its stream's first event.",
+    )
+    STORE_CALLS = SeriesSpec(
+        "store_calls_total",
+        SeriesKind.COUNTER,
+        "Calls to the metadata store; lost is one without a whole answer.",
+        ("call", "outcome"),
+    )
+    STORE_CALL_S = SeriesSpec(
+        "store_call_seconds",
+        SeriesKind.HISTOGRAM,
+        "Answered calls to the metadata store, but reads that wait.",
+        ("call",),
+    )
+    DATAGRAMS = SeriesSpec(
+        "datagrams_total",
+        SeriesKind.COUNTER,
+        "Datagrams between gateways.",
+        ("kind", "way"),
+    )
+    DATAGRAM_BYTES = SeriesSpec(
+        "datagram_bytes_total",
+        SeriesKind.COUNTER,
+        "Payload of datagrams between gateways.",
+        ("kind", "way"),
+    )
+    RELAY_QUESTIONS = SeriesSpec(
+        "relay_questions_total",
+        SeriesKind.COUNTER,
+        "Questions to gateways that watch the store.",
+        ("outcome",),
+    )
+    OPEN_REQUESTS = SeriesSpec(
+        "open_requests", SeriesKind.GAUGE, "Requests open now."
+    )
+    UPSTREAMS = SeriesSpec(
+        "upstreams", SeriesKind.GAUGE, "Upstreams known, leaving ones included."
+    )
+    PEERS = SeriesSpec("peers", SeriesKind.GAUGE, "Other gateways known.")
+    PROOF_AGE_S = SeriesSpec(
+        "proof_age_seconds",
+        SeriesKind.GAUGE,
+        "Age of the latest proof that the configuration is in force.",
+    )
 
 
 class Exposition:
@@ -29,6 +116,7 @@
     def __init__(self) -> None:
         self._counts: dict[tuple[Series, str], float] = {}
         self._histograms: dict[tuple[Series, str], _Histogram] = {}
+        self._gauges: dict[Series, Callable[[], float | None]] = {}
 
     def count(self, series: Series, labels: str = "", by: float = 1.0) -> None:
         """Adds to a counter.
@@ -41,6 +129,17 @@
         key = (series, labels)
         self._counts[key] = self._counts.get(key, 0.0) + by
 
+    def add_gauge(
+        self, series: Series, read: Callable[[], float | None]
+    ) -> None:
+        """Adds a gauge, read whenever the text is asked for.
+
+        Args:
+            series: The gauge.
+            read: Tells its value; None where there is none yet.
+        """
+        self._gauges[series] = read
+
     def observe(self, series: Series, labels: str, value_s: float) -> None:
         """Adds a value to a histogram."""
         key = (series, labels)
@@ -50,14 +149,23 @@
         """All series as text."""
         lines = []
         for series in Series:
-            name, text = series.value
-            lines.append(f"# HELP {_PREFIX}{name} {text}")
+            spec = series.value
+            name = _PREFIX + spec.name
+            lines.append(f"# HELP {name} {spec.text}")
+            lines.append(f"# TYPE {name} {spec.kind.value}")
             lines += self._format_counts(series)
             lines += self._format_histograms(series)
+            lines += self._format_gauge(series)
         return "\n".join(lines) + "\n"
 
+    def _format_gauge(self, series: Series) -> list[str]:
+        read = self._gauges.get(series)
+        value = None if read is None else read()
+        name = _PREFIX + series.value.name
+        return [] if value is None else [f"{name} {value:g}"]
+
     def _format_counts(self, series: Series) -> list[str]:
-        name = _PREFIX + series.value[0]
+        name = _PREFIX + series.value.name
         return [
             f"{name}{{{labels}}} {value:g}"
             for (kind, labels), value in self._counts.items()
@@ -65,7 +173,7 @@
         ]
 
     def _format_histograms(self, series: Series) -> list[str]:
-        name = _PREFIX + series.value[0]
+        name = _PREFIX + series.value.name
         return [
             line
             for (kind, labels), histogram in self._histograms.items()
@@ -95,3 +203,25 @@
         lines.append(f"{name}_sum{{{labels}}} {self._sum:.6f}")
         lines.append(f"{name}_count{{{labels}}} {total}")
         return lines
+
+
+def format_page() -> str:
+    """The part of docs/METRICS.md on gateways."""
+    rows = [
+        f"| `{_PREFIX}{spec.name}` | {spec.kind.value} |"
+        f" {', '.join(spec.labels)} | {spec.text} |"
+        for spec in (series.value for series in Series)
+    ]
+    return "\n".join(
+        [
+            "## Gateways",
+            "",
+            "Generated from `lovagestage.gateway.exposition`; served at"
+            " `/metrics` in the Prometheus text format.",
+            "",
+            "| name | kind | labels | meaning |",
+            "|---|---|---|---|",
+            *rows,
+            "",
+        ]
+    )
--- a/src/lovagestage/gateway/peers.py
+++ b/src/lovagestage/gateway/peers.py
@@ -9,6 +9,7 @@
 import mode
 
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.exposition import Exposition, Series
 
 _log = logging.getLogger(__name__)
 
@@ -30,14 +31,16 @@
 
     Args:
         address: `IP:PORT` to send from and listen at.
+        exposition: Counts datagrams.
 
     Attributes:
         own: The same address.
         peers: The gateways that have been heard of.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, exposition: Exposition) -> None:
         super().__init__()
+        self._exposition = exposition
         host, _, port = address.rpartition(":")
         self.own: PeerAddress = (host, int(port))
         self.peers: set[PeerAddress] = set()
@@ -72,6 +75,7 @@
         """Sends a datagram, which may be lost."""
         if self._transport is not None:
             self._transport.sendto(kind + data, peer)
+            self._count(kind, "sent", len(data))
 
     def take(self, data: bytes, sender: PeerAddress) -> None:
         """Hands on a datagram; one of an unknown kind is dropped and logged.
@@ -85,6 +89,7 @@
             _log.warning("datagram_refused", extra={"size": len(data)})
             return
         self._add(sender)
+        self._count(data[:KIND_BYTES], "received", len(data) - KIND_BYTES)
         handler(data[KIND_BYTES:], sender)
 
     @mode.Service.task
@@ -104,6 +109,12 @@
                 self.peers.remove(peer)
                 del self._heard_s[peer]
 
+    def _count(self, kind: bytes, way: str, size_bytes: int) -> None:
+        labels = f'kind="{kind.decode()}",way="{way}"'
+        size_bytes += KIND_BYTES
+        self._exposition.count(Series.DATAGRAMS, labels)
+        self._exposition.count(Series.DATAGRAM_BYTES, labels, size_bytes)
+
     def _add(self, peer: PeerAddress) -> None:
         if peer == self.own:
             return
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -11,7 +11,7 @@
 from lovagestage.exceptions import SettingsError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
-from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.listeners import open_listener
 from lovagestage.gateway.loglines import start_logging
 from lovagestage.gateway.messages import CallerRequest
@@ -82,6 +82,9 @@
         self._callers = CallerServer(service.answer, service.get_limits)
         self._probes = CallerServer(self._answer_probe, service.get_limits)
         self._metrics = CallerServer(self._answer_metrics, service.get_limits)
+        exposition.add_gauge(
+            Series.OPEN_REQUESTS, lambda: self._callers.open_requests
+        )
         self._parts.timers.subscribe(EXPIRE_S, self._expire)
         self._parts.timers.subscribe(SETTINGS_CHECK_S, self._check_settings)
 
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -28,6 +28,7 @@
 import xxhash
 
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.peers import PeerAddress, PeerSocket
 
 _log = logging.getLogger(__name__)
@@ -156,10 +157,14 @@
     Args:
         socket: Where datagrams go and come from.
         bound_s: Shortest time in which a change must be in force.
+        exposition: Counts questions.
     """
 
-    def __init__(self, socket: PeerSocket, bound_s: float) -> None:
+    def __init__(
+        self, socket: PeerSocket, bound_s: float, exposition: Exposition
+    ) -> None:
         super().__init__()
+        self._exposition = exposition
         self.watch_wait_s = WATCH_RATIO * bound_s
         self._period_s = PERIOD_RATIO * bound_s
         self._socket = socket
@@ -326,10 +331,12 @@
         )
 
     def _note_answer(self, watcher: PeerAddress) -> None:
+        self._exposition.count(Series.RELAY_QUESTIONS, 'outcome="answered"')
         if self._away.pop(watcher, None) is not None:
             _log.info("watcher_regained", extra={"watcher": watcher[0]})
 
     def _note_silence(self, watcher: PeerAddress) -> None:
+        self._exposition.count(Series.RELAY_QUESTIONS, 'outcome="lost"')
         known = self._away.get(watcher)
         pause_s = AWAY_BASE_S
         if known is not None:
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -10,9 +10,10 @@
 
 from lovagestage.crash_reports import CrashReport
 from lovagestage.gateway.beliefs import OperatorBeliefs, UpstreamBeliefs
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.deployment import Deployment
-from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.feeds import StoreReturn, TopicFeed
 from lovagestage.gateway.forwarder import Forwarder
 from lovagestage.gateway.gossip import Gossip
@@ -41,6 +42,8 @@
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
+    CallKind,
+    CallOutcome,
     StoreClient,
 )
 from lovagestage.timers import TimerService
@@ -108,32 +111,33 @@
         Trust(bounds.revoke_s), SessionPins(bounds.session_s)
     )
     rollouts = RolloutService(
-        _make_store(settings), deployment, settings.vm, bounds, rng
+        _make_store(settings, exposition), deployment, settings.vm, bounds, rng
     )
     mailbox = Mailbox(
-        _make_store(settings),
+        _make_store(settings, exposition),
         settings.vm,
         time.time_ns(),
         settings.peer_address or "",
     )
     rollouts.set_mailbox(mailbox)
     suspects = SuspectWatch(mailbox.post)
-    socket = _make_peer_socket(settings, mailbox)
+    socket = _make_peer_socket(settings, mailbox, exposition)
     gossip = _make_gossip(settings, deployment, socket)
-    relay = _make_relay(settings, socket)
+    relay = _make_relay(settings, socket, exposition)
     _subscribe(mailbox, rollouts, suspects)
     pool = ConnectionPool()
     forwarder = Forwarder(settings, deployment, pool, rollouts, suspects, rng)
     store_return = StoreReturn()
     operator_feed = _make_operator_feed(
-        settings, deployment, rollouts, rng, store_return, relay
+        settings, exposition, deployment, rollouts, rng, store_return, relay
     )
     upstream_feed = _make_upstream_feed(
-        settings, deployment, rng, store_return, relay
+        settings, exposition, deployment, rng, store_return, relay
     )
     if relay is not None:
         relay.add_source(operator_feed)
         relay.add_source(upstream_feed)
+    _add_gauges(exposition, deployment, socket)
     timers = TimerService()
     peer_services = (socket, gossip, relay)
     services = (
@@ -141,7 +145,7 @@
         *(each for each in peer_services if each is not None),
         operator_feed,
         upstream_feed,
-        _make_notes_feed(settings, mailbox, rng, store_return),
+        _make_notes_feed(settings, exposition, mailbox, rng, store_return),
         mailbox,
         rollouts,
     )
@@ -157,9 +161,35 @@
     )
 
 
-def _make_store(settings: GatewaySettings) -> StoreClient:
+def _make_store(
+    settings: GatewaySettings, exposition: Exposition
+) -> StoreClient:
     """A client of its own for each part: calls on one wait for each other."""
-    return StoreClient(settings.store_address)
+
+    def note(kind: CallKind, outcome: CallOutcome, time_s: float) -> None:
+        labels = f'call="{kind.value}"'
+        exposition.count(
+            Series.STORE_CALLS, f'{labels},outcome="{outcome.value}"'
+        )
+        has_waited = kind is CallKind.WAITING_READ
+        if outcome is CallOutcome.ANSWERED and not has_waited:
+            exposition.observe(Series.STORE_CALL_S, labels, time_s)
+
+    return StoreClient(settings.store_address, note)
+
+
+def _add_gauges(
+    exposition: Exposition, deployment: Deployment, socket: PeerSocket | None
+) -> None:
+    exposition.add_gauge(
+        Series.UPSTREAMS, lambda: len(deployment.rotation.get_all())
+    )
+    exposition.add_gauge(
+        Series.PROOF_AGE_S,
+        lambda: deployment.trust.get_age_s(get_elapsed_s()),
+    )
+    if socket is not None:
+        exposition.add_gauge(Series.PEERS, lambda: len(socket.peers))
 
 
 def _subscribe(
@@ -173,11 +203,11 @@
 
 
 def _make_peer_socket(
-    settings: GatewaySettings, mailbox: Mailbox
+    settings: GatewaySettings, mailbox: Mailbox, exposition: Exposition
 ) -> PeerSocket | None:
     if settings.peer_address is None:
         return None
-    socket = PeerSocket(settings.peer_address)
+    socket = PeerSocket(settings.peer_address, exposition)
 
     def add_peer(note: HelloNote) -> None:
         socket.add_peer(note.peer_address)
@@ -197,12 +227,14 @@
 
 
 def _make_relay(
-    settings: GatewaySettings, socket: PeerSocket | None
+    settings: GatewaySettings,
+    socket: PeerSocket | None,
+    exposition: Exposition,
 ) -> Relay | None:
     bound_s = get_relay_bound_s(settings.bounds)
     if socket is None or bound_s < MIN_RELAY_BOUND_S:
         return None
-    return Relay(socket, bound_s)
+    return Relay(socket, bound_s, exposition)
 
 
 def get_relay_bound_s(bounds: Bounds) -> float:
@@ -227,6 +259,7 @@
 
 def _make_operator_feed(
     settings: GatewaySettings,
+    exposition: Exposition,
     deployment: Deployment,
     rollouts: RolloutService,
     rng: random.Random,
@@ -234,7 +267,7 @@
     relay: Relay | None,
 ) -> TopicFeed:
     return TopicFeed(
-        _make_store(settings),
+        _make_store(settings, exposition),
         OPERATOR_TOPIC,
         OperatorBeliefs(deployment, rollouts.on_order),
         get_operator_wait_s(settings.bounds),
@@ -248,6 +281,7 @@
 
 def _make_upstream_feed(
     settings: GatewaySettings,
+    exposition: Exposition,
     deployment: Deployment,
     rng: random.Random,
     store_return: StoreReturn,
@@ -255,7 +289,7 @@
 ) -> TopicFeed:
     beliefs = UpstreamBeliefs(deployment)
     feed = TopicFeed(
-        _make_store(settings),
+        _make_store(settings, exposition),
         UPSTREAM_TOPIC,
         beliefs,
         WAIT_RATIO * settings.bounds.drain_s,
@@ -271,12 +305,13 @@
 
 def _make_notes_feed(
     settings: GatewaySettings,
+    exposition: Exposition,
     mailbox: Mailbox,
     rng: random.Random,
     store_return: StoreReturn,
 ) -> TopicFeed:
     return TopicFeed(
-        _make_store(settings),
+        _make_store(settings, exposition),
         TOPIC,
         mailbox,
         NOTES_WAIT_S,
--- a/src/lovagestage/metrics.py
+++ b/src/lovagestage/metrics.py
@@ -190,7 +190,7 @@
 
 
 def format_page() -> str:
-    """The page docs/METRICS.md, from the specs."""
+    """The part of docs/METRICS.md on entries and sidecars."""
     rows = [
         f"| `{metric.value}` | {spec.kind.value} | {spec.unit} | {spec.text} |"
         for metric, spec in SPECS.items()
@@ -199,6 +199,8 @@
         [
             "# Metrics",
             "",
+            "## Entries and sidecars",
+            "",
             "Generated from `lovagestage.metrics`; sent to statsd once a"
             " second.",
             "",
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -5,9 +5,11 @@
 import asyncio
 import base64
 import dataclasses
+import enum
 import struct
+import time
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import h11
@@ -60,15 +62,42 @@
     end: int
 
 
+class CallKind(enum.Enum):
+    """Kinds of calls."""
+
+    READ = "read"
+    WAITING_READ = "waiting_read"
+    NEWEST = "newest"
+    APPEND = "append"
+
+
+class CallOutcome(enum.Enum):
+    """How a call ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    """By another status than 200."""
+    LOST = "lost"
+    """Without a whole answer in time."""
+
+
+CallListener = Callable[[CallKind, CallOutcome, float], None]
+"""Takes kind, outcome and seconds of a call."""
+
+
 class StoreClient:
     """Calls to the store, one at a time on one connection.
 
     Args:
         address: `IP:PORT`.
+        on_call: Told of each call that ended.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, on_call: CallListener = lambda *_: None
+    ) -> None:
         self._address = address
+        self._on_call = on_call
         self._connection: ClientConnection | None = None
 
     def close(self) -> None:
@@ -89,7 +118,8 @@
         query = f"Topic={topic}&part=0&Source={offset}"
         if wait_s:
             query += f"&WaitMs={int(wait_s * 1000)}"
-        body = await self._get(f"/v1/log-read?{query}", timeout_s)
+        kind = CallKind.WAITING_READ if wait_s else CallKind.READ
+        body = await self._get(kind, f"/v1/log-read?{query}", timeout_s)
         if len(body) < _READ_HEAD.size:
             raise StoreUnavailableError("Short answer to a read.")
         end, first = _READ_HEAD.unpack_from(body)
@@ -105,7 +135,9 @@
         query = f"Topic={topic}&part=0"
         after = ""
         while True:
-            body = await self._get(f"/v1/log-newest?{query}{after}", timeout_s)
+            body = await self._get(
+                CallKind.NEWEST, f"/v1/log-newest?{query}{after}", timeout_s
+            )
             fields = _decode(body)
             # Pages are not a snapshot: a record that moves from a later page
             # to after the first page's end is read again from there.
@@ -154,16 +186,18 @@
             _make_record(key, value, topic.startswith(_KEYED_PREFIX))
             for key, value in records
         )
-        status, answer = await self._call(b"POST", path, body, timeout_s)
+        status, answer = await self._call(
+            CallKind.APPEND, path, body, timeout_s
+        )
         if status == 412:
             raise StoreConflictError(_decode(answer)["EndOffset"])
         if status != 200:
             raise StoreUnavailableError(f"Append: status {status}.")
         return int(_decode(answer)["Offset"])
 
-    async def _get(self, path: str, timeout_s: float) -> bytes:
+    async def _get(self, kind: CallKind, path: str, timeout_s: float) -> bytes:
         try:
-            status, body = await self._call(b"GET", path, b"", timeout_s)
+            status, body = await self._call(kind, path, b"", timeout_s)
         except StoreAnswerLostError as error:
             raise StoreUnavailableError(error.message) from error
         if status == 410:
@@ -174,19 +208,29 @@
         return body
 
     async def _call(
-        self, method: bytes, path: str, body: bytes, timeout_s: float
+        self, kind: CallKind, path: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
+        method = b"POST" if kind is CallKind.APPEND else b"GET"
+        started_s = time.monotonic()
+        outcome = CallOutcome.LOST
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._exchange(method, path, body)
+                status, answer = await self._exchange(method, path, body)
+            is_good = status == 200
+            outcome = CallOutcome.ANSWERED if is_good else CallOutcome.REFUSED
+            return status, answer
         except (ConnectionLostError, WrongMessageError, TimeoutError) as error:
             was_sent = self._connection is not None
             self.close()
-            kind = StoreAnswerLostError if was_sent else StoreUnavailableError
-            raise kind(f"{path}: {type(error).__name__}.") from error
+            failure = (
+                StoreAnswerLostError if was_sent else StoreUnavailableError
+            )
+            raise failure(f"{path}: {type(error).__name__}.") from error
         except asyncio.CancelledError:
             self.close()
             raise
+        finally:
+            self._on_call(kind, outcome, time.monotonic() - started_s)
 
     async def _exchange(
         self, method: bytes, path: str, body: bytes
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -8,6 +8,7 @@
 
 from lab.ports import get_free_port
 from lovagestage.gateway.choice import Work, choose_upstream
+from lovagestage.gateway.exposition import Exposition
 from lovagestage.gateway.gossip import HEARD_FOR_S, KIND, Gossip
 from lovagestage.gateway.peers import PeerSocket
 from lovagestage.gateway.rotation import Rotation, UpstreamEntry
@@ -34,7 +35,7 @@
 async def run_pair():
     rotations = make_rotation(), make_rotation()
     addresses = [f"127.0.0.1:{get_free_port()}" for _ in rotations]
-    sockets = [PeerSocket(address) for address in addresses]
+    sockets = [PeerSocket(address, Exposition()) for address in addresses]
     pair = [
         Gossip(f"edge-{number}", sockets[number], rotations[number])
         for number in range(2)
--- a/tests/test_gateway_loglines.py
+++ b/tests/test_gateway_loglines.py
@@ -64,7 +64,7 @@
     assert len(lines) == BURST_LINES + 2
     assert "store_lost" in lines[-2]
     assert f"left_out={5000 - int(BURST_LINES)}" in lines[-1]
-    name = Series.LINES_LEFT_OUT.value[0]
+    name = Series.LINES_LEFT_OUT.value.name
     assert f"{name}{{}} 4880" in exposition.format_text()
 
 
--- /dev/null
+++ b/tests/test_gateway_metrics.py
@@ -0,0 +1,126 @@
+"""Counters, gauges and histograms that a gateway serves."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+from lovagestage.gateway.exposition import Exposition, Series, SeriesKind
+from lovagestage.gateway.peers import PeerSocket
+from tests.gateway_stage import get_free_port, read_reply
+from tests.test_gateway_process import run_process
+
+SAMPLE = re.compile(r"^([a-z_]+)(?:\{(.*)\})? (-?[0-9.e+-]+|\+Inf)$")
+LABEL = re.compile(r'([a-z]+)="([^"]*)"')
+PREFIX = "lovagestage_"
+
+
+async def read_metrics(port):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    text = (await read_reply(reader)).body.decode()
+    writer.close()
+    return text
+
+
+def parse(text):
+    """Samples by name and labels; fails where the text breaks the format."""
+    kinds, samples = {}, {}
+    for line in text.splitlines():
+        if line.startswith("# HELP "):
+            continue
+        if line.startswith("# TYPE "):
+            _, _, name, kind = line.split()
+            assert name not in kinds
+            kinds[name] = kind
+            continue
+        match = SAMPLE.match(line)
+        assert match, line
+        name, labels, value = match.groups()
+        pairs = tuple(LABEL.findall(labels or ""))
+        assert (name, pairs) not in samples, line
+        samples[name, pairs] = float(value)
+        base = re.sub("_(bucket|sum|count)$", "", name)
+        assert kinds.get(name) or kinds.get(base) == "histogram", line
+    return samples
+
+
+def test_every_series_has_a_kind_and_only_its_own_labels():
+    exposition = Exposition()
+    for series in Series:
+        spec = series.value
+        labels = ",".join(f'{label}="x"' for label in spec.labels)
+        match spec.kind:
+            case SeriesKind.COUNTER:
+                exposition.count(series, labels)
+                assert spec.name.endswith("_total")
+            case SeriesKind.HISTOGRAM:
+                exposition.observe(series, labels, 0.1)
+                assert spec.name.endswith("_seconds")
+            case SeriesKind.GAUGE:
+                exposition.add_gauge(series, lambda: 2.0)
+    samples = parse(exposition.format_text())
+    found = {name.removeprefix(PREFIX) for name, _ in samples}
+    for series in Series:
+        spec = series.value
+        is_histogram = spec.kind is SeriesKind.HISTOGRAM
+        assert (f"{spec.name}_count" if is_histogram else spec.name) in found
+
+
+def test_a_gauge_without_a_value_is_left_out():
+    exposition = Exposition()
+    exposition.add_gauge(Series.PROOF_AGE_S, lambda: None)
+    name = f"{PREFIX}{Series.PROOF_AGE_S.value.name}"
+    assert (name, ()) not in parse(exposition.format_text())
+
+
+async def test_tells_calls_to_the_store_and_the_age_of_its_proof(tmp_path):
+    # The store stops answering: the counter of calls that were refused or
+    # lost grows, and the proof gets older, before any caller is refused.
+    async with run_process(tmp_path) as stage:
+        await stage.call("/safe/x")
+        samples = parse(await read_metrics(stage.metrics_port))
+        calls = f"{PREFIX}store_calls_total"
+        newest = (("call", "newest"), ("outcome", "answered"))
+        assert samples[calls, newest] >= 2
+        count = f"{PREFIX}store_call_seconds_count"
+        assert samples[count, (("call", "newest"),)] >= 2
+        assert samples[f"{PREFIX}upstreams", ()] == 1
+        assert samples[f"{PREFIX}open_requests", ()] == 0
+        age = (f"{PREFIX}proof_age_seconds", ())
+        assert 0 <= samples[age] < 5
+        stage.store.faults.outage = "503"
+        async with asyncio.timeout(10.0):
+            while True:
+                later = parse(await read_metrics(stage.metrics_port))
+                failed = [
+                    value
+                    for (name, labels), value in later.items()
+                    if name == calls and ("outcome", "answered") not in labels
+                ]
+                if sum(failed) and later[age] > 1.0:
+                    break
+                await asyncio.sleep(0.1)
+
+
+async def test_counts_datagrams_both_ways():
+    expositions = [Exposition(), Exposition()]
+    sockets = [
+        PeerSocket(f"127.0.0.1:{get_free_port()}", each) for each in expositions
+    ]
+    for socket in sockets:
+        socket.register(b"kind", lambda data, sender: None)
+        await socket.start()
+    try:
+        sockets[0].send(b"kind", b"12345", sockets[1].own)
+        async with asyncio.timeout(5.0):
+            while not sockets[1].peers:
+                await asyncio.sleep(0.01)
+    finally:
+        for socket in sockets:
+            await socket.stop()
+    for exposition, way in zip(expositions, ("sent", "received"), strict=True):
+        samples = parse(exposition.format_text())
+        labels = (("kind", "kind"), ("way", way))
+        assert samples[f"{PREFIX}datagrams_total", labels] == 1
+        assert samples[f"{PREFIX}datagram_bytes_total", labels] == 9
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -14,6 +14,7 @@
 from lovagestage.gateway import gossip as gossips
 from lovagestage.gateway import relay as relays
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.exposition import Exposition
 from lovagestage.gateway.feeds import StoreReturn, TopicFeed
 from lovagestage.gateway.gossip import ALIVE_S
 from lovagestage.gateway.peers import FORGET_S, PeerSocket
@@ -41,8 +42,10 @@
     """The parts of a gateway that learn what is in the store."""
 
     def __init__(self, store_port):
-        self.socket = PeerSocket(f"127.0.0.1:{get_free_port()}")
-        self.relay = Relay(self.socket, BOUND_S)
+        self.exposition = Exposition()
+        address = f"127.0.0.1:{get_free_port()}"
+        self.socket = PeerSocket(address, self.exposition)
+        self.relay = Relay(self.socket, BOUND_S, self.exposition)
         self.listener = Recorder()
         self.client = StoreClient(f"127.0.0.1:{store_port}")
         self.calls = 0
@@ -167,6 +170,18 @@
         )
 
 
+async def test_follower_counts_its_questions():
+    async with run_gateways() as (_, watcher, follower):
+        name = "lovagestage_relay_questions_total"
+        answered, lost = (
+            f'{name}{{outcome="{outcome}"}}' for outcome in ("answered", "lost")
+        )
+        assert answered in follower.exposition.format_text()
+        assert lost not in follower.exposition.format_text()
+        await watcher.stop()
+        await wait_until(lambda: lost in follower.exposition.format_text())
+
+
 async def test_follower_does_not_rely_on_a_watcher_without_the_store():
     # The store turns the watcher's VM away and serves the follower. A key is
     # taken away meanwhile. The watcher's proof grows old; the follower must
@@ -233,8 +248,8 @@
 
 
 async def test_few_gateways_read_the_store_themselves():
-    socket = PeerSocket("127.0.0.1:1")
-    relay = Relay(socket, BOUND_S)
+    socket = PeerSocket("127.0.0.1:1", Exposition())
+    relay = Relay(socket, BOUND_S, Exposition())
     for port in range(2, MIN_GATEWAYS):
         socket.add_peer(f"127.0.0.1:{port}")
         assert relay.get_mode() is RelayMode.ALONE
@@ -251,10 +266,10 @@
     found = []
     asked = []
     for own in addresses:
-        socket = PeerSocket(own)
+        socket = PeerSocket(own, Exposition())
         for each in addresses:
             socket.add_peer(each)
-        relay = Relay(socket, BOUND_S)
+        relay = Relay(socket, BOUND_S, Exposition())
         found.append(tuple(relay._get_watchers()))
         if relay.get_mode() is RelayMode.FOLLOWER:
             asked.append(relay._choose_watcher())
@@ -268,7 +283,10 @@
 async def test_gateway_is_known_by_its_datagrams():
     # The store has forgotten the notes of gateways that have run for long. A
     # gateway that has just started learns of them when they send to it.
-    one, two = (PeerSocket(f"127.0.0.1:{get_free_port()}") for _ in range(2))
+    one, two = (
+        PeerSocket(f"127.0.0.1:{get_free_port()}", Exposition())
+        for _ in range(2)
+    )
     two.register(b"kind", lambda data, sender: None)
     for socket in (one, two):
         await socket.start()
@@ -298,7 +316,7 @@
 async def test_gateways_that_were_replaced_are_forgotten():
     # VMs are replaced all day. Were their addresses kept, datagrams would go
     # to ever more of them, and the first ranks would hold none that watches.
-    socket = PeerSocket("127.0.0.1:1")
+    socket = PeerSocket("127.0.0.1:1", Exposition())
     socket.register(b"kind", lambda data, sender: None)
     for port in (2, 3):
         socket.add_peer(f"127.0.0.1:{port}")
@@ -331,7 +349,9 @@
     bounds = Bounds(revoke_s, 4.0, 3.0, 8.0, 0.9, 0.1, 30.0, 5.0)
     bound_s = get_relay_bound_s(bounds)
     assert bound_s <= 3.0
-    relay = Relay(PeerSocket("127.0.0.1:1"), bound_s)
+    relay = Relay(
+        PeerSocket("127.0.0.1:1", Exposition()), bound_s, Exposition()
+    )
     oldest_s = relay.watch_wait_s + relays.SLACK_S + relay._period_s
     trust = Trust(revoke_s)
     trust.note_proof(0.0)
