--- a/lab/audit.py
+++ b/lab/audit.py
@@ -9,7 +9,7 @@
 from lab.fault_plan import FaultKind
 from lab.recorded_runs import RecordedRun
 from lab.traffic import Kind, Send
-from lovagestage.billing import Bill, BillOutcome
+from lovagestage.decisions.billing import Bill, BillOutcome
 
 FORCE_S = 8.0
 """An accepted change is in force everywhere by then."""
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -17,7 +17,7 @@
 import openai
 
 from lab.fleet import Fleet
-from lovagestage.document import ServiceDocument
+from lovagestage.state.document import ServiceDocument
 
 TIMEOUT_S = 30.0
 _ROOT = pathlib.Path(__file__).parent.parent
--- a/lab/demo_operations.py
+++ b/lab/demo_operations.py
@@ -10,7 +10,7 @@
 
 from lab.clients import edit_document, run_command
 from lab.demo_stage import Row, Stage, ask, read_stream, wait_until
-from lovagestage.document import ClassSpec, ServiceDocument, VersionState
+from lovagestage.state.document import ClassSpec, ServiceDocument, VersionState
 
 IN_FORCE_S = 8.0
 """An accepted change is in force everywhere by then."""
--- a/lab/experiments/billing.py
+++ b/lab/experiments/billing.py
@@ -14,7 +14,7 @@
 import tracemalloc
 
 from lab.experiments import Result
-from lovagestage.billing import (
+from lovagestage.decisions.billing import (
     HOLD_TIMEOUT_S,
     Bill,
     BillingLedger,
--- a/lab/experiments/capacity.py
+++ b/lab/experiments/capacity.py
@@ -29,19 +29,19 @@
 from lab.ports import HOST, get_free_port
 from lab.shapes import Shape
 from lab.usage import get_usage
-from lovagestage.document import (
+from lovagestage.bus.transport import Listener, PeerId
+from lovagestage.decisions.routing import UpstreamView, choose_upstream
+from lovagestage.execution.sidecar import get_state_hash, shorten
+from lovagestage.messages.envelope import Heartbeat, Hello, Message
+from lovagestage.settings import BusSettings
+from lovagestage.state.document import (
     ClassSpec,
     ServiceDocument,
     VersionSpec,
     WorkspaceSpec,
 )
-from lovagestage.fold import ControlState
-from lovagestage.messages import Heartbeat, Hello, Message
-from lovagestage.records import DocumentChange, encode_record
-from lovagestage.routing import UpstreamView, choose_upstream
-from lovagestage.settings import BusSettings
-from lovagestage.sidecar import get_state_hash, shorten
-from lovagestage.transport import Listener, PeerId
+from lovagestage.state.fold import ControlState
+from lovagestage.state.records import DocumentChange, encode_record
 from lovagestage.types import (
     ChangeId,
     ServiceId,
--- a/lab/experiments/config.py
+++ b/lab/experiments/config.py
@@ -22,12 +22,12 @@
 from lab.experiments import Result
 from lab.log import LogService
 from lab.server import start_app
-from lovagestage.control import READ_WAIT_S, ControlReader
-from lovagestage.documents import ServiceInForce
-from lovagestage.http_log import HttpLog
-from lovagestage.records import DocumentChange
+from lovagestage.adapters.http_log import HttpLog
+from lovagestage.control.reader import READ_WAIT_S, ControlReader
+from lovagestage.control.writer import ControlWriter
+from lovagestage.state.documents import ServiceInForce
+from lovagestage.state.records import DocumentChange
 from lovagestage.types import ChangeId, ServiceId
-from lovagestage.writer import ControlWriter
 
 HOST = "127.0.0.1"
 READERS = 200
--- a/lab/experiments/cost.py
+++ b/lab/experiments/cost.py
@@ -22,8 +22,13 @@
 import numpy.typing as npt
 
 from lab.experiments import Result
-from lovagestage.cascade import CascadeTable, get_difficulty, may_escalate
-from lovagestage.learned import Arm, Learned, Plan
+from lovagestage.decisions.cascade import (
+    CascadeTable,
+    get_difficulty,
+    may_escalate,
+)
+from lovagestage.decisions.learned import Learned
+from lovagestage.messages.counters import Arm, Plan
 from lovagestage.types import VmId
 
 PROCESSES = 3
--- a/lab/experiments/deadline.py
+++ b/lab/experiments/deadline.py
@@ -16,7 +16,7 @@
 import random
 
 from lab.experiments import Result
-from lovagestage.deadlines import DeferralQueue, Deferred, SlotSpec
+from lovagestage.decisions.deadlines import DeferralQueue, Deferred, SlotSpec
 from lovagestage.types import RequestId
 
 ENGINES = 2
--- a/lab/experiments/exposure.py
+++ b/lab/experiments/exposure.py
@@ -17,8 +17,8 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from lab.experiments import Result
-from lovagestage.document import RolloutSpec
-from lovagestage.exposure import Assignment, ExposureGate
+from lovagestage.decisions.exposure import Assignment, ExposureGate
+from lovagestage.state.document import RolloutSpec
 from lovagestage.types import Offset, VmId
 
 PROCESSES = 3
--- a/lab/experiments/failover.py
+++ b/lab/experiments/failover.py
@@ -37,11 +37,11 @@
 from lab.relay import Relay
 from lab.shapes import EXAMPLES, Shape
 from lab.traffic import Traffic
-from lovagestage.billing import BILLING_STREAM, Bill, decode_batch
-from lovagestage.document import ServiceDocument
-from lovagestage.edits import make_withdrawal
-from lovagestage.http_log import HttpLog
+from lovagestage.adapters.http_log import HttpLog
+from lovagestage.decisions.billing import BILLING_STREAM, Bill, decode_batch
+from lovagestage.operations.edits import make_withdrawal
 from lovagestage.settings import parse_file
+from lovagestage.state.document import ServiceDocument
 from lovagestage.types import Offset
 
 DURATION_S = 65.0
--- a/lab/experiments/keys.py
+++ b/lab/experiments/keys.py
@@ -17,9 +17,9 @@
 from lab.experiments import Result
 from lab.fleet import Fleet
 from lab.shapes import Shape
-from lovagestage.key_messages import Claim, RunId
-from lovagestage.members import MemberId, MemberJoined, MemberView
-from lovagestage.request_keys import Ledger
+from lovagestage.decisions.request_keys import Ledger
+from lovagestage.messages.keys import Claim, RunId
+from lovagestage.state.members import MemberId, MemberJoined, MemberView
 from lovagestage.types import Offset, RequestId, VmId, WorkspaceId, ZoneId
 
 PAIRS = 300
--- a/lab/experiments/latency.py
+++ b/lab/experiments/latency.py
@@ -18,7 +18,7 @@
 import numpy as np
 
 from lab.experiments import Result
-from lovagestage.routing import UpstreamView, choose_upstream
+from lovagestage.decisions.routing import UpstreamView, choose_upstream
 from lovagestage.types import VmId, ZoneId
 
 ENGINES = 16
--- a/lab/experiments/limits.py
+++ b/lab/experiments/limits.py
@@ -20,14 +20,14 @@
 from collections.abc import Iterator
 
 from lab.experiments import Result
-from lovagestage.limit_service import (
+from lovagestage.decisions.limits import Charge, Limit, LimitTable
+from lovagestage.entry.limit_service import (
     FRAME_BYTES,
     REPORT_INTERVAL_S,
     get_report_count,
 )
-from lovagestage.limits import Charge, Limit, LimitTable
-from lovagestage.messages import encode_message
-from lovagestage.peer_messages import UsageReport
+from lovagestage.messages.envelope import encode_message
+from lovagestage.messages.peers import UsageReport
 from lovagestage.types import VmId, WorkspaceTag
 
 ENTRIES = 8
--- a/lab/experiments/log_outage.py
+++ b/lab/experiments/log_outage.py
@@ -23,23 +23,23 @@
 from lab.experiments.config import make_document
 from lab.log import LogService
 from lab.server import start_app
-from lovagestage.adapters import Log, LogPage
-from lovagestage.control import ControlReader
+from lovagestage.adapters.http_log import HttpLog
+from lovagestage.adapters.protocols import Log, LogPage
+from lovagestage.control.peerstate import choose_newest
+from lovagestage.control.reader import ControlReader
+from lovagestage.control.snapshotting import SnapshotStream
+from lovagestage.control.writer import ControlWriter
 from lovagestage.exceptions import BelowHorizonError, LogUnavailableError
-from lovagestage.fold import Outcome
-from lovagestage.http_log import HttpLog
-from lovagestage.messages import StateAnswer
-from lovagestage.peerstate import choose_newest
-from lovagestage.records import (
+from lovagestage.messages.envelope import StateAnswer
+from lovagestage.state.fold import Outcome
+from lovagestage.state.records import (
     CONTROL_STREAM,
     SNAPSHOT_STREAM,
     DocumentChange,
     decode_record,
 )
-from lovagestage.snapshots import make_chunks
-from lovagestage.snapshotting import SnapshotStream
+from lovagestage.state.snapshots import make_chunks
 from lovagestage.types import ChangeId, FencingNumber, Offset, ServiceId
-from lovagestage.writer import ControlWriter
 
 HOST = "127.0.0.1"
 MINUTE_S = 0.6
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -26,16 +26,16 @@
 from lab.fleet_settings import OPERATOR, FleetSettings, StandInUrls
 from lab.ports import HOST, get_free_port
 from lab.shapes import EXAMPLES, Shape
-from lovagestage.document import ServiceDocument
-from lovagestage.operators import sign_change
-from lovagestage.records import (
+from lovagestage.settings import parse_file
+from lovagestage.state.document import ServiceDocument
+from lovagestage.state.operators import sign_change
+from lovagestage.state.records import (
     DocumentChange,
     OperatorsChange,
     OperatorSpec,
     Record,
     encode_record,
 )
-from lovagestage.settings import parse_file
 from lovagestage.types import ChangeId
 
 READY_TIMEOUT_S = 30.0
@@ -293,7 +293,7 @@
 
     def get_dump(self, name: str) -> Any:
         """The state that one of the product's processes shows."""
-        from lovagestage.messages import (
+        from lovagestage.messages.envelope import (
             DumpAnswer,
             DumpRequest,
             decode_message,
--- a/lab/naive_proxy.py
+++ b/lab/naive_proxy.py
@@ -22,11 +22,20 @@
 
 from lab.faults import error
 from lab.server import add_server_arguments, run_app
-from lovagestage.billing import BILLING_STREAM, Batch, Bill, encode_batch
-from lovagestage.document import ServiceDocument, VersionState
+from lovagestage.adapters.http_log import HttpLog
+from lovagestage.decisions.billing import (
+    BILLING_STREAM,
+    Batch,
+    Bill,
+    encode_batch,
+)
 from lovagestage.exceptions import CodecError, LogError
-from lovagestage.http_log import HttpLog
-from lovagestage.records import CONTROL_STREAM, DocumentChange, decode_record
+from lovagestage.state.document import ServiceDocument, VersionState
+from lovagestage.state.records import (
+    CONTROL_STREAM,
+    DocumentChange,
+    decode_record,
+)
 from lovagestage.types import Offset, RequestId, ServiceId, WorkspaceId
 
 TRIES = 3
--- a/lab/pages.py
+++ b/lab/pages.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from lovagestage.document import ServiceDocument
 from lovagestage.gateway import exposition
-from lovagestage.metrics import format_page
+from lovagestage.state.document import ServiceDocument
+from lovagestage.telemetry.metrics import format_page
 
 ROOT = pathlib.Path(__file__).parent.parent
 SOURCE = ROOT / "src" / "lovagestage"
--- a/lab/traffic.py
+++ b/lab/traffic.py
@@ -14,7 +14,7 @@
 import aiohttp
 
 from lab.answers import answer_tokens, prompt_text
-from lovagestage.sessions import HEADER_MOVED_FROM, HEADER_SESSION
+from lovagestage.decisions.sessions import HEADER_MOVED_FROM, HEADER_SESSION
 
 LEAVE_S = 3.0
 """A caller that may send again leaves an entry that says nothing so long."""
--- a/lab/up.py
+++ b/lab/up.py
@@ -7,8 +7,8 @@
 
 from lab.fleet import Fleet
 from lab.shapes import SHAPES
-from lovagestage.document import ServiceDocument
 from lovagestage.settings import parse_file
+from lovagestage.state.document import ServiceDocument
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- /dev/null
+++ b/src/lovagestage/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Everything outside, behind protocols."""
--- a/src/lovagestage/http_engine.py
+++ b/src/lovagestage/adapters/http_engine.py
@@ -7,10 +7,10 @@
 import aiohttp
 import msgspec
 
-from lovagestage.adapters import EngineLoad
+from lovagestage.adapters.http_calls import SHORT_CALL, STREAM
+from lovagestage.adapters.protocols import EngineLoad
 from lovagestage.exceptions import EngineError, EngineRefusedError
-from lovagestage.http_calls import SHORT_CALL, STREAM
-from lovagestage.messages import OrderState
+from lovagestage.messages.envelope import OrderState
 from lovagestage.types import FencingNumber, RequestId, RunState
 
 _ORDER_STATES = {
--- a/src/lovagestage/http_log.py
+++ b/src/lovagestage/adapters/http_log.py
@@ -7,17 +7,17 @@
 import aiohttp
 import msgspec
 
-from lovagestage.adapters import LogPage
+from lovagestage.adapters.http_calls import (
+    SHORT_CALL,
+    SHORT_CALL_TIMEOUT_S,
+    UNREADABLE,
+)
+from lovagestage.adapters.protocols import LogPage
 from lovagestage.exceptions import (
     BelowHorizonError,
     LogAnswerLostError,
     LogUnavailableError,
 )
-from lovagestage.http_calls import (
-    SHORT_CALL,
-    SHORT_CALL_TIMEOUT_S,
-    UNREADABLE,
-)
 from lovagestage.types import Offset
 
 
--- a/src/lovagestage/http_plain_service.py
+++ b/src/lovagestage/adapters/http_plain_service.py
@@ -9,14 +9,10 @@
 import yarl
 from multidict import CIMultiDict
 
+from lovagestage.adapters.http_calls import CONNECT_TIMEOUT_S
+from lovagestage.decisions.plain_calls import make_answer_headers
 from lovagestage.exceptions import EngineError, EngineRefusedError
-from lovagestage.http_calls import CONNECT_TIMEOUT_S
-from lovagestage.plain_calls import (
-    Header,
-    PlainAnswer,
-    PlainCall,
-    make_answer_headers,
-)
+from lovagestage.messages.calls import Header, PlainAnswer, PlainCall
 from lovagestage.types import RequestId, RunState
 
 _CALL = aiohttp.ClientTimeout(
--- a/src/lovagestage/http_rater.py
+++ b/src/lovagestage/adapters/http_rater.py
@@ -5,8 +5,8 @@
 import aiohttp
 import msgspec
 
-from lovagestage.adapters import RatedAnswer, RaterError, RatingPage
-from lovagestage.http_calls import SHORT_CALL, UNREADABLE
+from lovagestage.adapters.http_calls import SHORT_CALL, UNREADABLE
+from lovagestage.adapters.protocols import RatedAnswer, RaterError, RatingPage
 
 
 class HttpRater:
--- a/src/lovagestage/http_vm_list.py
+++ b/src/lovagestage/adapters/http_vm_list.py
@@ -5,8 +5,8 @@
 import aiohttp
 import msgspec
 
-from lovagestage.adapters import Vm, VmListError
-from lovagestage.http_calls import SHORT_CALL, UNREADABLE
+from lovagestage.adapters.http_calls import SHORT_CALL, UNREADABLE
+from lovagestage.adapters.protocols import Vm, VmListError
 from lovagestage.types import Role, VmId, VmState, ZoneId
 
 
--- a/src/lovagestage/adapters.py
+++ b/src/lovagestage/adapters/protocols.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from lovagestage.exceptions import LovagestageError
-from lovagestage.messages import OrderState
-from lovagestage.plain_calls import Header, PlainAnswer, PlainCall
+from lovagestage.messages.calls import Header, PlainAnswer, PlainCall
+from lovagestage.messages.envelope import OrderState
 from lovagestage.types import (
     FencingNumber,
     ModelVersion,
--- /dev/null
+++ b/src/lovagestage/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers, and the process that serves it."""
--- a/src/lovagestage/authentication.py
+++ b/src/lovagestage/api/authentication.py
@@ -7,13 +7,13 @@
 
 from aiohttp import web
 
-from lovagestage.control import ControlReader
-from lovagestage.document import ServiceDocument, get_key_digest
-from lovagestage.documents import ServiceInForce
+from lovagestage.control.reader import ControlReader
+from lovagestage.entry.keyed_refusals import get_progress
+from lovagestage.entry.trials import Trials
 from lovagestage.exceptions import NotReadyError, WrongKeyError
-from lovagestage.fold import ControlState
-from lovagestage.keyed_refusals import get_progress
-from lovagestage.trials import Trials
+from lovagestage.state.document import ServiceDocument, get_key_digest
+from lovagestage.state.documents import ServiceInForce
+from lovagestage.state.fold import ControlState
 from lovagestage.types import Offset, ServiceId, WorkspaceId
 
 _BEARER = "Bearer "
--- a/src/lovagestage/callers.py
+++ b/src/lovagestage/api/callers.py
@@ -8,23 +8,23 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
-from lovagestage.authentication import Authenticator
-from lovagestage.chat_api import ChatApi
-from lovagestage.control import ControlReader
-from lovagestage.document import get_open_versions
-from lovagestage.error_answers import make_error_response
+from lovagestage.api.authentication import Authenticator
+from lovagestage.api.chat_api import ChatApi
+from lovagestage.api.error_answers import make_error_response
+from lovagestage.api.plain_api import PlainApi
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.plain_calls import find_route
+from lovagestage.entry.keyed_refusals import KeyedRefusals
 from lovagestage.exceptions import (
     BodyTooLargeError,
     IncompleteBodyError,
     RequestRefusedError,
     UnknownRouteError,
 )
-from lovagestage.keyed_refusals import KeyedRefusals
-from lovagestage.measurement import HEALTH_PATH, Meter
-from lovagestage.plain_api import PlainApi
-from lovagestage.plain_calls import find_route
 from lovagestage.settings import EntrySettings
-from lovagestage.upstreams import UpstreamTable
+from lovagestage.state.document import get_open_versions
+from lovagestage.telemetry.measurement import HEALTH_PATH, Meter
 
 MAX_START_S = 10.0
 """An upstream not heard by then keeps the entry from serving no longer."""
--- a/src/lovagestage/chat_admission.py
+++ b/src/lovagestage/api/chat_admission.py
@@ -7,23 +7,10 @@
 
 from aiohttp import web
 
-from lovagestage.admission import Choice
-from lovagestage.authentication import Caller
-from lovagestage.chat_form import ChatForm, get_class_name
-from lovagestage.deferral_service import HEADER_DEADLINE, resolve_deadline_s
-from lovagestage.document import (
-    ClassSpec,
-    Repeatable,
-    ServiceDocument,
-    get_open_versions,
-)
-from lovagestage.exceptions import (
-    MalformedRequestError,
-    ModelNotAllowedError,
-    UnknownModelError,
-)
-from lovagestage.request import Request
-from lovagestage.sessions import (
+from lovagestage.api.authentication import Caller
+from lovagestage.api.chat_form import ChatForm, get_class_name
+from lovagestage.decisions.admission import Choice
+from lovagestage.decisions.sessions import (
     Session,
     SessionSigner,
     check_session,
@@ -31,7 +18,23 @@
     is_pinned,
     resolve_model,
 )
-from lovagestage.trials import Trials
+from lovagestage.entry.deferral_service import (
+    HEADER_DEADLINE,
+    resolve_deadline_s,
+)
+from lovagestage.entry.trials import Trials
+from lovagestage.exceptions import (
+    MalformedRequestError,
+    ModelNotAllowedError,
+    UnknownModelError,
+)
+from lovagestage.execution.request import Request
+from lovagestage.state.document import (
+    ClassSpec,
+    Repeatable,
+    ServiceDocument,
+    get_open_versions,
+)
 from lovagestage.types import ModelVersion, RequestId, parse_model_version
 
 
--- a/src/lovagestage/chat_answers.py
+++ b/src/lovagestage/api/chat_answers.py
@@ -11,20 +11,20 @@
 import msgspec
 from aiohttp import web
 
-from lovagestage.authentication import Caller
-from lovagestage.billed import BilledStream, make_bill
-from lovagestage.billing_service import BillingService
-from lovagestage.error_answers import make_error_body
-from lovagestage.exceptions import RequestRefusedError
-from lovagestage.measurement import Measurement, get_measurement
-from lovagestage.request import Request, Result
-from lovagestage.sessions import (
+from lovagestage.api.authentication import Caller
+from lovagestage.api.error_answers import make_error_body
+from lovagestage.decisions.sessions import (
     HEADER_MOVED_FROM,
     HEADER_SESSION,
     SessionSigner,
     is_pinned,
     make_next_session,
 )
+from lovagestage.entry.billed import BilledStream, make_bill
+from lovagestage.entry.billing_service import BillingService
+from lovagestage.exceptions import RequestRefusedError
+from lovagestage.execution.request import Request, Result
+from lovagestage.telemetry.measurement import Measurement, get_measurement
 
 HEADER_REQUEST_ID = "X-Request-Id"
 HEADER_VERSION = "X-Model-Version"
--- a/src/lovagestage/chat_api.py
+++ b/src/lovagestage/api/chat_api.py
@@ -6,20 +6,20 @@
 
 from aiohttp import web
 
-from lovagestage.authentication import Caller
-from lovagestage.billing_service import BillingService
-from lovagestage.chat_admission import ChatAdmission
-from lovagestage.chat_answers import ChatAnswers
-from lovagestage.chat_form import parse_form
-from lovagestage.deferral_service import DeferralService
-from lovagestage.dispatcher import Dispatcher
-from lovagestage.escalation import Escalation, may_run_twice
-from lovagestage.keyed_refusals import get_progress
-from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
-from lovagestage.limit_service import LimitService
-from lovagestage.measurement import get_measurement
-from lovagestage.request import Request, Result
-from lovagestage.trials import Trials
+from lovagestage.api.authentication import Caller
+from lovagestage.api.chat_admission import ChatAdmission
+from lovagestage.api.chat_answers import ChatAnswers
+from lovagestage.api.chat_form import parse_form
+from lovagestage.entry.billing_service import BillingService
+from lovagestage.entry.deferral_service import DeferralService
+from lovagestage.entry.dispatcher import Dispatcher
+from lovagestage.entry.escalation import Escalation, may_run_twice
+from lovagestage.entry.keyed_refusals import get_progress
+from lovagestage.entry.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.entry.limit_service import LimitService
+from lovagestage.entry.trials import Trials
+from lovagestage.execution.request import Request, Result
+from lovagestage.telemetry.measurement import get_measurement
 
 
 class ChatApi:
--- a/src/lovagestage/chat_form.py
+++ b/src/lovagestage/api/chat_form.py
@@ -5,8 +5,8 @@
 import msgspec
 from aiohttp import web
 
-from lovagestage.document import DEFAULT_CLASS
 from lovagestage.exceptions import MalformedRequestError
+from lovagestage.state.document import DEFAULT_CLASS
 
 HEADER_CLASS = "X-Request-Class"
 
--- a/src/lovagestage/entry.py
+++ b/src/lovagestage/api/entry.py
@@ -9,32 +9,37 @@
 import msgspec
 from aiohttp import web
 
-from lovagestage.authentication import Authenticator
-from lovagestage.billing_service import BillingService
-from lovagestage.callers import CallerApi
-from lovagestage.chat_admission import ChatAdmission
-from lovagestage.chat_answers import ChatAnswers
-from lovagestage.chat_api import ChatApi
-from lovagestage.control import ControlReader
-from lovagestage.deferral_service import DeferralService
-from lovagestage.dispatcher import Dispatcher
-from lovagestage.escalation import Escalation
-from lovagestage.hub import Hub
-from lovagestage.key_service import KeyService
-from lovagestage.keyed_refusals import KeyedRefusals
-from lovagestage.keyed_runs import KeyedRuns
-from lovagestage.limit_service import LimitService
-from lovagestage.links import LinkTable
-from lovagestage.measurement import Meter
-from lovagestage.messages import DumpAnswer, DumpRequest, Hello, Message
-from lovagestage.metrics import Metrics
-from lovagestage.plain_api import PlainApi
-from lovagestage.sessions import SessionSigner
+from lovagestage.api.authentication import Authenticator
+from lovagestage.api.callers import CallerApi
+from lovagestage.api.chat_admission import ChatAdmission
+from lovagestage.api.chat_answers import ChatAnswers
+from lovagestage.api.chat_api import ChatApi
+from lovagestage.api.plain_api import PlainApi
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.transport import PeerId
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.sessions import SessionSigner
+from lovagestage.entry.billing_service import BillingService
+from lovagestage.entry.deferral_service import DeferralService
+from lovagestage.entry.dispatcher import Dispatcher
+from lovagestage.entry.escalation import Escalation
+from lovagestage.entry.key_service import KeyService
+from lovagestage.entry.keyed_refusals import KeyedRefusals
+from lovagestage.entry.keyed_runs import KeyedRuns
+from lovagestage.entry.limit_service import LimitService
+from lovagestage.entry.trials import Trials
+from lovagestage.messages.envelope import (
+    DumpAnswer,
+    DumpRequest,
+    Hello,
+    Message,
+)
 from lovagestage.settings import EntrySettings, Settings
-from lovagestage.transport import PeerId
-from lovagestage.trials import Trials
+from lovagestage.telemetry.measurement import Meter
+from lovagestage.telemetry.metrics import Metrics
 from lovagestage.types import VmId
-from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/plain_api.py
+++ b/src/lovagestage/api/plain_api.py
@@ -8,25 +8,27 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from lovagestage.dispatcher import Dispatcher
-from lovagestage.document import RouteSpec, ServiceDocument
-from lovagestage.exceptions import CodecError, UpstreamFailedError
-from lovagestage.keyed_refusals import get_progress
-from lovagestage.keyed_runs import HEADER_KEY, KeyedRuns
-from lovagestage.measurement import get_measurement
-from lovagestage.plain_calls import (
+from lovagestage.decisions.plain_calls import (
     HEADER_REQUEST_ID,
+    is_repeatable,
+    make_pool_version,
+    make_request_headers,
+    make_target,
+)
+from lovagestage.entry.dispatcher import Dispatcher
+from lovagestage.entry.keyed_refusals import get_progress
+from lovagestage.entry.keyed_runs import HEADER_KEY, KeyedRuns
+from lovagestage.exceptions import CodecError, UpstreamFailedError
+from lovagestage.execution.request import Request, Result
+from lovagestage.messages.calls import (
     Header,
     PlainAnswer,
     PlainCall,
     decode_answer,
     encode_call,
-    is_repeatable,
-    make_pool_version,
-    make_request_headers,
-    make_target,
 )
-from lovagestage.request import Request, Result
+from lovagestage.state.document import RouteSpec, ServiceDocument
+from lovagestage.telemetry.measurement import get_measurement
 from lovagestage.types import PoolId, RequestId, RunState, WorkspaceId
 
 HEADER_ATTEMPTS = "X-Attempts"
--- /dev/null
+++ b/src/lovagestage/bus/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between processes."""
--- a/src/lovagestage/hub.py
+++ b/src/lovagestage/bus/hub.py
@@ -6,15 +6,15 @@
 import logging
 from collections.abc import Awaitable, Callable
 
+from lovagestage.bus.transport import Listener, PeerId
 from lovagestage.exceptions import CodecError
-from lovagestage.messages import (
+from lovagestage.messages.envelope import (
     Ask,
     Message,
     Reply,
     decode_message,
     encode_message,
 )
-from lovagestage.transport import Listener, PeerId
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/links.py
+++ b/src/lovagestage/bus/links.py
@@ -18,9 +18,11 @@
 import msgspec
 import zmq
 
-from lovagestage.adapters import Vm
+from lovagestage.adapters.protocols import Vm
+from lovagestage.bus.transport import Connection, ConnectionEvent, is_refused
+from lovagestage.decisions.subsets import Place, choose_subset
 from lovagestage.exceptions import CodecError
-from lovagestage.messages import (
+from lovagestage.messages.envelope import (
     Ask,
     Heartbeat,
     Hello,
@@ -29,15 +31,9 @@
     decode_message,
     encode_message,
 )
-from lovagestage.run_messages import Attach, Dispatch
+from lovagestage.messages.runs import Attach, Dispatch
 from lovagestage.settings import BusSettings
-from lovagestage.subsets import Place, choose_subset
 from lovagestage.timers import TimerService
-from lovagestage.transport import (
-    Connection,
-    ConnectionEvent,
-    is_refused,
-)
 from lovagestage.types import Role, VmId, VmState, ZoneId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/transport.py
+++ b/src/lovagestage/bus/transport.py
@@ -19,7 +19,7 @@
 from zmq.utils.monitor import parse_monitor_message
 
 from lovagestage.exceptions import CodecError
-from lovagestage.messages import (
+from lovagestage.messages.envelope import (
     MAX_MESSAGE_BYTES,
     Message,
     decode_message,
--- a/src/lovagestage/upstreams.py
+++ b/src/lovagestage/bus/upstreams.py
@@ -8,10 +8,10 @@
 import msgspec
 import zmq
 
-from lovagestage.links import LinkTable
-from lovagestage.messages import Heartbeat, Hello, Message
-from lovagestage.plain_calls import make_pool_version
-from lovagestage.routing import UpstreamView
+from lovagestage.bus.links import LinkTable
+from lovagestage.decisions.plain_calls import make_pool_version
+from lovagestage.decisions.routing import UpstreamView
+from lovagestage.messages.envelope import Heartbeat, Hello, Message
 from lovagestage.settings import BusSettings
 from lovagestage.timers import TimerService
 from lovagestage.types import Role, VmId, VmState, ZoneId
--- a/src/lovagestage/vmwatch.py
+++ b/src/lovagestage/bus/vmwatch.py
@@ -7,7 +7,7 @@
 
 import mode
 
-from lovagestage.adapters import Vm, VmList, VmListError
+from lovagestage.adapters.protocols import Vm, VmList, VmListError
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/cli.py
+++ b/src/lovagestage/cli.py
@@ -8,8 +8,7 @@
 import sys
 from collections.abc import Sequence
 
-from lovagestage import __version__, explain, usage
-from lovagestage.command_parsers import add_service_parsers
+from lovagestage import __version__
 from lovagestage.exceptions import (
     EXIT_FAILURE,
     LovagestageError,
@@ -17,6 +16,8 @@
 )
 from lovagestage.gateway.command import add_arguments as add_gateway_arguments
 from lovagestage.gateway.command import run as run_gateway_command
+from lovagestage.operations import explain, usage
+from lovagestage.operations.command_parsers import add_service_parsers
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/src/lovagestage/control/__init__.py
@@ -0,0 +1,1 @@
+"""Reading, appending and agreeing on the log."""
--- a/src/lovagestage/gate.py
+++ b/src/lovagestage/control/gate.py
@@ -9,7 +9,7 @@
 
 import time
 
-from lovagestage.control import ControlReader
+from lovagestage.control.reader import ControlReader
 from lovagestage.exceptions import (
     GateNotReadyError,
     LogError,
--- a/src/lovagestage/leasing.py
+++ b/src/lovagestage/control/leasing.py
@@ -17,14 +17,14 @@
 import msgspec
 import xxhash
 
-from lovagestage.control import ControlReader
+from lovagestage.control.reader import ControlReader
+from lovagestage.control.writer import RecordWriter, make_change_id
 from lovagestage.exceptions import LeaseLostError, LogError
-from lovagestage.leases import NO_FENCING, LeaseInForce
-from lovagestage.messages import Hello
-from lovagestage.outcomes import Outcome
-from lovagestage.records import LeaseRelease, LeaseRenew, LeaseTake
+from lovagestage.messages.envelope import Hello
+from lovagestage.state.leases import NO_FENCING, LeaseInForce
+from lovagestage.state.outcomes import Outcome
+from lovagestage.state.records import LeaseRelease, LeaseRenew, LeaseTake
 from lovagestage.types import ChangeId, FencingNumber, LeaseId
-from lovagestage.writer import RecordWriter, make_change_id
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/membership.py
+++ b/src/lovagestage/control/membership.py
@@ -8,18 +8,18 @@
 
 import mode
 
-from lovagestage.adapters import Log, Vm
-from lovagestage.control import ControlReader
+from lovagestage.adapters.protocols import Log, Vm
+from lovagestage.bus.links import LinkTable
+from lovagestage.control.reader import ControlReader
 from lovagestage.exceptions import LogError
-from lovagestage.links import LinkTable
-from lovagestage.members import (
+from lovagestage.state.members import (
     MemberId,
     MemberJoined,
     MemberRecord,
     MemberRemoved,
     MemberView,
 )
-from lovagestage.records import CONTROL_STREAM, encode_record
+from lovagestage.state.records import CONTROL_STREAM, encode_record
 from lovagestage.types import VmId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/orders.py
+++ b/src/lovagestage/control/orders.py
@@ -4,11 +4,16 @@
 
 import logging
 
-from lovagestage.adapters import Engine
+from lovagestage.adapters.protocols import Engine
+from lovagestage.bus.hub import Hub
+from lovagestage.control.gate import FencingGate
 from lovagestage.exceptions import EngineError, LovagestageError
-from lovagestage.gate import FencingGate
-from lovagestage.hub import Hub
-from lovagestage.messages import Message, Order, OrderResult, OrderState
+from lovagestage.messages.envelope import (
+    Message,
+    Order,
+    OrderResult,
+    OrderState,
+)
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/peerstate.py
+++ b/src/lovagestage/control/peerstate.py
@@ -16,14 +16,19 @@
 
 import mode
 
-from lovagestage.control import ControlReader
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.control.reader import ControlReader
 from lovagestage.exceptions import CodecError
-from lovagestage.fold import ControlState, restore_state
-from lovagestage.hub import Hub
-from lovagestage.links import LinkTable
-from lovagestage.messages import Message, StateAnswer, StateOffer, StateQuestion
+from lovagestage.messages.envelope import (
+    Message,
+    StateAnswer,
+    StateOffer,
+    StateQuestion,
+)
+from lovagestage.state.fold import ControlState, restore_state
 from lovagestage.types import VmId
-from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/control.py
+++ b/src/lovagestage/control/reader.py
@@ -10,10 +10,10 @@
 
 import mode
 
-from lovagestage.adapters import Log, LogPage
+from lovagestage.adapters.protocols import Log, LogPage
 from lovagestage.exceptions import BelowHorizonError, LogError
-from lovagestage.fold import ControlState, ServiceInForce
-from lovagestage.records import CONTROL_STREAM
+from lovagestage.state.fold import ControlState, ServiceInForce
+from lovagestage.state.records import CONTROL_STREAM
 from lovagestage.types import Offset, ServiceId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/rollout_driver.py
+++ b/src/lovagestage/control/rollout_driver.py
@@ -15,27 +15,27 @@
 
 import mode
 
-from lovagestage.control import ControlReader
-from lovagestage.document import RolloutState
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.control.leasing import LeaseKeeper
+from lovagestage.control.reader import ControlReader
+from lovagestage.control.writer import RecordWriter, make_change_id
+from lovagestage.decisions.routing import UpstreamView
 from lovagestage.exceptions import LogError, LovagestageError
-from lovagestage.leasing import LeaseKeeper
-from lovagestage.messages import Order, OrderResult, OrderState
-from lovagestage.records import RolloutProgress
-from lovagestage.rollout_chart import (
+from lovagestage.messages.envelope import Order, OrderResult, OrderState
+from lovagestage.state.document import RolloutState
+from lovagestage.state.records import RolloutProgress
+from lovagestage.state.rollout_chart import (
     Observation,
     Position,
     get_next_position,
 )
-from lovagestage.rollouts import (
+from lovagestage.state.rollouts import (
     ROLLOUT_LEASE,
     Progress,
     Rollout,
     RolloutKey,
 )
-from lovagestage.routing import UpstreamView
 from lovagestage.types import RolloutPhase, VmId
-from lovagestage.upstreams import UpstreamTable
-from lovagestage.writer import RecordWriter, make_change_id
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/snapshotting.py
+++ b/src/lovagestage/control/snapshotting.py
@@ -9,18 +9,18 @@
 import mode
 import msgspec
 
-from lovagestage.adapters import Log
-from lovagestage.control import ControlReader
+from lovagestage.adapters.protocols import Log
+from lovagestage.control.leasing import LeaseKeeper
+from lovagestage.control.reader import ControlReader
 from lovagestage.exceptions import (
     BelowHorizonError,
     CodecError,
     LeaseLostError,
     LogError,
 )
-from lovagestage.fold import ControlState
-from lovagestage.leasing import LeaseKeeper
-from lovagestage.records import SNAPSHOT_STREAM
-from lovagestage.snapshots import SnapshotShelf, make_chunks
+from lovagestage.state.fold import ControlState
+from lovagestage.state.records import SNAPSHOT_STREAM
+from lovagestage.state.snapshots import SnapshotShelf, make_chunks
 from lovagestage.types import LeaseId, Offset
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/writer.py
+++ b/src/lovagestage/control/writer.py
@@ -8,15 +8,15 @@
 import uuid
 from typing import Protocol
 
-from lovagestage.adapters import Log
-from lovagestage.control import ControlReader
+from lovagestage.adapters.protocols import Log
+from lovagestage.control.reader import ControlReader
 from lovagestage.exceptions import (
     ChangeUnknownError,
     LogAnswerLostError,
     LogUnavailableError,
 )
-from lovagestage.outcomes import ChangeResult
-from lovagestage.records import CONTROL_STREAM, Record, encode_record
+from lovagestage.state.outcomes import ChangeResult
+from lovagestage.state.records import CONTROL_STREAM, Record, encode_record
 from lovagestage.types import ChangeId
 
 _log = logging.getLogger(__name__)
--- /dev/null
+++ b/src/lovagestage/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""What is decided, without a clock or a socket."""
--- a/src/lovagestage/admission.py
+++ b/src/lovagestage/decisions/admission.py
@@ -11,14 +11,14 @@
 
 import msgspec
 
-from lovagestage.document import (
+from lovagestage.decisions.exposure import Assignment
+from lovagestage.messages.counters import Arm
+from lovagestage.state.document import (
     RolloutSpec,
     ServiceDocument,
     VersionState,
 )
-from lovagestage.exposure import Assignment
-from lovagestage.learned import Arm
-from lovagestage.rollouts import RolloutKey
+from lovagestage.state.rollouts import RolloutKey
 from lovagestage.types import ModelVersion
 
 
--- a/src/lovagestage/billing.py
+++ b/src/lovagestage/decisions/billing.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.peer_messages import BillCopy, BillRelease, NumberedBill
+from lovagestage.messages.peers import BillCopy, BillRelease, NumberedBill
 from lovagestage.types import RequestId, ServiceId, VmId, WorkspaceId, ZoneId
 
 BILLING_STREAM = "billing"
--- a/src/lovagestage/cascade.py
+++ b/src/lovagestage/decisions/cascade.py
@@ -15,7 +15,7 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from lovagestage.learned import Arm, Counter, Plan
+from lovagestage.messages.counters import Arm, Counter, Plan
 
 Z_SCORE = 1.65
 """One-sided 95%, for each solution on its own."""
--- a/src/lovagestage/crash_suspects.py
+++ b/src/lovagestage/decisions/crash_suspects.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-from lovagestage.crash_reports import CrashReport, CrashReportKind
+from lovagestage.messages.crashes import CrashReport, CrashReportKind
 from lovagestage.types import Fingerprint, WorkspaceId
 
 STRIKES_TO_PROBE = 2
--- a/src/lovagestage/exposure.py
+++ b/src/lovagestage/decisions/exposure.py
@@ -14,8 +14,9 @@
 
 import msgspec
 
-from lovagestage.betting import Direction, FailureTest, PairedTest
-from lovagestage.document import RolloutSpec, RolloutState
+from lovagestage.decisions.betting import Direction, FailureTest, PairedTest
+from lovagestage.messages.peers import Evidence
+from lovagestage.state.document import RolloutSpec, RolloutState
 from lovagestage.types import VmId
 
 FALSE_STOP_ALPHA = 0.008
@@ -59,38 +60,6 @@
     share: float
 
 
-class Evidence(msgspec.Struct, frozen=True, array_like=True, tag="evidence"):
-    """What one entry saw of a roll-out since its last message.
-
-    Attributes:
-        vm: The entry.
-        incarnation: Start time of its process.
-        sequence: Counts up by one; a repeated message is dropped.
-        epoch: Revision of the document that last changed the roll-out.
-        stopped: Whether the entry has stopped the roll-out.
-        step: Index of its step.
-        old_scores: Scores in 1/255, in the order of arrival.
-        new_scores: The same of the new version.
-        old_failure_shares: Share, in 1/255, of each failed request.
-        new_failure_shares: The same of the new version.
-        old_successes: Requests that did not fail.
-        new_successes: The same of the new version.
-    """
-
-    vm: VmId
-    incarnation: int
-    sequence: int
-    epoch: int
-    stopped: bool
-    step: int
-    old_scores: bytes
-    new_scores: bytes
-    old_failure_shares: bytes
-    new_failure_shares: bytes
-    old_successes: int
-    new_successes: int
-
-
 class _Batch:
     """Own observations that the next message carries."""
 
--- a/src/lovagestage/limits.py
+++ b/src/lovagestage/decisions/limits.py
@@ -17,7 +17,7 @@
 
 import xxhash
 
-from lovagestage.peer_messages import UsageReport, UsageRow
+from lovagestage.messages.peers import UsageReport, UsageRow
 from lovagestage.types import ServiceId, VmId, WorkspaceId, WorkspaceTag
 
 DEFAULT_TOKENS = 256.0
--- a/src/lovagestage/request_keys.py
+++ b/src/lovagestage/decisions/request_keys.py
@@ -13,7 +13,7 @@
 import enum
 import uuid
 
-from lovagestage.key_messages import (
+from lovagestage.messages.keys import (
     Claim,
     ClaimAnswer,
     ClaimOutcome,
@@ -23,12 +23,7 @@
     Pull,
     PullAnswer,
 )
-from lovagestage.members import (
-    SLOTS,
-    MemberId,
-    MemberView,
-    Period,
-)
+from lovagestage.state.members import SLOTS, MemberId, MemberView, Period
 from lovagestage.types import Offset, WorkspaceId
 
 NEVER_WHOLE = Offset(-1)
--- a/src/lovagestage/run_gate.py
+++ b/src/lovagestage/decisions/run_gate.py
@@ -12,7 +12,7 @@
 
 import collections
 
-from lovagestage.key_messages import RunKnown
+from lovagestage.messages.keys import RunKnown
 from lovagestage.types import RequestId
 
 PERMIT_MS = 30_000
--- a/src/lovagestage/sessions.py
+++ b/src/lovagestage/decisions/sessions.py
@@ -15,13 +15,6 @@
 import itsdangerous
 import msgspec
 
-from lovagestage.document import (
-    OnWithdraw,
-    ServiceDocument,
-    get_allowed_versions,
-    get_open_versions,
-    is_version_granted,
-)
 from lovagestage.exceptions import (
     ModelNotAllowedError,
     SessionExpiredError,
@@ -29,6 +22,13 @@
     SessionVersionConflictError,
     SessionVersionWithdrawnError,
 )
+from lovagestage.state.document import (
+    OnWithdraw,
+    ServiceDocument,
+    get_allowed_versions,
+    get_open_versions,
+    is_version_granted,
+)
 from lovagestage.types import (
     ModelVersion,
     ServiceId,
--- /dev/null
+++ b/src/lovagestage/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What an entry does for a request besides HTTP."""
--- a/src/lovagestage/billed.py
+++ b/src/lovagestage/entry/billed.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from lovagestage.billing import Bill, BillOutcome
-from lovagestage.billing_service import BillingService
-from lovagestage.events import DONE
-from lovagestage.request import Request, Result
+from lovagestage.decisions.billing import Bill, BillOutcome
+from lovagestage.entry.billing_service import BillingService
+from lovagestage.execution.events import DONE
+from lovagestage.execution.request import Request, Result
 
 _CONTENT = b'"content":'
 
--- a/src/lovagestage/billing_service.py
+++ b/src/lovagestage/entry/billing_service.py
@@ -12,8 +12,11 @@
 
 import mode
 
-from lovagestage.adapters import Log
-from lovagestage.billing import (
+from lovagestage.adapters.protocols import Log
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.transport import PeerId
+from lovagestage.decisions.billing import (
     BILLING_STREAM,
     Bill,
     BillingLedger,
@@ -21,12 +24,9 @@
     encode_batch,
 )
 from lovagestage.exceptions import BillingUnavailableError, LogError
-from lovagestage.hub import Hub
-from lovagestage.links import LinkTable
-from lovagestage.messages import Message
-from lovagestage.peer_messages import BillCopied, BillCopy, BillRelease
+from lovagestage.messages.envelope import Message
+from lovagestage.messages.peers import BillCopied, BillCopy, BillRelease
 from lovagestage.timers import TimerService
-from lovagestage.transport import PeerId
 from lovagestage.types import VmId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/cascade_service.py
+++ b/src/lovagestage/entry/cascade_service.py
@@ -9,20 +9,21 @@
 
 import mode
 
-from lovagestage.cascade import CascadeTable, get_difficulty
-from lovagestage.control import ControlReader
-from lovagestage.document import (
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.transport import PeerId
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.cascade import CascadeTable, get_difficulty
+from lovagestage.decisions.learned import Learned
+from lovagestage.execution.request import Request, Result
+from lovagestage.messages.counters import Arm, LearnedDelta, Plan
+from lovagestage.messages.envelope import Message
+from lovagestage.state.document import (
     ClassSpec,
     ServiceDocument,
     get_open_versions,
 )
-from lovagestage.hub import Hub
-from lovagestage.learned import Arm, Learned, LearnedDelta, Plan
-from lovagestage.links import LinkTable
-from lovagestage.messages import Message
-from lovagestage.request import Request, Result
 from lovagestage.timers import TimerService
-from lovagestage.transport import PeerId
 from lovagestage.types import ServiceId, WorkspaceId, parse_model_version
 
 SHARE_INTERVAL_S = 1.0
--- a/src/lovagestage/crash_watch.py
+++ b/src/lovagestage/entry/crash_watch.py
@@ -8,17 +8,17 @@
 import time
 from collections.abc import Iterator
 
-from lovagestage.crash_reports import CrashReport
-from lovagestage.crash_suspects import Admission, SuspectTable
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.transport import PeerId
+from lovagestage.decisions.crash_suspects import Admission, SuspectTable
 from lovagestage.exceptions import (
     RequestCrashesUpstreamsError,
     SuspectWaitingError,
     UpstreamCrashedError,
 )
-from lovagestage.hub import Hub
-from lovagestage.links import LinkTable
-from lovagestage.messages import Message
-from lovagestage.transport import PeerId
+from lovagestage.messages.crashes import CrashReport
+from lovagestage.messages.envelope import Message
 from lovagestage.types import Fingerprint
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/deferral_service.py
+++ b/src/lovagestage/entry/deferral_service.py
@@ -12,14 +12,14 @@
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
 
-from lovagestage.deadlines import DeferralQueue, Deferred
-from lovagestage.document import ClassSpec
+from lovagestage.decisions.deadlines import DeferralQueue, Deferred
 from lovagestage.exceptions import (
     DeadlineInfeasibleError,
     MalformedRequestError,
     RequestRefusedError,
 )
-from lovagestage.request import Request
+from lovagestage.execution.request import Request
+from lovagestage.state.document import ClassSpec
 from lovagestage.types import RequestId, RunState
 
 HEADER_DEADLINE = "X-Deadline-S"
--- a/src/lovagestage/dispatcher.py
+++ b/src/lovagestage/entry/dispatcher.py
@@ -11,9 +11,19 @@
 
 import msgspec
 
-from lovagestage.attempts import Attempt, AttemptKey
-from lovagestage.crash_suspects import get_fingerprint
-from lovagestage.crash_watch import CrashWatch
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.decisions.crash_suspects import get_fingerprint
+from lovagestage.decisions.retries import (
+    COME_BACK_S,
+    Failure,
+    RetryBudget,
+    get_retry_delay_s,
+    is_upstream_at_fault,
+    make_final_error,
+)
+from lovagestage.decisions.routing import choose_upstream
+from lovagestage.decisions.sessions import is_pinned
+from lovagestage.entry.crash_watch import CrashWatch
 from lovagestage.exceptions import (
     REFUSALS,
     DeadlineExceededError,
@@ -23,33 +33,23 @@
     UpstreamFailedError,
     UpstreamLostError,
 )
-from lovagestage.key_messages import RunId
-from lovagestage.messages import Message
-from lovagestage.request import Request, Result, join_run_states
-from lovagestage.retries import (
-    COME_BACK_S,
-    Failure,
-    RetryBudget,
-    get_retry_delay_s,
-    is_upstream_at_fault,
-    make_final_error,
-)
-from lovagestage.routing import choose_upstream
-from lovagestage.run_messages import (
+from lovagestage.execution.attempts import Attempt, AttemptKey
+from lovagestage.execution.request import Request, Result, join_run_states
+from lovagestage.messages.envelope import Message
+from lovagestage.messages.keys import RunId
+from lovagestage.messages.runs import (
     Accepted,
     Chunk,
     Dispatch,
     Finished,
     Refused,
 )
-from lovagestage.sessions import is_pinned
 from lovagestage.timers import TimerService
 from lovagestage.types import (
     Fingerprint,
     RunState,
     VmId,
 )
-from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/escalation.py
+++ b/src/lovagestage/entry/escalation.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
-from lovagestage.answers import CUT_OFF, parse_answer
-from lovagestage.cascade import may_escalate
-from lovagestage.dispatcher import Dispatcher
+from lovagestage.decisions.answers import CUT_OFF, parse_answer
+from lovagestage.decisions.cascade import may_escalate
+from lovagestage.entry.dispatcher import Dispatcher
 from lovagestage.exceptions import RequestRefusedError
-from lovagestage.request import Request, Result
+from lovagestage.execution.request import Request, Result
 from lovagestage.types import parse_model_version
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/exposure_service.py
+++ b/src/lovagestage/entry/exposure_service.py
@@ -9,19 +9,25 @@
 
 import mode
 
-from lovagestage.admission import Choice, Trial, is_in_rollout, withdraw_stopped
-from lovagestage.control import ControlReader
-from lovagestage.document import ServiceDocument, get_open_versions
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.transport import PeerId
+from lovagestage.control.reader import ControlReader
+from lovagestage.control.writer import RecordWriter
+from lovagestage.decisions.admission import (
+    Choice,
+    Trial,
+    is_in_rollout,
+    withdraw_stopped,
+)
+from lovagestage.decisions.exposure import ExposureGate, StopReason
 from lovagestage.exceptions import LogError
-from lovagestage.exposure import ExposureGate, StopReason
-from lovagestage.hub import Hub
-from lovagestage.links import LinkTable
-from lovagestage.messages import Hello, Message
-from lovagestage.peer_messages import EvidenceReport
-from lovagestage.records import RolloutStop
-from lovagestage.rollouts import Rollout, RolloutKey
+from lovagestage.messages.envelope import Hello, Message
+from lovagestage.messages.peers import EvidenceReport
+from lovagestage.state.document import ServiceDocument, get_open_versions
+from lovagestage.state.records import RolloutStop
+from lovagestage.state.rollouts import Rollout, RolloutKey
 from lovagestage.timers import TimerService
-from lovagestage.transport import PeerId
 from lovagestage.types import (
     ChangeId,
     ModelVersion,
@@ -29,7 +35,6 @@
     WorkspaceId,
     parse_model_version,
 )
-from lovagestage.writer import RecordWriter
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/key_service.py
+++ b/src/lovagestage/entry/key_service.py
@@ -8,9 +8,13 @@
 
 import mode
 
-from lovagestage.control import ControlReader
-from lovagestage.hub import Hub
-from lovagestage.key_messages import (
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.control.membership import Membership
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.request_keys import Ledger, PullState
+from lovagestage.messages.envelope import Message
+from lovagestage.messages.keys import (
     Claim,
     ClaimAnswer,
     ClaimOutcome,
@@ -19,12 +23,8 @@
     Pull,
     PullAnswer,
 )
-from lovagestage.links import LinkTable
-from lovagestage.members import SLOTS, MemberId, MemberView
-from lovagestage.membership import Membership
-from lovagestage.messages import Message
-from lovagestage.request_keys import Ledger, PullState
 from lovagestage.settings import EntrySettings
+from lovagestage.state.members import SLOTS, MemberId, MemberView
 from lovagestage.types import Offset, VmId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/keyed_refusals.py
+++ b/src/lovagestage/entry/keyed_refusals.py
@@ -14,16 +14,16 @@
 
 from aiohttp import web
 
-from lovagestage.exceptions import RequestRefusedError
-from lovagestage.key_messages import Claim, ClaimOutcome
-from lovagestage.key_service import KeyService
-from lovagestage.keyed_runs import (
+from lovagestage.entry.key_service import KeyService
+from lovagestage.entry.keyed_runs import (
     CLAIM_LIMIT_S,
     CLAIM_RETRY_S,
     HEADER_KEY,
     check_key,
     get_body_digest,
 )
+from lovagestage.exceptions import RequestRefusedError
+from lovagestage.messages.keys import Claim, ClaimOutcome
 from lovagestage.types import RunState, WorkspaceId
 
 _UNREAD = b""
--- a/src/lovagestage/keyed_runs.py
+++ b/src/lovagestage/entry/keyed_runs.py
@@ -9,7 +9,10 @@
 import time
 from collections.abc import AsyncIterator
 
-from lovagestage.dispatcher import Dispatcher
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.decisions.retries import MAX_ATTEMPTS
+from lovagestage.entry.dispatcher import Dispatcher
+from lovagestage.entry.key_service import KeyService
 from lovagestage.exceptions import (
     DeadlineExceededError,
     KeyHistoryLostError,
@@ -21,7 +24,8 @@
     NoCapacityError,
     RequestRefusedError,
 )
-from lovagestage.key_messages import (
+from lovagestage.execution.request import Request, Result
+from lovagestage.messages.keys import (
     Claim,
     ClaimAnswer,
     ClaimOutcome,
@@ -31,11 +35,7 @@
     RunId,
     RunKnown,
 )
-from lovagestage.key_service import KeyService
-from lovagestage.request import Request, Result
-from lovagestage.retries import MAX_ATTEMPTS
 from lovagestage.types import RunState, VmId, parse_model_version
-from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/limit_service.py
+++ b/src/lovagestage/entry/limit_service.py
@@ -9,20 +9,20 @@
 
 import mode
 
-from lovagestage.control import ControlReader
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.transport import PeerId
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.limits import Limit, LimitTable, get_workspace_tag
 from lovagestage.exceptions import (
     DeadlineInfeasibleError,
     RequestRefusedError,
     WorkspaceLimitError,
 )
-from lovagestage.hub import Hub
-from lovagestage.limits import Limit, LimitTable, get_workspace_tag
-from lovagestage.links import LinkTable
-from lovagestage.messages import Message, encode_message
-from lovagestage.peer_messages import UsageReport
-from lovagestage.request import Request, Result
+from lovagestage.execution.request import Request, Result
+from lovagestage.messages.envelope import Message, encode_message
+from lovagestage.messages.peers import UsageReport
 from lovagestage.timers import TimerService
-from lovagestage.transport import PeerId
 from lovagestage.types import RunState, VmId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/quality.py
+++ b/src/lovagestage/entry/quality.py
@@ -9,10 +9,10 @@
 
 import mode
 
-from lovagestage.adapters import RatedAnswer, Rater, RaterError
-from lovagestage.cascade_service import CascadeService
-from lovagestage.exposure_service import ExposureService
-from lovagestage.request import Request
+from lovagestage.adapters.protocols import RatedAnswer, Rater, RaterError
+from lovagestage.entry.cascade_service import CascadeService
+from lovagestage.entry.exposure_service import ExposureService
+from lovagestage.execution.request import Request
 from lovagestage.types import RequestId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/trials.py
+++ b/src/lovagestage/entry/trials.py
@@ -7,15 +7,15 @@
 
 import msgspec
 
-from lovagestage.adapters import RatedAnswer
-from lovagestage.admission import Choice, Trial
-from lovagestage.answers import Answer, parse_answer
-from lovagestage.cascade_service import CascadeService
-from lovagestage.document import ClassSpec, ServiceDocument
+from lovagestage.adapters.protocols import RatedAnswer
+from lovagestage.decisions.admission import Choice, Trial
+from lovagestage.decisions.answers import Answer, parse_answer
+from lovagestage.entry.cascade_service import CascadeService
+from lovagestage.entry.exposure_service import ExposureService
+from lovagestage.entry.quality import QualityService
 from lovagestage.exceptions import RequestRefusedError
-from lovagestage.exposure_service import ExposureService
-from lovagestage.quality import QualityService
-from lovagestage.request import Request, Result, is_version_at_fault
+from lovagestage.execution.request import Request, Result, is_version_at_fault
+from lovagestage.state.document import ClassSpec, ServiceDocument
 from lovagestage.types import (
     ModelVersion,
     WorkspaceId,
--- a/src/lovagestage/version_search.py
+++ b/src/lovagestage/entry/version_search.py
@@ -15,18 +15,18 @@
 
 import mode
 
-from lovagestage.control import ControlReader
-from lovagestage.hub import Hub
-from lovagestage.links import LinkTable
-from lovagestage.messages import Message
-from lovagestage.peer_messages import (
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.plain_calls import make_pool_version
+from lovagestage.messages.envelope import Message
+from lovagestage.messages.peers import (
     VersionAnswer,
     VersionPlace,
     VersionQuestion,
 )
-from lovagestage.plain_calls import make_pool_version
 from lovagestage.types import PoolId, VmId
-from lovagestage.upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/lovagestage/execution/__init__.py
@@ -0,0 +1,1 @@
+"""A request, its attempts, and the run at a sidecar."""
--- a/src/lovagestage/attempts.py
+++ b/src/lovagestage/execution/attempts.py
@@ -7,8 +7,8 @@
 import time
 
 from lovagestage.exceptions import RequestRefusedError
-from lovagestage.readers import WINDOW_BYTES
-from lovagestage.run_messages import (
+from lovagestage.execution.readers import WINDOW_BYTES
+from lovagestage.messages.runs import (
     Accepted,
     Ack,
     Attach,
--- a/src/lovagestage/engine_stream.py
+++ b/src/lovagestage/execution/engine_stream.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from lovagestage.adapters import Engine
-from lovagestage.events import Block, parse_block
+from lovagestage.adapters.protocols import Engine
 from lovagestage.exceptions import EngineCrashedError, EngineError
-from lovagestage.run_messages import Dispatch
+from lovagestage.execution.events import Block, parse_block
+from lovagestage.messages.runs import Dispatch
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/plain_stream.py
+++ b/src/lovagestage/execution/plain_stream.py
@@ -4,18 +4,16 @@
 
 from collections.abc import AsyncIterator
 
-from lovagestage.adapters import Engine, PlainService
-from lovagestage.engine_stream import EngineStream
-from lovagestage.events import Block
-from lovagestage.exceptions import CodecError, EngineRefusedError
-from lovagestage.plain_calls import (
+from lovagestage.adapters.protocols import Engine, PlainService
+from lovagestage.decisions.plain_calls import (
     HEADER_REQUEST_ID,
     HEADER_WORKSPACE,
-    Header,
-    decode_call,
-    encode_answer,
 )
-from lovagestage.run_messages import Dispatch
+from lovagestage.exceptions import CodecError, EngineRefusedError
+from lovagestage.execution.engine_stream import EngineStream
+from lovagestage.execution.events import Block
+from lovagestage.messages.calls import Header, decode_call, encode_answer
+from lovagestage.messages.runs import Dispatch
 from lovagestage.settings import SidecarSettings
 
 
--- a/src/lovagestage/readers.py
+++ b/src/lovagestage/execution/readers.py
@@ -6,9 +6,9 @@
 import dataclasses
 from collections.abc import Callable
 
-from lovagestage.messages import Message
-from lovagestage.run_messages import Chunk, Dispatch, Finished, Refused
-from lovagestage.transport import PeerId
+from lovagestage.bus.transport import PeerId
+from lovagestage.messages.envelope import Message
+from lovagestage.messages.runs import Chunk, Dispatch, Finished, Refused
 
 WINDOW_BYTES = 128 * 1024
 """Most bytes under way to a reader that it has not passed on."""
--- a/src/lovagestage/request.py
+++ b/src/lovagestage/execution/request.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 
-from lovagestage.admission import Trial
-from lovagestage.attempts import Attempt
+from lovagestage.decisions.admission import Trial
+from lovagestage.decisions.sessions import Session
 from lovagestage.exceptions import (
     DeadlineExceededError,
     RequestRefusedError,
@@ -14,10 +14,10 @@
     UpstreamFailedError,
     UpstreamLostError,
 )
-from lovagestage.learned import Arm
-from lovagestage.plain_calls import Header
-from lovagestage.run_messages import Finished
-from lovagestage.sessions import Session
+from lovagestage.execution.attempts import Attempt
+from lovagestage.messages.calls import Header
+from lovagestage.messages.counters import Arm
+from lovagestage.messages.runs import Finished
 from lovagestage.types import (
     ModelVersion,
     RequestId,
--- a/src/lovagestage/rights.py
+++ b/src/lovagestage/execution/rights.py
@@ -7,22 +7,22 @@
 
 from __future__ import annotations
 
-from lovagestage.control import ControlReader
-from lovagestage.document import (
-    ServiceDocument,
-    get_allowed_versions,
-    get_open_versions,
-    is_version_granted,
-)
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.plain_calls import POOL_MODEL, has_pool
+from lovagestage.decisions.sessions import is_pinned
 from lovagestage.exceptions import (
     ModelNotAllowedError,
     NotReadyError,
     RouteNotAllowedError,
     VersionWithdrawnError,
 )
-from lovagestage.plain_calls import POOL_MODEL, has_pool
-from lovagestage.request import Request
-from lovagestage.sessions import is_pinned
+from lovagestage.execution.request import Request
+from lovagestage.state.document import (
+    ServiceDocument,
+    get_allowed_versions,
+    get_open_versions,
+    is_version_granted,
+)
 from lovagestage.types import ModelVersion, PoolId, WorkspaceId
 
 WITHDRAWN_RETRY_S = 1
--- a/src/lovagestage/runs.py
+++ b/src/lovagestage/execution/runs.py
@@ -13,16 +13,18 @@
 
 import xxhash
 
-from lovagestage.adapters import Engine, PlainService
-from lovagestage.events import Usage, make_plain_answer
+from lovagestage.adapters.protocols import Engine, PlainService
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.transport import PeerId
+from lovagestage.decisions.run_gate import RunGate
+from lovagestage.decisions.tombstones import RunKey, RunTrace, TombstoneTable
 from lovagestage.exceptions import EngineCrashedError, EngineError
-from lovagestage.hub import Hub
-from lovagestage.key_messages import Inquiry, InquiryAnswer, RunKnown
-from lovagestage.messages import Message
-from lovagestage.plain_stream import open_stream
-from lovagestage.readers import Run, get_pace_s
-from lovagestage.run_gate import RunGate
-from lovagestage.run_messages import (
+from lovagestage.execution.events import Usage, make_plain_answer
+from lovagestage.execution.plain_stream import open_stream
+from lovagestage.execution.readers import Run, get_pace_s
+from lovagestage.messages.envelope import Message
+from lovagestage.messages.keys import Inquiry, InquiryAnswer, RunKnown
+from lovagestage.messages.runs import (
     Accepted,
     Ack,
     Attach,
@@ -32,8 +34,6 @@
     Refused,
 )
 from lovagestage.settings import SidecarSettings
-from lovagestage.tombstones import RunKey, RunTrace, TombstoneTable
-from lovagestage.transport import PeerId
 from lovagestage.types import RunState
 
 DELIVERY_POLL_S = 0.05
--- a/src/lovagestage/sidecar.py
+++ b/src/lovagestage/execution/sidecar.py
@@ -12,30 +12,30 @@
 import msgspec
 import xxhash
 
-from lovagestage.adapters import Engine, EngineLoad, PlainService
-from lovagestage.control import ControlReader
-from lovagestage.document import ServiceDocument
+from lovagestage.adapters.protocols import Engine, EngineLoad, PlainService
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.transport import PeerId
+from lovagestage.control.reader import ControlReader
+from lovagestage.decisions.plain_calls import make_pool_version
 from lovagestage.exceptions import (
     EngineError,
     ModelNotAllowedError,
     RequestRefusedError,
     RouteNotAllowedError,
 )
-from lovagestage.hub import Hub
-from lovagestage.messages import (
+from lovagestage.execution.rights import check_pool, check_version
+from lovagestage.execution.runs import RunTable
+from lovagestage.messages.envelope import (
     DumpAnswer,
     DumpRequest,
     Heartbeat,
     Hello,
     Message,
 )
-from lovagestage.plain_calls import make_pool_version
-from lovagestage.rights import check_pool, check_version
-from lovagestage.run_messages import Ack, Attach, Cancel, Dispatch, Refused
-from lovagestage.runs import RunTable
+from lovagestage.messages.runs import Ack, Attach, Cancel, Dispatch, Refused
 from lovagestage.settings import Settings, SidecarSettings
+from lovagestage.state.document import ServiceDocument
 from lovagestage.timers import TimerService
-from lovagestage.transport import PeerId
 from lovagestage.types import (
     PoolId,
     RunState,
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -6,6 +6,7 @@
 import functools
 import random
 
+from lovagestage.decisions.retries import RetryBudget
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway import choice
 from lovagestage.gateway.admission import COME_BACK_S, Admitted
@@ -14,7 +15,6 @@
 from lovagestage.gateway.rollouts import Assignment
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.suspects import make_fingerprint
-from lovagestage.retries import RetryBudget
 from lovagestage.types import Fingerprint, InstanceId, RunState, ZoneId
 
 MAX_REFUSALS = 3
--- a/src/lovagestage/gateway/command.py
+++ b/src/lovagestage/gateway/command.py
@@ -10,8 +10,7 @@
 
 from lovagestage.exceptions import LovagestageError, SettingsError
 from lovagestage.gateway.listeners import open_listener
-from lovagestage.gateway.settings import GatewaySettings
-from lovagestage.platform.settings import SETTINGS_VARIABLE, decode_settings
+from lovagestage.platform.settings import SETTINGS_VARIABLE, read_settings
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -55,7 +54,7 @@
         ListenError: The callers' address can't be listened at.
     """
     path = resolve_path(options.settings)
-    settings = get_settings(path)
+    settings = read_settings(path)
     if options.check:
         print(f"{path}: ok")
         return 0
@@ -72,17 +71,3 @@
     if not path:
         raise SettingsError("", 0, SETTINGS_VARIABLE, "is not set.")
     return pathlib.Path(path)
-
-
-def get_settings(path: pathlib.Path) -> GatewaySettings:
-    """Reads and checks a settings file.
-
-    Raises:
-        SettingsError: It can't be read or is wrong.
-    """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except OSError as error:
-        reason = f"can't be read: {error.strerror}."
-        raise SettingsError(str(path), 0, "", reason) from error
-    return decode_settings(text, str(path))
--- a/src/lovagestage/gateway/connections.py
+++ b/src/lovagestage/gateway/connections.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
+from lovagestage.adapters.http1 import ClientConnection, open_channel
 from lovagestage.gateway.rotation import Upstream
-from lovagestage.http1 import ClientConnection, open_channel
 from lovagestage.types import InstanceId
 
 CONNECT_TIMEOUT_S = 0.4
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -7,6 +7,7 @@
 from typing import Self
 
 import lovagestage.platform.headers as wire
+from lovagestage.adapters.http1 import ClientConnection
 from lovagestage.exceptions import (
     AttemptFailedError,
     ConnectionLostError,
@@ -15,7 +16,6 @@
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.rotation import Upstream
-from lovagestage.http1 import ClientConnection
 from lovagestage.types import RunState
 
 MAX_SKIPPED = 2
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from lovagestage.decisions.retries import RetryBudget
 from lovagestage.gateway.admission import Admitted
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.configuration import RouteKind
@@ -18,7 +19,6 @@
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
 from lovagestage.gateway.stream_runs import forward_stream
 from lovagestage.gateway.suspects import SuspectWatch
-from lovagestage.retries import RetryBudget
 from lovagestage.types import ServiceId
 
 BUDGET_SAFETY = 0.8
--- a/src/lovagestage/gateway/loglines.py
+++ b/src/lovagestage/gateway/loglines.py
@@ -9,7 +9,7 @@
 import sys
 
 from lovagestage.gateway.exposition import Exposition, Series
-from lovagestage.logs import KeyValueFormatter
+from lovagestage.telemetry.logs import KeyValueFormatter
 
 LINES_PER_S = 40.0
 """Lines of one event and level in a second: twice the requests of one VM on
--- a/src/lovagestage/gateway/mailbox.py
+++ b/src/lovagestage/gateway/mailbox.py
@@ -9,7 +9,6 @@
 
 import mode
 
-from lovagestage.crash_reports import CrashReport
 from lovagestage.exceptions import CodecError, StoreError
 from lovagestage.gateway.notes import (
     TOPIC,
@@ -23,6 +22,7 @@
     decode_letter,
     encode_letter,
 )
+from lovagestage.messages.crashes import CrashReport
 from lovagestage.platform.store import Page, StoreClient
 from lovagestage.types import VmId
 
--- a/src/lovagestage/gateway/notes.py
+++ b/src/lovagestage/gateway/notes.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from lovagestage.crash_reports import CrashReport
 from lovagestage.exceptions import CodecError
+from lovagestage.messages.crashes import CrashReport
 from lovagestage.types import InstanceId, ServiceId, VmId
 
 TOPIC = "lovagestage"
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -18,6 +18,7 @@
 from lovagestage.gateway.server import CallerConnection, CallerServer
 from lovagestage.gateway.settings import GatewaySettings
 from lovagestage.gateway.wiring import make_parts
+from lovagestage.platform.settings import read_settings
 
 _log = logging.getLogger(__name__)
 
@@ -192,10 +193,8 @@
         self._settings_changed_ns = changed_ns
 
     def _reload(self, cause: str) -> None:
-        from lovagestage.gateway.command import get_settings
-
         try:
-            settings = get_settings(self._path)
+            settings = read_settings(self._path)
         except SettingsError as error:
             _log.error(
                 "settings_refused",
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from lovagestage.crash_suspects import Admission
+from lovagestage.decisions.crash_suspects import Admission
+from lovagestage.decisions.retries import PROBE_WAIT_S
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.choice import Work
@@ -21,7 +22,6 @@
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.suspects import SuspectWatch
-from lovagestage.retries import PROBE_WAIT_S
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -13,6 +13,7 @@
 import msgspec
 
 import lovagestage.platform.headers as wire
+from lovagestage.adapters.http1 import Channel, Headers
 from lovagestage.exceptions import (
     AttemptFailedError,
     ConnectionLostError,
@@ -22,7 +23,6 @@
 from lovagestage.gateway.configuration import ClientLimits
 from lovagestage.gateway.listeners import BACKLOG
 from lovagestage.gateway.messages import AnswerHead, CallerRequest
-from lovagestage.http1 import Channel, Headers
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/gateway/suspects.py
+++ b/src/lovagestage/gateway/suspects.py
@@ -6,8 +6,8 @@
 import logging
 from collections.abc import Callable
 
-from lovagestage.crash_reports import CrashReport
-from lovagestage.crash_suspects import (
+from lovagestage.adapters.http1 import open_channel
+from lovagestage.decisions.crash_suspects import (
     STRIKES_TO_PROBE,
     Admission,
     SuspectTable,
@@ -17,7 +17,7 @@
 from lovagestage.gateway.admission import Admitted
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.rotation import Upstream
-from lovagestage.http1 import open_channel
+from lovagestage.messages.crashes import CrashReport
 from lovagestage.types import Fingerprint, WorkspaceId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -8,7 +8,6 @@
 
 import mode
 
-from lovagestage.crash_reports import CrashReport
 from lovagestage.gateway.beliefs import OperatorBeliefs, UpstreamBeliefs
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
@@ -39,6 +38,7 @@
 from lovagestage.gateway.settings import Bounds, GatewaySettings
 from lovagestage.gateway.suspects import SuspectWatch
 from lovagestage.gateway.trust import MARGIN_S, Trust
+from lovagestage.messages.crashes import CrashReport
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
--- /dev/null
+++ b/src/lovagestage/messages/__init__.py
@@ -0,0 +1,1 @@
+"""What processes send each other."""
--- a/src/lovagestage/messages.py
+++ b/src/lovagestage/messages/envelope.py
@@ -13,9 +13,10 @@
 
 import msgspec
 
-from lovagestage.crash_reports import CrashReport
 from lovagestage.exceptions import CodecError
-from lovagestage.key_messages import (
+from lovagestage.messages.counters import LearnedDelta
+from lovagestage.messages.crashes import CrashReport
+from lovagestage.messages.keys import (
     Claim,
     ClaimAnswer,
     Copy,
@@ -25,8 +26,7 @@
     Pull,
     PullAnswer,
 )
-from lovagestage.learned import LearnedDelta
-from lovagestage.peer_messages import (
+from lovagestage.messages.peers import (
     BillCopied,
     BillCopy,
     BillRelease,
@@ -35,7 +35,7 @@
     VersionAnswer,
     VersionQuestion,
 )
-from lovagestage.run_messages import (
+from lovagestage.messages.runs import (
     Accepted,
     Ack,
     Attach,
--- a/src/lovagestage/key_messages.py
+++ b/src/lovagestage/messages/keys.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lovagestage.members import MemberId
+from lovagestage.state.members import MemberId
 from lovagestage.types import Offset, RequestId, VmId, WorkspaceId
 
 
--- a/src/lovagestage/peer_messages.py
+++ b/src/lovagestage/messages/peers.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from lovagestage.exposure import Evidence
 from lovagestage.types import (
     ServiceId,
     VmId,
@@ -12,6 +11,38 @@
 )
 
 
+class Evidence(msgspec.Struct, frozen=True, array_like=True, tag="evidence"):
+    """What one entry saw of a roll-out since its last message.
+
+    Attributes:
+        vm: The entry.
+        incarnation: Start time of its process.
+        sequence: Counts up by one; a repeated message is dropped.
+        epoch: Revision of the document that last changed the roll-out.
+        stopped: Whether the entry has stopped the roll-out.
+        step: Index of its step.
+        old_scores: Scores in 1/255, in the order of arrival.
+        new_scores: The same of the new version.
+        old_failure_shares: Share, in 1/255, of each failed request.
+        new_failure_shares: The same of the new version.
+        old_successes: Requests that did not fail.
+        new_successes: The same of the new version.
+    """
+
+    vm: VmId
+    incarnation: int
+    sequence: int
+    epoch: int
+    stopped: bool
+    step: int
+    old_scores: bytes
+    new_scores: bytes
+    old_failure_shares: bytes
+    new_failure_shares: bytes
+    old_successes: int
+    new_successes: int
+
+
 class NumberedBill(msgspec.Struct, frozen=True, array_like=True):
     """An encoded bill with its place in its owner's order, from 1."""
 
--- a/src/lovagestage/run_messages.py
+++ b/src/lovagestage/messages/runs.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from lovagestage.plain_calls import Header
+from lovagestage.messages.calls import Header
 from lovagestage.types import (
     RequestId,
     RunState,
--- /dev/null
+++ b/src/lovagestage/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' commands."""
--- a/src/lovagestage/checks.py
+++ b/src/lovagestage/operations/checks.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from lovagestage.document import (
+from lovagestage.state.document import (
     DEFAULT_CLASS,
     ClassSpec,
     RolloutSpec,
--- a/src/lovagestage/command_parsers.py
+++ b/src/lovagestage/operations/command_parsers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from lovagestage.commands import (
+from lovagestage.operations.commands import (
     run_dump,
     run_operators_keygen,
     run_operators_put,
@@ -24,7 +24,7 @@
     run_status,
     run_withdraw,
 )
-from lovagestage.document import RolloutState
+from lovagestage.state.document import RolloutState
 
 
 def add_service_parsers(commands: Any) -> None:
--- a/src/lovagestage/commands.py
+++ b/src/lovagestage/operations/commands.py
@@ -12,36 +12,36 @@
 
 import msgspec
 
-from lovagestage.document import (
-    RolloutSpec,
-    RolloutState,
-    ServiceDocument,
-)
-from lovagestage.edits import (
-    make_rollout_edit,
-    make_withdrawal,
-    resolve_service,
-)
+from lovagestage.control.writer import make_change_id
 from lovagestage.exceptions import (
     EXIT_FAILURE,
     EXIT_INVALID,
     EXIT_UNKNOWN,
 )
-from lovagestage.operator_client import (
+from lovagestage.operations.edits import (
+    make_rollout_edit,
+    make_withdrawal,
+    resolve_service,
+)
+from lovagestage.operations.operator_client import (
     OperatorClient,
     PutResult,
     format_faults,
     open_client,
 )
-from lovagestage.printing import (
+from lovagestage.operations.printing import (
     format_document,
     print_json,
     print_result,
     print_rows,
 )
-from lovagestage.records import OperatorsChange, OperatorSpec
 from lovagestage.settings import OperatorSettings, parse_file
-from lovagestage.writer import make_change_id
+from lovagestage.state.document import (
+    RolloutSpec,
+    RolloutState,
+    ServiceDocument,
+)
+from lovagestage.state.records import OperatorsChange, OperatorSpec
 
 Work = Callable[[OperatorClient], Awaitable[int]]
 
@@ -137,7 +137,7 @@
 
 def run_service_validate(options: argparse.Namespace) -> int:
     """Checks a document without the log."""
-    from lovagestage.checks import get_faults
+    from lovagestage.operations.checks import get_faults
 
     faults = get_faults(parse_file(options.file, ServiceDocument))
     if options.json:
--- a/src/lovagestage/edits.py
+++ b/src/lovagestage/operations/edits.py
@@ -4,14 +4,18 @@
 
 import msgspec
 
-from lovagestage.document import (
+from lovagestage.exceptions import DocumentInvalidError, ServiceUnknownError
+from lovagestage.operations.operator_client import (
+    Edit,
+    OperatorClient,
+    get_services_of,
+)
+from lovagestage.state.document import (
     RolloutSpec,
     RolloutState,
     ServiceDocument,
     VersionState,
 )
-from lovagestage.exceptions import DocumentInvalidError, ServiceUnknownError
-from lovagestage.operator_client import Edit, OperatorClient, get_services_of
 
 
 def make_withdrawal(version: str) -> Edit:
--- a/src/lovagestage/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -14,8 +14,8 @@
 from collections.abc import Iterable, Sequence
 
 from lovagestage.exceptions import EXIT_FAILURE, LogFileError
-from lovagestage.loglines import LogLine, parse_lines
-from lovagestage.printing import print_json
+from lovagestage.operations.printing import print_json
+from lovagestage.telemetry.loglines import LogLine, parse_lines
 
 _OWN_KEYS = ("request", "run")
 _PROCESS_EVENTS = frozenset(
--- a/src/lovagestage/operator_client.py
+++ b/src/lovagestage/operations/operator_client.py
@@ -13,10 +13,13 @@
 import msgspec
 import zmq
 
-from lovagestage.adapters import Vm
-from lovagestage.checks import Fault, get_faults
-from lovagestage.control import ControlReader
-from lovagestage.document import ServiceDocument
+from lovagestage.adapters.http_log import HttpLog
+from lovagestage.adapters.http_vm_list import HttpVmList
+from lovagestage.adapters.protocols import Vm
+from lovagestage.bus.transport import Connection
+from lovagestage.control.reader import ControlReader
+from lovagestage.control.snapshotting import SnapshotStream
+from lovagestage.control.writer import ControlWriter, make_change_id
 from lovagestage.exceptions import (
     BelowHorizonError,
     CodecError,
@@ -26,22 +29,19 @@
     ServiceUnknownError,
     SettingsError,
 )
-from lovagestage.http_log import HttpLog
-from lovagestage.http_vm_list import HttpVmList
-from lovagestage.messages import DumpAnswer, DumpRequest, Message
-from lovagestage.operators import sign_change
-from lovagestage.outcomes import ChangeResult, Outcome
-from lovagestage.records import (
+from lovagestage.messages.envelope import DumpAnswer, DumpRequest, Message
+from lovagestage.operations.checks import Fault, get_faults
+from lovagestage.settings import BusSettings, OperatorSettings
+from lovagestage.state.document import ServiceDocument
+from lovagestage.state.operators import sign_change
+from lovagestage.state.outcomes import ChangeResult, Outcome
+from lovagestage.state.records import (
     CONTROL_STREAM,
     DocumentChange,
     OperatorsChange,
     decode_record,
 )
-from lovagestage.settings import BusSettings, OperatorSettings
-from lovagestage.snapshotting import SnapshotStream
-from lovagestage.transport import Connection
 from lovagestage.types import ChangeId, Offset, ServiceId
-from lovagestage.writer import ControlWriter, make_change_id
 
 CATCH_UP_TIMEOUT_S = 15.0
 DUMP_TIMEOUT_S = 3.0
--- a/src/lovagestage/printing.py
+++ b/src/lovagestage/operations/printing.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from lovagestage.document import ServiceDocument
 from lovagestage.exceptions import EXIT_CONFLICT, EXIT_INVALID
-from lovagestage.operator_client import PutResult
-from lovagestage.outcomes import Outcome
+from lovagestage.operations.operator_client import PutResult
+from lovagestage.state.document import ServiceDocument
+from lovagestage.state.outcomes import Outcome
 
 _EXIT_CODES = {
     Outcome.ACCEPTED: 0,
--- a/src/lovagestage/usage.py
+++ b/src/lovagestage/operations/usage.py
@@ -11,7 +11,7 @@
 import zlib
 from typing import TYPE_CHECKING
 
-from lovagestage.billing import (
+from lovagestage.decisions.billing import (
     BILLING_STREAM,
     Bill,
     BillOutcome,
@@ -25,7 +25,7 @@
 from lovagestage.types import Offset
 
 if TYPE_CHECKING:
-    from lovagestage.http_log import HttpLog
+    from lovagestage.adapters.http_log import HttpLog
 
 READ_LIMIT = 500
 
@@ -201,7 +201,7 @@
 async def _read(url: str, wanted: Filter, passes: int) -> Totals:
     import aiohttp
 
-    from lovagestage.http_log import HttpLog
+    from lovagestage.adapters.http_log import HttpLog
 
     totals = Totals()
     counter = UsageCounter(wanted, passes, totals)
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -4,6 +4,11 @@
 
 import h11
 
+from lovagestage.adapters.http1 import (
+    Headers,
+    get_raw_headers,
+    remove_hop_by_hop,
+)
 from lovagestage.exceptions import WrongMessageError
 from lovagestage.gateway.messages import (
     AnswerHead,
@@ -11,7 +16,6 @@
     OutgoingCall,
     PromptPart,
 )
-from lovagestage.http1 import Headers, get_raw_headers, remove_hop_by_hop
 from lovagestage.types import RequestId
 
 _ID = b"attempt-id"
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 from collections.abc import Mapping
 
 from lovagestage.exceptions import SettingsError
@@ -11,6 +12,20 @@
 SETTINGS_VARIABLE = "LOVAGESTAGE_NODE_FILE"
 
 
+def read_settings(path: pathlib.Path) -> GatewaySettings:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: It can't be read or is wrong.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        reason = f"can't be read: {error.strerror}."
+        raise SettingsError(str(path), 0, "", reason) from error
+    return decode_settings(text, str(path))
+
+
 def decode_settings(text: str, path: str) -> GatewaySettings:
     """Decodes lines of `a.b=value`; unknown fields are ignored.
 
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -15,6 +15,7 @@
 import h11
 import msgspec
 
+from lovagestage.adapters.http1 import ClientConnection, open_channel
 from lovagestage.exceptions import (
     ConnectionLostError,
     StoreAnswerLostError,
@@ -23,7 +24,6 @@
     StoreUnavailableError,
     WrongMessageError,
 )
-from lovagestage.http1 import ClientConnection, open_channel
 
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
--- /dev/null
+++ b/src/lovagestage/state/__init__.py
@@ -0,0 +1,1 @@
+"""State folded from the log and from documents; pure."""
--- a/src/lovagestage/documents.py
+++ b/src/lovagestage/state/documents.py
@@ -6,15 +6,15 @@
 
 import msgspec
 
-from lovagestage.document import ServiceDocument
-from lovagestage.operators import Operators
-from lovagestage.outcomes import (
+from lovagestage.state.document import ServiceDocument
+from lovagestage.state.operators import Operators
+from lovagestage.state.outcomes import (
     ChangeResult,
     Outcome,
     OutcomeEntry,
     OutcomeTable,
 )
-from lovagestage.records import DocumentChange
+from lovagestage.state.records import DocumentChange
 from lovagestage.types import Offset, ServiceId
 
 MAX_OUTCOMES = 4096
--- a/src/lovagestage/fold.py
+++ b/src/lovagestage/state/fold.py
@@ -14,14 +14,14 @@
 
 import msgspec
 
-from lovagestage.documents import Documents, ServiceInForce
 from lovagestage.exceptions import CodecError
-from lovagestage.leases import Leases
-from lovagestage.members import MemberView
-from lovagestage.operators import Operators
-from lovagestage.outcomes import ChangeResult, Outcome, OutcomeTable
-from lovagestage.records import decode_record
-from lovagestage.rollouts import Rollouts
+from lovagestage.state.documents import Documents, ServiceInForce
+from lovagestage.state.leases import Leases
+from lovagestage.state.members import MemberView
+from lovagestage.state.operators import Operators
+from lovagestage.state.outcomes import ChangeResult, Outcome, OutcomeTable
+from lovagestage.state.records import decode_record
+from lovagestage.state.rollouts import Rollouts
 from lovagestage.types import ChangeId, Offset, ServiceId
 
 __all__ = [
--- a/src/lovagestage/leases.py
+++ b/src/lovagestage/state/leases.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
-from lovagestage.outcomes import (
+from lovagestage.state.outcomes import (
     ChangeResult,
     Outcome,
     OutcomeEntry,
     OutcomeTable,
 )
-from lovagestage.records import LeaseRelease, LeaseRenew, LeaseTake
+from lovagestage.state.records import LeaseRelease, LeaseRenew, LeaseTake
 from lovagestage.types import FencingNumber, LeaseId, Offset, VmId
 
 MAX_OUTCOMES = 256
--- a/src/lovagestage/members.py
+++ b/src/lovagestage/state/members.py
@@ -14,7 +14,7 @@
 import msgspec
 import xxhash
 
-from lovagestage.outcomes import OutcomeTable
+from lovagestage.state.outcomes import OutcomeTable
 from lovagestage.types import Offset, VmId, WorkspaceId, ZoneId
 
 SLOTS = 256
--- a/src/lovagestage/operators.py
+++ b/src/lovagestage/state/operators.py
@@ -12,13 +12,17 @@
 import nacl.exceptions
 import nacl.signing
 
-from lovagestage.outcomes import (
+from lovagestage.state.outcomes import (
     ChangeResult,
     Outcome,
     OutcomeEntry,
     OutcomeTable,
 )
-from lovagestage.records import DocumentChange, OperatorsChange, OperatorSpec
+from lovagestage.state.records import (
+    DocumentChange,
+    OperatorsChange,
+    OperatorSpec,
+)
 from lovagestage.types import Offset
 
 MAX_OUTCOMES = 256
--- a/src/lovagestage/records.py
+++ b/src/lovagestage/state/records.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.members import MemberRecord
+from lovagestage.state.members import MemberRecord
 from lovagestage.types import (
     ChangeId,
     FencingNumber,
--- a/src/lovagestage/rollout_chart.py
+++ b/src/lovagestage/state/rollout_chart.py
@@ -87,5 +87,5 @@
     """
     from sismic.io import import_from_yaml
 
-    folder = importlib.resources.files("lovagestage") / "charts"
+    folder = importlib.resources.files("lovagestage.state") / "charts"
     return import_from_yaml((folder / _CHART).read_text(encoding="utf-8"))
--- a/src/lovagestage/rollouts.py
+++ b/src/lovagestage/state/rollouts.py
@@ -13,17 +13,17 @@
 
 import msgspec
 
-from lovagestage.document import RolloutSpec, RolloutState
-from lovagestage.documents import Documents
-from lovagestage.leases import Leases
-from lovagestage.outcomes import (
+from lovagestage.state.document import RolloutSpec, RolloutState
+from lovagestage.state.documents import Documents
+from lovagestage.state.leases import Leases
+from lovagestage.state.outcomes import (
     ChangeResult,
     Outcome,
     OutcomeEntry,
     OutcomeTable,
 )
-from lovagestage.records import RolloutProgress, RolloutStop
-from lovagestage.rollout_chart import Position
+from lovagestage.state.records import RolloutProgress, RolloutStop
+from lovagestage.state.rollout_chart import Position
 from lovagestage.types import LeaseId, Offset, RolloutPhase, ServiceId
 
 ROLLOUT_LEASE = LeaseId("rollout")
--- a/src/lovagestage/snapshots.py
+++ b/src/lovagestage/state/snapshots.py
@@ -18,8 +18,8 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.fold import ControlState, restore_state
-from lovagestage.records import FORMAT_MAJOR, FORMAT_MINOR
+from lovagestage.state.fold import ControlState, restore_state
+from lovagestage.state.records import FORMAT_MAJOR, FORMAT_MINOR
 from lovagestage.types import FencingNumber, Offset
 
 _log = logging.getLogger(__name__)
--- /dev/null
+++ b/src/lovagestage/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of entries and sidecars."""
--- a/src/lovagestage/measurement.py
+++ b/src/lovagestage/telemetry/measurement.py
@@ -8,7 +8,7 @@
 from aiohttp.typedefs import Handler
 
 from lovagestage.exceptions import BodyTooLargeError, RequestRefusedError
-from lovagestage.metrics import Metric, Metrics
+from lovagestage.telemetry.metrics import Metric, Metrics
 
 HEALTH_PATH = "/healthz"
 """The balancer's checks are no requests."""
--- a/src/lovagestage/metrics.py
+++ b/src/lovagestage/telemetry/metrics.py
@@ -201,8 +201,8 @@
             "",
             "## Entries and sidecars",
             "",
-            "Generated from `lovagestage.metrics`; sent to statsd once a"
-            " second.",
+            "Generated from `lovagestage.telemetry.metrics`; sent to statsd"
+            " once a second.",
             "",
             "| name | kind | unit | meaning |",
             "|---|---|---|---|",
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -14,56 +14,56 @@
 import mode
 import zmq
 
-from lovagestage.billing import BillingLedger
-from lovagestage.billing_service import BillingService
-from lovagestage.cascade_service import CascadeService
-from lovagestage.control import ControlReader
-from lovagestage.crash_watch import CrashWatch
-from lovagestage.deadlines import DeferralQueue, SlotSpec
-from lovagestage.deferral_service import FIRST_TOKEN_S, DeferralService
-from lovagestage.dispatcher import Dispatcher
-from lovagestage.entry import Entry
-from lovagestage.exposure_service import ExposureService
-from lovagestage.gate import FencingGate
-from lovagestage.http_engine import HttpEngine
-from lovagestage.http_log import HttpLog
-from lovagestage.http_plain_service import HttpPlainService
-from lovagestage.http_rater import HttpRater
-from lovagestage.http_vm_list import HttpVmList
-from lovagestage.hub import Hub
-from lovagestage.key_service import KeyService
-from lovagestage.learned import Learned
-from lovagestage.leasing import LeaseKeeper
-from lovagestage.limit_service import LimitService
-from lovagestage.limits import LimitTable
-from lovagestage.links import LinkTable
-from lovagestage.logs import start_logging
-from lovagestage.members import MemberJoined
-from lovagestage.membership import Membership
-from lovagestage.messages import Hello
-from lovagestage.metrics import Metric, Metrics
-from lovagestage.orders import OrderService
-from lovagestage.peerstate import PeerState, StateResponder
-from lovagestage.quality import QualityService
-from lovagestage.rights import RequestRights
-from lovagestage.rollout_driver import Evidence, RolloutDriver
-from lovagestage.rollouts import ROLLOUT_LEASE
-from lovagestage.runs import RunTable
-from lovagestage.settings import EntrySettings, Settings, SidecarSettings
-from lovagestage.sidecar import Sidecar
-from lovagestage.snapshotting import (
+from lovagestage.adapters.http_engine import HttpEngine
+from lovagestage.adapters.http_log import HttpLog
+from lovagestage.adapters.http_plain_service import HttpPlainService
+from lovagestage.adapters.http_rater import HttpRater
+from lovagestage.adapters.http_vm_list import HttpVmList
+from lovagestage.api.entry import Entry
+from lovagestage.bus.hub import Hub
+from lovagestage.bus.links import LinkTable
+from lovagestage.bus.transport import KeyAuthenticator, Listener
+from lovagestage.bus.upstreams import UpstreamTable
+from lovagestage.bus.vmwatch import VmWatch
+from lovagestage.control.gate import FencingGate
+from lovagestage.control.leasing import LeaseKeeper
+from lovagestage.control.membership import Membership
+from lovagestage.control.orders import OrderService
+from lovagestage.control.peerstate import PeerState, StateResponder
+from lovagestage.control.reader import ControlReader
+from lovagestage.control.rollout_driver import Evidence, RolloutDriver
+from lovagestage.control.snapshotting import (
     SNAPSHOT_LEASE,
     SnapshotStream,
     SnapshotWriter,
 )
+from lovagestage.control.writer import ControlWriter
+from lovagestage.decisions.billing import BillingLedger
+from lovagestage.decisions.deadlines import DeferralQueue, SlotSpec
+from lovagestage.decisions.learned import Learned
+from lovagestage.decisions.limits import LimitTable
+from lovagestage.entry.billing_service import BillingService
+from lovagestage.entry.cascade_service import CascadeService
+from lovagestage.entry.crash_watch import CrashWatch
+from lovagestage.entry.deferral_service import FIRST_TOKEN_S, DeferralService
+from lovagestage.entry.dispatcher import Dispatcher
+from lovagestage.entry.exposure_service import ExposureService
+from lovagestage.entry.key_service import KeyService
+from lovagestage.entry.limit_service import LimitService
+from lovagestage.entry.quality import QualityService
+from lovagestage.entry.trials import Trials
+from lovagestage.entry.version_search import VersionSearch
+from lovagestage.execution.rights import RequestRights
+from lovagestage.execution.runs import RunTable
+from lovagestage.execution.sidecar import Sidecar
+from lovagestage.messages.envelope import Hello
+from lovagestage.settings import EntrySettings, Settings, SidecarSettings
+from lovagestage.state.members import MemberJoined
+from lovagestage.state.rollouts import ROLLOUT_LEASE
+from lovagestage.telemetry.logs import start_logging
+from lovagestage.telemetry.metrics import Metric, Metrics
 from lovagestage.timers import TimerService
-from lovagestage.transport import KeyAuthenticator, Listener
-from lovagestage.trials import Trials
 from lovagestage.types import Role
-from lovagestage.upstreams import UpstreamTable
-from lovagestage.version_search import VersionSearch
-from lovagestage.vmwatch import VmWatch
-from lovagestage.writer import ControlWriter
 
 _log = logging.getLogger(__name__)
 
--- a/tests/control_log.py
+++ b/tests/control_log.py
@@ -11,8 +11,8 @@
 from aiohttp.test_utils import TestServer
 
 from lab.log import LogService
-from lovagestage.control import ControlReader
-from lovagestage.http_log import HttpLog
+from lovagestage.adapters.http_log import HttpLog
+from lovagestage.control.reader import ControlReader
 
 
 class ControlLog:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -11,7 +11,7 @@
 from lab.fault_plan import Fault, FaultKind, make_plan
 from lab.recorded_runs import RecordedRun
 from lab.traffic import Kind, Send
-from lovagestage.billing import Bill, BillOutcome
+from lovagestage.decisions.billing import Bill, BillOutcome
 
 ANSWERED = Send("r1", Kind.KEYED, "entry-0", 10.0, 11.0, 200, tokens=6)
 ANSWERED.request_id = "a"
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -7,11 +7,11 @@
 import msgspec
 import pytest
 
-from lovagestage.authentication import Authenticator
-from lovagestage.document import get_key_digest
+from lovagestage.api.authentication import Authenticator
 from lovagestage.exceptions import NotReadyError, WrongKeyError
-from lovagestage.fold import ControlState
-from lovagestage.records import DocumentChange, encode_record
+from lovagestage.state.document import get_key_digest
+from lovagestage.state.fold import ControlState
+from lovagestage.state.records import DocumentChange, encode_record
 
 TRIALS = types.SimpleNamespace(get_document=lambda document: document)
 
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -16,8 +16,10 @@
     rule,
 )
 
-from lovagestage import billed, billing, usage
-from lovagestage.peer_messages import BillCopy, BillRelease
+from lovagestage.decisions import billing
+from lovagestage.entry import billed
+from lovagestage.messages.peers import BillCopy, BillRelease
+from lovagestage.operations import usage
 
 VMS = ("entry-0", "entry-1", "entry-2")
 ZONES = {"entry-0": "a", "entry-1": "b", "entry-2": "a"}
--- a/tests/test_cascade.py
+++ b/tests/test_cascade.py
@@ -9,7 +9,7 @@
 import pytest
 from hypothesis import given, settings
 
-from lovagestage.cascade import (
+from lovagestage.decisions.cascade import (
     MAX_EXPLORE_RATIO,
     MIN_EXPLORE_RATIO,
     CascadeTable,
@@ -17,7 +17,8 @@
     make_plans,
     may_escalate,
 )
-from lovagestage.learned import WINDOWS, Arm, Counter, Learned, Plan
+from lovagestage.decisions.learned import WINDOWS, Learned
+from lovagestage.messages.counters import Arm, Counter, Plan
 from lovagestage.types import VmId
 
 VERSIONS = ["s@1", "m@1", "l@1"]
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -9,9 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagestage.checks import get_faults
-from lovagestage.document import ServiceDocument
+from lovagestage.operations.checks import get_faults
 from lovagestage.settings import parse_file
+from lovagestage.state.document import ServiceDocument
 
 EXAMPLES = sorted(pathlib.Path("examples").glob("*.jsonc"))
 ROLLOUT = {"old": "large@1", "new": "large@2", "steps": [0.1, 1]}
--- a/tests/test_control_differential.py
+++ b/tests/test_control_differential.py
@@ -14,9 +14,9 @@
 )
 
 from lovagestage.exceptions import CodecError
-from lovagestage.fold import ControlState, Outcome, restore_state
-from lovagestage.records import decode_record, encode_record
-from lovagestage.snapshots import SnapshotShelf, make_chunks
+from lovagestage.state.fold import ControlState, Outcome, restore_state
+from lovagestage.state.records import decode_record, encode_record
+from lovagestage.state.snapshots import SnapshotShelf, make_chunks
 from tests.test_fold import make_change
 
 READERS = 3
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -18,7 +18,7 @@
 from lab.demo import make_client
 from lab.fleet import Fleet
 from lab.shapes import Shape
-from lovagestage.crash_suspects import (
+from lovagestage.decisions.crash_suspects import (
     CONVICTION_KEEP_S,
     MAX_UPSTREAMS_LOST,
     Admission,
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -10,14 +10,14 @@
 from hypothesis import strategies as st
 
 from lab.experiments import deadline as experiment
-from lovagestage.deadlines import DeferralQueue, Deferred, SlotSpec
-from lovagestage.deferral_service import (
+from lovagestage.decisions.deadlines import DeferralQueue, Deferred, SlotSpec
+from lovagestage.entry.deferral_service import (
     DeferralService,
     resolve_deadline_s,
 )
-from lovagestage.document import ClassSpec
 from lovagestage.exceptions import MalformedRequestError, NoCapacityError
-from lovagestage.request import Request
+from lovagestage.execution.request import Request
+from lovagestage.state.document import ClassSpec
 from lovagestage.types import (
     ModelId,
     ModelVersion,
--- a/tests/test_escalation.py
+++ b/tests/test_escalation.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from lovagestage.billed import make_bill
-from lovagestage.escalation import Escalation, may_run_twice
+from lovagestage.entry.billed import make_bill
+from lovagestage.entry.escalation import Escalation, may_run_twice
 from lovagestage.exceptions import NoCapacityError
-from lovagestage.learned import Arm, Plan
-from lovagestage.request import Request, Result
-from lovagestage.run_messages import Finished
+from lovagestage.execution.request import Request, Result
+from lovagestage.messages.counters import Arm, Plan
+from lovagestage.messages.runs import Finished
 from lovagestage.types import RunState, parse_model_version
 
 SMALL, LARGE = parse_model_version("small@1"), parse_model_version("large@1")
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,8 +11,8 @@
 
 from lovagestage.cli import main
 from lovagestage.exceptions import EXIT_FAILURE
-from lovagestage.explain import make_story
-from lovagestage.loglines import parse_lines
+from lovagestage.operations.explain import make_story
+from lovagestage.telemetry.loglines import parse_lines
 
 LOG = """\
 time=01.0 event=process_started vm=a address=x
--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -7,20 +7,20 @@
 import pytest
 from hypothesis import given, settings
 
-from lovagestage.betting import (
+from lovagestage.decisions.betting import (
     BETS,
     Direction,
     FailureTest,
     PairedTest,
     get_start_weight,
 )
-from lovagestage.document import RolloutSpec, RolloutState
-from lovagestage.exposure import (
+from lovagestage.decisions.exposure import (
     HOLDBACK_SHARE,
     Assignment,
     ExposureGate,
     StopReason,
 )
+from lovagestage.state.document import RolloutSpec, RolloutState
 from lovagestage.types import Offset, VmId
 
 BUDGET = 300
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -8,8 +8,8 @@
 import pytest
 
 from lovagestage.exceptions import CodecError
-from lovagestage.fold import ControlState, Outcome, restore_state
-from lovagestage.records import (
+from lovagestage.state.fold import ControlState, Outcome, restore_state
+from lovagestage.state.records import (
     DocumentChange,
     LeaseRenew,
     LeaseTake,
--- a/tests/test_gateway_loglines.py
+++ b/tests/test_gateway_loglines.py
@@ -14,7 +14,7 @@
     MAX_WAITING_BYTES,
     LineHandler,
 )
-from lovagestage.logs import KeyValueFormatter
+from lovagestage.telemetry.logs import KeyValueFormatter
 
 
 @pytest.fixture
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from lovagestage.operator_client import open_client
-from lovagestage.records import encode_record
+from lovagestage.operations.operator_client import open_client
 from lovagestage.settings import OperatorSettings, PlatformSettings
+from lovagestage.state.records import encode_record
 from tests.control_log import serve_log, wait_for
 from tests.test_fold import make_change
 
--- a/tests/test_keyed_refusals.py
+++ b/tests/test_keyed_refusals.py
@@ -12,8 +12,8 @@
 
 from lab.fleet import Fleet
 from lab.shapes import EXAMPLES, SHAPES
-from lovagestage.document import ServiceDocument
 from lovagestage.settings import parse_file
+from lovagestage.state.document import ServiceDocument
 
 LIMIT_BYTES = 50_000
 IN_FORCE_S = 8.0
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,123 @@
+"""Which package may import which, and what the pure ones stay free of."""
+
+from __future__ import annotations
+
+import ast
+import graphlib
+import pathlib
+
+import pytest
+
+SOURCE = pathlib.Path(__file__).parent.parent / "src" / "lovagestage"
+LAYERS = (
+    ("",),
+    ("telemetry", "state"),
+    ("messages",),
+    ("decisions",),
+    ("adapters",),
+    ("bus",),
+    ("control",),
+    ("execution",),
+    ("entry",),
+    ("api", "operations"),
+    ("gateway", "platform"),
+)
+"""From the bottom up; a package imports only itself and what is below it."""
+ROOTS = {"__main__", "cli", "wiring"}
+"""Modules of the top package that know the others."""
+PURE = ("state", "messages", "decisions")
+TASKS = {"aiohttp", "asyncio", "mode", "socket", "threading", "time", "zmq"}
+
+
+def get_package(module):
+    """The package of a module of ours, "" for the top one."""
+    head = module.split(".")[1:2]
+    return head[0] if head and (SOURCE / head[0]).is_dir() else ""
+
+
+def get_imports(path):
+    """Modules that a file imports at run time, with where it does."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+            if node.module == "lovagestage":
+                yield from (f"lovagestage.{alias.name}" for alias in node.names)
+
+
+def get_modules():
+    paths = sorted(SOURCE.rglob("*.py"))
+    return [
+        (
+            ".".join(
+                ("lovagestage", *p.relative_to(SOURCE).with_suffix("").parts)
+            ),
+            p,
+        )
+        for p in paths
+    ]
+
+
+def get_level(package):
+    return next(i for i, layer in enumerate(LAYERS) if package in layer)
+
+
+def find_upward(module, imports):
+    """Imports of a module that lead to its own layer or a higher one."""
+    package = get_package(module)
+    return [
+        name
+        for name in imports
+        if name.split(".")[0] == "lovagestage"
+        and get_package(name) != package
+        and get_level(get_package(name)) >= get_level(package)
+        and not (package == "platform" and get_package(name) == "gateway")
+        and not (package == "gateway" and get_package(name) == "platform")
+    ]
+
+
+def test_every_package_has_a_layer():
+    packages = {
+        p.name for p in SOURCE.iterdir() if (p / "__init__.py").exists()
+    }
+    assert packages == {name for layer in LAYERS for name in layer} - {""}
+
+
+@pytest.mark.parametrize(("module", "path"), get_modules())
+def test_packages_import_only_what_is_below_them(module, path):
+    if module.split(".")[-1] in ROOTS and get_package(module) == "":
+        return
+    assert find_upward(module, get_imports(path)) == []
+
+
+@pytest.mark.parametrize(
+    ("module", "path"), [m for m in get_modules() if get_package(m[0]) in PURE]
+)
+def test_pure_packages_have_no_clock_and_no_socket(module, path):
+    heads = {name.split(".")[0] for name in get_imports(path)}
+    assert heads.isdisjoint(TASKS)
+
+
+def test_no_module_imports_itself_through_others():
+    modules = dict(get_modules())
+    sorter = graphlib.TopologicalSorter(
+        {
+            module: [name for name in get_imports(path) if name in modules]
+            for module, path in modules.items()
+            if module.split(".")[-1] != "__main__"
+        }
+    )
+    sorter.prepare()
+
+
+def test_an_import_upwards_is_found():
+    imports = ["lovagestage.entry.dispatcher", "lovagestage.types", "time"]
+    assert find_upward("lovagestage.state.fold", imports) == imports[:1]
+    assert find_upward("lovagestage.api.entry", imports) == []
+
+
+def test_module_names_are_found():
+    names = {module for module, _ in get_modules()}
+    assert "lovagestage.state.fold" in names
+    assert "lovagestage.wiring" in names
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,19 +9,20 @@
 
 import pytest
 
-from lovagestage import control, leasing
-from lovagestage.control import ControlReader
+from lovagestage.control import leasing
+from lovagestage.control import reader as control
+from lovagestage.control.gate import FencingGate
+from lovagestage.control.leasing import LeaseKeeper, LeaseView
+from lovagestage.control.reader import ControlReader
+from lovagestage.control.writer import ControlWriter
 from lovagestage.exceptions import (
     GateNotReadyError,
     LeaseLostError,
     StaleFencingError,
 )
-from lovagestage.fold import Outcome
-from lovagestage.gate import FencingGate
-from lovagestage.leases import LeaseInForce, Leases
-from lovagestage.leasing import LeaseKeeper, LeaseView
-from lovagestage.messages import Hello
-from lovagestage.writer import ControlWriter
+from lovagestage.messages.envelope import Hello
+from lovagestage.state.fold import Outcome
+from lovagestage.state.leases import LeaseInForce, Leases
 from tests.control_log import serve_log, wait_for
 
 TTL = 2
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -13,7 +13,7 @@
 from lab.demo import make_client
 from lab.fleet import Fleet
 from lab.shapes import SHAPES
-from lovagestage.run_messages import Ack, Chunk, Finished
+from lovagestage.messages.runs import Ack, Chunk, Finished
 from tests.test_connections import StreamReader, post_plain, wait_for_runs
 from tests.test_runs import (
     KEY,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,16 +5,16 @@
 import pytest
 
 from lab.experiments import limits as experiment
-from lovagestage.limit_service import (
+from lovagestage.decisions.limits import Limit, LimitTable, get_workspace_tag
+from lovagestage.entry.limit_service import (
     FRAME_BYTES,
     REPORT_INTERVAL_S,
     get_report_count,
     get_used_tokens,
 )
-from lovagestage.limits import Limit, LimitTable, get_workspace_tag
-from lovagestage.peer_messages import UsageReport, UsageRow
-from lovagestage.request import Request, Result
-from lovagestage.run_messages import Finished
+from lovagestage.execution.request import Request, Result
+from lovagestage.messages.peers import UsageReport, UsageRow
+from lovagestage.messages.runs import Finished
 from lovagestage.types import (
     ModelId,
     ModelVersion,
--- a/tests/test_limits_fleet.py
+++ b/tests/test_limits_fleet.py
@@ -7,8 +7,8 @@
 
 from lab.fleet import Fleet
 from lab.shapes import EXAMPLES, Shape
-from lovagestage.document import ServiceDocument
 from lovagestage.settings import parse_file
+from lovagestage.state.document import ServiceDocument
 from lovagestage.types import WorkspaceId
 from tests.test_sessions_fleet import ask
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -12,14 +12,14 @@
 
 from lab.fleet import Fleet
 from lab.shapes import SHAPES
-from lovagestage.metrics import (
+from lovagestage.settings import StatsdSettings
+from lovagestage.telemetry.metrics import (
     MAX_TIMINGS,
     SEND_INTERVAL_S,
     SPECS,
     Metric,
     Metrics,
 )
-from lovagestage.settings import StatsdSettings
 from lovagestage.timers import TimerService
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,10 +6,10 @@
 import nacl.signing
 import pytest
 
-from lovagestage.fold import ControlState, restore_state
-from lovagestage.operators import sign_change
-from lovagestage.outcomes import Outcome
-from lovagestage.records import (
+from lovagestage.state.fold import ControlState, restore_state
+from lovagestage.state.operators import sign_change
+from lovagestage.state.outcomes import Outcome
+from lovagestage.state.records import (
     DocumentChange,
     OperatorsChange,
     OperatorSpec,
--- a/tests/test_paused_sidecar.py
+++ b/tests/test_paused_sidecar.py
@@ -11,9 +11,9 @@
 from lab.demo import make_client
 from lab.fleet import Fleet
 from lab.shapes import EXAMPLES, SHAPES
-from lovagestage.document import ServiceDocument
-from lovagestage.edits import make_withdrawal
+from lovagestage.operations.edits import make_withdrawal
 from lovagestage.settings import parse_file
+from lovagestage.state.document import ServiceDocument
 from tests.test_thin_path import MESSAGES
 
 DOCUMENT = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
--- a/tests/test_peerstate.py
+++ b/tests/test_peerstate.py
@@ -11,9 +11,13 @@
 from lab.demo import make_client
 from lab.fleet import Fleet
 from lab.shapes import SHAPES
-from lovagestage.control import ControlReader
-from lovagestage.messages import StateAnswer, StateQuestion
-from lovagestage.peerstate import PeerState, StateResponder, choose_newest
+from lovagestage.control.peerstate import (
+    PeerState,
+    StateResponder,
+    choose_newest,
+)
+from lovagestage.control.reader import ControlReader
+from lovagestage.messages.envelope import StateAnswer, StateQuestion
 from tests.control_log import serve_log, wait_for
 from tests.test_snapshots import fill, make_state
 
--- a/tests/test_plain_services.py
+++ b/tests/test_plain_services.py
@@ -12,9 +12,13 @@
 
 from lab.fleet import Fleet
 from lab.shapes import EXAMPLES, Shape
-from lovagestage.document import RouteSpec, ServiceDocument, get_key_digest
-from lovagestage.plain_calls import find_route
+from lovagestage.decisions.plain_calls import find_route
 from lovagestage.settings import parse_file
+from lovagestage.state.document import (
+    RouteSpec,
+    ServiceDocument,
+    get_key_digest,
+)
 
 SHAPE = Shape("vault", ("lhe-a", "lhe-b"), 2, 1, 2, "small@1", "portal")
 KEY = {"Authorization": "Bearer key-audit"}
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -9,20 +9,29 @@
 import pytest
 
 from lab.shapes import EXAMPLES
-from lovagestage.adapters import RatedAnswer, RaterError, Rating, RatingPage
-from lovagestage.admission import Trial, is_in_rollout, withdraw_stopped
-from lovagestage.answers import parse_answer
-from lovagestage.document import (
+from lovagestage.adapters.protocols import (
+    RatedAnswer,
+    RaterError,
+    Rating,
+    RatingPage,
+)
+from lovagestage.decisions.admission import (
+    Trial,
+    is_in_rollout,
+    withdraw_stopped,
+)
+from lovagestage.decisions.answers import parse_answer
+from lovagestage.decisions.exposure import Assignment
+from lovagestage.entry.quality import MAX_QUEUED, QualityService
+from lovagestage.execution.request import Request
+from lovagestage.settings import parse_file
+from lovagestage.state.document import (
     RolloutSpec,
     ServiceDocument,
     get_allowed_versions,
     get_open_versions,
 )
-from lovagestage.exposure import Assignment
-from lovagestage.quality import MAX_QUEUED, QualityService
-from lovagestage.request import Request
-from lovagestage.rollouts import RolloutKey
-from lovagestage.settings import parse_file
+from lovagestage.state.rollouts import RolloutKey
 from lovagestage.types import parse_model_version
 
 DOCUMENT = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
--- a/tests/test_quality_fleet.py
+++ b/tests/test_quality_fleet.py
@@ -15,8 +15,8 @@
 
 from lab.fleet import Fleet
 from lab.shapes import EXAMPLES, SHAPES
-from lovagestage.document import RolloutSpec, ServiceDocument
 from lovagestage.settings import parse_file
+from lovagestage.state.document import RolloutSpec, ServiceDocument
 
 DOCUMENT = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
 NEW = "large@2"
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -9,15 +9,15 @@
 
 import pytest
 
-from lovagestage.dispatcher import Dispatcher
+from lovagestage.decisions.routing import UpstreamView
+from lovagestage.entry.dispatcher import Dispatcher
 from lovagestage.exceptions import (
     RequestRefusedError,
     SuspectWaitingError,
     VersionWithdrawnError,
 )
-from lovagestage.request import Request, Result
-from lovagestage.routing import UpstreamView
-from lovagestage.run_messages import Dispatch, Refused
+from lovagestage.execution.request import Request, Result
+from lovagestage.messages.runs import Dispatch, Refused
 from lovagestage.types import ModelVersion, RunState
 
 VERSION = ModelVersion("large", "1")
--- a/tests/test_request_keys.py
+++ b/tests/test_request_keys.py
@@ -9,7 +9,7 @@
 from lab.fleet import Fleet
 from lab.history import History
 from lab.shapes import Shape
-from lovagestage.members import MemberJoined, MemberView
+from lovagestage.state.members import MemberJoined, MemberView
 
 SHAPE = Shape("vault", ("lhe-a", "lhe-b"), 3, 2, 0, "large@1,small@1")
 SILENCE_S = 2.0
--- a/tests/test_request_keys_model.py
+++ b/tests/test_request_keys_model.py
@@ -14,15 +14,15 @@
     rule,
 )
 
-from lovagestage.key_messages import Claim, ClaimOutcome, Pull, RunId, RunKnown
-from lovagestage.members import (
+from lovagestage.decisions.request_keys import Ledger, PullState
+from lovagestage.decisions.run_gate import RunGate
+from lovagestage.messages.keys import Claim, ClaimOutcome, Pull, RunId, RunKnown
+from lovagestage.state.members import (
     MemberId,
     MemberJoined,
     MemberRemoved,
     MemberView,
 )
-from lovagestage.request_keys import Ledger, PullState
-from lovagestage.run_gate import RunGate
 
 ENTRIES = 3
 SLOTS = 2
--- a/tests/test_request_keys_rules.py
+++ b/tests/test_request_keys_rules.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from lovagestage.key_messages import (
+from lovagestage.decisions.request_keys import Ledger, PullState, get_minted_ms
+from lovagestage.decisions.run_gate import MAX_ENDED, PERMIT_MS, RunGate
+from lovagestage.messages.keys import (
     Claim,
     ClaimOutcome,
     Copy,
@@ -15,15 +17,13 @@
     RunId,
     RunKnown,
 )
-from lovagestage.members import (
+from lovagestage.state.members import (
     MAX_PERIODS,
     MemberId,
     MemberJoined,
     MemberRemoved,
     MemberView,
 )
-from lovagestage.request_keys import Ledger, PullState, get_minted_ms
-from lovagestage.run_gate import MAX_ENDED, PERMIT_MS, RunGate
 
 RUN = ("request", 1)
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,14 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagestage.exceptions import (
-    DeadlineExceededError,
-    DispatchLostError,
-    NoCapacityError,
-    RequestRefusedError,
-    UpstreamLostError,
-)
-from lovagestage.retries import (
+from lovagestage.decisions.retries import (
     BUDGET_LIMIT,
     BUDGET_MINIMUM_PER_S,
     BUDGET_RATIO,
@@ -25,6 +18,13 @@
     is_upstream_at_fault,
     make_final_error,
 )
+from lovagestage.exceptions import (
+    DeadlineExceededError,
+    DispatchLostError,
+    NoCapacityError,
+    RequestRefusedError,
+    UpstreamLostError,
+)
 from lovagestage.types import RunState
 
 
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -14,9 +14,13 @@
 from lab.fleet import Fleet
 from lab.shapes import EXAMPLES, SHAPES
 from lovagestage.cli import main
-from lovagestage.document import RolloutSpec, RolloutState, ServiceDocument
-from lovagestage.records import RolloutProgress, decode_record
 from lovagestage.settings import parse_file
+from lovagestage.state.document import (
+    RolloutSpec,
+    RolloutState,
+    ServiceDocument,
+)
+from lovagestage.state.records import RolloutProgress, decode_record
 
 SHAPE = dataclasses.replace(SHAPES["thin"], models="small@1,large@1")
 DOCUMENT = parse_file(EXAMPLES / "vault.jsonc", ServiceDocument)
@@ -81,7 +85,7 @@
 
 
 def get_holder(fleet) -> str:
-    from lovagestage.operator_client import open_client
+    from lovagestage.operations.operator_client import open_client
     from lovagestage.settings import OperatorSettings
 
     import asyncio  # isort: skip
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -7,16 +7,20 @@
 import msgspec
 import pytest
 
-from lovagestage.fold import ControlState, restore_state
-from lovagestage.outcomes import Outcome
-from lovagestage.records import (
+from lovagestage.state.fold import ControlState, restore_state
+from lovagestage.state.outcomes import Outcome
+from lovagestage.state.records import (
     DocumentChange,
     LeaseTake,
     RolloutProgress,
     RolloutStop,
     encode_record,
 )
-from lovagestage.rollout_chart import Observation, Position, get_next_position
+from lovagestage.state.rollout_chart import (
+    Observation,
+    Position,
+    get_next_position,
+)
 from lovagestage.types import RolloutPhase
 
 NEXT = itertools.count()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,7 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagestage.routing import UpstreamView, choose_upstream, get_wait_ms
+from lovagestage.decisions.routing import (
+    UpstreamView,
+    choose_upstream,
+    get_wait_ms,
+)
 
 VERSIONS = [f"model-{n}@1" for n in range(22)]
 
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -8,10 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagestage.attempts import Attempt
+from lovagestage.decisions.tombstones import RunTrace, TombstoneTable
 from lovagestage.exceptions import EngineError, EngineRefusedError
-from lovagestage.readers import PAUSE_BYTES, WINDOW_BYTES
-from lovagestage.run_messages import (
+from lovagestage.execution.attempts import Attempt
+from lovagestage.execution.readers import PAUSE_BYTES, WINDOW_BYTES
+from lovagestage.execution.runs import RunTable
+from lovagestage.messages.runs import (
     Ack,
     Attach,
     Cancel,
@@ -20,9 +22,7 @@
     Finished,
     Refused,
 )
-from lovagestage.runs import RunTable
 from lovagestage.settings import SidecarSettings
-from lovagestage.tombstones import RunTrace, TombstoneTable
 from lovagestage.types import RunState
 
 EVENT_BYTES = 1000
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -7,16 +7,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from lovagestage import sessions
-from lovagestage.document import (
-    ClassSpec,
-    OnWithdraw,
-    ServiceDocument,
-    SessionSpec,
-    VersionSpec,
-    VersionState,
-    WorkspaceSpec,
-)
+from lovagestage.decisions import sessions
 from lovagestage.exceptions import (
     ModelNotAllowedError,
     RequestRefusedError,
@@ -25,6 +16,15 @@
     SessionVersionConflictError,
     SessionVersionWithdrawnError,
 )
+from lovagestage.state.document import (
+    ClassSpec,
+    OnWithdraw,
+    ServiceDocument,
+    SessionSpec,
+    VersionSpec,
+    VersionState,
+    WorkspaceSpec,
+)
 from lovagestage.types import parse_model_version
 
 NOW_S = 1_000_000
--- a/tests/test_sessions_fleet.py
+++ b/tests/test_sessions_fleet.py
@@ -16,8 +16,8 @@
 from lab.calls import call
 from lab.fleet import Fleet
 from lab.shapes import EXAMPLES, SHAPES
-from lovagestage.document import OnWithdraw, ServiceDocument, VersionState
 from lovagestage.settings import parse_file
+from lovagestage.state.document import OnWithdraw, ServiceDocument, VersionState
 
 IN_FORCE_S = 2.0
 """An accepted document is in force everywhere within a few seconds."""
--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from lovagestage.adapters import EngineLoad
-from lovagestage.document import VersionState
+from lovagestage.adapters.protocols import EngineLoad
+from lovagestage.bus.hub import Hub
 from lovagestage.exceptions import EngineError
-from lovagestage.fold import ServiceInForce
-from lovagestage.hub import Hub
-from lovagestage.run_messages import Dispatch, Refused
+from lovagestage.execution.sidecar import Sidecar
+from lovagestage.messages.runs import Dispatch, Refused
 from lovagestage.settings import SidecarSettings
-from lovagestage.sidecar import Sidecar
+from lovagestage.state.document import VersionState
+from lovagestage.state.fold import ServiceInForce
 from lovagestage.types import RunState
 from tests.test_sessions import make_document
 
@@ -97,7 +97,7 @@
     # A connection to the engine closes just as its state is read; requests go
     # on to be served. Were the versions forgotten at once, entries would
     # answer 503 until the next reading, where the other upstream is leaving.
-    monkeypatch.setattr("lovagestage.sidecar.ENGINE_LOST_S", 0.2)
+    monkeypatch.setattr("lovagestage.execution.sidecar.ENGINE_LOST_S", 0.2)
     engine, hub = FlakyEngine(), Hub()
     hub.set_listener(Recorder())
     role = SidecarSettings("http://unused", max_running=1)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -9,19 +9,23 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovagestage.control import FollowState
-from lovagestage.exceptions import CodecError
-from lovagestage.leasing import LeaseKeeper
-from lovagestage.messages import Hello
-from lovagestage.records import SNAPSHOT_STREAM, decode_record, encode_record
-from lovagestage.snapshots import SnapshotShelf, decode_chunk, make_chunks
-from lovagestage.snapshotting import (
+from lovagestage.control.leasing import LeaseKeeper
+from lovagestage.control.reader import FollowState
+from lovagestage.control.snapshotting import (
     SNAPSHOT_LEASE,
     SnapshotPolicy,
     SnapshotStream,
     SnapshotWriter,
 )
-from lovagestage.writer import ControlWriter
+from lovagestage.control.writer import ControlWriter
+from lovagestage.exceptions import CodecError
+from lovagestage.messages.envelope import Hello
+from lovagestage.state.records import (
+    SNAPSHOT_STREAM,
+    decode_record,
+    encode_record,
+)
+from lovagestage.state.snapshots import SnapshotShelf, decode_chunk, make_chunks
 from tests.control_log import serve_log, wait_for
 from tests.test_fold import fold, make_change
 
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lovagestage.subsets import MIN_FOLLOWERS, Place, choose_subset
+from lovagestage.decisions.subsets import MIN_FOLLOWERS, Place, choose_subset
 
 ENTRIES, SIDECARS, ZONES, SIZE, PEERS = 98, 425, 4, 64, 8
 """A quarter of the target's VMs; a sidecar has as many followers."""
--- a/tests/test_version_search.py
+++ b/tests/test_version_search.py
@@ -5,13 +5,8 @@
 import random
 import types
 
-from lovagestage.hub import Hub
-from lovagestage.peer_messages import (
-    VersionAnswer,
-    VersionPlace,
-    VersionQuestion,
-)
-from lovagestage.version_search import (
+from lovagestage.bus.hub import Hub
+from lovagestage.entry.version_search import (
     MAX_PAUSE_S,
     MIN_UPSTREAMS,
     VersionSearch,
@@ -19,6 +14,11 @@
     choose_places,
     get_scarce,
 )
+from lovagestage.messages.peers import (
+    VersionAnswer,
+    VersionPlace,
+    VersionQuestion,
+)
 
 RARE = "rare@1"
 
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -6,17 +6,18 @@
 
 import pytest
 
-from lovagestage import control, http_log
-from lovagestage.control import FollowState
+from lovagestage.adapters import http_log
+from lovagestage.control import reader as control
+from lovagestage.control.reader import FollowState
+from lovagestage.control.writer import ControlWriter
 from lovagestage.exceptions import (
     ChangeUnknownError,
     CodecError,
     LogUnavailableError,
 )
-from lovagestage.fold import Outcome
-from lovagestage.records import DocumentChange
+from lovagestage.state.fold import Outcome
+from lovagestage.state.records import DocumentChange
 from lovagestage.types import Offset
-from lovagestage.writer import ControlWriter
 from tests.control_log import serve_log, wait_for
 from tests.test_fold import make_change
 
