Take questions and the link out of the table of links

No behaviour changes: a question that cannot be sent is still answered by None, and an answer that comes late is still dropped.

Test: test_connections, test_request_keys and test_version_search passed.

--- a/src/lovagestage/bus/links.py
+++ b/src/lovagestage/bus/links.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import itertools
 import logging
 import time
 from collections.abc import Callable
@@ -19,17 +17,16 @@
 import zmq
 
 from lovagestage.adapters.protocols import Vm
+from lovagestage.bus.link import Link
+from lovagestage.bus.questions import Questions
 from lovagestage.bus.transport import Connection, ConnectionEvent, is_refused
 from lovagestage.decisions.subsets import Place, choose_subset
-from lovagestage.exceptions import CodecError
 from lovagestage.messages.envelope import (
     Ask,
     Heartbeat,
     Hello,
     Message,
     Reply,
-    decode_message,
-    encode_message,
 )
 from lovagestage.messages.runs import Attach, Dispatch
 from lovagestage.settings import BusSettings
@@ -42,49 +39,6 @@
 _LEFT_OUT = VmId("")
 
 
-@dataclasses.dataclass
-class Link:
-    """One connection.
-
-    Attributes:
-        vm: The other process's place in the VM list.
-        connection: The open connection.
-        heard_s: Monotonic time at which a heartbeat of this process was last
-            answered, over reconnections.
-        connected_s: Monotonic time at which the connection was opened.
-        key_index: Which accepted key the connection uses.
-        in_use: Number of requests that keep the link from being closed.
-        answered: Whether this connection has carried a heartbeat both ways.
-        gone: The process's port refuses connections.
-        sequence: Number of the latest heartbeat sent.
-        heard_sequence: Number of the latest heartbeat answered.
-        kept: It belongs to the subset; others are closed when idle.
-        hello_s: Monotonic time of the latest heartbeat sent.
-        asked_s: Monotonic time of the first heartbeat sent since one was
-            answered, over reconnections; None where none is unanswered.
-        used_s: Monotonic time at which something else was last sent.
-    """
-
-    vm: Vm
-    connection: Connection
-    heard_s: float = 0.0
-    connected_s: float = 0.0
-    key_index: int = 0
-    in_use: int = 0
-    answered: bool = False
-    gone: bool = False
-    sequence: int = 0
-    heard_sequence: int = 0
-    kept: bool = True
-    hello_s: float = 0.0
-    asked_s: float | None = None
-    used_s: float = 0.0
-
-    def get_silent_s(self, now_s: float) -> float:
-        """How long a heartbeat has gone unanswered."""
-        return 0.0 if self.asked_s is None else now_s - self.asked_s
-
-
 class LinkTable(mode.Service):
     """Connections to processes of one role, but this one.
 
@@ -126,8 +80,7 @@
         self._on_reconnect: Callable[[VmId], None] = lambda _: None
         self._on_gone: Callable[[VmId], None] = lambda _: None
         self._probes: dict[VmId, asyncio.Task[None]] = {}
-        self._call_ids = itertools.count(1)
-        self._calls: dict[int, asyncio.Future[Message]] = {}
+        self._questions = Questions()
 
     def subscribe(
         self,
@@ -219,21 +172,16 @@
         self, vm: VmId, question: Message, timeout_s: float
     ) -> Message | None:
         """Asks a process; None where no answer came in time."""
-        call_id = next(self._call_ids)
-        future = asyncio.get_running_loop().create_future()
-        self._calls[call_id] = future
-        try:
-            if not self.send(vm, Ask(call_id, encode_message(question))):
+        with self._questions.open(question) as (ask, answer):
+            if not self.send(vm, ask):
                 return None
             self.change_use(vm, 1)
             try:
-                return await asyncio.wait_for(future, timeout_s)
+                return await asyncio.wait_for(answer, timeout_s)
+            except TimeoutError:
+                return None
             finally:
                 self.change_use(vm, -1)
-        except TimeoutError:
-            return None
-        finally:
-            del self._calls[call_id]
 
     def change_use(self, vm: VmId, by: int) -> None:
         """Counts what keeps a connection open and its heartbeats frequent."""
@@ -379,7 +327,7 @@
         if isinstance(message, Hello | Heartbeat):
             self._note_answer(link, message.heard_sequence)
         if isinstance(message, Reply):
-            self._on_reply(message)
+            self._questions.take(message)
         else:
             self.on_frame(vm, message)
 
@@ -440,15 +388,6 @@
         finally:
             del self._probes[vm]
 
-    def _on_reply(self, reply: Reply) -> None:
-        future = self._calls.get(reply.call_id)
-        if future is None or future.done():
-            return
-        try:
-            future.set_result(decode_message(reply.payload))
-        except CodecError as error:
-            _log.warning("undecodable_reply", extra={"error": error.message})
-
     def _on_heartbeat_due(self) -> None:
         now_s = time.monotonic()
         for link in list(self.links.values()):
