Try an upstream that was away with one request at a time

Two VMs went dark while the store was away; within 2.3 s 52 attempts of five gateways failed there as unreachable, each 0.4 s late. An upstream that is gone has nothing waiting, so it looks the best of all: every request of the time that one connection takes to fail went there, at first and again each time its exclusion ended (0.5, 1, 2 s).

Change: the first request after an exclusion is a trial, and others stay away until it is answered or 0.5 s are over; an upstream to which a connection has been opening for over 0.1 s counts as suspect meanwhile.

Test: tests/test_gateway_absence.py.

--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -13,6 +13,7 @@
     ConnectionLostError,
     WrongMessageError,
 )
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.rotation import Upstream
@@ -65,6 +66,7 @@
         self._connection: ClientConnection | None = None
 
     async def __aenter__(self) -> Self:
+        self.upstream.performance.note_sent(get_elapsed_s())
         self.upstream.performance.running += 1
         self.upstream.performance.waiting_s += self._waiting_s
         return self
@@ -114,6 +116,7 @@
                 raise AttemptFailedError(
                     "wrong_bytes", RunState.UNKNOWN
                 ) from error
+            self.upstream.performance.note_heard()
             self._check_head(head)
             self.head = head
             return head
@@ -148,6 +151,8 @@
         self._waiting_s = 0.0
 
     async def _connect(self) -> ClientConnection:
+        performance, begun_s = self.upstream.performance, get_elapsed_s()
+        performance.note_connecting(begun_s)
         try:
             self._connection = await self._pool.acquire(
                 self.upstream, self._is_repeatable
@@ -155,6 +160,8 @@
         except ConnectionLostError as error:
             self._connection = None
             raise AttemptFailedError("unreachable", RunState.NOT_RUN) from error
+        finally:
+            performance.note_connect_ended(begun_s)
         return self._connection
 
     async def _ask(self, connection: ClientConnection) -> AnswerHead:
--- a/src/lovagestage/gateway/performance.py
+++ b/src/lovagestage/gateway/performance.py
@@ -7,14 +7,19 @@
 restarting process takes at least."""
 SUSPECT_LIMIT_S = 4.0
 """Longest such time; a request then finds out whether it is back."""
+TRIAL_S = 0.5
+"""Others stay away from an upstream so long while a request tries it: until a
+connection that does not open has failed. One that hangs later, in a long queue
+or for a lost answer, keeps them away no longer."""
+SLOW_CONNECT_S = 0.1
+"""A connection that takes longer to open is a sign that its VM is dark: over
+ten times what it takes between zones, a quarter of its time limit."""
 FAILURE_GAIN = 0.15
 """Weight of the newest answer in the failure ratio: the last seven count for
 two thirds."""
 GREY_RATIO = 0.3
 """Over this failure ratio an upstream is taken only where others are worse.
 Above the rate of a service whose own faults fail one answer in seven."""
-
-
 RUNNING_S = 0.01
 """What each running request adds to the wait: its tokens are made between
 those of others."""
@@ -44,6 +49,8 @@
         self.failure_ratio = 0.0
         self._suspect_until_s = 0.0
         self._suspect_s = 0.0
+        self._is_tried = False
+        self._connecting_s: list[float] = []
 
     def get_own_wait_s(self) -> float:
         """Expected wait behind this gateway's requests."""
@@ -54,17 +61,45 @@
         return self.get_own_wait_s() + self.waiting_elsewhere_s
 
     def is_suspect(self, now_s: float) -> bool:
-        """Whether it lately failed in a way that says it is not there."""
-        return now_s < self._suspect_until_s
+        """Whether there are signs that it is not there."""
+        slow_s = now_s - SLOW_CONNECT_S
+        is_slow = bool(self._connecting_s) and self._connecting_s[0] < slow_s
+        return is_slow or now_s < self._suspect_until_s
 
     def is_grey(self) -> bool:
         """Whether it fails many requests although it answers."""
         return self.failure_ratio > GREY_RATIO
 
+    def note_connecting(self, now_s: float) -> None:
+        """Notes that a connection to it is being opened."""
+        self._connecting_s.append(now_s)
+
+    def note_connect_ended(self, begun_s: float) -> None:
+        """Notes that the opening which began then is over."""
+        self._connecting_s.remove(begun_s)
+
+    def note_sent(self, now_s: float) -> None:
+        """Notes a request to it; the first after a failure is a trial.
+
+        An upstream that is gone has nothing waiting and looks the best of
+        all: without this, all requests of the time that one takes to fail
+        would go there, each time that it is looked at again.
+        """
+        if self._suspect_s and not self.is_suspect(now_s):
+            self._is_tried = True
+            self._suspect_until_s = now_s + TRIAL_S
+
+    def note_heard(self) -> None:
+        """Notes that it answers; others may follow a trial."""
+        if self._is_tried:
+            self._is_tried = False
+            self._suspect_until_s = 0.0
+
     def note_absent(self, now_s: float) -> None:
         """Notes that it could not be reached or fell silent."""
-        if self.is_suspect(now_s):
+        if now_s < self._suspect_until_s and not self._is_tried:
             return
+        self._is_tried = False
         doubled_s = max(SUSPECT_BASE_S, 2 * self._suspect_s)
         self._suspect_s = min(SUSPECT_LIMIT_S, doubled_s)
         self._suspect_until_s = now_s + self._suspect_s
@@ -80,5 +115,6 @@
         """Notes an answer."""
         self.failure_ratio += FAILURE_GAIN * (failed - self.failure_ratio)
         if not failed:
+            self._is_tried = False
             self._suspect_s = 0.0
             self._suspect_until_s = 0.0
