Say in the log for how long a failed upstream is left out

Change: left_out_s on attempt_failed, written after the failure is taken into account.

Test: test_gateway_absence reads the field; failed before for want of it.

--- a/src/lovagestage/gateway/performance.py
+++ b/src/lovagestage/gateway/performance.py
@@ -66,6 +66,10 @@
         is_slow = bool(self._connecting_s) and self._connecting_s[0] < slow_s
         return is_slow or now_s < self._suspect_until_s
 
+    def get_left_out_s(self, now_s: float) -> float:
+        """For how long it is left out after a failure."""
+        return max(0.0, self._suspect_until_s - now_s)
+
     def is_grey(self) -> bool:
         """Whether it fails many requests although it answers."""
         return self.failure_ratio > GREY_RATIO
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -198,6 +198,11 @@
     would stop a good one.
     """
     attempts.note_failure(upstream, error)
+    performance, now_s = upstream.performance, get_elapsed_s()
+    if error.at_fault and error.run is RunState.RAN:
+        performance.note_answer(True)
+    elif error.at_fault:
+        performance.note_absent(now_s)
     _log.warning(
         "attempt_failed",
         extra={
@@ -207,15 +212,10 @@
             "run": error.run.value,
             "attempts": attempts.sent,
             "left_s": round(attempts.left_s, 3),
+            "left_out_s": round(performance.get_left_out_s(now_s), 2),
         },
     )
-    if not error.at_fault:
-        return
-    if error.run is RunState.RAN:
-        upstream.performance.note_answer(True)
-    else:
-        upstream.performance.note_absent(get_elapsed_s())
-    if error.reason in LOST_REASONS:
+    if error.at_fault and error.reason in LOST_REASONS:
         parts.suspects.note_lost(
             attempts.fingerprint, attempts.run_name, upstream
         )
--- a/tests/test_gateway_absence.py
+++ b/tests/test_gateway_absence.py
@@ -59,6 +59,7 @@
     assert {reply.status for reply in replies} == {200}
     failed = [r for r in caplog.records if r.message == "attempt_failed"]
     assert {r.upstream for r in failed} == {"w2"}
+    assert failed[0].left_out_s > 0.0
     assert 2 <= len(failed) <= MOST_TRIALS, len(failed)
 
 
