Log each failed answer, and pass the last one on where no upstream is left

The test for the line then found a fault: with more attempts allowed than upstreams left, the second failed answer was dropped and the caller got the gateway's own 502 no_upstream in its place.

Change: answer_failed with upstream, status and what comes next; explain names such answers. A failed answer is followed by another attempt only where an upstream is left that has not failed the request.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -167,6 +167,15 @@
         self._excluded.add(upstream.id)
         self._has_new_failed |= self.assignment.is_new
 
+    def has_other(self) -> bool:
+        """Whether there is an upstream that has not failed this request."""
+        service, assignment = self.admitted.service, self.assignment
+        upstreams = (
+            *self._deployment.get_upstreams(service, assignment.version),
+            *self._deployment.get_fallback(service, assignment),
+        )
+        return any(u.id not in self._excluded for u in upstreams)
+
     def may_repeat(self) -> bool:
         """Whether another attempt is allowed, and takes it from the budget.
 
--- a/src/lovagestage/gateway/plain.py
+++ b/src/lovagestage/gateway/plain.py
@@ -16,6 +16,7 @@
     get_silence_limit_s,
     limit_wait,
     make_exchange,
+    may_repeat_answer,
     note_failure,
 )
 from lovagestage.gateway.sinks import AnswerSink
@@ -41,10 +42,10 @@
                 raise attempts.make_refusal(error.reason) from error
             continue
         _note_answer(parts, attempts, upstream, head, started_s)
-        if head.status >= 500:
-            attempts.note_failed_answer(upstream)
-            if attempts.may_repeat():
-                continue
+        if head.status >= 500 and may_repeat_answer(
+            attempts, upstream, head.status
+        ):
+            continue
         await sink.send_whole(head, body)
         return
 
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -221,6 +221,30 @@
         )
 
 
+def may_repeat_answer(
+    attempts: Attempts, upstream: Upstream, status: int
+) -> bool:
+    """Whether a request whose answer is a failure is sent once more.
+
+    Only where another upstream is left: the caller gets the answer of the
+    last one, not a refusal of the gateway's own in its place.
+    """
+    attempts.note_failed_answer(upstream)
+    is_repeated = attempts.has_other() and attempts.may_repeat()
+    _log.warning(
+        "answer_failed",
+        extra={
+            "request": attempts.admitted.request.id,
+            "upstream": upstream.id,
+            "status": status,
+            "attempts": attempts.sent,
+            "next": "repeat" if is_repeated else "pass_on",
+            "left_s": round(attempts.left_s, 3),
+        },
+    )
+    return is_repeated
+
+
 def add_evidence(
     parts: RunParts, attempts: Attempts, upstream: Upstream, failed: bool
 ) -> None:
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -20,6 +20,7 @@
     get_silence_limit_s,
     limit_wait,
     make_exchange,
+    may_repeat_answer,
     note_failure,
     note_reading,
 )
@@ -149,8 +150,7 @@
         self._upstream.performance.note_answer(failed)
         if failed:
             add_evidence(self._parts, attempts, self._upstream, failed)
-            attempts.note_failed_answer(self._upstream)
-            if attempts.may_repeat():
+            if may_repeat_answer(attempts, self._upstream, head.status):
                 return _NextRun(self._model)
         if self.progress.is_started:
             raise AttemptFailedError("failed", RunState.RAN, at_fault=False)
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -97,13 +97,23 @@
         cause = last.get("reason") or last.get("outcome") or last.get("code")
         status = last.get("status")
         text = _REASONS.get(cause, f"Its last event is {last.event!r}.")
-        attempts = [line for line in self.own if line.event == "attempt_failed"]
-        if attempts and cause == "answered":
-            failed = ", ".join(line.get("reason") for line in attempts)
-            text = f"{text} Before that, attempts failed: {failed}."
+        failed = _get_failures(self.own)
+        if failed and cause == "answered":
+            text = f"{text} Before that, attempts failed: {', '.join(failed)}."
         return f"Status {status}. {text}" if status not in _NONE else text
 
 
+def _get_failures(own: Sequence[LogLine]) -> list[str]:
+    """Why each attempt failed after which the request was sent again."""
+    failures = []
+    for line in own:
+        if line.event == "attempt_failed":
+            failures.append(line.get("reason"))
+        elif line.event == "answer_failed" and line.get("next") == "repeat":
+            failures.append(f"status {line.get('status')}")
+    return failures
+
+
 def make_story(request_id: str, lines: Iterable[LogLine]) -> Story:
     """Chooses the lines that tell of a request."""
     ordered = sorted(lines, key=lambda line: line.time)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -80,6 +80,16 @@
     assert "attempts failed: refused" in conclusion
 
 
+def test_answered_request_names_failed_answers_before():
+    log = """\
+time=1 event=answer_failed vm=a request=r2 upstream=u1 status=500 next=repeat
+time=2 event=answer_failed vm=a request=r2 upstream=u2 status=503 next=pass_on
+time=3 event=request_ended vm=a request=r2 outcome=answered status=503
+"""
+    conclusion = make_log_story("r2", log).conclusion
+    assert "attempts failed: status 500." in conclusion
+
+
 def test_request_without_an_answer_has_no_status():
     log = LOG.replace("outcome=refused status=503", "outcome=stopped status=0")
     assert make_log_story("r1", log).conclusion.startswith("The gateway's time")
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -85,6 +85,18 @@
         assert (reply.status, count_runs(stage)) == (200, 2)
 
 
+async def test_tells_each_answer_that_failed_and_what_came_next(caplog):
+    # Both upstreams answer with a failure: the first answer is followed by
+    # another attempt, the second is passed on. Each has its line.
+    async with run_stage(workers=2, script=lab.fail) as stage:
+        reply = await stage.call("/safe/x")
+        assert reply.status == 500
+    lines = [r for r in caplog.records if r.message == "answer_failed"]
+    assert [r.next for r in lines] == ["repeat", "pass_on"]
+    assert {r.upstream for r in lines} == {"w1", "w2"}
+    assert {r.status for r in lines} == {500}
+
+
 @pytest.mark.parametrize(
     ("script", "status"), [(lab.reset, 502), (lab.fail, 500)]
 )
