Write whole counters on the metrics address

Cause: values were written with six digits; a counter over a million stood still and then jumped, and rates worked out from it would be wrong. Found by reading the change as a newcomer.

Change: whole values are written whole, others with six decimals.

Only the text of the metrics is changed.

--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -162,12 +162,12 @@
         read = self._gauges.get(series)
         value = None if read is None else read()
         name = _PREFIX + series.value.name
-        return [] if value is None else [f"{name} {value:g}"]
+        return [] if value is None else [f"{name} {_format_value(value)}"]
 
     def _format_counts(self, series: Series) -> list[str]:
         name = _PREFIX + series.value.name
         return [
-            f"{name}{{{labels}}} {value:g}"
+            f"{name}{{{labels}}} {_format_value(value)}"
             for (kind, labels), value in self._counts.items()
             if kind is series
         ]
@@ -182,6 +182,10 @@
         ]
 
 
+def _format_value(value: float) -> str:
+    return str(int(value)) if value == int(value) else f"{value:.6f}"
+
+
 class _Histogram:
     def __init__(self) -> None:
         self._counts = [0] * (len(BUCKETS_S) + 1)
--- a/tests/test_gateway_metrics.py
+++ b/tests/test_gateway_metrics.py
@@ -67,6 +67,15 @@
         assert (f"{spec.name}_count" if is_histogram else spec.name) in found
 
 
+def test_large_counters_lose_no_digits():
+    # A counter that is rounded stands still and then jumps: rates worked out
+    # from it are nothing, and then far too high.
+    exposition = Exposition()
+    exposition.count(Series.ATTEMPTS, by=123_456_789)
+    samples = parse(exposition.format_text())
+    assert samples[f"{PREFIX}attempts_total", ()] == 123_456_789
+
+
 def test_a_gauge_without_a_value_is_left_out():
     exposition = Exposition()
     exposition.add_gauge(Series.PROOF_AGE_S, lambda: None)
