Let one piece of code serve what this change wrote twice

Cause, found by reading the whole change once more: - Attempts.has_other gathered the upstreams of a request as _place does; _get_groups serves both. - The wiring handed the exposition through each feed's maker only to make a store client; the makers take the client, and get two parameters of use. - PeerSocket took the kind's length off a datagram's size to add it again. - Pages of metrics were made by two functions in the product, one of them in the gateway's process; lab/pages, which makes the other pages, makes this one. The page is the same to the byte. - Two decoders of messages/calls differed in a word. - Two test files read the metrics address each in its own way; a name promised that a series has only its own labels, which nothing checked: the parser of the tests checks it now.

Behaviour stays: no bound, pattern or expectation is changed, one check is added.

--- a/lab/pages.py
+++ b/lab/pages.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from lovagestage.gateway import exposition
+from lovagestage.gateway.exposition import PREFIX, Series
 from lovagestage.state.document import ServiceDocument
-from lovagestage.telemetry.metrics import format_page
+from lovagestage.telemetry.metrics import SPECS
 
 ROOT = pathlib.Path(__file__).parent.parent
 SOURCE = ROOT / "src" / "lovagestage"
@@ -114,7 +114,39 @@
 
 def format_metrics_page() -> str:
     """The page docs/METRICS.md."""
-    return f"{format_page()}\n{exposition.format_page()}"
+    sent = [
+        f"| `{metric.value}` | {spec.kind.value} | {spec.unit} | {spec.text} |"
+        for metric, spec in SPECS.items()
+    ]
+    served = [
+        f"| `{PREFIX}{spec.name}` | {spec.kind.value} |"
+        f" {', '.join(spec.labels)} | {spec.text} |"
+        for spec in (series.value for series in Series)
+    ]
+    return "\n".join(
+        [
+            "# Metrics",
+            "",
+            "## Entries and sidecars",
+            "",
+            "Generated from `lovagestage.telemetry.metrics`; sent to statsd"
+            " once a second.",
+            "",
+            "| name | kind | unit | meaning |",
+            "|---|---|---|---|",
+            *sent,
+            "",
+            "## Gateways",
+            "",
+            "Generated from `lovagestage.gateway.exposition`; served at"
+            " `/metrics` in the Prometheus text format.",
+            "",
+            "| name | kind | labels | meaning |",
+            "|---|---|---|---|",
+            *served,
+            "",
+        ]
+    )
 
 
 PAGES = {
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -125,13 +125,7 @@
             str(admitted.request.id),
             now_s,
         )
-        own = deployment.get_upstreams(
-            admitted.service, self.assignment.version
-        )
-        other = deployment.get_fallback(admitted.service, self.assignment)
-        # An answer that failed speaks against the version, not the upstream.
-        groups = [other, own] if self._has_new_failed else [own, other]
-        for upstreams in groups:
+        for upstreams in self._get_groups():
             placement = choice.choose_upstream(
                 upstreams, self._excluded, work, self._zone, now_s, self._rng
             )
@@ -139,6 +133,14 @@
                 return placement
         return None
 
+    def _get_groups(self) -> list[list[Upstream]]:
+        """Upstreams by version, in the order in which they are asked."""
+        service = self.admitted.service
+        own = self._deployment.get_upstreams(service, self.assignment.version)
+        other = self._deployment.get_fallback(service, self.assignment)
+        # An answer that failed speaks against the version, not the upstream.
+        return [other, own] if self._has_new_failed else [own, other]
+
     def get_least_wait_s(self) -> float:
         """Expected wait at the least busy upstream of the request's version."""
         upstreams = self._deployment.get_upstreams(
@@ -169,12 +171,11 @@
 
     def has_other(self) -> bool:
         """Whether there is an upstream that has not failed this request."""
-        service, assignment = self.admitted.service, self.assignment
-        upstreams = (
-            *self._deployment.get_upstreams(service, assignment.version),
-            *self._deployment.get_fallback(service, assignment),
+        return any(
+            upstream.id not in self._excluded
+            for upstreams in self._get_groups()
+            for upstream in upstreams
         )
-        return any(u.id not in self._excluded for u in upstreams)
 
     def may_repeat(self) -> bool:
         """Whether another attempt is allowed, and takes it from the budget.
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
-_PREFIX = "lovagestage_"
+PREFIX = "lovagestage_"
+"""Stands before each name."""
 
 
 class SeriesKind(enum.Enum):
@@ -150,7 +151,7 @@
         lines = []
         for series in Series:
             spec = series.value
-            name = _PREFIX + spec.name
+            name = PREFIX + spec.name
             lines.append(f"# HELP {name} {spec.text}")
             lines.append(f"# TYPE {name} {spec.kind.value}")
             lines += self._format_counts(series)
@@ -161,11 +162,11 @@
     def _format_gauge(self, series: Series) -> list[str]:
         read = self._gauges.get(series)
         value = None if read is None else read()
-        name = _PREFIX + series.value.name
+        name = PREFIX + series.value.name
         return [] if value is None else [f"{name} {_format_value(value)}"]
 
     def _format_counts(self, series: Series) -> list[str]:
-        name = _PREFIX + series.value.name
+        name = PREFIX + series.value.name
         return [
             f"{name}{{{labels}}} {_format_value(value)}"
             for (kind, labels), value in self._counts.items()
@@ -173,7 +174,7 @@
         ]
 
     def _format_histograms(self, series: Series) -> list[str]:
-        name = _PREFIX + series.value.name
+        name = PREFIX + series.value.name
         return [
             line
             for (kind, labels), histogram in self._histograms.items()
@@ -207,25 +208,3 @@
         lines.append(f"{name}_sum{{{labels}}} {self._sum:.6f}")
         lines.append(f"{name}_count{{{labels}}} {total}")
         return lines
-
-
-def format_page() -> str:
-    """The part of docs/METRICS.md on gateways."""
-    rows = [
-        f"| `{_PREFIX}{spec.name}` | {spec.kind.value} |"
-        f" {', '.join(spec.labels)} | {spec.text} |"
-        for spec in (series.value for series in Series)
-    ]
-    return "\n".join(
-        [
-            "## Gateways",
-            "",
-            "Generated from `lovagestage.gateway.exposition`; served at"
-            " `/metrics` in the Prometheus text format.",
-            "",
-            "| name | kind | labels | meaning |",
-            "|---|---|---|---|",
-            *rows,
-            "",
-        ]
-    )
--- a/src/lovagestage/gateway/peers.py
+++ b/src/lovagestage/gateway/peers.py
@@ -75,7 +75,7 @@
         """Sends a datagram, which may be lost."""
         if self._transport is not None:
             self._transport.sendto(kind + data, peer)
-            self._count(kind, "sent", len(data))
+            self._count(kind, "sent", KIND_BYTES + len(data))
 
     def take(self, data: bytes, sender: PeerAddress) -> None:
         """Hands on a datagram; one of an unknown kind is dropped and logged.
@@ -89,7 +89,7 @@
             _log.warning("datagram_refused", extra={"size": len(data)})
             return
         self._add(sender)
-        self._count(data[:KIND_BYTES], "received", len(data) - KIND_BYTES)
+        self._count(data[:KIND_BYTES], "received", len(data))
         handler(data[KIND_BYTES:], sender)
 
     @mode.Service.task
@@ -111,7 +111,6 @@
 
     def _count(self, kind: bytes, way: str, size_bytes: int) -> None:
         labels = f'kind="{kind.decode()}",way="{way}"'
-        size_bytes += KIND_BYTES
         self._exposition.count(Series.DATAGRAMS, labels)
         self._exposition.count(Series.DATAGRAM_BYTES, labels, size_bytes)
 
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import random
 import time
 
@@ -107,14 +108,15 @@
     """Builds all parts; nothing is started."""
     rng = random.Random()
     bounds = settings.bounds
+    make_store = functools.partial(_make_store, settings, exposition)
     deployment = Deployment(
         Trust(bounds.revoke_s), SessionPins(bounds.session_s)
     )
     rollouts = RolloutService(
-        _make_store(settings, exposition), deployment, settings.vm, bounds, rng
+        make_store(), deployment, settings.vm, bounds, rng
     )
     mailbox = Mailbox(
-        _make_store(settings, exposition),
+        make_store(),
         settings.vm,
         time.time_ns(),
         settings.peer_address or "",
@@ -129,10 +131,10 @@
     forwarder = Forwarder(settings, deployment, pool, rollouts, suspects, rng)
     store_return = StoreReturn()
     operator_feed = _make_operator_feed(
-        settings, exposition, deployment, rollouts, rng, store_return, relay
+        make_store(), bounds, deployment, rollouts, rng, store_return, relay
     )
     upstream_feed = _make_upstream_feed(
-        settings, exposition, deployment, rng, store_return, relay
+        make_store(), bounds, deployment, rng, store_return, relay
     )
     if relay is not None:
         relay.add_source(operator_feed)
@@ -145,7 +147,7 @@
         *(each for each in peer_services if each is not None),
         operator_feed,
         upstream_feed,
-        _make_notes_feed(settings, exposition, mailbox, rng, store_return),
+        _make_notes_feed(make_store(), mailbox, rng, store_return),
         mailbox,
         rollouts,
     )
@@ -258,8 +260,8 @@
 
 
 def _make_operator_feed(
-    settings: GatewaySettings,
-    exposition: Exposition,
+    store: StoreClient,
+    bounds: Bounds,
     deployment: Deployment,
     rollouts: RolloutService,
     rng: random.Random,
@@ -267,10 +269,10 @@
     relay: Relay | None,
 ) -> TopicFeed:
     return TopicFeed(
-        _make_store(settings, exposition),
+        store,
         OPERATOR_TOPIC,
         OperatorBeliefs(deployment, rollouts.on_order),
-        get_operator_wait_s(settings.bounds),
+        get_operator_wait_s(bounds),
         OPERATOR_PAUSE_S,
         True,
         rng,
@@ -280,8 +282,8 @@
 
 
 def _make_upstream_feed(
-    settings: GatewaySettings,
-    exposition: Exposition,
+    store: StoreClient,
+    bounds: Bounds,
     deployment: Deployment,
     rng: random.Random,
     store_return: StoreReturn,
@@ -289,11 +291,11 @@
 ) -> TopicFeed:
     beliefs = UpstreamBeliefs(deployment)
     feed = TopicFeed(
-        _make_store(settings, exposition),
+        store,
         UPSTREAM_TOPIC,
         beliefs,
-        WAIT_RATIO * settings.bounds.drain_s,
-        UPSTREAM_PAUSE_RATIO * settings.bounds.drain_s,
+        WAIT_RATIO * bounds.drain_s,
+        UPSTREAM_PAUSE_RATIO * bounds.drain_s,
         True,
         rng,
         store_return,
@@ -304,14 +306,13 @@
 
 
 def _make_notes_feed(
-    settings: GatewaySettings,
-    exposition: Exposition,
+    store: StoreClient,
     mailbox: Mailbox,
     rng: random.Random,
     store_return: StoreReturn,
 ) -> TopicFeed:
     return TopicFeed(
-        _make_store(settings, exposition),
+        store,
         TOPIC,
         mailbox,
         NOTES_WAIT_S,
--- a/src/lovagestage/messages/calls.py
+++ b/src/lovagestage/messages/calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 import msgspec
 
 from lovagestage.exceptions import CodecError
@@ -45,6 +47,8 @@
     content: bytes
 
 
+_Decoded = TypeVar("_Decoded")
+
 _encoder = msgspec.msgpack.Encoder()
 _call_decoder = msgspec.msgpack.Decoder(PlainCall)
 _answer_decoder = msgspec.msgpack.Decoder(PlainAnswer)
@@ -61,10 +65,7 @@
     Raises:
         CodecError: The bytes are no call.
     """
-    try:
-        return _call_decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise CodecError(f"A call does not decode: {error}.") from error
+    return _decode(_call_decoder, data, "A call")
 
 
 def encode_answer(answer: PlainAnswer) -> bytes:
@@ -78,7 +79,13 @@
     Raises:
         CodecError: The bytes are no answer.
     """
+    return _decode(_answer_decoder, data, "An answer")
+
+
+def _decode(
+    decoder: msgspec.msgpack.Decoder[_Decoded], data: bytes, what: str
+) -> _Decoded:
     try:
-        return _answer_decoder.decode(data)
+        return decoder.decode(data)
     except msgspec.MsgspecError as error:
-        raise CodecError(f"An answer does not decode: {error}.") from error
+        raise CodecError(f"{what} does not decode: {error}.") from error
--- a/src/lovagestage/telemetry/metrics.py
+++ b/src/lovagestage/telemetry/metrics.py
@@ -187,26 +187,3 @@
     except ValueError:
         return False
     return True
-
-
-def format_page() -> str:
-    """The part of docs/METRICS.md on entries and sidecars."""
-    rows = [
-        f"| `{metric.value}` | {spec.kind.value} | {spec.unit} | {spec.text} |"
-        for metric, spec in SPECS.items()
-    ]
-    return "\n".join(
-        [
-            "# Metrics",
-            "",
-            "## Entries and sidecars",
-            "",
-            "Generated from `lovagestage.telemetry.metrics`; sent to statsd"
-            " once a second.",
-            "",
-            "| name | kind | unit | meaning |",
-            "|---|---|---|---|",
-            *rows,
-            "",
-        ]
-    )
--- a/tests/test_gateway_metrics.py
+++ b/tests/test_gateway_metrics.py
@@ -5,22 +5,19 @@
 import asyncio
 import re
 
-from lovagestage.gateway.exposition import Exposition, Series, SeriesKind
+from lovagestage.gateway.exposition import (
+    PREFIX,
+    Exposition,
+    Series,
+    SeriesKind,
+)
 from lovagestage.gateway.peers import PeerSocket
-from tests.gateway_stage import get_free_port, read_reply
+from tests.gateway_stage import get_free_port
 from tests.test_gateway_process import run_process
 
 SAMPLE = re.compile(r"^([a-z_]+)(?:\{(.*)\})? (-?[0-9.e+-]+|\+Inf)$")
 LABEL = re.compile(r'([a-z]+)="([^"]*)"')
-PREFIX = "lovagestage_"
-
-
-async def read_metrics(port):
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
-    text = (await read_reply(reader)).body.decode()
-    writer.close()
-    return text
+LABELS = {PREFIX + s.value.name: set(s.value.labels) for s in Series}
 
 
 def parse(text):
@@ -42,6 +39,8 @@
         samples[name, pairs] = float(value)
         base = re.sub("_(bucket|sum|count)$", "", name)
         assert kinds.get(name) or kinds.get(base) == "histogram", line
+        own = LABELS.get(name) or LABELS.get(base, set())
+        assert {label for label, _ in pairs} - {"le"} == own, line
     return samples
 
 
@@ -88,7 +87,7 @@
     # lost grows, and the proof gets older, before any caller is refused.
     async with run_process(tmp_path) as stage:
         await stage.call("/safe/x")
-        samples = parse(await read_metrics(stage.metrics_port))
+        samples = parse(await stage.read_metrics())
         calls = f"{PREFIX}store_calls_total"
         newest = (("call", "newest"), ("outcome", "answered"))
         assert samples[calls, newest] >= 2
@@ -101,7 +100,7 @@
         stage.store.faults.outage = "503"
         async with asyncio.timeout(10.0):
             while True:
-                later = parse(await read_metrics(stage.metrics_port))
+                later = parse(await stage.read_metrics())
                 failed = [
                     value
                     for (name, labels), value in later.items()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -36,6 +36,16 @@
         self.process.send_signal(number)
         return await asyncio.wait_for(self.process.wait(), 12.0)
 
+    async def read_metrics(self):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.metrics_port
+        )
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        try:
+            return (await read_reply(reader)).body.decode()
+        finally:
+            writer.close()
+
     async def wait_until_ready(self):
         async with asyncio.timeout(10.0):
             while True:
@@ -187,12 +197,7 @@
 async def test_serves_its_metrics(tmp_path):
     async with run_process(tmp_path) as stage:
         await stage.call("/safe/x")
-        reader, writer = await asyncio.open_connection(
-            "127.0.0.1", stage.metrics_port
-        )
-        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
-        text = (await read_reply(reader)).body.decode()
-        writer.close()
+        text = await stage.read_metrics()
         name = "lovagestage_requests_total"
         assert f'{name}{{kind="safe",outcome="answered"}} 1' in text
         assert 'lovagestage_answer_seconds_count{kind="safe"} 1' in text
