Tell processes under one id apart, and take no upstream from a junk entry

Cause: an upstream may start again under its id. The gateway knew upstreams by id alone, so failures, speed, waiting requests, kept connections and the prompts that it had read outlived the process, and one that had said that it leaves was left out for ever. Entries were decoded by field lookups: an address or number of another type passed, an unknown state counted as draining, and an entry that could not be read left the one before in force until the next full list, which removed it.

Ruled out: telling processes apart by the greater time of start alone; a clock that was set back would hide a restart. The order of the store's records decides, and a start that was replaced is not believed again.

Change: the entry has born_ms; another one makes another Upstream, which kept connections, waiting times between gateways and read prompts follow. Entries are decoded by types; one that is not whole ends what stood under its key and is logged once by key and reason.

--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -263,6 +263,8 @@
             "Version": "v1",
             "MaxBatchSize": 8,
             "State": state,
+            "WarmupLeftMs": 0,
+            "Sequence": 1,
         }
         data = json.dumps(entry).encode()
         self.store.put("keyed.servers", name, data)
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -110,6 +110,8 @@
         upstream = placement.upstream
         self.work_s = placement.work_s
         self.is_cached = placement.is_cached
+        if work.subject is not None:
+            upstream.note_sent_prompt(work.subject)
         self.sent += 1
         self.runs += 1
         self.tried.append(upstream.id)
--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -27,6 +27,9 @@
 """A removal is taken for a lapse for so long after the store was out of reach:
 entries that lapsed meanwhile are written again within about this time."""
 
+MAX_REFUSED = 256
+"""Keys of refused entries that are remembered so that each is logged once."""
+
 
 class OperatorBeliefs:
     """Takes configurations and roll-out orders.
@@ -107,6 +110,7 @@
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
         self._source: EntrySource | None = None
+        self._refused: dict[InstanceId, str] = {}
 
     def set_source(self, source: EntrySource) -> None:
         """Names the feed that reads the entries; called once."""
@@ -143,15 +147,27 @@
         self, records: Iterable[Record]
     ) -> Iterable[tuple[InstanceId, UpstreamEntry | None, int]]:
         for record in records:
-            if record.value is None:
-                yield InstanceId(record.key), None, record.offset
-                continue
-            try:
-                entry = decode_upstream(record.value)
-            except CodecError as error:
-                _log.error(
-                    "upstream_record_refused",
-                    extra={"upstream": record.key, "error": error.message},
-                )
-                continue
-            yield InstanceId(record.key), entry, record.offset
+            name = InstanceId(record.key)
+            entry = None
+            if record.value is not None:
+                try:
+                    entry = decode_upstream(record.value)
+                except CodecError as error:
+                    self._note_refused(name, error.message, record.offset)
+            yield name, entry, record.offset
+
+    def _note_refused(self, name: InstanceId, reason: str, offset: int) -> None:
+        """Logs an entry that names no upstream, once for each reason.
+
+        It counts as ended: what stood under its key has been overwritten, and
+        an upstream that is there writes again with its next heartbeat.
+        """
+        if self._refused.get(name) == reason:
+            return
+        while len(self._refused) >= MAX_REFUSED:
+            del self._refused[next(iter(self._refused))]
+        self._refused[name] = reason
+        _log.error(
+            "upstream_record_refused",
+            extra={"upstream": name, "error": reason, "offset": offset},
+        )
--- a/src/lovagestage/gateway/choice.py
+++ b/src/lovagestage/gateway/choice.py
@@ -85,7 +85,9 @@
         {*sample, likely},
         key=lambda u: _get_wait_s(u, work, u is likely, rng),
     )
-    is_cached = best is likely
+    # One that has just started is preferred all the same: what it reads now
+    # the next request of the subject finds there.
+    is_cached = best is likely and likely.has_likely_read(work.subject)
     return Placement(
         best, is_cached, work.cached_s if is_cached else work.fresh_s
     )
--- a/src/lovagestage/gateway/connections.py
+++ b/src/lovagestage/gateway/connections.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 
 from lovagestage.adapters.http1 import ClientConnection, open_channel
 from lovagestage.gateway.rotation import Upstream
-from lovagestage.types import InstanceId
 
 CONNECT_TIMEOUT_S = 0.4
 """Two lost opening packets of a near zone, or a dark VM: another upstream
@@ -22,11 +22,17 @@
 
 
 class ConnectionPool:
-    """Idle connections by incarnation of an upstream."""
+    """Idle connections by upstream.
+
+    One that started again under its id is another upstream: a connection to
+    the process before would wait for an answer of nobody.
+    """
 
     def __init__(self) -> None:
-        self._idle: dict[InstanceId, list[ClientConnection]] = {}
-        self._idle_limits_s: dict[InstanceId, float] = {}
+        self._idle: dict[Upstream, list[ClientConnection]] = {}
+        self._idle_limits_s: weakref.WeakKeyDictionary[Upstream, float] = (
+            weakref.WeakKeyDictionary()
+        )
 
     async def acquire(
         self, upstream: Upstream, may_reuse: bool
@@ -45,9 +51,9 @@
         """
         now_s = asyncio.get_running_loop().time()
         limit_s = min(
-            IDLE_LIMIT_S, self._idle_limits_s.get(upstream.id, IDLE_LIMIT_S)
+            IDLE_LIMIT_S, self._idle_limits_s.get(upstream, IDLE_LIMIT_S)
         )
-        idle = self._idle.get(upstream.id, [])
+        idle = self._idle.get(upstream, [])
         while may_reuse and idle:
             connection = idle.pop()
             is_young = now_s - connection.idle_since_s < limit_s
@@ -65,8 +71,8 @@
     ) -> None:
         """Keeps a connection whose answer has been read whole."""
         if idle_timeout_s is not None:
-            self._idle_limits_s[upstream.id] = idle_timeout_s - IDLE_MARGIN_S
-        idle = self._idle.setdefault(upstream.id, [])
+            self._idle_limits_s[upstream] = idle_timeout_s - IDLE_MARGIN_S
+        idle = self._idle.setdefault(upstream, [])
         if len(idle) >= MAX_IDLE or not connection.channel.is_open:
             connection.abort()
             return
@@ -76,10 +82,10 @@
     def expire(self) -> None:
         """Closes connections that are too old to be used."""
         now_s = asyncio.get_running_loop().time()
-        for instance, idle in list(self._idle.items()):
+        for upstream, idle in list(self._idle.items()):
             old = [c for c in idle if now_s - c.idle_since_s > IDLE_LIMIT_S]
             for connection in old:
                 idle.remove(connection)
                 connection.abort()
             if not idle:
-                del self._idle[instance]
+                del self._idle[upstream]
--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -138,7 +138,7 @@
 
 
 def _get_short_name(upstream: Upstream) -> int:
-    return xxhash.xxh32_intdigest(upstream.id.encode())
+    return xxhash.xxh32_intdigest(upstream.incarnation.encode())
 
 
 def _get_units(upstream: Upstream) -> int:
--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -20,6 +20,12 @@
 FORGET_S = 600.0
 """Upstreams that are gone are remembered for the reads that show the past, and
 for entries that are written late. With 655 that leave a day, five are kept."""
+MAX_PAST_STARTS = 8
+"""Replaced processes of an id whose late writes are told apart. A write is
+carried out seconds late at most, and a process takes as long to start."""
+MAX_SUBJECTS = 4096
+"""Subjects that are told apart after a restart: several times as many as an
+engine's memory holds. Once as many were sent, it is full of them."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +39,8 @@
         version: Version of its software.
         slots: Requests that it works on at once.
         is_draining: It takes no new requests soon.
+        born_ms: Unix time of its start; None where it does not tell. Another
+            one under the same id is another process.
     """
 
     service: ServiceId
@@ -41,6 +49,7 @@
     version: VersionId
     slots: int
     is_draining: bool
+    born_ms: int | None = None
 
 
 class UpstreamState(enum.Enum):
@@ -54,7 +63,7 @@
 
 
 class Upstream:
-    """One incarnation of an upstream.
+    """One process of an upstream.
 
     Attributes:
         id: Its id.
@@ -65,6 +74,7 @@
             takes nothing any more, whatever is written of it later.
         changed_s: Elapsed time at the last change of the state.
         performance: What this gateway saw of it.
+        past_born_ms: Starts of the processes that had its id before.
     """
 
     def __init__(
@@ -77,6 +87,44 @@
         self.has_left = False
         self.changed_s = now_s
         self.performance = Performance()
+        self.past_born_ms: tuple[int | None, ...] = ()
+        self._sent_subjects: set[str] | None = None
+
+    @property
+    def incarnation(self) -> str:
+        """Names this process, apart from others under the same id."""
+        return f"{self.id}/{self.entry.born_ms}"
+
+    def make_successor(
+        self, entry: UpstreamEntry, offset: int, now_s: float
+    ) -> Upstream:
+        """The process that started under the same id.
+
+        It knows nothing of before, and nothing that was seen of this one is
+        true of it: requests that run, failures, speed, kept connections,
+        prompts that it has read.
+        """
+        successor = Upstream(self.id, entry, offset, now_s)
+        past = (*self.past_born_ms, self.entry.born_ms)
+        successor.past_born_ms = past[-MAX_PAST_STARTS:]
+        successor._sent_subjects = set()
+        return successor
+
+    def note_sent_prompt(self, subject: str) -> None:
+        """Notes that it reads a prompt of a subject."""
+        if self._sent_subjects is None:
+            return
+        self._sent_subjects.add(subject)
+        if len(self._sent_subjects) >= MAX_SUBJECTS:
+            self._sent_subjects = None
+
+    def has_likely_read(self, subject: str) -> bool:
+        """Whether it has most likely read a subject that is hashed to it.
+
+        Other gateways send it those as well, so the answer is no only where
+        it is known to have started with an empty memory.
+        """
+        return self._sent_subjects is None or subject in self._sent_subjects
 
     def set_state(self, state: UpstreamState, now_s: float) -> None:
         """Changes the state and logs it."""
@@ -97,7 +145,14 @@
 
 
 class Rotation:
-    """All upstreams that this gateway knows of."""
+    """All upstreams that this gateway knows of.
+
+    An id may be used again by a process that starts anew. The order of the
+    store's records tells which of two processes is the newer one, not their
+    clocks: a start that was not seen before is a new process even where its
+    time is an earlier one. A start that was replaced is of a process that is
+    gone, and its record a write that was carried out late.
+    """
 
     def __init__(self) -> None:
         self._upstreams: dict[InstanceId, Upstream] = {}
@@ -117,7 +172,7 @@
         """Takes an entry of the store, or its removal.
 
         Args:
-            name: The incarnation.
+            name: Its id.
             entry: What it says; None where the entry was removed.
             offset: Offset of the record; an older one than known is ignored,
                 since a read may show the past.
@@ -135,6 +190,23 @@
             return
         if known is None:
             known = self._add(name, entry, offset, now_s)
+        elif entry.born_ms in known.past_born_ms:
+            _log.info(
+                "upstream_entry_late",
+                extra={
+                    "upstream": name,
+                    "born": entry.born_ms,
+                    "known": known.entry.born_ms,
+                    "offset": offset,
+                },
+            )
+            return
+        elif self._is_restart(known, entry):
+            known = self._restart(known, entry, offset, now_s)
+        elif entry.service != known.entry.service:
+            self._drop(known)
+            known.entry = entry
+            self._insert(known)
         known.entry = entry
         known.offset = offset
         known.has_left = known.has_left or entry.is_draining
@@ -167,8 +239,7 @@
                 if age_s > LAPSE_GRACE_S:
                     upstream.set_state(UpstreamState.GONE, now_s)
             elif upstream.state is UpstreamState.GONE and age_s > FORGET_S:
-                del self._upstreams[upstream.id]
-                self._by_service[upstream.entry.service].remove(upstream)
+                self._drop(upstream)
 
     def get_ready(self, service: ServiceId) -> list[Upstream]:
         """Upstreams of a service that take requests."""
@@ -183,12 +254,46 @@
         """All upstreams, also those that are gone."""
         return list(self._upstreams.values())
 
+    @staticmethod
+    def _is_restart(known: Upstream, entry: UpstreamEntry) -> bool:
+        # An entry of one that does not tell its start is no sign of a new
+        # process, neither before nor after one that does.
+        starts = (known.entry.born_ms, entry.born_ms)
+        return None not in starts and starts[0] != starts[1]
+
+    def _restart(
+        self, known: Upstream, entry: UpstreamEntry, offset: int, now_s: float
+    ) -> Upstream:
+        self._drop(known)
+        successor = known.make_successor(entry, offset, now_s)
+        self._insert(successor)
+        _log.info(
+            "upstream_restarted",
+            extra={
+                "upstream": known.id,
+                "service": entry.service,
+                "born": entry.born_ms,
+                "before": known.entry.born_ms,
+                "offset": offset,
+            },
+        )
+        known.set_state(UpstreamState.GONE, now_s)
+        return successor
+
+    def _insert(self, upstream: Upstream) -> None:
+        self._upstreams[upstream.id] = upstream
+        service = upstream.entry.service
+        self._by_service.setdefault(service, []).append(upstream)
+
+    def _drop(self, upstream: Upstream) -> None:
+        del self._upstreams[upstream.id]
+        self._by_service[upstream.entry.service].remove(upstream)
+
     def _add(
         self, name: InstanceId, entry: UpstreamEntry, offset: int, now_s: float
     ) -> Upstream:
         upstream = Upstream(name, entry, offset, now_s)
-        self._upstreams[name] = upstream
-        self._by_service.setdefault(entry.service, []).append(upstream)
+        self._insert(upstream)
         _log.info(
             "upstream_added",
             extra={
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -42,6 +42,28 @@
 _DEFAULT_GAP_MS = 1_200
 
 Fields = Mapping[str, Any]
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_PORT = (
+    r"([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])"
+)
+_Address = Annotated[
+    str, msgspec.Meta(pattern=rf"^\d{{1,3}}(\.\d{{1,3}}){{3}}:{_PORT}$")
+]
+
+
+class _UpstreamFields(msgspec.Struct):
+    """An upstream's entry. Other writers leave some that are not whole."""
+
+    Service: _Text
+    Address: _Address
+    Zone: str
+    Version: str
+    MaxBatchSize: Annotated[int, msgspec.Meta(gt=0)]
+    State: Literal["ready", "draining"]
+    WarmupLeftMs: float
+    Sequence: _Count
+    born: _Count | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_configuration(data: bytes) -> Configuration:
@@ -116,18 +138,20 @@
     Raises:
         CodecError: It is not such an entry.
     """
-    fields = _decode_object(data)
     try:
-        return UpstreamEntry(
-            service=ServiceId(fields["Service"]),
-            address=fields["Address"],
-            zone=ZoneId(fields.get("Zone", "")),
-            version=VersionId(str(fields.get("Version", ""))),
-            slots=int(fields.get("MaxBatchSize") or 1),
-            is_draining=fields.get("State") != "ready",
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise CodecError(f"Upstream: {error!r}.") from error
+        fields = msgspec.json.decode(data, type=_UpstreamFields)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise CodecError(f"Upstream: {error}") from error
+    born = fields.born
+    return UpstreamEntry(
+        service=ServiceId(fields.Service),
+        address=fields.Address,
+        zone=ZoneId(fields.Zone),
+        version=VersionId(fields.Version),
+        slots=fields.MaxBatchSize,
+        is_draining=fields.State == "draining",
+        born_ms=None if born is msgspec.UNSET else born,
+    )
 
 
 def get_order_service(key: str) -> ServiceId | None:
--- a/tests/gateway_stage.py
+++ b/tests/gateway_stage.py
@@ -118,6 +118,8 @@
             "Version": "v1",
             "MaxBatchSize": 4,
             "State": "ready",
+            "WarmupLeftMs": 0,
+            "Sequence": 1,
             **fields,
         }
         data = json.dumps(entry).encode()
--- a/tests/test_gateway_rotation.py
+++ b/tests/test_gateway_rotation.py
@@ -10,6 +10,7 @@
 
 from lovagestage.gateway.rotation import (
     LAPSE_GRACE_S,
+    MAX_PAST_STARTS,
     Rotation,
     UpstreamEntry,
     UpstreamState,
@@ -111,14 +112,22 @@
         self.offset = 0
         self.history = {}
         self.heard = {}
+        self.born = {}
+        self.past = {}
 
     @rule(
         name=st.sampled_from("abc"),
-        kind=st.sampled_from(["up", "drain", "end"]),
+        kind=st.sampled_from(["up", "drain", "end", "restart", "late"]),
     )
     def write(self, name, kind):
         self.offset += 1
-        entry = {"up": ENTRY, "drain": DRAINING, "end": None}[kind]
+        if kind == "restart":
+            self.born[name] = self.born.get(name, 1) + 1
+        born_ms = self.born.get(name, 1) - (kind == "late")
+        entry = DRAINING if kind == "drain" else ENTRY
+        entry = dataclasses.replace(entry, born_ms=born_ms)
+        if kind == "end":
+            entry = None
         self.history.setdefault(name, []).append((self.offset, entry))
 
     @rule(name=st.sampled_from("abc"), back=st.integers(0, 3))
@@ -133,6 +142,15 @@
         is_new = not known or offset > known[-1][0]
         if not is_new or (entry is None and not known):
             return
+        past = self.past.setdefault(name, [])
+        last = next((e for _, e, *_ in known[::-1] if e is not None), None)
+        if entry is not None and last is not None:
+            if entry.born_ms in past:
+                return
+            if entry.born_ms != last.born_ms:
+                past.append(last.born_ms)
+                del past[:-MAX_PAST_STARTS]
+                known.clear()
         if entry is None and known[-1][1] is None:
             # Removed already; the first removal counts.
             known[-1] = (offset, *known[-1][1:])
