Save up the repeats that the deployment allows, and count only those that arrive

Found on the way: a request that was written to a kept connection and met a reset, and then a refused connection, was answered 503 with a time to come back, as if it could not have run. It is 502 now.

Change: repeats.RepeatBudget. A gateway saves up its part of the slack, by the gateways that it knows, and what its requests of a window leave unused; larger models leave a quarter of that. What reached no upstream is given back and counts as no refusal. A denied repeat has a line of its own.

--- a/src/lovagestage/decisions/retries.py
+++ b/src/lovagestage/decisions/retries.py
@@ -46,6 +46,9 @@
         ratio: Retries earned by each request.
         minimum_per_s: Retries earned by time alone.
         limit: Retries that may be saved up; it starts with as many.
+
+    Attributes:
+        limit: Retries that may be saved up; it may change.
     """
 
     def __init__(
@@ -57,7 +60,7 @@
     ) -> None:
         self._ratio = ratio
         self._minimum_per_s = minimum_per_s
-        self._limit = limit
+        self.limit = limit
         self._tokens = limit
         self._filled_s = now_s
 
@@ -78,9 +81,13 @@
         self._tokens -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Takes back a retry that was not made."""
+        self._tokens = min(self.limit, self._tokens + 1.0)
+
     def _fill(self, now_s: float, share: float) -> None:
         earned = (now_s - self._filled_s) * self._minimum_per_s + share
-        self._tokens = min(self._limit, self._tokens + earned)
+        self._tokens = min(self.limit, self._tokens + earned)
         self._filled_s = now_s
 
 
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -590,14 +590,20 @@
         run: What is known of the request's execution there.
         reason: Stable name of what went wrong.
         at_fault: Whether it speaks against the upstream.
+        has_arrived: Whether the upstream can have seen the request.
     """
 
     code = "attempt_failed"
 
     def __init__(
-        self, reason: str, run: RunState, at_fault: bool = True
+        self,
+        reason: str,
+        run: RunState,
+        at_fault: bool = True,
+        has_arrived: bool = True,
     ) -> None:
         super().__init__(f"{reason} ({run.value}).")
+        self.has_arrived = has_arrived
         self.reason = reason
         self.run = run
         self.at_fault = at_fault
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -4,26 +4,27 @@
 
 import asyncio
 import functools
+import logging
 import random
 
-from lovagestage.decisions.retries import RetryBudget
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway import choice
 from lovagestage.gateway.admission import COME_BACK_S, Admitted
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
+from lovagestage.gateway.repeats import RepeatBudget
 from lovagestage.gateway.rollouts import Assignment
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.suspects import make_fingerprint
 from lovagestage.types import Fingerprint, InstanceId, RunState, ZoneId
 
+_log = logging.getLogger(__name__)
+
 MAX_REFUSALS = 3
 """Upstreams that may refuse a request before its caller is told to come back:
 with three of them full the next one most likely is, too."""
 MIN_LEFT_S = 0.05
 """Time that must be left for another attempt to be of use."""
-ESCALATION_RESERVE = 2.0
-"""Retries that escalations leave in the budget, for requests that failed."""
 
 
 class Attempts:
@@ -32,7 +33,7 @@
     Args:
         admitted: The request.
         deployment: What is in force.
-        budget: Retries of the service.
+        budget: Repeats of the service's requests.
         zone: The gateway's availability zone.
         rng: Source of randomness.
 
@@ -53,7 +54,7 @@
         self,
         admitted: Admitted,
         deployment: Deployment,
-        budget: RetryBudget,
+        budget: RepeatBudget,
         zone: ZoneId,
         rng: random.Random,
     ) -> None:
@@ -153,11 +154,18 @@
     def note_failure(
         self, upstream: Upstream, error: AttemptFailedError
     ) -> None:
-        """Takes an attempt's failure into account."""
+        """Takes an attempt's failure into account.
+
+        One that reached no upstream is no repeat to anyone, nor a sign that
+        upstreams are full: after the crash of several, each request may find
+        a few of them gone before it finds one that is there.
+        """
         self._excluded.add(upstream.id)
         if error.run is RunState.NOT_RUN:
             self.runs -= 1
-            self._refusals += 1
+            self._refusals += error.has_arrived
+        if not error.has_arrived:
+            self._budget.give_back()
 
     def take_back(self) -> None:
         """Uncounts an attempt that was not made."""
@@ -192,15 +200,24 @@
             return False
         if self.runs and not route.is_repeatable:
             return False
-        return self._budget.take(asyncio.get_running_loop().time())
+        if self._budget.take(get_elapsed_s()):
+            return True
+        _log.warning(
+            "repeat_denied",
+            extra={
+                "request": self.admitted.request.id,
+                "attempts": self.sent,
+                "tokens": round(self._budget.tokens, 2),
+            },
+        )
+        return False
 
     def may_escalate(self) -> bool:
         """Whether a larger model may be asked; takes it from the budget."""
         route = self.admitted.route
         if self.runs >= route.max_attempts or not route.is_repeatable:
             return False
-        now_s = asyncio.get_running_loop().time()
-        return self._budget.take(now_s, ESCALATION_RESERVE)
+        return self._budget.take_larger(get_elapsed_s())
 
     def make_refusal(
         self, reason: str, comes_back: bool = True
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -64,6 +64,9 @@
         self._expected_s = expected_s
         self._waiting_s = work_s
         self._connection: ClientConnection | None = None
+        # A kept connection that breaks is followed by a new one. The request
+        # may have run on the first, also where the second does not open.
+        self._has_sent = False
 
     async def __aenter__(self) -> Self:
         self.upstream.performance.note_sent(get_elapsed_s())
@@ -159,7 +162,11 @@
             )
         except ConnectionLostError as error:
             self._connection = None
-            raise AttemptFailedError("unreachable", RunState.NOT_RUN) from error
+            raise AttemptFailedError(
+                "unreachable",
+                RunState.UNKNOWN if self._has_sent else RunState.NOT_RUN,
+                has_arrived=self._has_sent,
+            ) from error
         finally:
             performance.note_connect_ended(begun_s)
         return self._connection
@@ -167,6 +174,7 @@
     async def _ask(self, connection: ClientConnection) -> AnswerHead:
         call = self._call
         request = call.request
+        self._has_sent = True
         connection.send(
             request.method,
             request.target,
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
+from collections.abc import Callable
 
-from lovagestage.decisions.retries import RetryBudget
 from lovagestage.gateway.admission import Admitted
 from lovagestage.gateway.attempts import Attempts
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.configuration import RouteKind
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.latency import LatencyTable, LoadGauge
 from lovagestage.gateway.plain import forward_plain
 from lovagestage.gateway.reading import ReadingTimes
+from lovagestage.gateway.repeats import RepeatBudget
 from lovagestage.gateway.runs import RunParts
 from lovagestage.gateway.settings import Bounds, GatewaySettings
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
@@ -21,15 +22,6 @@
 from lovagestage.gateway.suspects import SuspectWatch
 from lovagestage.types import ServiceId
 
-BUDGET_SAFETY = 0.8
-"""Part of the allowed ratio of retries that is used, so that what all gateways
-have saved up fits in the rest."""
-BUDGET_SAVED = 8.0
-"""Retries that a gateway saves up. Escalations come in clumps: with four
-saved, one in four was denied at 5 requests a second of which 45% escalate.
-With eight, the slack of a small deployment covers all gateways at once, and
-in a large one the unused part of the ratio does."""
-
 
 class Forwarder:
     """Forwards requests.
@@ -41,6 +33,8 @@
         evidence: Takes what is seen of versions.
         suspects: Requests that may crash upstreams.
         rng: Source of randomness.
+        get_gateways: Counts the gateways, this one included; None where they
+            cannot hear of each other.
     """
 
     def __init__(
@@ -51,12 +45,15 @@
         evidence: EvidenceSink,
         suspects: SuspectWatch,
         rng: random.Random,
+        get_gateways: Callable[[], int | None],
     ) -> None:
+        self._get_gateways = get_gateways
+        self._started_s = get_elapsed_s()
         self._zone = settings.zone
         self._bounds = settings.bounds
         self._deployment = deployment
         self._rng = rng
-        self._budgets: dict[ServiceId, RetryBudget] = {}
+        self._budgets: dict[ServiceId, RepeatBudget] = {}
         self._parts = RunParts(
             pool,
             evidence,
@@ -69,7 +66,7 @@
     def make_attempts(self, admitted: Admitted) -> Attempts:
         """Prepares the attempts of a request."""
         budget = self._get_budget(admitted.service)
-        budget.note_request(asyncio.get_running_loop().time())
+        budget.note_request(get_elapsed_s(), self._get_gateways())
         return Attempts(
             admitted, self._deployment, budget, self._zone, self._rng
         )
@@ -91,14 +88,16 @@
         self._bounds = bounds
         self._budgets.clear()
 
-    def _get_budget(self, service: ServiceId) -> RetryBudget:
+    def _get_budget(self, service: ServiceId) -> RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(
-                asyncio.get_running_loop().time(),
-                ratio=BUDGET_SAFETY * self._bounds.retry_ratio,
-                minimum_per_s=0.0,
-                limit=BUDGET_SAVED,
+            budget = RepeatBudget(
+                get_elapsed_s(),
+                self._bounds.retry_ratio,
+                self._bounds.retry_window_s,
+                self._bounds.retry_slack,
+                self._started_s,
+                self._get_gateways(),
             )
             self._budgets[service] = budget
         return budget
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -17,7 +17,9 @@
         drain_s: A leaving upstream takes no request after this.
         stop_s: A process that was told to stop is killed after this.
         retry_ratio: Arrivals beyond the first of each request, as a share of
-            requests, that a service may get.
+            requests, that a service may get within a window.
+        retry_window_s: Length of that window.
+        retry_slack: Such arrivals beyond the share, over all gateways.
         exposure_ratio: Share of a service's requests that an unproved version
             may get over its whole roll-out.
         exposure_slack: Such requests beyond that share, over all gateways.
@@ -32,6 +34,8 @@
     exposure_ratio: float
     exposure_slack: float
     session_s: float
+    retry_window_s: float
+    retry_slack: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -128,7 +128,15 @@
     relay = _make_relay(settings, socket, exposition)
     _subscribe(mailbox, rollouts, suspects)
     pool = ConnectionPool()
-    forwarder = Forwarder(settings, deployment, pool, rollouts, suspects, rng)
+    forwarder = Forwarder(
+        settings,
+        deployment,
+        pool,
+        rollouts,
+        suspects,
+        rng,
+        lambda: None if socket is None else len(socket.peers) + 1,
+    )
     store_return = StoreReturn()
     operator_feed = _make_operator_feed(
         make_store(), bounds, deployment, rollouts, rng, store_return, relay
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -69,6 +69,8 @@
         exposure_slack=reader.get_number("Bounds.ExposureSlack"),
         # A deployment without model sessions does not set it.
         session_s=reader.get_number("Bounds.SessionS", 5.0),
+        retry_window_s=max(0.1, reader.get_number("Bounds.RetryWindowS", 10.0)),
+        retry_slack=reader.get_number("Bounds.RetrySlack", 0.0),
     )
 
 
--- a/tests/gateway_stage.py
+++ b/tests/gateway_stage.py
@@ -77,6 +77,7 @@
             "Bounds.GraceS=8",
             "Bounds.RetryBudgetRatio=0.9",
             "Bounds.RetrySlack=54",
+            "Bounds.RetryWindowS=1",
             "Bounds.ExposureShare=0.15",
             "Bounds.ExposureSlack=30",
             "Bounds.SessionS=5",
@@ -162,6 +163,7 @@
     text = make_settings_text(
         stage.client_port, stage.readiness_port, store_port
     )
+    text += f"\nIp=127.0.0.1\nPortRange={get_free_port()},0"
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "boot.conf"
         path.write_text(text)
