--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -24,6 +24,7 @@
     "demo": "lab.demo",
     "soak": "lab.soak.command",
     "up": "lab.up",
+    "worth": "lab.worth",
 }
 
 
