Leave out an upstream that is silent for longer than its requests may wait

A request that may run once waits there until its deadline; then no time is left, which was taken for the caller's fault, so that nothing was ever learnt of the upstream.

Ruled out: giving such requests up sooner; they may have run. Silence of one request as the sign; a busy engine is silent to some, so anything that the upstream sends to any request counts as heard.

Change: silence.Silence, by upstream.

--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -17,6 +17,7 @@
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.silence import get_patience_s
 from lovagestage.types import RunState
 
 MAX_SKIPPED = 2
@@ -67,11 +68,16 @@
         # A kept connection that breaks is followed by a new one. The request
         # may have run on the first, also where the second does not open.
         self._has_sent = False
+        self._waiting_number: int | None = None
 
     async def __aenter__(self) -> Self:
-        self.upstream.performance.note_sent(get_elapsed_s())
-        self.upstream.performance.running += 1
-        self.upstream.performance.waiting_s += self._waiting_s
+        performance, now_s = self.upstream.performance, get_elapsed_s()
+        performance.note_sent(now_s)
+        performance.running += 1
+        performance.waiting_s += self._waiting_s
+        self._waiting_number = performance.silence.add(
+            now_s, get_patience_s(self._expected_s)
+        )
         return self
 
     async def __aexit__(
@@ -80,7 +86,12 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self.upstream.performance.running -= 1
+        performance, now_s = self.upstream.performance, get_elapsed_s()
+        performance.running -= 1
+        if performance.silence.is_stalled(now_s):
+            # The request is given up, at its deadline or by its caller, and
+            # with it goes the sign that its upstream hangs.
+            performance.note_absent(now_s)
         self._end_wait()
         connection, head = self._connection, self.head
         if connection is None:
@@ -120,6 +131,7 @@
                     "wrong_bytes", RunState.UNKNOWN
                 ) from error
             self.upstream.performance.note_heard()
+            self._note_sign()
             self._check_head(head)
             self.head = head
             return head
@@ -135,6 +147,7 @@
             part = await self._connection.receive_part()
         except (ConnectionLostError, WrongMessageError) as error:
             raise AttemptFailedError("answer_broken", RunState.RAN) from error
+        self.upstream.performance.silence.note_heard(get_elapsed_s())
         self.is_whole = part is None
         return part
 
@@ -149,7 +162,15 @@
                 raise AttemptFailedError("answer_too_long", RunState.RAN)
         return b"".join(parts)
 
+    def _note_sign(self) -> None:
+        silence = self.upstream.performance.silence
+        silence.note_heard(get_elapsed_s())
+        if self._waiting_number is not None:
+            silence.remove(self._waiting_number)
+
     def _end_wait(self) -> None:
+        if self._waiting_number is not None:
+            self.upstream.performance.silence.remove(self._waiting_number)
         self.upstream.performance.waiting_s -= self._waiting_s
         self._waiting_s = 0.0
 
--- a/src/lovagestage/gateway/performance.py
+++ b/src/lovagestage/gateway/performance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from lovagestage.gateway.silence import Silence
+
 SUSPECT_BASE_S = 0.5
 """First time for which an upstream that failed is left out: as long as a
 restarting process takes at least."""
@@ -39,6 +41,7 @@
             told it last.
         slowness: Time of its answers, as a multiple of what was expected.
         failure_ratio: Running ratio of failed answers.
+        silence: Requests that wait there without a sign of it.
     """
 
     def __init__(self) -> None:
@@ -47,6 +50,7 @@
         self.waiting_elsewhere_s = 0.0
         self.slowness = 1.0
         self.failure_ratio = 0.0
+        self.silence = Silence()
         self._suspect_until_s = 0.0
         self._suspect_s = 0.0
         self._is_tried = False
@@ -64,7 +68,8 @@
         """Whether there are signs that it is not there."""
         slow_s = now_s - SLOW_CONNECT_S
         is_slow = bool(self._connecting_s) and self._connecting_s[0] < slow_s
-        return is_slow or now_s < self._suspect_until_s
+        is_left_out = now_s < self._suspect_until_s
+        return is_slow or is_left_out or self.silence.is_stalled(now_s)
 
     def get_left_out_s(self, now_s: float) -> float:
         """For how long it is left out after a failure."""
