--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -20,6 +20,7 @@
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
 from lovagestage.gateway.stream_runs import forward_stream
 from lovagestage.gateway.suspects import SuspectWatch
+from lovagestage.gateway.writing import WritingTimes
 from lovagestage.types import ServiceId
 
 
@@ -59,6 +60,7 @@
             evidence,
             LatencyTable(),
             ReadingTimes(),
+            WritingTimes(),
             LoadGauge(),
             suspects,
         )
--- a/src/lovagestage/gateway/repeats.py
+++ b/src/lovagestage/gateway/repeats.py
@@ -31,6 +31,9 @@
 KEPT_RATIO = 0.25
 """Part of what may be saved up that larger models leave for requests that
 failed: a poorer answer is better than none."""
+MAX_KEPT = 2.0
+"""Most that they leave: what may be saved up grows at once when the other
+gateways are known, and what is there only as requests come."""
 _SLICES = 10
 
 
@@ -109,7 +112,8 @@
 
     def take_larger(self, now_s: float) -> bool:
         """Takes one for a larger model; False where too few would be left."""
-        return self._bucket.take(now_s, KEPT_RATIO * self._bucket.limit)
+        kept = min(MAX_KEPT, KEPT_RATIO * self._bucket.limit)
+        return self._bucket.take(now_s, kept)
 
     def give_back(self) -> None:
         """Takes back a repeat that reached no upstream, and so counts none."""
