Take the guard against larger models that the deadline cuts off back out

Hypothesis: callers that come back after a loss of power lose their answers to the larger model's slower writing. They come back with so little time that the small model's answer is cut as well.

The limit of two repeats that larger models leave stays.

--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -20,7 +20,6 @@
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
 from lovagestage.gateway.stream_runs import forward_stream
 from lovagestage.gateway.suspects import SuspectWatch
-from lovagestage.gateway.writing import WritingTimes
 from lovagestage.types import ServiceId
 
 
@@ -60,7 +59,6 @@
             evidence,
             LatencyTable(),
             ReadingTimes(),
-            WritingTimes(),
             LoadGauge(),
             suspects,
         )
--- a/src/lovagestage/gateway/messages.py
+++ b/src/lovagestage/gateway/messages.py
@@ -43,7 +43,6 @@
         model: Model that it names; None where it names none.
         parts: Parts of its prompt, in order.
         prompt_tokens: Length of the prompt.
-        answer_tokens: Length that its answer most likely has; 0 if unknown.
         resume_after: Id of the last event that the caller has.
         session: Requests that follow each other; None without one.
         body: The whole body.
@@ -61,7 +60,6 @@
     model: str | None
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
-    answer_tokens: int
     resume_after: str | None
     session: str | None
     body: bytes = b""
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -22,7 +22,6 @@
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.suspects import SuspectWatch
-from lovagestage.gateway.writing import WritingTimes
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
@@ -50,7 +49,6 @@
         evidence: Takes what is seen of versions.
         latency: Times of answers by route and model.
         reading: Times that prompts take by themselves, by model.
-        writing: Times that answers take from their first event, by model.
         gauge: How full the upstreams are.
         suspects: Requests that may crash upstreams.
     """
@@ -59,7 +57,6 @@
     evidence: EvidenceSink
     latency: LatencyTable
     reading: ReadingTimes
-    writing: WritingTimes
     gauge: LoadGauge
     suspects: SuspectWatch
 
@@ -113,14 +110,6 @@
     parts.reading.add(attempts.model, tokens, time_s)
 
 
-def get_whole_s(parts: RunParts, attempts: Attempts, model: str) -> float:
-    """Time in which a whole answer of a model will most likely have come."""
-    tokens = attempts.admitted.request.answer_tokens
-    begins_s = attempts.get_least_wait_s()
-    begins_s += make_work(parts, attempts, model).fresh_s
-    return begins_s + parts.writing.get_limit(model, tokens)
-
-
 def make_exchange(
     parts: RunParts,
     attempts: Attempts,
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -18,7 +18,6 @@
     add_evidence,
     begin_attempt,
     get_silence_limit_s,
-    get_whole_s,
     limit_wait,
     make_exchange,
     may_repeat_answer,
@@ -111,8 +110,6 @@
         self._splitter = EventSplitter()
         self._started_s = asyncio.get_running_loop().time()
         self._is_first = True
-        self._begun_s: float | None = None
-        self._is_resumed = progress.last_id is not None
 
     async def run(self) -> _NextRun | None:
         """Runs it.
@@ -176,9 +173,7 @@
             pressure,
             attempts.left_ratio,
         )
-        if larger is None or not self._is_in_time(larger):
-            return None
-        if not attempts.may_escalate():
+        if larger is None or not attempts.may_escalate():
             return None
         _log.info(
             "request_escalated",
@@ -191,23 +186,6 @@
         )
         return larger
 
-    def _is_in_time(self, model: str) -> bool:
-        attempts = self._attempts
-        left_s = attempts.left_s
-        whole_s = get_whole_s(self._parts, attempts, model)
-        if whole_s <= left_s:
-            return True
-        _log.info(
-            "larger_model_too_slow",
-            extra={
-                "request": attempts.admitted.request.id,
-                "model": model,
-                "left_s": round(left_s, 3),
-                "whole_s": round(whole_s, 3),
-            },
-        )
-        return False
-
     async def _pass_events(
         self, exchange: Exchange, head: AnswerHead, limit_s: float
     ) -> None:
@@ -223,7 +201,6 @@
                 limit_s = gap_s
         if self._splitter.has_rest:
             raise AttemptFailedError("event_broken", RunState.RAN)
-        self._note_writing()
         self._upstream.performance.note_answer(False)
         self._parts.suspects.note_answered(
             attempts.fingerprint, attempts.run_name
@@ -237,7 +214,6 @@
     ) -> None:
         if self._is_first:
             self._is_first = False
-            self._begun_s = asyncio.get_running_loop().time()
             exchange.note_begun(self._get_time_s())
             self._note_first_event()
         if not self.progress.is_started:
@@ -249,13 +225,6 @@
     def _get_time_s(self) -> float:
         return asyncio.get_running_loop().time() - self._started_s
 
-    def _note_writing(self) -> None:
-        if self._begun_s is None or self._is_resumed:
-            return
-        tokens = self._attempts.admitted.request.answer_tokens
-        time_s = asyncio.get_running_loop().time() - self._begun_s
-        self._parts.writing.add(self._model, tokens, time_s)
-
     def _note_first_event(self) -> None:
         parts, attempts = self._parts, self._attempts
         route, time_s = attempts.admitted.route, self._get_time_s()
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -25,7 +25,6 @@
 _MODEL = b"model-name"
 _PREFIX = b"prefix-hash"
 _USAGE = b"token-usage"
-_HINT = b"length-hint"
 _RESUME = b"last-event-id"
 _PRIORITY = b"request-priority"
 _SESSION = b"session"
@@ -94,7 +93,6 @@
         model=_get_text(fields, _MODEL) if _MODEL in fields else None,
         parts=_get_parts(_get_text(fields, _PREFIX)),
         prompt_tokens=int(usage[0]) if usage[0].isdigit() else 0,
-        answer_tokens=_get_answer_tokens(_get_text(fields, _HINT), usage),
         resume_after=_get_text(fields, _RESUME) or None,
         session=_get_text(fields, _SESSION) or None,
     )
@@ -104,14 +102,6 @@
     return fields.get(name, b"").decode("latin-1")
 
 
-def _get_answer_tokens(hint: str, usage: list[str]) -> int:
-    """The caller's estimate; without one the most that it takes."""
-    if hint.isdigit():
-        return int(hint)
-    most = usage[1].strip() if len(usage) > 1 else ""
-    return int(most) if most.isdigit() else 0
-
-
 def _get_number(
     fields: dict[bytes, bytes], name: bytes, default: float
 ) -> float:
