Explain requests whose repeat was denied, and upstreams that started again

Cause: lovagestage explain did not know the new lines. Change: the story names a used-up budget, and shows restarts and refused entries of the upstreams that a request met. Test: test_explain, which fails without either.

--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -30,7 +30,13 @@
 )
 """What a process believed, or how it was, when it handled the request."""
 _UPSTREAM_EVENTS = frozenset(
-    ("upstream_added", "upstream_state_changed", "upstream_crashed")
+    (
+        "upstream_added",
+        "upstream_state_changed",
+        "upstream_crashed",
+        "upstream_restarted",
+        "upstream_record_refused",
+    )
 )
 _SERVICE_EVENTS = frozenset(
     ("rollout_ordered", "rollout_stopped", "rollout_settled")
@@ -100,6 +106,8 @@
         failed = _get_failures(self.own)
         if failed and cause == "answered":
             text = f"{text} Before that, attempts failed: {', '.join(failed)}."
+        if any(line.event == "repeat_denied" for line in self.own):
+            text = f"{text} The budget of repeats was used up."
         return f"Status {status}. {text}" if status not in _NONE else text
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -144,3 +144,19 @@
     capsys.readouterr()
     assert main(["explain", "r1", str(tmp_path / "none")]) == 2
     assert "log_file_unreadable" in capsys.readouterr().err
+
+
+def test_story_tells_that_the_budget_of_repeats_was_used_up():
+    # An upstream crashed and started again under its id; so many requests
+    # failed with it that this one could not be sent to another.
+    log = (
+        "time=01.0 event=upstream_restarted vm=a upstream=u1 born=2 before=1\n"
+        "time=02.0 event=attempt_failed vm=a request=r1 upstream=u1"
+        " reason=connection_lost\n"
+        "time=02.0 event=repeat_denied vm=a request=r1 attempts=1 tokens=0.4\n"
+        "time=02.1 event=request_ended vm=a request=r1 upstreams=u1"
+        " outcome=connection_lost status=502\n"
+    )
+    story = make_log_story("r1", log)
+    assert story.conclusion.endswith("The budget of repeats was used up.")
+    assert [line.event for line in story.context] == ["upstream_restarted"]
