Choose in a fixed order, and look at silence only where something waits

Cause: the replay of long prompts failed once beside other tests. The choice went through a set of upstreams, whose order is that of addresses in memory; with ties the source of randomness was drawn in another order in each process, so that no replay repeats.

Change: upstreams that are compared stand in a list.

--- a/src/lovagestage/gateway/choice.py
+++ b/src/lovagestage/gateway/choice.py
@@ -89,10 +89,9 @@
         return Placement(best, False, work.fresh_s)
     likely = max(good, key=lambda u: get_share(f"{work.subject}/{u.id}"))
     sample = rng.sample(good, min(SAMPLE, len(good)))
-    best = min(
-        {*sample, likely},
-        key=lambda u: _get_wait_s(u, work, u is likely, rng),
-    )
+    if likely not in sample:
+        sample.append(likely)
+    best = min(sample, key=lambda u: _get_wait_s(u, work, u is likely, rng))
     # One that has just started is preferred all the same: what it reads now
     # the next request of the subject finds there.
     is_cached = best is likely and likely.has_likely_read(work.subject)
--- a/src/lovagestage/gateway/performance.py
+++ b/src/lovagestage/gateway/performance.py
@@ -66,10 +66,12 @@
 
     def is_suspect(self, now_s: float) -> bool:
         """Whether there are signs that it is not there."""
-        slow_s = now_s - SLOW_CONNECT_S
-        is_slow = bool(self._connecting_s) and self._connecting_s[0] < slow_s
-        is_left_out = now_s < self._suspect_until_s
-        return is_slow or is_left_out or self.silence.is_stalled(now_s)
+        if now_s < self._suspect_until_s:
+            return True
+        opening_s = self._connecting_s
+        if opening_s and opening_s[0] < now_s - SLOW_CONNECT_S:
+            return True
+        return self.silence.is_stalled(now_s)
 
     def get_left_out_s(self, now_s: float) -> float:
         """For how long it is left out after a failure."""
--- a/src/lovagestage/gateway/silence.py
+++ b/src/lovagestage/gateway/silence.py
@@ -54,6 +54,8 @@
 
     def is_stalled(self, now_s: float) -> bool:
         """Whether it has been silent for longer than one request may wait."""
+        if not self._waiting:
+            return False
         return any(
             now_s > max(sent_s, self._heard_s) + patience_s
             for sent_s, patience_s in self._waiting.values()
