--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -93,6 +93,7 @@
             # The request is given up, at its deadline or by its caller, and
             # with it goes the sign that its upstream hangs.
             performance.note_absent(now_s)
+        self._end_silence()
         self._end_wait()
         connection, head = self._connection, self.head
         if connection is None:
@@ -132,7 +133,8 @@
                     "wrong_bytes", RunState.UNKNOWN
                 ) from error
             self.upstream.performance.note_heard()
-            self._note_sign()
+            self.upstream.performance.silence.note_heard(get_elapsed_s())
+            self._end_silence()
             self._check_head(head)
             self.head = head
             return head
@@ -163,15 +165,12 @@
                 raise AttemptFailedError("answer_too_long", RunState.RAN)
         return b"".join(parts)
 
-    def _note_sign(self) -> None:
-        silence = self.upstream.performance.silence
-        silence.note_heard(get_elapsed_s())
+    def _end_silence(self) -> None:
         if self._waiting_number is not None:
-            silence.remove(self._waiting_number)
+            self.upstream.performance.silence.remove(self._waiting_number)
+            self._waiting_number = None
 
     def _end_wait(self) -> None:
-        if self._waiting_number is not None:
-            self.upstream.performance.silence.remove(self._waiting_number)
         self.upstream.performance.waiting_s -= self._waiting_s
         self._waiting_s = 0.0
 
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -24,6 +24,15 @@
     return rotation
 
 
+def tell_waits(rotations):
+    """Tells each gateway what all others have waiting, as gossip does."""
+    for told in zip(*(r.get_all() for r in rotations), strict=True):
+        performances = [upstream.performance for upstream in told]
+        total_s = sum(each.get_own_wait_s() for each in performances)
+        for each in performances:
+            each.waiting_elsewhere_s = total_s - each.get_own_wait_s()
+
+
 def get_elsewhere(rotation):
     return {
         u.id: round(u.performance.waiting_elsewhere_s, 3)
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -11,6 +11,7 @@
 from lovagestage.gateway import choice
 from lovagestage.gateway.choice import Work, choose_upstream
 from lovagestage.gateway.rotation import Rotation, UpstreamEntry
+from tests.test_gateway_gossip import tell_waits
 
 GATEWAYS = 24
 UPSTREAMS = 23
@@ -77,11 +78,7 @@
         heapq.heappush(self.events, (at_s, self.count, call, args))
 
     def tell(self, _now_s):
-        for position in range(UPSTREAMS):
-            told = [r.get_all()[position].performance for r in self.rotations]
-            total_s = sum(each.get_own_wait_s() for each in told)
-            for each in told:
-                each.waiting_elsewhere_s = total_s - each.get_own_wait_s()
+        tell_waits(self.rotations)
 
     def send(self, now_s, arrived_s, subject, model):
         rotation = self.rng.choice(self.rotations)
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -16,7 +16,7 @@
     get_patience_s,
 )
 from tests.gateway_stage import run_stage
-from tests.test_gateway_gossip import NAMES, make_rotation
+from tests.test_gateway_gossip import NAMES, make_rotation, tell_waits
 
 INTERVAL_S = 0.02
 REQUESTS = 150
@@ -111,20 +111,9 @@
                 end()
             if now_s >= gossip_s:
                 gossip_s = now_s + GOSSIP_S
-                self.tell()
+                tell_waits(self.rotations)
             self.send(self.rng.choice(self.rotations), now_s, number)
 
-    def tell(self):
-        for name in NAMES:
-            told = [
-                next(u for u in rotation.get_all() if u.id == name)
-                for rotation in self.rotations
-            ]
-            total_s = sum(u.performance.get_own_wait_s() for u in told)
-            for upstream in told:
-                own_s = upstream.performance.get_own_wait_s()
-                upstream.performance.waiting_elsewhere_s = total_s - own_s
-
     def send(self, rotation, now_s, number):
         work = Work(ANSWER_S, ANSWER_S)
         placement = choose_upstream(
