Try a new version at few upstreams, loaded as in a burst, and for longer

Ruled out: evidence that comes late (no failure of it in any gateway's log before the outcome), a verdict that waits for the store (written at once), gateways that start after a kill and know no verdict.

Change: the new version's share goes to so few of its upstreams that each has twice its usual load, the same at all gateways; the load step begins at 0.80 with 0.25 of the sessions instead of 0.89 with 0.6, so that failures have 3.6 s of a roll-out of 24 s to show and be told, not 1.4 s, for the same exposure.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -139,17 +139,20 @@
     def _get_groups(self) -> list[list[Upstream]]:
         """Upstreams by version, in the order in which they are asked."""
         service = self.admitted.service
-        own = self._deployment.get_upstreams(service, self.assignment.version)
+        own = self._get_own()
         other = self._deployment.get_fallback(service, self.assignment)
         # An answer that failed speaks against the version, not the upstream.
         return [other, own] if self._has_new_failed else [own, other]
 
     def get_least_wait_s(self) -> float:
         """Expected wait at the least busy upstream of the request's version."""
-        upstreams = self._deployment.get_upstreams(
-            self.admitted.service, self.assignment.version
+        waits_s = (u.performance.get_wait_s() for u in self._get_own())
+        return min(waits_s, default=0.0)
+
+    def _get_own(self) -> list[Upstream]:
+        return self._deployment.get_upstreams(
+            self.admitted.service, self.assignment, get_elapsed_s()
         )
-        return min((u.performance.get_wait_s() for u in upstreams), default=0.0)
 
     def note_failure(
         self, upstream: Upstream, error: AttemptFailedError
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -10,11 +10,12 @@
     Assignment,
     Rollout,
     RolloutOutcome,
+    choose_trial,
     choose_versions,
 )
 from lovagestage.gateway.rotation import Rotation, Upstream
 from lovagestage.gateway.trust import Trust
-from lovagestage.types import ServiceId, VersionId
+from lovagestage.types import ServiceId
 
 _log = logging.getLogger(__name__)
 
@@ -85,13 +86,21 @@
         return assignment
 
     def get_upstreams(
-        self, service: ServiceId, version: VersionId | None
+        self, service: ServiceId, assignment: Assignment, now_s: float
     ) -> list[Upstream]:
-        """Upstreams of a version; of all where the version is None."""
+        """Upstreams that take requests of an assignment."""
         ready = self.rotation.get_ready(service)
+        version = assignment.version
         if version is None:
             return ready
-        return [u for u in ready if u.entry.version == version]
+        own = [u for u in ready if u.entry.version == version]
+        rollout = self.rollouts.get(service)
+        if rollout is None or not assignment.is_new or len(own) == len(ready):
+            return own
+        trial = choose_trial(
+            [u.id for u in own], str(rollout.offset), rollout.get_share(now_s)
+        )
+        return [u for u in own if u.id in trial]
 
     def get_fallback(
         self, service: ServiceId, assignment: Assignment
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 
 from lovagestage.gateway.configuration import get_share
-from lovagestage.types import ServiceId, VersionId
+from lovagestage.types import InstanceId, ServiceId, VersionId
 
 STOP_EVIDENCE = 5.0
 """Log-likelihood ratio at which a version is stopped, of being worse by
@@ -96,11 +96,17 @@
     min_answers: int
 
 
-LOAD_STEP = Step(0.89, 0.6, 20)
-"""Before the end the new version is loaded as it will be loaded, for as long
-as failures take to be told: some faults show only then. Before that the share
-stands still, so that no session changes its version in the first half."""
-COUNT_RATIOS = (0.3, 0.6, 0.86, 0.93)
+LOAD_STEP = Step(0.8, 0.25, 20)
+"""Before the end the new version gets more, for several times as long as
+failures take to show and to be told. Before that the share stands still, so
+that no session changes its version in the first half."""
+TRIAL_LOAD = 2.0
+"""Load of an upstream of the new version on trial, as a multiple of what it
+will have once all traffic is there. A version that fails only in a burst
+would else be found out when the old one is gone."""
+MIN_TRIAL_UPSTREAMS = 2
+"""One that fails by itself is no evidence against its version."""
+COUNT_RATIOS = (0.3, 0.6, 0.77, 0.9)
 """When gateways tell each other how many answers they had."""
 COMPLETE_RATIO = 0.95
 """Part of the duration after which an unstopped version is taken for good.
@@ -134,6 +140,26 @@
     return max(fitting, default=SHARES[0])
 
 
+def choose_trial(
+    names: Sequence[InstanceId], seed: str, share: float
+) -> set[InstanceId]:
+    """Chooses the upstreams of the new version that take its share.
+
+    The load that this answers: a version that fails under load gets a small
+    share, spread over as many upstreams as all traffic needs, and so never
+    meets that load before it is completed. The share goes to so few of them
+    that each one is loaded as in a burst. All gateways choose the same.
+
+    Args:
+        names: Upstreams of the new version.
+        seed: Names the order.
+        share: Share of the traffic that they get together.
+    """
+    count = math.ceil(share * len(names) / TRIAL_LOAD)
+    ranked = sorted(names, key=lambda name: get_share(f"{seed}/{name}"))
+    return set(ranked[: max(MIN_TRIAL_UPSTREAMS, count)])
+
+
 def get_evidence(risk: float, failed: bool) -> float:
     """Log-likelihood ratio of one answer of the new version.
 
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -22,9 +23,11 @@
     LATE_RATIO,
     LOAD_STEP,
     SHARES,
+    TRIAL_LOAD,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
+    choose_trial,
     choose_versions,
     get_evidence,
     get_first_share,
@@ -423,3 +426,77 @@
     max_examples=60, stateful_step_count=30, deadline=None
 )
 TestRollout = RolloutMachine.TestCase
+
+
+def play_trial(fails_from, seed):
+    """Plays a roll-out, 240 requests a second, 0.3 s each at an upstream.
+
+    An upstream of the new version fails what it gets beyond so many at once.
+    Returns the upstreams that answered, and the roll-out.
+    """
+    rng = random.Random(seed)
+    deployment = Deployment(Trust(5.0), SessionPins(5.0))
+    for number in range(94):
+        version = BOTH[number % 2]
+        entry = UpstreamEntry("pool", f"h:{number}", "a", version, 12, False)
+        deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
+    rollout = Rollout(ORDER, 7, 0.0)
+    rollout.agree(0.015, 0.0)
+    deployment.rollouts["pool"] = rollout
+    ends: dict[str, list[float]] = {}
+    total = int(240 * COMPLETE_RATIO * ORDER.duration_s)
+    for number in range(total):
+        now_s = number / 240
+        assignment = deployment.assign("pool", None, f"q{number}", now_s)
+        if not assignment.is_new:
+            continue
+        able = deployment.get_upstreams("pool", assignment, now_s)
+        name = rng.choice(able).id
+        active = [end_s for end_s in ends.get(name, ()) if end_s > now_s]
+        ends[name] = [*active, now_s + 0.3]
+        failed = len(active) >= fails_from
+        rollout.note_answers("edge", rollout.get_answers() + 1)
+        rollout.add_evidence("r", get_evidence(0.02, failed))
+        if failed:
+            rollout.add_failure(name, 47)
+        if rollout.is_stopped:
+            break
+    return ends.keys(), rollout
+
+
+def test_a_version_that_fails_in_bursts_is_found_out_before_it_has_all():
+    # On an average day an upstream has 1.5 requests at once, in a burst 3.
+    # The new version fails beyond 4, which comes with the first burst after
+    # its completion: by then the old version is gone, and callers get its
+    # failures until the operators act.
+    for seed in range(6):
+        _, rollout = play_trial(4, seed)
+        assert rollout.is_stopped
+
+
+def test_a_version_that_bears_bursts_passes_its_trial():
+    for seed in range(6):
+        used, rollout = play_trial(12, seed)
+        assert rollout.get_due_outcome(19.5) is RolloutOutcome.COMPLETED
+        assert len(used) > 2
+
+
+def test_all_gateways_try_the_new_version_at_the_same_upstreams():
+    # Each gateway learns of the upstreams in another order.
+    names = [f"w{number}" for number in range(47)]
+    chosen = choose_trial(names, "7", LOAD_STEP.share)
+    assert chosen == choose_trial(names[::-1], "7", LOAD_STEP.share)
+    assert len(chosen) * TRIAL_LOAD >= LOAD_STEP.share * len(names)
+    assert choose_trial(names, "7", 0.015) < chosen
+    assert choose_trial(names[:1], "7", 0.015) == {"w0"}
+
+
+def test_a_version_without_others_is_not_kept_to_a_few_upstreams():
+    # The old version's upstreams crashed while the new one is on trial.
+    deployment = Deployment(Trust(5.0), SessionPins(5.0))
+    for number in range(9):
+        entry = UpstreamEntry("pool", f"h:{number}", "a", "v2", 4, False)
+        deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
+    deployment.rollouts["pool"] = make_rollout()
+    assignment = deployment.assign("pool", None, "q1", 105.0)
+    assert len(deployment.get_upstreams("pool", assignment, 105.0)) == 9
