Count slow answers of a new version for less, and not at its load step

Change: a slow answer is weighed against a rate of one in ten; what waits and what must be read anew is allowed for; at the load step only failures count, as a slow version shows before; 1.25 times the usual load, not twice.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -45,6 +45,8 @@
         tried: Upstreams in the order of attempts.
         waits_s: Expected wait at each of them when it was chosen.
         work_s: Time that the last attempt takes of its upstream by itself.
+        extra_s: What that one had to do first, beyond what such a request
+            takes as a rule: the expected wait, and reading a new subject.
         is_cached: Whether that one has most likely read the subject before.
         model: Model of the last attempt; None where none is named.
         first_event_s: Time from the request's head to its first event.
@@ -65,6 +67,7 @@
         self.tried: list[InstanceId] = []
         self.waits_s: list[float] = []
         self.work_s = 0.0
+        self.extra_s = 0.0
         self.is_cached = False
         self.model: str | None = None
         self.first_event_s: float | None = None
@@ -116,7 +119,9 @@
         self.sent += 1
         self.runs += 1
         self.tried.append(upstream.id)
-        self.waits_s.append(upstream.performance.get_wait_s())
+        wait_s = upstream.performance.get_wait_s()
+        self.waits_s.append(wait_s)
+        self.extra_s = wait_s + placement.work_s - work.cached_s
         return upstream
 
     def _place(self, work: choice.Work) -> choice.Placement | None:
--- a/src/lovagestage/gateway/latency.py
+++ b/src/lovagestage/gateway/latency.py
@@ -56,12 +56,23 @@
             return None
         return mean.value
 
-    def is_slow(self, kind: Hashable, time_s: float) -> bool:
-        """Whether an answer took several times as long as others do."""
+    def is_slow(
+        self, kind: Hashable, time_s: float, extra_s: float = 0.0
+    ) -> bool:
+        """Whether an answer took several times as long as others do.
+
+        Args:
+            kind: Kind of the answer.
+            time_s: How long it took.
+            extra_s: What its upstream had to do before. A good new version on
+                trial is full and has read no prompt yet: against the mean of
+                the old one alone it would be taken for slow, and reverted.
+        """
         mean_s = self.get(kind)
         if mean_s is None:
             return False
-        return time_s > max(SLOW_RATIO * mean_s, mean_s + SLOW_EXTRA_S)
+        usual_s = mean_s + extra_s
+        return time_s > max(SLOW_RATIO * usual_s, usual_s + SLOW_EXTRA_S)
 
 
 class LoadGauge:
--- a/src/lovagestage/gateway/plain.py
+++ b/src/lovagestage/gateway/plain.py
@@ -7,6 +7,7 @@
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.messages import AnswerHead
+from lovagestage.gateway.rollouts import AnswerQuality
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.runs import (
     MAX_BODY_BYTES,
@@ -81,6 +82,9 @@
     upstream.performance.note_answer(failed)
     parts.suspects.note_answered(attempts.fingerprint, attempts.run_name)
     is_slow = parts.latency.is_slow(kind, time_s)
-    add_evidence(parts, attempts, upstream, failed or is_slow)
+    quality = AnswerQuality.SLOW if is_slow else AnswerQuality.GOOD
+    if failed:
+        quality = AnswerQuality.FAILED
+    add_evidence(parts, attempts, upstream, quality)
     if not failed and not attempts.assignment.is_new:
         parts.latency.add(kind, time_s)
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -26,6 +26,8 @@
 from lovagestage.gateway.rollouts import (
     COUNT_RATIOS,
     EVIDENCE_FLOOR,
+    SLOW_RISK,
+    AnswerQuality,
     Assignment,
     OutcomeRecord,
     Rollout,
@@ -142,27 +144,39 @@
         route: str,
         assignment: Assignment,
         upstream: Upstream,
-        failed: bool,
+        quality: AnswerQuality,
     ) -> None:
-        """Takes an answer of this gateway; a far too slow one has failed."""
+        """Takes an answer of this gateway."""
         rollout = self._deployment.rollouts.get(service)
         is_new = rollout is not None and assignment.is_new
         if not is_new:
+            failed = quality is not AnswerQuality.GOOD
             self._risks.add(service, route, failed, get_elapsed_s())
             return
         assert rollout is not None
         if rollout.outcome is not RolloutOutcome.RUNNING:
             return
-        self._add_new_answer(rollout, route, upstream, failed)
+        self._add_new_answer(rollout, route, upstream, quality)
 
     def _add_new_answer(
-        self, rollout: Rollout, route: str, upstream: Upstream, failed: bool
+        self,
+        rollout: Rollout,
+        route: str,
+        upstream: Upstream,
+        quality: AnswerQuality,
     ) -> None:
         service = rollout.order.service
         followed = self._followed[service]
         followed.answers += 1
         rollout.note_answers(self._vm, followed.answers)
         risk = self._risks.get(service, route)
+        if quality is AnswerQuality.SLOW:
+            if rollout.is_loaded(get_elapsed_s()):
+                # A good version would be reverted for the queues that its
+                # few upstreams are meant to have; a slow one shows before.
+                return
+            risk = max(SLOW_RISK, risk)
+        failed = quality is not AnswerQuality.GOOD
         evidence = get_evidence(risk, failed)
         rollout.add_evidence(route, evidence)
         untold = followed.untold.get(route, 0.0) + evidence
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -39,6 +39,20 @@
 """First share of a gateway that does not know its traffic yet."""
 
 
+SLOW_RISK = 0.1
+"""Rate at which answers of a good version are taken to be slow at least. It
+varies with what waits, so that a slow answer says less than a failed one."""
+
+
+class AnswerQuality(enum.Enum):
+    """What an answer says of the version that gave it."""
+
+    GOOD = "good"
+    SLOW = "slow"
+    """It took several times as long as others do."""
+    FAILED = "failed"
+
+
 class RolloutOutcome(enum.Enum):
     """What operators read of a roll-out."""
 
@@ -100,7 +114,7 @@
 """Before the end the new version gets more, for several times as long as
 failures take to show and to be told. Before that the share stands still, so
 that no session changes its version in the first half."""
-TRIAL_LOAD = 2.0
+TRIAL_LOAD = 1.25
 """Load of an upstream of the new version on trial, as a multiple of what it
 will have once all traffic is there. A version that fails only in a burst
 would else be found out when the old one is gone."""
@@ -258,6 +272,10 @@
         """Time since the order was first seen by any gateway."""
         return now_s - self._seen_s
 
+    def is_loaded(self, now_s: float) -> bool:
+        """Whether the new version has reached its load step."""
+        return self.get_share(now_s) >= LOAD_STEP.share
+
     def get_ratio(self, now_s: float) -> float:
         """Part of the order's duration that is over."""
         return self.get_age_s(now_s) / max(1.0, self.order.duration_s)
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -19,6 +19,7 @@
 from lovagestage.gateway.latency import UNKNOWN_S, LatencyTable, LoadGauge
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.reading import ReadingTimes, make_prompt
+from lovagestage.gateway.rollouts import AnswerQuality
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.suspects import SuspectWatch
@@ -246,7 +247,10 @@
 
 
 def add_evidence(
-    parts: RunParts, attempts: Attempts, upstream: Upstream, failed: bool
+    parts: RunParts,
+    attempts: Attempts,
+    upstream: Upstream,
+    quality: AnswerQuality,
 ) -> None:
     """Counts an answer for or against its version.
 
@@ -262,5 +266,5 @@
         admitted.route.name,
         attempts.assignment,
         upstream,
-        failed,
+        quality,
     )
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from lovagestage.gateway.messages import AnswerHead
-from lovagestage.gateway.rollouts import Assignment
+from lovagestage.gateway.rollouts import AnswerQuality, Assignment
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.types import ServiceId
 
@@ -35,6 +35,6 @@
         route: str,
         assignment: Assignment,
         upstream: Upstream,
-        failed: bool,
+        quality: AnswerQuality,
     ) -> None:
-        """Takes an answer; a far too slow one has failed."""
+        """Takes an answer."""
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -11,6 +11,7 @@
 from lovagestage.gateway.cascades import get_first_model, get_larger_model
 from lovagestage.gateway.exchange import Exchange
 from lovagestage.gateway.messages import AnswerHead
+from lovagestage.gateway.rollouts import AnswerQuality
 from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.runs import (
     MAX_BODY_BYTES,
@@ -149,7 +150,9 @@
         failed = head.status >= 500
         self._upstream.performance.note_answer(failed)
         if failed:
-            add_evidence(self._parts, attempts, self._upstream, failed)
+            add_evidence(
+                self._parts, attempts, self._upstream, AnswerQuality.FAILED
+            )
             if may_repeat_answer(attempts, self._upstream, head.status):
                 return _NextRun(self._model)
         if self.progress.is_started:
@@ -229,8 +232,9 @@
         parts, attempts = self._parts, self._attempts
         route, time_s = attempts.admitted.route, self._get_time_s()
         kind = (route.name, self._model)
-        is_slow = parts.latency.is_slow(kind, time_s)
-        add_evidence(parts, attempts, self._upstream, is_slow)
+        is_slow = parts.latency.is_slow(kind, time_s, attempts.extra_s)
+        quality = AnswerQuality.SLOW if is_slow else AnswerQuality.GOOD
+        add_evidence(parts, attempts, self._upstream, quality)
         if not attempts.assignment.is_new:
             parts.latency.add(kind, time_s)
             note_reading(parts, attempts, time_s)
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -11,9 +11,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lab import worker as lab
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
+from lovagestage.gateway.latency import LatencyTable
+from lovagestage.gateway.mailbox import Mailbox
 from lovagestage.gateway.notes import TOPIC, SessionsNote, decode_letter
 from lovagestage.gateway.pins import SessionPins
+from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.rollouts import (
     COLLECT_S,
     COMPLETE_ANSWERS,
@@ -24,6 +28,8 @@
     LOAD_STEP,
     SHARES,
     TRIAL_LOAD,
+    AnswerQuality,
+    Assignment,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
@@ -34,7 +40,9 @@
 )
 from lovagestage.gateway.rotation import UpstreamEntry
 from lovagestage.gateway.trust import Trust
-from tests.gateway_stage import run_stage
+from lovagestage.platform.settings import decode_settings
+from lovagestage.platform.store import StoreClient
+from tests.gateway_stage import make_settings_text, run_stage
 
 ORDER = RolloutOrder("pool", "v2", 20.0)
 BOTH = ["v1", "v2"]
@@ -500,3 +508,76 @@
     deployment.rollouts["pool"] = make_rollout()
     assignment = deployment.assign("pool", None, "q1", 105.0)
     assert len(deployment.get_upstreams("pool", assignment, 105.0)) == 9
+
+
+def test_a_full_upstream_is_not_taken_for_a_slow_version():
+    # The new version's upstreams have read no prompt and are as full as in a
+    # burst. A prompt that the old version begins to answer after 0.15 s waits
+    # 0.2 s there and is read anew for 0.2 s; the version is as fast as ever.
+    # One that is eight times slower shows with nothing waiting.
+    times = LatencyTable()
+    for _ in range(20):
+        times.add("stream", 0.15)
+    assert times.is_slow("stream", 0.55)
+    assert not times.is_slow("stream", 0.55, extra_s=0.4)
+    assert times.is_slow("stream", 8 * 0.15, extra_s=0.05)
+
+
+GOOD, SLOW = AnswerQuality.GOOD, AnswerQuality.SLOW
+
+
+class ServiceOnTrial:
+    """One gateway's answers of a new version, from three upstreams."""
+
+    def __init__(self):
+        deployment = Deployment(Trust(5.0), SessionPins(5.0))
+        bounds = decode_settings(make_settings_text(1, 2, 3), "boot").bounds
+        store = StoreClient("127.0.0.1:1")
+        self.service = RolloutService(
+            store, deployment, "vm", bounds, random.Random(1)
+        )
+        self.service.set_mailbox(Mailbox(store, "vm", 1, ""))
+        self.service.on_order(ORDER, 7)
+        self.rollout = deployment.rollouts["pool"]
+        for number in range(3):
+            entry = UpstreamEntry("pool", f"h:{number}", "a", "v2", 4, False)
+            deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
+        self.upstreams = deployment.rotation.get_all()
+
+    def answer(self, quality):
+        self.upstreams.append(self.upstreams.pop(0))
+        self.service.add_answer(
+            "pool", "r", Assignment("v2", True), self.upstreams[0], quality
+        )
+
+
+def test_a_few_slow_answers_say_less_than_failed_ones():
+    # Of the answers of a good version on trial one in ten is slow: now and
+    # then three in a row. Of one that is several times slower all are.
+    good = ServiceOnTrial()
+    for quality in (SLOW, SLOW, SLOW, *[GOOD] * 27) * 20:
+        good.answer(quality)
+    assert not good.rollout.is_stopped
+    slow = ServiceOnTrial()
+    for _ in range(5):
+        slow.answer(SLOW)
+    assert slow.rollout.is_stopped
+    failing = ServiceOnTrial()
+    for _ in range(3):
+        failing.answer(AnswerQuality.FAILED)
+    assert failing.rollout.is_stopped
+
+
+def test_queues_at_the_load_step_do_not_stop_a_version():
+    # Its few upstreams are loaded as in a burst, and what others send there
+    # is known late. Failures count all the same.
+    loaded = ServiceOnTrial()
+    loaded.rollout.agree(0.05, get_elapsed_s() - COLLECT_S)
+    loaded.rollout.note_answers("other", LOAD_STEP.min_answers)
+    loaded.rollout.note_age(0.9 * ORDER.duration_s, get_elapsed_s())
+    for _ in range(30):
+        loaded.answer(SLOW)
+    assert not loaded.rollout.is_stopped
+    for _ in range(3):
+        loaded.answer(AnswerQuality.FAILED)
+    assert loaded.rollout.is_stopped
