Let watchers tell followers the records themselves, sealed, notes too

Cause: calls to the store lead the prices at 68 gateways. A watcher's proof was too old for its followers after records (a held read proves nothing later than its sending, and a pause of 1 s followed), so that all of them read the store at once.

Ruled out: the watchers themselves (825 calls); lost datagrams (53 questions).

Change: an answer brings the records that the asking gateway lacks, in datagrams of one packet; those that overtake others wait for them, and what is lost is read from the store. Notes go the same way. Callers' keys do not: the operators' topic is read from the store alone. Datagrams are sealed with the bytes of the configuration, which all gateways read from the store, so that others can name no upstream. A watcher reads once more without a wait after records, and pauses 0.15 s.

--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -102,6 +102,12 @@
     code = "undecodable"
 
 
+class SealError(LovagestageError):
+    """A datagram is not sealed by what gateways share."""
+
+    code = "seal_wrong"
+
+
 class LogError(LovagestageError):
     """The platform's log did not do what was asked."""
 
--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -37,15 +37,18 @@
     Args:
         deployment: What is in force.
         on_order: Called with each new order.
+        on_configuration: Called with version and bytes of each configuration.
     """
 
     def __init__(
         self,
         deployment: Deployment,
         on_order: Callable[[RolloutOrder, int], None],
+        on_configuration: Callable[[int, bytes], None] = lambda *_: None,
     ) -> None:
         self._deployment = deployment
         self._on_order = on_order
+        self._on_configuration = on_configuration
 
     def on_newest(self, page: Page) -> None:
         """Takes the newest record of each key."""
@@ -72,6 +75,7 @@
         if record.key == CONFIG_KEY:
             configuration = decode_configuration(record.value)
             self._deployment.apply_configuration(configuration)
+            self._on_configuration(configuration.version, record.value)
         elif get_order_service(record.key) is not None:
             self._apply_order(record)
 
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import logging
 import math
 import random
+from collections.abc import Sequence
 from typing import Protocol
 
 import mode
@@ -17,8 +19,13 @@
     StoreUnavailableError,
 )
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.relay import RelayedState, RelayMode, TopicState
-from lovagestage.platform.store import Page, StoreClient
+from lovagestage.gateway.relay import (
+    SLACK_S,
+    RelayedState,
+    RelayMode,
+    TopicState,
+)
+from lovagestage.platform.store import Page, Record, StoreClient
 
 _log = logging.getLogger(__name__)
 
@@ -40,6 +47,17 @@
 the store is back: a call sent before hangs until its time limit, as a rule."""
 
 
+WATCHER_PAUSE_S = 0.15
+"""Pause of a watcher after records: shorter than the slack that followers
+leave its proof, and there are few of them."""
+TOLD_S = 0.05
+"""Time for records that come after the answer that they belong to: several
+times what a datagram takes between zones."""
+MAX_KEPT = 256
+"""Newest records of a topic that are kept for followers: a release replaces
+some tens of upstreams in a second, with two or three records each."""
+
+
 class StoreReturn:
     """Tells feeds that have lost the store when another one has it back.
 
@@ -106,6 +124,17 @@
         store_return: Shared by the feeds of a process.
         watch: Spares reads where another gateway watches the topic; None
             where each reads for itself.
+        watch_wait_s: Time for which the store holds a watcher's read; None
+            for what a bounded proof needs.
+        is_told: Whether a watcher tells followers its records. Callers' keys
+            are read from the store alone.
+        is_timely: Whether a change must be in force within a bound, so that
+            followers rely on young proofs only.
+
+    Attributes:
+        topic: The topic.
+        proof_limit_s: Age up to which followers rely on a watcher's proof.
+        is_synced: Whether the store has answered.
     """
 
     def __init__(
@@ -119,10 +148,25 @@
         rng: random.Random,
         store_return: StoreReturn,
         watch: Watch | None = None,
+        watch_wait_s: float | None = None,
+        is_told: bool = False,
+        is_timely: bool = True,
     ) -> None:
         super().__init__()
         self._store = store
-        self._topic = topic
+        self.topic = topic
+        if watch_wait_s is None:
+            watch_wait_s = wait_s if watch is None else watch.watch_wait_s
+        self._watch_wait_s = watch_wait_s
+        self.proof_limit_s = watch_wait_s + SLACK_S if is_timely else math.inf
+        self._is_told = is_told
+        self._was_watching = False
+        self._had_news = False
+        self._early: dict[int, Record] = {}
+        self._told = asyncio.Event()
+        self._kept: collections.deque[Record] = collections.deque(
+            maxlen=MAX_KEPT
+        )
         self._listener = listener
         self._wait_s = wait_s
         self._pause_s = pause_s
@@ -148,12 +192,62 @@
             return None
         lost_s = self.get_lost_age_s(now_s)
         return TopicState(
-            self._topic,
+            self.topic,
             self._next,
             math.ceil(1000 * (now_s - self._proved_s)),
             None if lost_s is None else int(1000 * lost_s),
         )
 
+    def get_end(self) -> int | None:
+        """Offset up to which the topic is known; None before it is."""
+        return self._next
+
+    def get_records(self, first: int) -> Sequence[Record]:
+        """Newest records from an offset on; empty where one is missing."""
+        if not self._is_told:
+            return ()
+        records = [record for record in self._kept if record.offset >= first]
+        is_whole = bool(records) and records[0].offset == first
+        return records if is_whole else ()
+
+    def take_records(
+        self, records: Sequence[Record], lost_s: float | None
+    ) -> None:
+        """Takes records from a watcher.
+
+        Datagrams may overtake each other: records are kept until those before
+        them are known. What is still missing when an answer has told how far
+        the topic goes is read from the store.
+        """
+        if self._next is None or not self._is_told:
+            return
+        self._note_lost(lost_s)
+        self._early.update((r.offset, r) for r in records)
+        known = self._next
+        while (record := self._early.pop(self._next, None)) is not None:
+            self._take(Page((record,), record.offset + 1))
+        if self._next > known:
+            self._early = {
+                offset: record
+                for offset, record in self._early.items()
+                if offset > self._next
+            }
+            self._told.set()
+
+    def _take(self, page: Page) -> None:
+        """Hands on the records of a page that are not known yet.
+
+        While a read waits for the store, a watcher may tell the same ones.
+        """
+        assert self._next is not None
+        fresh = tuple(r for r in page.records if r.offset >= self._next)
+        if not fresh:
+            return
+        self._next = fresh[-1].offset + 1
+        if self._is_told:
+            self._kept.extend(fresh)
+        self._listener.on_records(Page(fresh, page.end))
+
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
@@ -166,39 +260,71 @@
                 await self._on_failure(error)
                 continue
             if has_records:
-                await asyncio.sleep(self._pause_s)
+                await asyncio.sleep(self._get_pause_s())
         self._store.close()
 
+    def _get_pause_s(self) -> float:
+        return WATCHER_PAUSE_S if self._was_watching else self._pause_s
+
     async def _follow(self) -> bool:
         """Learns what is new; returns whether there were records."""
         mode = RelayMode.ALONE
         if self._watch is not None and self.is_synced:
             mode = self._watch.get_mode()
+        self._was_watching = False
         if mode is RelayMode.FOLLOWER:
             assert self._watch is not None
-            state = await self._watch.wait_state(self._topic)
-            if state is not None and self._rely_on(state):
+            state = await self._watch.wait_state(self.topic)
+            if state is not None and await self._rely_on(state):
                 return False
             return await self._read(0.0)
-        if mode is RelayMode.WATCHER:
-            assert self._watch is not None
-            has_records = await self._read(self._watch.watch_wait_s)
-            if has_records:
-                self._watch.tell_news()
-            return has_records
+        self._was_watching = mode is RelayMode.WATCHER
+        if self._was_watching:
+            return await self._watch_topic()
         return await self._read(self._wait_s)
 
-    def _rely_on(self, state: RelayedState) -> bool:
-        """Takes a watcher's proof, where there is nothing new."""
-        if state.lost_s is not None:
-            # What lapsed at the store while it was away is no removal, also
-            # where this gateway asked it nothing meanwhile.
-            self._lost_s = max(state.lost_s, self._lost_s or state.lost_s)
+    async def _watch_topic(self) -> bool:
+        """Reads for the followers as well.
+
+        A held read that returns records proves nothing later than its
+        sending. The next one is not held: with two waits in a row the proof
+        would be too old for followers, who would all read the store.
+        """
+        assert self._watch is not None
+        self._had_news = await self._read(
+            0.0 if self._had_news else self._watch_wait_s
+        )
+        if self._had_news:
+            self._watch.tell_news()
+        return self._had_news
+
+    async def _rely_on(self, state: RelayedState) -> bool:
+        """Takes a watcher's proof, once all that it covers is known."""
+        self._note_lost(state.lost_s)
+        if self._is_told:
+            await self._wait_told(state.end)
         if self._next is None or state.end > self._next:
             return False
         self._listener.on_proof(state.proved_s)
         return True
 
+    async def _wait_told(self, end: int) -> None:
+        """Waits for records that an answer has overtaken."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TOLD_S):
+                while self._next is not None and self._next < end:
+                    self._told.clear()
+                    await self._told.wait()
+
+    def _note_lost(self, lost_s: float | None) -> None:
+        """Takes that the store was away at a time, as a watcher saw it.
+
+        What lapsed at the store meanwhile is no removal, also where this
+        gateway asked it nothing.
+        """
+        if lost_s is not None:
+            self._lost_s = max(lost_s, self._lost_s or lost_s)
+
     async def _read(self, wait_s: float) -> bool:
         """Reads the store.
 
@@ -244,27 +370,29 @@
         """
         sent_s = get_elapsed_s()
         if self._next is None:
-            page = await self._store.read_newest(self._topic, READ_TIMEOUT_S)
+            page = await self._store.read_newest(self.topic, READ_TIMEOUT_S)
             self._next = page.end
+            self._kept.clear()
+            self._early.clear()
             self._listener.on_newest(page)
             self._prove(sent_s)
             return False
+        known = self._next
         page = await self._store.read(
-            self._topic, self._next, wait_s, wait_s + READ_TIMEOUT_S
+            self.topic, known, wait_s, wait_s + READ_TIMEOUT_S
         )
-        if page.end < self._next:
+        if page.end < known:
             # The read shows the past: it proves nothing.
             _log.warning(
                 "store_read_stale",
                 extra={
-                    "topic": self._topic,
+                    "topic": self.topic,
                     "end": page.end,
-                    "known": self._next,
+                    "known": known,
                 },
             )
             return True
-        self._next += len(page.records)
-        self._listener.on_records(page)
+        self._take(page)
         if self._next >= page.end:
             # Nothing newer when the wait was over, or when it was sent.
             waited_s = 0.0 if page.records else wait_s
@@ -278,9 +406,10 @@
     def _on_history_lost(self, error: StoreHistoryLostError) -> None:
         _log.warning(
             "store_history_lost",
-            extra={"topic": self._topic, "reason": error.message},
+            extra={"topic": self.topic, "reason": error.message},
         )
         self._next = None if self._is_keyed else error.first
+        self._kept.clear()
 
     async def _on_failure(self, error: StoreError) -> None:
         self._store.close()
@@ -289,7 +418,7 @@
         if self._failures == 1:
             _log.warning(
                 "store_lost",
-                extra={"topic": self._topic, "reason": error.message},
+                extra={"topic": self.topic, "reason": error.message},
             )
         limit_s = BACKOFF_LIMIT_S if self.is_synced else COLD_BACKOFF_LIMIT_S
         delay_s = min(limit_s, BACKOFF_BASE_S * 2.0 ** (self._failures - 1))
@@ -302,7 +431,7 @@
         if self._failures:
             _log.info(
                 "store_regained",
-                extra={"topic": self._topic, "failures": self._failures},
+                extra={"topic": self.topic, "failures": self._failures},
             )
             self._store_return.tell()
         self._failures = 0
--- a/src/lovagestage/gateway/peers.py
+++ b/src/lovagestage/gateway/peers.py
@@ -8,8 +8,10 @@
 
 import mode
 
+from lovagestage.exceptions import SealError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition, Series
+from lovagestage.gateway.seal import Seal
 
 _log = logging.getLogger(__name__)
 
@@ -47,6 +49,13 @@
         self._heard_s: dict[PeerAddress, float] = {}
         self._handlers: dict[bytes, Handler] = {}
         self._transport: asyncio.DatagramTransport | None = None
+        self._seal = Seal()
+        self._versions: dict[PeerAddress, int] = {}
+        self._refused: set[str] = set()
+
+    def add_key(self, version: int, configuration: bytes) -> None:
+        """Takes a configuration, which seals datagrams from now on."""
+        self._seal.add_key(version, configuration)
 
     def register(self, kind: bytes, handler: Handler) -> None:
         """Hands datagrams of one kind, without it, to a part."""
@@ -74,9 +83,36 @@
     def send(self, kind: bytes, data: bytes, peer: PeerAddress) -> None:
         """Sends a datagram, which may be lost."""
         if self._transport is not None:
-            self._transport.sendto(kind + data, peer)
+            version = self._versions.get(peer, self._seal.newest)
+            datagram = self._seal.close(kind + data, version)
+            self._transport.sendto(datagram, peer)
             self._count(kind, "sent", KIND_BYTES + len(data))
 
+    def open(self, datagram: bytes, sender: PeerAddress) -> None:
+        """Takes a datagram from the network; one of others is dropped.
+
+        One that is sealed by a configuration that is not known here yet, or
+        no more, is dropped as well: the next one tells the same.
+        """
+        try:
+            version, data = self._seal.open(datagram)
+        except SealError as error:
+            self._note_refused(sender, error)
+            return
+        self._versions[sender] = version
+        self.take(data, sender)
+
+    def _note_refused(self, sender: PeerAddress, error: SealError) -> None:
+        """Logs each reason once a while, so that senders can't fill the log."""
+        self._exposition.count(Series.DATAGRAMS, 'kind="",way="refused"')
+        if error.message in self._refused:
+            return
+        self._refused.add(error.message)
+        _log.warning(
+            "datagram_unsealed",
+            extra={"address": sender[0], "reason": error.message},
+        )
+
     def take(self, data: bytes, sender: PeerAddress) -> None:
         """Hands on a datagram; one of an unknown kind is dropped and logged.
 
@@ -108,6 +144,9 @@
                 )
                 self.peers.remove(peer)
                 del self._heard_s[peer]
+        for peer in self._versions.keys() - self.peers:
+            del self._versions[peer]
+        self._refused.clear()
 
     def _count(self, kind: bytes, way: str, size_bytes: int) -> None:
         labels = f'kind="{kind.decode()}",way="{way}"'
@@ -129,7 +168,7 @@
         self._owner = owner
 
     def datagram_received(self, data: bytes, address: PeerAddress) -> None:
-        self._owner.take(data, address)
+        self._owner.open(data, address)
 
     def error_received(self, error: Exception) -> None:
         # A peer that is gone; it is told nothing more once it is replaced.
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -7,6 +7,9 @@
 datagram or a dead watcher costs a call to the store and delays nothing
 further.
 
+What is new comes with the answer, as the store's records with their places
+in the topic, so that a change costs the store no call of each follower.
+
 A proof needs no common clock. It counts from the moment at which the
 follower sent its question, less the age that the watcher states: the answer
 was made after the question, so the proof is at least as young as that.
@@ -30,6 +33,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.peers import PeerAddress, PeerSocket
+from lovagestage.platform.store import Record
 
 _log = logging.getLogger(__name__)
 
@@ -50,6 +54,11 @@
 follower reads the store itself, whatever became of its watcher."""
 ANSWER_S = 0.25
 """Time for an answer: over fifty times what it takes between zones."""
+MAX_DATAGRAM_BYTES = 1200
+"""Records of an answer are parted so, to be carried in one packet each. Longer
+ones are read from the store."""
+MAX_ANSWER_BYTES = 48 * 1024
+"""Most that one answer carries: some 200 entries of upstreams."""
 SLACK_S = 0.25
 """Age of a watcher's proof beyond the time of its read: what the read takes,
 ten times over where the store is slow."""
@@ -92,9 +101,28 @@
 
     Attributes:
         number: Repeated in the answer.
+        ends: Topics, and the offset up to which the asking gateway knows each.
     """
 
     number: int
+    ends: tuple[tuple[str, int], ...] = ()
+
+
+class Records(msgspec.Struct, frozen=True, array_like=True, tag="records"):
+    """Records of a topic, sent before the answer that tells its end.
+
+    Attributes:
+        topic: The topic.
+        first: Offset of the first of them.
+        lost_age_ms: How long ago the store last failed to answer; None for
+            never.
+        records: Keys and values; None for a value that was dropped.
+    """
+
+    topic: str
+    first: int
+    lost_age_ms: int | None
+    records: tuple[tuple[str, bytes | None], ...]
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
@@ -114,7 +142,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Question | Answer | News)
+_decoder = msgspec.msgpack.Decoder(Question | Answer | News | Records)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,11 +161,30 @@
 
 
 class TopicSource(Protocol):
-    """A feed whose state is told to followers."""
+    """A feed whose state is told to followers.
+
+    Attributes:
+        topic: Its topic.
+        proof_limit_s: Age up to which a watcher's proof of it is sound.
+    """
+
+    topic: str
+    proof_limit_s: float
 
     def get_state(self, now_s: float) -> TopicState | None:
         """What it knows from the store itself; None for nothing yet."""
 
+    def get_end(self) -> int | None:
+        """Offset up to which it knows the topic; None before it does."""
+
+    def get_records(self, first: int) -> Sequence[Record]:
+        """Newest records from an offset on; empty where it has not all."""
+
+    def take_records(
+        self, records: Sequence[Record], lost_s: float | None
+    ) -> None:
+        """Takes records that follow each other from a watcher."""
+
 
 @dataclasses.dataclass
 class _Away:
@@ -168,7 +215,7 @@
         self.watch_wait_s = WATCH_RATIO * bound_s
         self._period_s = PERIOD_RATIO * bound_s
         self._socket = socket
-        self._sources: list[TopicSource] = []
+        self._sources: dict[str, TopicSource] = {}
         self._followers: dict[PeerAddress, float] = {}
         self._away: dict[PeerAddress, _Away] = {}
         self._number = 0
@@ -183,7 +230,7 @@
 
     def add_source(self, source: TopicSource) -> None:
         """Adds a feed whose state others may ask for."""
-        self._sources.append(source)
+        self._sources[source.topic] = source
 
     def get_mode(self) -> RelayMode:
         """What this gateway is to do now."""
@@ -234,7 +281,9 @@
         self._number += 1
         self._sent_s = get_elapsed_s()
         self._answer = asyncio.get_running_loop().create_future()
-        self._send(Question(self._number), watcher)
+        ends = ((s.topic, s.get_end()) for s in self._sources.values())
+        known = tuple((topic, end) for topic, end in ends if end is not None)
+        self._send(Question(self._number, known), watcher)
         states: dict[str, RelayedState] = {}
         try:
             async with asyncio.timeout(ANSWER_S):
@@ -259,13 +308,50 @@
                 self._on_answer(message)
             case News():
                 self._news.set()
+            case Records():
+                self._on_records(message)
 
     def _on_question(self, question: Question, sender: PeerAddress) -> None:
         now_s = get_elapsed_s()
         self._followers[sender] = now_s
-        states = [source.get_state(now_s) for source in self._sources]
-        known = tuple(state for state in states if state is not None)
-        self._send(Answer(question.number, known), sender)
+        states = [
+            state
+            for source in self._sources.values()
+            if (state := source.get_state(now_s)) is not None
+        ]
+        ends = dict(question.ends)
+        for state in states:
+            first = ends.get(state.topic, state.end)
+            if first < state.end:
+                self._send_records(state, first, sender)
+        self._send(Answer(question.number, tuple(states)), sender)
+
+    def _send_records(
+        self, state: TopicState, first: int, peer: PeerAddress
+    ) -> None:
+        """Sends what is new, unless it is too much or not all known."""
+        records = self._sources[state.topic].get_records(first)
+        for part in split_records(records):
+            message = Records(
+                state.topic,
+                part[0].offset,
+                state.lost_age_ms,
+                tuple((record.key, record.value) for record in part),
+            )
+            self._send(message, peer)
+
+    def _on_records(self, message: Records) -> None:
+        source = self._sources.get(message.topic)
+        if source is None:
+            return
+        lost_s = None
+        if message.lost_age_ms is not None:
+            lost_s = get_elapsed_s() - message.lost_age_ms / 1000
+        records = [
+            Record(message.first + number, key, value)
+            for number, (key, value) in enumerate(message.records)
+        ]
+        source.take_records(records, lost_s)
 
     def _on_answer(self, answer: Answer) -> None:
         waiting = self._answer
@@ -273,7 +359,6 @@
         if waiting is None or waiting.done() or answer.number != self._number:
             return
         now_s = get_elapsed_s()
-        limit_ms = 1000 * (self.watch_wait_s + SLACK_S)
         waiting.set_result(
             {
                 state.topic: RelayedState(
@@ -284,12 +369,18 @@
                     else now_s - state.lost_age_ms / 1000,
                 )
                 for state in answer.states
-                if state.proof_age_ms <= limit_ms
+                if self._is_sound(state)
             }
         )
 
+    def _is_sound(self, state: TopicState) -> bool:
+        source = self._sources.get(state.topic)
+        if source is None:
+            return False
+        return state.proof_age_ms <= 1000 * source.proof_limit_s
+
     def _send(
-        self, message: Question | Answer | News, peer: PeerAddress
+        self, message: Question | Answer | News | Records, peer: PeerAddress
     ) -> None:
         self._socket.send(KIND, _encoder.encode(message), peer)
 
@@ -349,6 +440,24 @@
         )
 
 
+def split_records(records: Sequence[Record]) -> list[list[Record]]:
+    """Parts records by datagram; none where they are too much for an answer."""
+    parts: list[list[Record]] = []
+    room_bytes = 0
+    total_bytes = 0
+    for record in records:
+        size_bytes = len(record.key) + len(record.value or b"") + 8
+        total_bytes += size_bytes
+        if size_bytes > MAX_DATAGRAM_BYTES or total_bytes > MAX_ANSWER_BYTES:
+            break
+        if size_bytes > room_bytes:
+            parts.append([])
+            room_bytes = MAX_DATAGRAM_BYTES
+        parts[-1].append(record)
+        room_bytes -= size_bytes
+    return parts
+
+
 @functools.lru_cache(maxsize=4096)
 def _get_rank(peer: PeerAddress) -> int:
     # Kept, finding the watchers among 391 gateways takes 0.11 ms of processor
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -305,6 +305,8 @@
             if rollout.get_ratio(now_s) < due:
                 continue
             followed.counts_posted += 1
+            if not followed.answers:
+                continue
             age_s = rollout.get_age_s(now_s)
             self._post(
                 CountNote(
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -120,8 +120,9 @@
 would else be found out when the old one is gone."""
 MIN_TRIAL_UPSTREAMS = 2
 """One that fails by itself is no evidence against its version."""
-COUNT_RATIOS = (0.3, 0.6, 0.77, 0.9)
-"""When gateways tell each other how many answers they had."""
+COUNT_RATIOS = (0.77, 0.9)
+"""When gateways tell each other how many answers they had: before the load
+step and before the version is completed, which both depend on it."""
 COMPLETE_RATIO = 0.95
 """Part of the duration after which an unstopped version is taken for good.
 Late: a fault that never showed still keeps within the allowed exposure."""
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -138,15 +138,23 @@
         lambda: None if socket is None else len(socket.peers) + 1,
     )
     store_return = StoreReturn()
+    operator_beliefs = OperatorBeliefs(
+        deployment,
+        rollouts.on_order,
+        (lambda *_: None) if socket is None else socket.add_key,
+    )
     operator_feed = _make_operator_feed(
-        make_store(), bounds, deployment, rollouts, rng, store_return, relay
+        make_store(), bounds, operator_beliefs, rng, store_return, relay
     )
     upstream_feed = _make_upstream_feed(
         make_store(), bounds, deployment, rng, store_return, relay
     )
+    notes_feed = _make_notes_feed(
+        make_store(), mailbox, rng, store_return, relay
+    )
     if relay is not None:
-        relay.add_source(operator_feed)
-        relay.add_source(upstream_feed)
+        for feed in (operator_feed, upstream_feed, notes_feed):
+            relay.add_source(feed)
     _add_gauges(exposition, deployment, socket)
     timers = TimerService()
     peer_services = (socket, gossip, relay)
@@ -155,7 +163,7 @@
         *(each for each in peer_services if each is not None),
         operator_feed,
         upstream_feed,
-        _make_notes_feed(make_store(), mailbox, rng, store_return),
+        notes_feed,
         mailbox,
         rollouts,
     )
@@ -270,8 +278,7 @@
 def _make_operator_feed(
     store: StoreClient,
     bounds: Bounds,
-    deployment: Deployment,
-    rollouts: RolloutService,
+    beliefs: OperatorBeliefs,
     rng: random.Random,
     store_return: StoreReturn,
     relay: Relay | None,
@@ -279,7 +286,7 @@
     return TopicFeed(
         store,
         OPERATOR_TOPIC,
-        OperatorBeliefs(deployment, rollouts.on_order),
+        beliefs,
         get_operator_wait_s(bounds),
         OPERATOR_PAUSE_S,
         True,
@@ -308,6 +315,7 @@
         rng,
         store_return,
         relay,
+        is_told=True,
     )
     beliefs.set_source(feed)
     return feed
@@ -318,6 +326,7 @@
     mailbox: Mailbox,
     rng: random.Random,
     store_return: StoreReturn,
+    relay: Relay | None,
 ) -> TopicFeed:
     return TopicFeed(
         store,
@@ -328,4 +337,8 @@
         False,
         rng,
         store_return,
+        relay,
+        NOTES_WAIT_S,
+        is_told=True,
+        is_timely=False,
     )
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -29,7 +29,7 @@
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.trust import Trust
 from lovagestage.gateway.wiring import get_relay_bound_s
-from lovagestage.platform.store import StoreClient
+from lovagestage.platform.store import Record, StoreClient
 from tests.test_gateway_feeds import TOPIC, Recorder, wait_until
 from tests.test_gateway_gossip import run_pair
 
@@ -356,3 +356,88 @@
     trust = Trust(revoke_s)
     trust.note_proof(0.0)
     assert trust.holds(oldest_s + 0.599 * revoke_s)
+
+
+def tell_records(gateways):
+    for gateway in gateways:
+        gateway.feed._is_told = True
+
+
+async def test_follower_gets_what_is_new_from_its_watcher():
+    # Upstreams are replaced one after the other. Each change would cost the
+    # store a call of every follower; the answer brings the records instead.
+    async with run_gateways() as (store, watcher, follower):
+        tell_records((watcher, follower))
+        calls = follower.calls
+        for number in range(8):
+            store.put(TOPIC, f"u{number}", b"x" * 400)
+            store.put(TOPIC, f"v{number}", b"y" * 400)
+            await asyncio.sleep(0.2)
+        await wait_until(lambda: len(follower.listener.records) == 16)
+        assert follower.listener.records == watcher.listener.records
+        assert follower.calls == calls
+
+
+async def test_records_that_overtake_others_wait_for_them():
+    # The second datagram arrives first, and the answer between the two.
+    async with run_gateways() as (_, watcher, follower):
+        tell_records((watcher, follower))
+        await asyncio.sleep(ROUND_S)
+        calls, first = follower.calls, follower.feed.get_end()
+        late = [Record(first + n, "u", b"%d" % n) for n in range(4)]
+        follower.feed.take_records(late[2:], None)
+        assert not follower.listener.records
+        follower.feed.take_records(late[:2], None)
+        assert [v for _, v in follower.listener.records] == [
+            b"0",
+            b"1",
+            b"2",
+            b"3",
+        ]
+        follower.feed.take_records(late, None)
+        assert len(follower.listener.records) == 4
+        assert follower.calls == calls
+
+
+async def test_follower_reads_the_store_for_records_that_are_lost():
+    # The datagram with the records is lost; the answer arrives and tells that
+    # there is something new.
+    async with run_gateways() as (store, watcher, follower):
+        tell_records((watcher, follower))
+        watcher.relay._send_records = lambda *_: None
+        store.put(TOPIC, "config", b"new")
+        await wait_until(lambda: follower.listener.records, 0.5)
+        assert follower.listener.records == [("config", b"new")]
+
+
+async def test_records_with_callers_keys_are_not_told():
+    async with run_gateways() as (store, watcher, follower):
+        calls = follower.calls
+        assert watcher.feed.get_records(0) == ()
+        store.put(TOPIC, "config", b"new")
+        await wait_until(lambda: follower.listener.records, 0.5)
+        assert follower.calls > calls
+
+
+async def test_a_watchers_proof_stays_sound_while_there_is_news():
+    # A record comes every 0.3 s. Each held read that returns one proves
+    # nothing later than its sending; were the next one held as well, the
+    # follower would find the proof too old and read the store each time.
+    async with run_gateways() as (store, watcher, follower):
+        tell_records((watcher, follower))
+        watcher.feed._pause_s = 1.0
+        calls = follower.calls
+        for number in range(10):
+            store.put(TOPIC, f"u{number}", b"new")
+            await asyncio.sleep(0.3)
+        assert follower.calls == calls
+
+
+def test_records_are_parted_by_datagram():
+    sizes = [300] * 10 + [relays.MAX_DATAGRAM_BYTES + 1, 300]
+    records = [Record(n, "", b"x" * size) for n, size in enumerate(sizes)]
+    parts = relays.split_records(records)
+    assert [r for part in parts for r in part] == records[:10]
+    for part in parts:
+        total = sum(len(r.value) for r in part)
+        assert total <= relays.MAX_DATAGRAM_BYTES
