Pass over watchers that have lost the store

Ruled out: followers that are cut off themselves (they rely on sound watchers).

Change: a watcher whose proof is too old and that told of a failed call is passed over like one that is silent, and those that watch in any case are asked before the next gateways by rank, which may not know that they are to watch.

--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -64,8 +64,8 @@
 ten times over where the store is slow."""
 AWAY_BASE_S = 2.0
 AWAY_LIMIT_S = 30.0
-"""A gateway that left a question unanswered is asked again after so long,
-doubled up to the limit: it may be gone for good."""
+"""A gateway that left a question unanswered, or has lost the store, is asked
+again after so long, doubled up to the limit: it may be gone for good."""
 
 
 class RelayMode(enum.Enum):
@@ -79,6 +79,15 @@
     """It asks a watcher."""
 
 
+class QuestionOutcome(enum.Enum):
+    """What became of a question to a watcher."""
+
+    ANSWERED = "answered"
+    UNSOUND = "unsound"
+    """The watcher has been without the store for too long."""
+    LOST = "lost"
+
+
 class TopicState(msgspec.Struct, frozen=True, array_like=True):
     """What a watcher knows of a topic.
 
@@ -220,7 +229,7 @@
         self._away: dict[PeerAddress, _Away] = {}
         self._number = 0
         self._sent_s = 0.0
-        self._answer: asyncio.Future[dict[str, RelayedState]] | None = None
+        self._answer: asyncio.Future[Answer] | None = None
         self._news = asyncio.Event()
         self._round = _Round(0, {})
         self._round_done = asyncio.Event()
@@ -287,10 +296,11 @@
         states: dict[str, RelayedState] = {}
         try:
             async with asyncio.timeout(ANSWER_S):
-                states = await self._answer
-            self._note_answer(watcher)
+                answer = await self._answer
+            self._note_answer(watcher, answer)
+            states = self._date(answer)
         except TimeoutError:
-            self._note_silence(watcher)
+            self._pass_over(watcher, QuestionOutcome.LOST)
         self._answer = None
         self._round = _Round(self._number, states)
         self._round_done.set()
@@ -358,20 +368,22 @@
         # An answer to an earlier question would be dated by this one.
         if waiting is None or waiting.done() or answer.number != self._number:
             return
+        waiting.set_result(answer)
+
+    def _date(self, answer: Answer) -> dict[str, RelayedState]:
+        """The sound states of an answer, by this gateway's clock."""
         now_s = get_elapsed_s()
-        waiting.set_result(
-            {
-                state.topic: RelayedState(
-                    state.end,
-                    self._sent_s - state.proof_age_ms / 1000,
-                    None
-                    if state.lost_age_ms is None
-                    else now_s - state.lost_age_ms / 1000,
-                )
-                for state in answer.states
-                if self._is_sound(state)
-            }
-        )
+        return {
+            state.topic: RelayedState(
+                state.end,
+                self._sent_s - state.proof_age_ms / 1000,
+                None
+                if state.lost_age_ms is None
+                else now_s - state.lost_age_ms / 1000,
+            )
+            for state in answer.states
+            if self._is_sound(state)
+        }
 
     def _is_sound(self, state: TopicState) -> bool:
         source = self._sources.get(state.topic)
@@ -415,19 +427,41 @@
         return sorted(present, key=_get_rank)[:count]
 
     def _choose_watcher(self) -> PeerAddress:
-        """One of the watchers: spread over them, and the same each time."""
-        own = _get_rank(self._socket.own)
-        return max(
-            self._get_watchers(), key=lambda w: _get_rank((w[0], w[1] ^ own))
-        )
+        """One of the watchers: spread over them, and the same each time.
 
-    def _note_answer(self, watcher: PeerAddress) -> None:
-        self._exposition.count(Series.RELAY_QUESTIONS, 'outcome="answered"')
+        The load that this answers: the store turns a third of the VMs away,
+        two of five watchers among them. Their followers ask the other three,
+        which watch in any case; the next gateways by rank may not know that
+        they are to watch.
+        """
+        own = _get_rank(self._socket.own)
+        watchers = self._get_watchers()
+        everyone = (self._socket.own, *self._socket.peers)
+        first = set(sorted(everyone, key=_get_rank)[: len(watchers)])
+        sound = [w for w in watchers if w in first] or watchers
+        return max(sound, key=lambda w: _get_rank((w[0], w[1] ^ own)))
+
+    def _note_answer(self, watcher: PeerAddress, answer: Answer) -> None:
+        """Takes an answer; a watcher without the store is passed over."""
+        if any(
+            state.lost_age_ms is not None and not self._is_sound(state)
+            for state in answer.states
+        ):
+            self._pass_over(watcher, QuestionOutcome.UNSOUND)
+            return
+        self._count(QuestionOutcome.ANSWERED)
         if self._away.pop(watcher, None) is not None:
             _log.info("watcher_regained", extra={"watcher": watcher[0]})
 
-    def _note_silence(self, watcher: PeerAddress) -> None:
-        self._exposition.count(Series.RELAY_QUESTIONS, 'outcome="lost"')
+    def _count(self, outcome: QuestionOutcome) -> None:
+        self._exposition.count(
+            Series.RELAY_QUESTIONS, f'outcome="{outcome.value}"'
+        )
+
+    def _pass_over(
+        self, watcher: PeerAddress, outcome: QuestionOutcome
+    ) -> None:
+        self._count(outcome)
         known = self._away.get(watcher)
         pause_s = AWAY_BASE_S
         if known is not None:
@@ -436,7 +470,12 @@
         for peer in self._away.keys() - self._socket.peers:
             del self._away[peer]
         _log.warning(
-            "watcher_lost", extra={"watcher": watcher[0], "pause_s": pause_s}
+            "watcher_lost",
+            extra={
+                "watcher": watcher[0],
+                "reason": outcome.value,
+                "pause_s": pause_s,
+            },
         )
 
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -441,3 +441,42 @@
     for part in parts:
         total = sum(len(r.value) for r in part)
         assert total <= relays.MAX_DATAGRAM_BYTES
+
+
+def test_followers_of_a_watcher_without_the_store_ask_another_watcher():
+    # The store turns the VM of a watcher away. It goes on answering, with a
+    # proof that grows old, and each of its followers would read the store
+    # itself in each round until the watcher has it back.
+    exposition = Exposition()
+    socket = PeerSocket("127.0.0.1:1", exposition)
+    for port in range(2, 69):
+        socket.add_peer(f"127.0.0.1:{port}")
+    relay = Relay(socket, BOUND_S, exposition)
+    relay.add_source(
+        TopicFeed(
+            StoreClient("127.0.0.1:1"),
+            TOPIC,
+            Recorder(),
+            0.4,
+            0.0,
+            True,
+            random.Random(1),
+            StoreReturn(),
+            relay,
+        )
+    )
+    ranked = sorted([socket.own, *socket.peers], key=relays._get_rank)
+    watchers = ranked[:5]
+    lost = relay._choose_watcher()
+    assert lost in watchers
+    blind = Answer(1, (TopicState(TOPIC, 7, 5000, 4000),))
+    relay._note_answer(lost, blind)
+    asked = relay._choose_watcher()
+    assert asked in watchers
+    assert asked != lost
+    relay._note_answer(asked, Answer(2, (TopicState(TOPIC, 7, 400, 4000),)))
+    relay._note_answer(asked, Answer(3, (TopicState(TOPIC, 7, 5000, None),)))
+    assert relay._choose_watcher() == asked
+    for watcher in watchers:
+        relay._note_answer(watcher, blind)
+    assert relay._choose_watcher() not in watchers
