Part the relay and the feeds by job

Change: what is sent stands in relay_messages, who watches in watchers (pure), how far a topic is known in topic_log (pure). Ruled out: a common base of feed and mailbox, which share no step.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import contextlib
 import logging
 import math
@@ -19,12 +18,9 @@
     StoreUnavailableError,
 )
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.relay import (
-    SLACK_S,
-    RelayedState,
-    RelayMode,
-    TopicState,
-)
+from lovagestage.gateway.relay import SLACK_S, RelayedState, RelayMode
+from lovagestage.gateway.relay_messages import TopicState
+from lovagestage.gateway.topic_log import TopicLog
 from lovagestage.platform.store import Page, Record, StoreClient
 
 _log = logging.getLogger(__name__)
@@ -53,9 +49,6 @@
 TOLD_S = 0.05
 """Time for records that come after the answer that they belong to: several
 times what a datagram takes between zones."""
-MAX_KEPT = 256
-"""Newest records of a topic that are kept for followers: a release replaces
-some tens of upstreams in a second, with two or three records each."""
 
 
 class StoreReturn:
@@ -162,11 +155,7 @@
         self._is_told = is_told
         self._was_watching = False
         self._had_news = False
-        self._early: dict[int, Record] = {}
         self._told = asyncio.Event()
-        self._kept: collections.deque[Record] = collections.deque(
-            maxlen=MAX_KEPT
-        )
         self._listener = listener
         self._wait_s = wait_s
         self._pause_s = pause_s
@@ -175,7 +164,7 @@
         self._store_return = store_return
         self._watch = watch
         self._is_back = store_return.make_event()
-        self._next: int | None = None if is_keyed else 0
+        self._topic_log = TopicLog(None if is_keyed else 0)
         self._failures = 0
         self._lost_s: float | None = None
         self._proved_s: float | None = None
@@ -188,65 +177,42 @@
 
     def get_state(self, now_s: float) -> TopicState | None:
         """What this gateway has read of the topic itself."""
-        if self._next is None or self._proved_s is None:
+        end = self._topic_log.end
+        if end is None or self._proved_s is None:
             return None
         lost_s = self.get_lost_age_s(now_s)
         return TopicState(
             self.topic,
-            self._next,
+            end,
             math.ceil(1000 * (now_s - self._proved_s)),
             None if lost_s is None else int(1000 * lost_s),
         )
 
     def get_end(self) -> int | None:
         """Offset up to which the topic is known; None before it is."""
-        return self._next
+        return self._topic_log.end
 
     def get_records(self, first: int) -> Sequence[Record]:
         """Newest records from an offset on; empty where one is missing."""
-        if not self._is_told:
-            return ()
-        records = [record for record in self._kept if record.offset >= first]
-        is_whole = bool(records) and records[0].offset == first
-        return records if is_whole else ()
+        return self._topic_log.get_newest(first) if self._is_told else ()
 
     def take_records(
         self, records: Sequence[Record], lost_s: float | None
     ) -> None:
         """Takes records from a watcher.
 
-        Datagrams may overtake each other: records are kept until those before
-        them are known. What is still missing when an answer has told how far
-        the topic goes is read from the store.
+        What is still missing when an answer has told how far the topic goes
+        is read from the store.
         """
-        if self._next is None or not self._is_told:
+        if not self._is_told:
             return
         self._note_lost(lost_s)
-        self._early.update((r.offset, r) for r in records)
-        known = self._next
-        while (record := self._early.pop(self._next, None)) is not None:
-            self._take(Page((record,), record.offset + 1))
-        if self._next > known:
-            self._early = {
-                offset: record
-                for offset, record in self._early.items()
-                if offset > self._next
-            }
+        if fresh := self._topic_log.add_told(records):
+            self._hand_on(fresh)
             self._told.set()
 
-    def _take(self, page: Page) -> None:
-        """Hands on the records of a page that are not known yet.
-
-        While a read waits for the store, a watcher may tell the same ones.
-        """
-        assert self._next is not None
-        fresh = tuple(r for r in page.records if r.offset >= self._next)
-        if not fresh:
-            return
-        self._next = fresh[-1].offset + 1
-        if self._is_told:
-            self._kept.extend(fresh)
-        self._listener.on_records(Page(fresh, page.end))
+    def _hand_on(self, records: tuple[Record, ...]) -> None:
+        self._listener.on_records(Page(records, records[-1].offset + 1))
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -303,7 +269,8 @@
         self._note_lost(state.lost_s)
         if self._is_told:
             await self._wait_told(state.end)
-        if self._next is None or state.end > self._next:
+        end = self._topic_log.end
+        if end is None or state.end > end:
             return False
         self._listener.on_proof(state.proved_s)
         return True
@@ -312,7 +279,7 @@
         """Waits for records that an answer has overtaken."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(TOLD_S):
-                while self._next is not None and self._next < end:
+                while (self._topic_log.end or 0) < end:
                     self._told.clear()
                     await self._told.wait()
 
@@ -369,15 +336,13 @@
         could not be relied on meanwhile. Such a read is sent without a wait.
         """
         sent_s = get_elapsed_s()
-        if self._next is None:
+        known = self._topic_log.end
+        if known is None:
             page = await self._store.read_newest(self.topic, READ_TIMEOUT_S)
-            self._next = page.end
-            self._kept.clear()
-            self._early.clear()
+            self._topic_log.restart(page.end)
             self._listener.on_newest(page)
             self._prove(sent_s)
             return False
-        known = self._next
         page = await self._store.read(
             self.topic, known, wait_s, wait_s + READ_TIMEOUT_S
         )
@@ -392,8 +357,9 @@
                 },
             )
             return True
-        self._take(page)
-        if self._next >= page.end:
+        if fresh := self._topic_log.add(page.records):
+            self._hand_on(fresh)
+        if known + len(page.records) >= page.end:
             # Nothing newer when the wait was over, or when it was sent.
             waited_s = 0.0 if page.records else wait_s
             self._prove(min(sent_s + waited_s, get_elapsed_s()))
@@ -408,8 +374,7 @@
             "store_history_lost",
             extra={"topic": self.topic, "reason": error.message},
         )
-        self._next = None if self._is_keyed else error.first
-        self._kept.clear()
+        self._topic_log.restart(None if self._is_keyed else error.first)
 
     async def _on_failure(self, error: StoreError) -> None:
         self._store.close()
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -20,19 +20,28 @@
 import asyncio
 import dataclasses
 import enum
-import functools
 import logging
-import math
 from collections.abc import Sequence
 from typing import Protocol
 
 import mode
-import msgspec
-import xxhash
 
+from lovagestage.exceptions import CodecError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.peers import PeerAddress, PeerSocket
+from lovagestage.gateway.relay_messages import (
+    Answer,
+    Message,
+    News,
+    Question,
+    Records,
+    TopicState,
+    decode_message,
+    encode_message,
+    split_records,
+)
+from lovagestage.gateway.watchers import WatcherList
 from lovagestage.platform.store import Record
 
 _log = logging.getLogger(__name__)
@@ -41,10 +50,6 @@
 MIN_GATEWAYS = 8
 """Fewer gateways read the store themselves: two watchers read more often than
 they would, which outweighs what the others save."""
-MIN_WATCHERS = 2
-FOLLOWERS = 16
-"""Followers of a watcher: 40 questions a second where a change must be in force
-within 2 s."""
 WATCH_RATIO = 0.3
 """The store holds a watcher's read for this part of the time in which a change
 must be in force."""
@@ -54,18 +59,9 @@
 follower reads the store itself, whatever became of its watcher."""
 ANSWER_S = 0.25
 """Time for an answer: over fifty times what it takes between zones."""
-MAX_DATAGRAM_BYTES = 1200
-"""Records of an answer are parted so, to be carried in one packet each. Longer
-ones are read from the store."""
-MAX_ANSWER_BYTES = 48 * 1024
-"""Most that one answer carries: some 200 entries of upstreams."""
 SLACK_S = 0.25
 """Age of a watcher's proof beyond the time of its read: what the read takes,
 ten times over where the store is slow."""
-AWAY_BASE_S = 2.0
-AWAY_LIMIT_S = 30.0
-"""A gateway that left a question unanswered, or has lost the store, is asked
-again after so long, doubled up to the limit: it may be gone for good."""
 
 
 class RelayMode(enum.Enum):
@@ -88,72 +84,6 @@
     LOST = "lost"
 
 
-class TopicState(msgspec.Struct, frozen=True, array_like=True):
-    """What a watcher knows of a topic.
-
-    Attributes:
-        topic: The topic.
-        end: Offset up to which it has read.
-        proof_age_ms: How long ago nothing else was there.
-        lost_age_ms: How long ago the store last failed to answer; None for
-            never.
-    """
-
-    topic: str
-    end: int
-    proof_age_ms: int
-    lost_age_ms: int | None
-
-
-class Question(msgspec.Struct, frozen=True, array_like=True, tag="question"):
-    """Asks for the state of all topics.
-
-    Attributes:
-        number: Repeated in the answer.
-        ends: Topics, and the offset up to which the asking gateway knows each.
-    """
-
-    number: int
-    ends: tuple[tuple[str, int], ...] = ()
-
-
-class Records(msgspec.Struct, frozen=True, array_like=True, tag="records"):
-    """Records of a topic, sent before the answer that tells its end.
-
-    Attributes:
-        topic: The topic.
-        first: Offset of the first of them.
-        lost_age_ms: How long ago the store last failed to answer; None for
-            never.
-        records: Keys and values; None for a value that was dropped.
-    """
-
-    topic: str
-    first: int
-    lost_age_ms: int | None
-    records: tuple[tuple[str, bytes | None], ...]
-
-
-class Answer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
-    """Answers a question.
-
-    Attributes:
-        number: Of the question.
-        states: The topics that the answering gateway reads.
-    """
-
-    number: int
-    states: tuple[TopicState, ...]
-
-
-class News(msgspec.Struct, frozen=True, array_like=True, tag="news"):
-    """Tells followers to ask at once."""
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Question | Answer | News | Records)
-
-
 @dataclasses.dataclass(frozen=True)
 class RelayedState:
     """What a follower was told of a topic, by its own clock.
@@ -195,12 +125,6 @@
         """Takes records that follow each other from a watcher."""
 
 
-@dataclasses.dataclass
-class _Away:
-    until_s: float
-    pause_s: float
-
-
 @dataclasses.dataclass(frozen=True)
 class _Round:
     number: int
@@ -214,6 +138,10 @@
         socket: Where datagrams go and come from.
         bound_s: Shortest time in which a change must be in force.
         exposition: Counts questions.
+
+    Attributes:
+        watch_wait_s: Time for which the store holds a watcher's read.
+        watchers: Who watches.
     """
 
     def __init__(
@@ -224,9 +152,9 @@
         self.watch_wait_s = WATCH_RATIO * bound_s
         self._period_s = PERIOD_RATIO * bound_s
         self._socket = socket
+        self.watchers = WatcherList(socket.own, socket.peers)
         self._sources: dict[str, TopicSource] = {}
         self._followers: dict[PeerAddress, float] = {}
-        self._away: dict[PeerAddress, _Away] = {}
         self._number = 0
         self._sent_s = 0.0
         self._answer: asyncio.Future[Answer] | None = None
@@ -245,7 +173,7 @@
         """What this gateway is to do now."""
         if 1 + len(self._socket.peers) < MIN_GATEWAYS:
             return RelayMode.ALONE
-        if self._socket.own in self._get_watchers():
+        if self._socket.own in self.watchers.get(get_elapsed_s()):
             return RelayMode.WATCHER
         return RelayMode.FOLLOWER
 
@@ -286,9 +214,9 @@
                 continue
 
     async def _ask(self) -> None:
-        watcher = self._choose_watcher()
         self._number += 1
         self._sent_s = get_elapsed_s()
+        watcher = self.watchers.choose(self._sent_s)
         self._answer = asyncio.get_running_loop().create_future()
         ends = ((s.topic, s.get_end()) for s in self._sources.values())
         known = tuple((topic, end) for topic, end in ends if end is not None)
@@ -307,9 +235,9 @@
 
     def _take(self, data: bytes, sender: PeerAddress) -> None:
         try:
-            message = _decoder.decode(data)
-        except msgspec.MsgspecError as error:
-            _log.warning("relay_refused", extra={"error": str(error)})
+            message = decode_message(data)
+        except CodecError as error:
+            _log.warning("relay_refused", extra={"error": error.message})
             return
         match message:
             case Question():
@@ -391,10 +319,8 @@
             return False
         return state.proof_age_ms <= 1000 * source.proof_limit_s
 
-    def _send(
-        self, message: Question | Answer | News | Records, peer: PeerAddress
-    ) -> None:
-        self._socket.send(KIND, _encoder.encode(message), peer)
+    def _send(self, message: Message, peer: PeerAddress) -> None:
+        self._socket.send(KIND, encode_message(message), peer)
 
     def _note_mode(self, now: RelayMode) -> None:
         if now is self._noted_mode:
@@ -409,38 +335,6 @@
         )
         self._noted_mode = now
 
-    def _get_watchers(self) -> Sequence[PeerAddress]:
-        """The watchers, as far as this gateway knows.
-
-        All gateways find the same ones but for those which they could not
-        reach lately; one that is asked without watching says how old its
-        proof is, and the follower reads the store itself.
-        """
-        now_s = get_elapsed_s()
-        present = [
-            peer
-            for peer in (self._socket.own, *self._socket.peers)
-            if peer not in self._away or self._away[peer].until_s <= now_s
-        ]
-        gateways = 1 + len(self._socket.peers)
-        count = max(MIN_WATCHERS, math.ceil(gateways / FOLLOWERS))
-        return sorted(present, key=_get_rank)[:count]
-
-    def _choose_watcher(self) -> PeerAddress:
-        """One of the watchers: spread over them, and the same each time.
-
-        The load that this answers: the store turns a third of the VMs away,
-        two of five watchers among them. Their followers ask the other three,
-        which watch in any case; the next gateways by rank may not know that
-        they are to watch.
-        """
-        own = _get_rank(self._socket.own)
-        watchers = self._get_watchers()
-        everyone = (self._socket.own, *self._socket.peers)
-        first = set(sorted(everyone, key=_get_rank)[: len(watchers)])
-        sound = [w for w in watchers if w in first] or watchers
-        return max(sound, key=lambda w: _get_rank((w[0], w[1] ^ own)))
-
     def _note_answer(self, watcher: PeerAddress, answer: Answer) -> None:
         """Takes an answer; a watcher without the store is passed over."""
         if any(
@@ -450,25 +344,14 @@
             self._pass_over(watcher, QuestionOutcome.UNSOUND)
             return
         self._count(QuestionOutcome.ANSWERED)
-        if self._away.pop(watcher, None) is not None:
+        if self.watchers.note_sound(watcher):
             _log.info("watcher_regained", extra={"watcher": watcher[0]})
 
-    def _count(self, outcome: QuestionOutcome) -> None:
-        self._exposition.count(
-            Series.RELAY_QUESTIONS, f'outcome="{outcome.value}"'
-        )
-
     def _pass_over(
         self, watcher: PeerAddress, outcome: QuestionOutcome
     ) -> None:
         self._count(outcome)
-        known = self._away.get(watcher)
-        pause_s = AWAY_BASE_S
-        if known is not None:
-            pause_s = min(AWAY_LIMIT_S, 2 * known.pause_s)
-        self._away[watcher] = _Away(get_elapsed_s() + pause_s, pause_s)
-        for peer in self._away.keys() - self._socket.peers:
-            del self._away[peer]
+        pause_s = self.watchers.pass_over(watcher, get_elapsed_s())
         _log.warning(
             "watcher_lost",
             extra={
@@ -478,26 +361,7 @@
             },
         )
 
-
-def split_records(records: Sequence[Record]) -> list[list[Record]]:
-    """Parts records by datagram; none where they are too much for an answer."""
-    parts: list[list[Record]] = []
-    room_bytes = 0
-    total_bytes = 0
-    for record in records:
-        size_bytes = len(record.key) + len(record.value or b"") + 8
-        total_bytes += size_bytes
-        if size_bytes > MAX_DATAGRAM_BYTES or total_bytes > MAX_ANSWER_BYTES:
-            break
-        if size_bytes > room_bytes:
-            parts.append([])
-            room_bytes = MAX_DATAGRAM_BYTES
-        parts[-1].append(record)
-        room_bytes -= size_bytes
-    return parts
-
-
-@functools.lru_cache(maxsize=4096)
-def _get_rank(peer: PeerAddress) -> int:
-    # Kept: the watchers are looked up for each round, among all gateways.
-    return xxhash.xxh3_64_intdigest(f"{peer[0]}:{peer[1]}".encode())
+    def _count(self, outcome: QuestionOutcome) -> None:
+        self._exposition.count(
+            Series.RELAY_QUESTIONS, f'outcome="{outcome.value}"'
+        )
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -13,18 +13,19 @@
 from lab.server import start_app
 from lovagestage.gateway import gossip as gossips
 from lovagestage.gateway import relay as relays
+from lovagestage.gateway import watchers as watchers_of
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition
 from lovagestage.gateway.feeds import StoreReturn, TopicFeed
 from lovagestage.gateway.gossip import ALIVE_S
 from lovagestage.gateway.peers import FORGET_S, PeerSocket
-from lovagestage.gateway.relay import (
-    MIN_GATEWAYS,
+from lovagestage.gateway.relay import MIN_GATEWAYS, Relay, RelayMode
+from lovagestage.gateway.relay_messages import (
+    MAX_DATAGRAM_BYTES,
     Answer,
     News,
-    Relay,
-    RelayMode,
     TopicState,
+    split_records,
 )
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.trust import Trust
@@ -81,7 +82,7 @@
     runner, port = await start_app(store.make_app(), "127.0.0.1", 0)
     pair = sorted(
         (Gateway(port), Gateway(port)),
-        key=lambda each: relays._get_rank(each.socket.own),
+        key=lambda each: watchers_of.get_rank(each.socket.own),
     )
     pair[0].name, pair[1].name = "watcher", "follower"
     add_others(pair)
@@ -101,19 +102,19 @@
 
 def add_others(pair):
     # The others are far down in the ranks: of the two first, one watches.
-    limit = relays._get_rank(pair[1].socket.own)
+    limit = watchers_of.get_rank(pair[1].socket.own)
     found = [
         ("127.0.0.1", port)
         for port in range(1, 60_000)
-        if relays._get_rank(("127.0.0.1", port)) > limit
+        if watchers_of.get_rank(("127.0.0.1", port)) > limit
     ]
     for gateway, other in zip(pair, reversed(pair), strict=True):
-        gateway.socket.peers = {other.socket.own, *found[: MIN_GATEWAYS - 2]}
+        gateway.socket.peers |= {other.socket.own, *found[: MIN_GATEWAYS - 2]}
 
 
 @pytest.fixture(autouse=True)
 def one_watcher(monkeypatch):
-    monkeypatch.setattr(relays, "MIN_WATCHERS", 1)
+    monkeypatch.setattr(watchers_of, "MIN_WATCHERS", 1)
 
 
 async def test_follower_asks_the_store_nothing_while_nothing_changes():
@@ -261,7 +262,7 @@
     ("gateways", "watchers"), [(8, 2), (32, 2), (33, 3), (390, 25)]
 )
 def test_all_gateways_find_the_same_watchers(monkeypatch, gateways, watchers):
-    monkeypatch.setattr(relays, "MIN_WATCHERS", 2)
+    monkeypatch.setattr(watchers_of, "MIN_WATCHERS", 2)
     addresses = [f"127.0.0.1:{port}" for port in range(1, gateways + 1)]
     found = []
     asked = []
@@ -270,14 +271,14 @@
         for each in addresses:
             socket.add_peer(each)
         relay = Relay(socket, BOUND_S, Exposition())
-        found.append(tuple(relay._get_watchers()))
+        found.append(tuple(relay.watchers.get(get_elapsed_s())))
         if relay.get_mode() is RelayMode.FOLLOWER:
-            asked.append(relay._choose_watcher())
+            asked.append(relay.watchers.choose(get_elapsed_s()))
     assert len(set(found)) == 1
     assert len(found[0]) == watchers
     assert set(asked) == set(found[0])
     most = max(asked.count(each) for each in set(asked))
-    assert most <= 2.5 * relays.FOLLOWERS
+    assert most <= 2.5 * watchers_of.FOLLOWERS
 
 
 async def test_gateway_is_known_by_its_datagrams():
@@ -434,13 +435,13 @@
 
 
 def test_records_are_parted_by_datagram():
-    sizes = [300] * 10 + [relays.MAX_DATAGRAM_BYTES + 1, 300]
+    sizes = [300] * 10 + [MAX_DATAGRAM_BYTES + 1, 300]
     records = [Record(n, "", b"x" * size) for n, size in enumerate(sizes)]
-    parts = relays.split_records(records)
+    parts = split_records(records)
     assert [r for part in parts for r in part] == records[:10]
     for part in parts:
         total = sum(len(r.value) for r in part)
-        assert total <= relays.MAX_DATAGRAM_BYTES
+        assert total <= MAX_DATAGRAM_BYTES
 
 
 def test_followers_of_a_watcher_without_the_store_ask_another_watcher():
@@ -465,18 +466,18 @@
             relay,
         )
     )
-    ranked = sorted([socket.own, *socket.peers], key=relays._get_rank)
+    ranked = sorted([socket.own, *socket.peers], key=watchers_of.get_rank)
     watchers = ranked[:5]
-    lost = relay._choose_watcher()
+    lost = relay.watchers.choose(get_elapsed_s())
     assert lost in watchers
     blind = Answer(1, (TopicState(TOPIC, 7, 5000, 4000),))
     relay._note_answer(lost, blind)
-    asked = relay._choose_watcher()
+    asked = relay.watchers.choose(get_elapsed_s())
     assert asked in watchers
     assert asked != lost
     relay._note_answer(asked, Answer(2, (TopicState(TOPIC, 7, 400, 4000),)))
     relay._note_answer(asked, Answer(3, (TopicState(TOPIC, 7, 5000, None),)))
-    assert relay._choose_watcher() == asked
+    assert relay.watchers.choose(get_elapsed_s()) == asked
     for watcher in watchers:
         relay._note_answer(watcher, blind)
-    assert relay._choose_watcher() not in watchers
+    assert relay.watchers.choose(get_elapsed_s()) not in watchers
