Leave a store alone that watcher and follower have both lost

Every gateway asked it for each topic every 1.4 s, and each answer of a watcher without the store had it passed over (800 times), up to 30 s, for gateways that do not watch.

Ruled out: starts (143 of them, about 8 calls each), watchers' held reads.

Change: a follower whose watcher has lost the store, and which has lost it itself, asks only every 3 s; watchers tell of its return at once. A watcher that answers without the store is passed over for 2 s, not doubled, and none stands in for it.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -46,6 +46,8 @@
 WATCHER_PAUSE_S = 0.15
 """Pause of a watcher after records: shorter than the slack that followers
 leave its proof, and there are few of them."""
+LOST_TO_ALL_S = 3.0
+"""A follower asks a store that its watcher has lost as well only so often."""
 TOLD_S = 0.05
 """Time for records that come after the answer that they belong to: several
 times what a datagram takes between zones."""
@@ -167,6 +169,7 @@
         self._topic_log = TopicLog(None if is_keyed else 0)
         self._failures = 0
         self._lost_s: float | None = None
+        self._failed_s: float | None = None
         self._proved_s: float | None = None
         self._read_s = get_elapsed_s()
         self.is_synced = False
@@ -243,6 +246,8 @@
             state = await self._watch.wait_state(self.topic)
             if state is not None and await self._rely_on(state):
                 return False
+            if state is not None and self._is_lost_to_all(state):
+                return False
             return await self._read(0.0)
         self._was_watching = mode is RelayMode.WATCHER
         if self._was_watching:
@@ -267,14 +272,27 @@
     async def _rely_on(self, state: RelayedState) -> bool:
         """Takes a watcher's proof, once all that it covers is known."""
         self._note_lost(state.lost_s)
-        if self._is_told:
+        if state.is_sound and self._is_told:
             await self._wait_told(state.end)
         end = self._topic_log.end
-        if end is None or state.end > end:
+        if not state.is_sound or end is None or state.end > end:
             return False
+        self._note_regained("watcher")
         self._listener.on_proof(state.proved_s)
         return True
 
+    def _is_lost_to_all(self, state: RelayedState) -> bool:
+        """Whether a watcher has lost the store, and this gateway lately too.
+
+        The load that this answers: the store is down, and every gateway asks
+        it for each topic every second or two. The watchers do, and tell of
+        its return; this gateway asks now and then, as only some may be lost.
+        """
+        if state.is_sound or state.lost_s is None or self._failed_s is None:
+            return False
+        now_s = get_elapsed_s()
+        return now_s - min(state.lost_s, self._failed_s) < LOST_TO_ALL_S
+
     async def _wait_told(self, end: int) -> None:
         """Waits for records that an answer has overtaken."""
         with contextlib.suppress(TimeoutError):
@@ -378,7 +396,7 @@
 
     async def _on_failure(self, error: StoreError) -> None:
         self._store.close()
-        self._lost_s = get_elapsed_s()
+        self._lost_s = self._failed_s = get_elapsed_s()
         self._failures += 1
         if self._failures == 1:
             _log.warning(
@@ -393,11 +411,23 @@
                 await self._is_back.wait()
 
     def _on_success(self) -> None:
+        if self._failures:
+            self._store_return.tell()
+            if self._watch is not None:
+                # Followers that wait for the store ask at once.
+                self._watch.tell_news()
+        self._note_regained("store")
+        self.is_synced = True
+
+    def _note_regained(self, source: str) -> None:
         if self._failures:
             _log.info(
                 "store_regained",
-                extra={"topic": self.topic, "failures": self._failures},
+                extra={
+                    "topic": self.topic,
+                    "failures": self._failures,
+                    "source": source,
+                },
             )
-            self._store_return.tell()
         self._failures = 0
-        self.is_synced = True
+        self._failed_s = None
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -92,11 +92,13 @@
         end: Offset up to which there is nothing unknown to the watcher.
         proved_s: When that was so.
         lost_s: When the store last failed to answer; None for never.
+        is_sound: Whether the proof is young enough to rely on.
     """
 
     end: int
     proved_s: float
     lost_s: float | None
+    is_sound: bool
 
 
 class TopicSource(Protocol):
@@ -187,7 +189,7 @@
                 self._send(News(), peer)
 
     async def wait_state(self, topic: str) -> RelayedState | None:
-        """The next state that a watcher tells; None without a sound one."""
+        """The next state that a watcher tells; None where it tells none."""
         limit_s = 2 * self._period_s + ANSWER_S
         try:
             async with asyncio.timeout(limit_s):
@@ -299,7 +301,7 @@
         waiting.set_result(answer)
 
     def _date(self, answer: Answer) -> dict[str, RelayedState]:
-        """The sound states of an answer, by this gateway's clock."""
+        """The states of an answer, by this gateway's clock."""
         now_s = get_elapsed_s()
         return {
             state.topic: RelayedState(
@@ -308,9 +310,9 @@
                 None
                 if state.lost_age_ms is None
                 else now_s - state.lost_age_ms / 1000,
+                self._is_sound(state),
             )
             for state in answer.states
-            if self._is_sound(state)
         }
 
     def _is_sound(self, state: TopicState) -> bool:
@@ -351,7 +353,10 @@
         self, watcher: PeerAddress, outcome: QuestionOutcome
     ) -> None:
         self._count(outcome)
-        pause_s = self.watchers.pass_over(watcher, get_elapsed_s())
+        is_blind = outcome is QuestionOutcome.UNSOUND
+        if self.watchers.is_passed_over(watcher, get_elapsed_s()):
+            return
+        pause_s = self.watchers.pass_over(watcher, get_elapsed_s(), is_blind)
         _log.warning(
             "watcher_lost",
             extra={
--- a/src/lovagestage/gateway/watchers.py
+++ b/src/lovagestage/gateway/watchers.py
@@ -21,14 +21,15 @@
 within 2 s."""
 AWAY_BASE_S = 2.0
 AWAY_LIMIT_S = 30.0
-"""A gateway that left a question unanswered, or has lost the store, is asked
-again after so long, doubled up to the limit: it may be gone for good."""
+"""A gateway that left a question unanswered is asked again after so long,
+doubled up to the limit: it may be gone for good."""
 
 
 @dataclasses.dataclass
 class _Away:
     until_s: float
     pause_s: float
+    is_blind: bool
 
 
 class WatcherList:
@@ -47,15 +48,16 @@
         self._away: dict[PeerAddress, _Away] = {}
 
     def get(self, now_s: float) -> Sequence[PeerAddress]:
-        """The watchers; the next by rank stand in for those passed over.
+        """The watchers; the next by rank stand in for those that are silent.
 
-        One that is asked without watching says how old its proof is, and the
-        follower reads the store itself.
+        None stands in for one that has lost the store: when all have, there
+        would be ever more watchers. One that is asked without watching says
+        how old its proof is, and the follower reads the store itself.
         """
         present = [
             peer
             for peer in (self._own, *self._peers)
-            if peer not in self._away or self._away[peer].until_s <= now_s
+            if not self.is_passed_over(peer, now_s) or self._away[peer].is_blind
         ]
         return sorted(present, key=get_rank)[: self._get_count()]
 
@@ -68,19 +70,34 @@
         they are to watch.
         """
         watchers = self.get(now_s)
+        seeing = [w for w in watchers if not self.is_passed_over(w, now_s)]
         ranked = sorted((self._own, *self._peers), key=get_rank)
         first = ranked[: self._get_count()]
-        sound = [each for each in watchers if each in first] or watchers
+        sound = [each for each in seeing if each in first] or seeing or watchers
         own = get_rank(self._own)
         return max(sound, key=lambda each: get_rank((each[0], each[1] ^ own)))
 
-    def pass_over(self, watcher: PeerAddress, now_s: float) -> float:
-        """Leaves one out for a while; returns for how long."""
+    def is_passed_over(self, watcher: PeerAddress, now_s: float) -> bool:
+        """Whether one is left out for now."""
+        known = self._away.get(watcher)
+        return known is not None and now_s < known.until_s
+
+    def pass_over(
+        self, watcher: PeerAddress, now_s: float, is_blind: bool
+    ) -> float:
+        """Leaves one out for a while; returns for how long.
+
+        Args:
+            watcher: Which one.
+            now_s: Elapsed time.
+            is_blind: Whether it answers, but has lost the store. Then it is
+                asked again soon, as the store comes back to all at once.
+        """
         known = self._away.get(watcher)
         pause_s = AWAY_BASE_S
-        if known is not None:
+        if known is not None and not is_blind:
             pause_s = min(AWAY_LIMIT_S, 2 * known.pause_s)
-        self._away[watcher] = _Away(now_s + pause_s, pause_s)
+        self._away[watcher] = _Away(now_s + pause_s, pause_s, is_blind)
         for peer in self._away.keys() - set(self._peers):
             del self._away[peer]
         return pause_s
