Keep a stall of the test's process from passing for silent upstreams

Callers, gateway and upstreams run in one process there; the route's aim is 0.3 s, after which a silent upstream is given up. A trial that blocks the loop once for 0.35 or 0.5 s gives the failure each time (some 502s), one of 0.15 or 0.25 s none.

Change: the test's route has an aim of 2 s; assertions and bounds are as they were. With it stalls of 0.35, 0.5 and 0.7 s hold, and with the trial by one request taken out of the product it fails as before (15 attempts, 10 allowed).

--- a/tests/test_gateway_absence.py
+++ b/tests/test_gateway_absence.py
@@ -9,7 +9,7 @@
 from lab import worker as lab
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.performance import SLOW_CONNECT_S, Performance
-from tests.gateway_stage import run_stage
+from tests.gateway_stage import make_route, run_stage
 
 INTERVAL_S = 0.01
 DARK_S = 3.0
@@ -17,6 +17,11 @@
 """Busy enough that an upstream without any request looks the best."""
 MOST_TRIALS = 10
 """Five of the first moment, one each after 0.5, 1 and 2 s, and two more."""
+PATIENT_ROUTE = make_route(
+    "stream", "streaming", Resumable=True, TargetGapMs=300, TargetLatencyMs=2000
+)
+"""Callers, gateway and upstreams share a process here. With a shorter aim a
+stall of 0.35 s on a busy machine passes for the silence of all upstreams."""
 
 
 @contextlib.contextmanager
@@ -43,6 +48,7 @@
     script = lab.make_stream(1, first_s=BEGIN_S)
     with open_dark_address() as address:
         async with run_stage(workers=2, script=script) as stage:
+            stage.put_configuration(version=2, routes=[PATIENT_ROUTE])
             stage.put_entry("w2", Address=address)
             dark = next(
                 u
@@ -50,6 +56,10 @@
                 if u.id == "w2"
             )
             await stage.wait_until(lambda: dark.entry.address == address)
+            deployment = stage.gateway.deployment
+            await stage.wait_until(
+                lambda: deployment.configuration.version == 2
+            )
             end_s = get_elapsed_s() + DARK_S
             calls = []
             while get_elapsed_s() < end_s:
