Give launchers only ports that are free for datagrams as well

Change: a port is given out only where both protocols are free. The new test fails before and holds now.

--- a/lab/ports.py
+++ b/lab/ports.py
@@ -35,12 +35,25 @@
         NoPortError: All are in use.
     """
     for port in itertools.islice(_get_ports(), PORTS_PER_PROCESS):
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(
+            port, socket.SOCK_DGRAM
+        ):
             return port
     raise NoPortError("No port is free.")
 
 
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    """Whether nothing is bound to a port.
+
+    Gateways whose launcher was killed run on and hold a port for datagrams
+    alone; a gateway that is given it ends with "address already in use".
+    """
+    with socket.socket(type=kind) as probe, contextlib.suppress(OSError):
+        probe.bind((HOST, port))
+        return True
+    return False
+
+
 @functools.cache
 def _get_ports() -> Iterator[int]:
     first = LISTENER_PORTS[claim_part() * PORTS_PER_PROCESS]
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import os
+import socket
 import subprocess
 import sys
 
+import pytest
+
 from lab.ports import LISTENER_PORTS, get_free_port
 
 CLAIM = """
@@ -53,3 +56,14 @@
 def test_port_is_given_out_again_only_after_the_others():
     ports = [get_free_port() for _ in range(50)]
     assert len(set(ports)) == 50
+
+
+@pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
+def test_a_port_that_is_held_for_either_protocol_is_not_given(kind):
+    # A launcher was killed, and its gateway runs on and holds a port for
+    # datagrams. The next launcher's gateway gets it and ends at its start,
+    # and whoever waits for it to be ready waits in vain.
+    following = get_free_port() + 1
+    with socket.socket(type=kind) as holder:
+        holder.bind(("127.0.0.1", following))
+        assert get_free_port() != following
