--- a/src/lovagestage/gateway/seal.py
+++ b/src/lovagestage/gateway/seal.py
@@ -60,7 +60,7 @@
             raise SealError("Datagram without a seal.")
         version, tag = _HEAD.unpack_from(datagram)
         if self._keys and version not in self._keys:
-            raise SealError(f"Sealed by configuration {version}.")
+            raise SealError("Sealed by a configuration that is not known.")
         data = datagram[_HEAD.size :]
         if not hmac.compare_digest(tag, self._make_tag(version, data)):
             raise SealError("Datagram with a wrong seal.")
--- a/tests/test_gateway_seal.py
+++ b/tests/test_gateway_seal.py
@@ -54,15 +54,17 @@
         seal.open(make_seal(1).close(b"old", 1))
 
 
-def test_a_forged_datagram_reaches_no_part_and_adds_no_peer():
+def test_a_forged_datagram_reaches_no_part_and_adds_no_peer(caplog):
+    # Nor can its sender fill the log: each reason is written once a while.
     socket = PeerSocket("127.0.0.1:1", Exposition())
     taken = []
     socket.register(b"kind", lambda data, sender: taken.append(data))
     socket.add_key(5, b"configuration 5")
-    for _ in range(3):
-        socket.open(make_seal(6).close(b"kindforged", 6), SENDER)
+    for version in range(6, 200):
+        socket.open(make_seal(version).close(b"kindforged", version), SENDER)
     assert not taken
     assert not socket.peers
+    assert caplog.messages == ["datagram_unsealed"]
     socket.open(make_seal(5).close(b"kindtrue", 5), SENDER)
     assert taken == [b"true"]
     assert socket.peers == {SENDER}
