Tell how much of a store's answer had come, and how far behind a gateway is

What was missing: a read of the store that fails told `TimeoutError`, once, at the first failure. Whether the store was mute, the link narrow or the processor busy could not be told, nor that it went on for 50 seconds.

Change, no decision touched: `store_lost` has failures, received_bytes and expected_bytes and comes again at each power of two; `topic_behind` and `topic_caught_up` where records are known to exist and are not read; `store_bytes_total`, `configuration_lag_seconds`; the page of metrics puts histograms last, as collectors may keep its first part only (monitoring of the incident kept 4,000 bytes, and what the store's calls did came later).

--- a/lab/metadata_store.py
+++ b/lab/metadata_store.py
@@ -26,6 +26,7 @@
     slow_ms: float = 0.0  # Delay of each answer, after its effect.
     lose_appends: int = 0  # The next N appends are done and not answered.
     deaf: bool = False  # Reads that wait are not woken by records.
+    break_after_bytes: int = 0  # Reads break off after so much of their body.
     stale_by: int = 0  # Reads show the topics without the last N records.
 
 
@@ -163,7 +164,20 @@
         body = _READ_HEAD.pack(end, topic.first)
         for data in topic.read(offset, max(offset, end)):
             body += _LENGTH.pack(len(data)) + data
-        return web.Response(body=body)
+        return await self._send_body(request, body)
+
+    async def _send_body(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        limit_bytes = self.faults.break_after_bytes
+        if not limit_bytes or len(body) <= limit_bytes:
+            return web.Response(body=body)
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        await response.write(body[:limit_bytes])
+        await self._reset(request)
+        return response
 
     async def _handle_newest(self, request: web.Request) -> web.Response:
         self.calls.append("newest")
--- a/src/lovagestage/adapters/http1.py
+++ b/src/lovagestage/adapters/http1.py
@@ -281,17 +281,6 @@
             return None
         raise ConnectionLostError("Closed within an answer.")
 
-    async def receive_body(self, limit_bytes: int) -> bytes:
-        """Reads the whole body; fails as `receive_part` does."""
-        parts: list[bytes] = []
-        size = 0
-        while (part := await self.receive_part()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > limit_bytes:
-                raise WrongMessageError(f"Body over {limit_bytes} bytes.")
-        return b"".join(parts)
-
     def skip_answer(self) -> None:
         """Prepares to read the next answer in place of the last one.
 
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from lovagestage.types import ChangeId, FencingNumber, LeaseId, RunState
 
 EXIT_FAILURE = 1
@@ -540,12 +542,33 @@
         self.status = status
 
 
+@dataclasses.dataclass(frozen=True)
+class Transfer:
+    """How far the body of an answer came.
+
+    Attributes:
+        received_bytes: What came of it.
+        expected_bytes: Its length; None before the head, or without one.
+    """
+
+    received_bytes: int = 0
+    expected_bytes: int | None = None
+
+
 class StoreError(LovagestageError):
-    """The platform's metadata store did not do what was asked."""
+    """The platform's metadata store did not do what was asked.
+
+    Attributes:
+        transfer: How far its answer came.
+    """
 
     code = "store_error"
     exit_code = EXIT_UNAVAILABLE
 
+    def __init__(self, message: str, transfer: Transfer = Transfer()) -> None:
+        super().__init__(message)
+        self.transfer = transfer
+
 
 class StoreUnavailableError(StoreError):
     """The store did not answer a read, or certainly did not append."""
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -73,6 +73,12 @@
         "Calls to the metadata store; lost is one without a whole answer.",
         ("call", "outcome"),
     )
+    STORE_BYTES = SeriesSpec(
+        "store_bytes_total",
+        SeriesKind.COUNTER,
+        "Bodies of the store's answers, also of those that broke off.",
+        ("call", "outcome"),
+    )
     STORE_CALL_S = SeriesSpec(
         "store_call_seconds",
         SeriesKind.HISTOGRAM,
@@ -104,6 +110,11 @@
         "upstreams", SeriesKind.GAUGE, "Upstreams known, leaving ones included."
     )
     PEERS = SeriesSpec("peers", SeriesKind.GAUGE, "Other gateways known.")
+    CONFIGURATION_LAG_S = SeriesSpec(
+        "configuration_lag_seconds",
+        SeriesKind.GAUGE,
+        "How long a newer configuration has been known and not read.",
+    )
     PROOF_AGE_S = SeriesSpec(
         "proof_age_seconds",
         SeriesKind.GAUGE,
@@ -147,9 +158,12 @@
         self._histograms.setdefault(key, _Histogram()).add(value_s)
 
     def format_text(self) -> str:
-        """All series as text."""
+        """All series as text, the long ones last.
+
+        Collectors that keep the first part of a page miss nothing short.
+        """
         lines = []
-        for series in Series:
+        for series in sorted(Series, key=_is_long):
             spec = series.value
             name = PREFIX + spec.name
             lines.append(f"# HELP {name} {spec.text}")
@@ -183,6 +197,10 @@
         ]
 
 
+def _is_long(series: Series) -> bool:
+    return series.value.kind is SeriesKind.HISTOGRAM
+
+
 def _format_value(value: float) -> str:
     return str(int(value)) if value == int(value) else f"{value:.6f}"
 
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
 )
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.lag import Lag
 from lovagestage.gateway.relay import SLACK_S, RelayedState, RelayMode
 from lovagestage.gateway.relay_messages import TopicState
 from lovagestage.gateway.topic_log import TopicLog
@@ -167,6 +168,7 @@
         self._watch = watch
         self._is_back = store_return.make_event()
         self._topic_log = TopicLog(None if is_keyed else 0)
+        self._lag = Lag()
         self._failures = 0
         self._lost_s: float | None = None
         self._failed_s: float | None = None
@@ -178,6 +180,10 @@
         """Time since the store last failed to answer; None for never."""
         return None if self._lost_s is None else now_s - self._lost_s
 
+    def get_lag_s(self, now_s: float) -> float:
+        """How long records have been known of that are not read yet."""
+        return self._lag.get_age_s(now_s)
+
     def get_state(self, now_s: float) -> TopicState | None:
         """What this gateway has read of the topic itself."""
         end = self._topic_log.end
@@ -216,6 +222,35 @@
 
     def _hand_on(self, records: tuple[Record, ...]) -> None:
         self._listener.on_records(Page(records, records[-1].offset + 1))
+        self._note_known()
+
+    def _note_end(self, end: int) -> None:
+        """Notes how far the topic reaches, read or not."""
+        now_s, known = get_elapsed_s(), self._topic_log.end
+        self._lag.note_end(end, known, now_s)
+        if (age_s := self._lag.take_report(now_s)) is not None:
+            _log.warning(
+                "topic_behind",
+                extra={
+                    "topic": self.topic,
+                    "known": known,
+                    "end": self._lag.end,
+                    "age_s": round(age_s, 2),
+                },
+            )
+
+    def _note_known(self) -> None:
+        known = self._topic_log.end
+        age_s = self._lag.note_known(known, get_elapsed_s())
+        if age_s is not None:
+            _log.info(
+                "topic_caught_up",
+                extra={
+                    "topic": self.topic,
+                    "known": known,
+                    "age_s": round(age_s, 2),
+                },
+            )
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -272,6 +307,8 @@
     async def _rely_on(self, state: RelayedState) -> bool:
         """Takes a watcher's proof, once all that it covers is known."""
         self._note_lost(state.lost_s)
+        if state.is_sound:
+            self._note_end(state.end)
         if state.is_sound and self._is_told:
             await self._wait_told(state.end)
         end = self._topic_log.end
@@ -359,6 +396,7 @@
             page = await self._store.read_newest(self.topic, READ_TIMEOUT_S)
             self._topic_log.restart(page.end)
             self._listener.on_newest(page)
+            self._note_known()
             self._prove(sent_s)
             return False
         page = await self._store.read(
@@ -398,10 +436,16 @@
         self._store.close()
         self._lost_s = self._failed_s = get_elapsed_s()
         self._failures += 1
-        if self._failures == 1:
+        if _is_power_of_two(self._failures):
             _log.warning(
                 "store_lost",
-                extra={"topic": self.topic, "reason": error.message},
+                extra={
+                    "topic": self.topic,
+                    "reason": error.message,
+                    "failures": self._failures,
+                    "received_bytes": error.transfer.received_bytes,
+                    "expected_bytes": error.transfer.expected_bytes,
+                },
             )
         limit_s = BACKOFF_LIMIT_S if self.is_synced else COLD_BACKOFF_LIMIT_S
         delay_s = min(limit_s, BACKOFF_BASE_S * 2.0 ** (self._failures - 1))
@@ -431,3 +475,8 @@
             )
         self._failures = 0
         self._failed_s = None
+
+
+def _is_power_of_two(number: int) -> bool:
+    """Thins out lines of what happens over and over."""
+    return number & (number - 1) == 0
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -44,6 +44,7 @@
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
+    CallEnd,
     CallKind,
     CallOutcome,
     StoreClient,
@@ -157,7 +158,7 @@
     if relay is not None:
         for feed in (operator_feed, upstream_feed, notes_feed):
             relay.add_source(feed)
-    _add_gauges(exposition, deployment, socket)
+    _add_gauges(exposition, deployment, socket, operator_feed)
     timers = TimerService()
     peer_services = (socket, gossip, relay)
     services = (
@@ -186,20 +187,24 @@
 ) -> StoreClient:
     """A client of its own for each part: calls on one wait for each other."""
 
-    def note(kind: CallKind, outcome: CallOutcome, time_s: float) -> None:
-        labels = f'call="{kind.value}"'
-        exposition.count(
-            Series.STORE_CALLS, f'{labels},outcome="{outcome.value}"'
-        )
-        has_waited = kind is CallKind.WAITING_READ
-        if outcome is CallOutcome.ANSWERED and not has_waited:
-            exposition.observe(Series.STORE_CALL_S, labels, time_s)
+    def note(call: CallEnd) -> None:
+        labels = f'call="{call.kind.value}"'
+        outcome = f'{labels},outcome="{call.outcome.value}"'
+        exposition.count(Series.STORE_CALLS, outcome)
+        if call.received_bytes:
+            exposition.count(Series.STORE_BYTES, outcome, call.received_bytes)
+        has_waited = call.kind is CallKind.WAITING_READ
+        if call.outcome is CallOutcome.ANSWERED and not has_waited:
+            exposition.observe(Series.STORE_CALL_S, labels, call.time_s)
 
     return StoreClient(settings.store_address, note)
 
 
 def _add_gauges(
-    exposition: Exposition, deployment: Deployment, socket: PeerSocket | None
+    exposition: Exposition,
+    deployment: Deployment,
+    socket: PeerSocket | None,
+    operator_feed: TopicFeed,
 ) -> None:
     exposition.add_gauge(
         Series.UPSTREAMS, lambda: len(deployment.rotation.get_all())
@@ -208,6 +213,10 @@
         Series.PROOF_AGE_S,
         lambda: deployment.trust.get_age_s(get_elapsed_s()),
     )
+    exposition.add_gauge(
+        Series.CONFIGURATION_LAG_S,
+        lambda: operator_feed.get_lag_s(get_elapsed_s()),
+    )
     if socket is not None:
         exposition.add_gauge(Series.PEERS, lambda: len(socket.peers))
 
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -25,6 +25,8 @@
         "settings_reloaded",
         "store_lost",
         "store_regained",
+        "topic_behind",
+        "topic_caught_up",
         "drain_started",
     )
 )
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -22,6 +22,7 @@
     StoreConflictError,
     StoreHistoryLostError,
     StoreUnavailableError,
+    Transfer,
     WrongMessageError,
 )
 
@@ -81,8 +82,24 @@
     """Without a whole answer in time."""
 
 
-CallListener = Callable[[CallKind, CallOutcome, float], None]
-"""Takes kind, outcome and seconds of a call."""
+@dataclasses.dataclass(frozen=True)
+class CallEnd:
+    """A call that ended.
+
+    Attributes:
+        kind: Its kind.
+        outcome: How it ended.
+        time_s: From its start to its end.
+        received_bytes: What came of the answer's body.
+    """
+
+    kind: CallKind
+    outcome: CallOutcome
+    time_s: float
+    received_bytes: int
+
+
+CallListener = Callable[[CallEnd], None]
 
 
 class StoreClient:
@@ -99,6 +116,7 @@
         self._address = address
         self._on_call = on_call
         self._connection: ClientConnection | None = None
+        self._transfer = Transfer()
 
     def close(self) -> None:
         """Drops the connection."""
@@ -199,7 +217,9 @@
         try:
             status, body = await self._call(kind, path, b"", timeout_s)
         except StoreAnswerLostError as error:
-            raise StoreUnavailableError(error.message) from error
+            raise StoreUnavailableError(
+                error.message, error.transfer
+            ) from error
         if status == 410:
             first = int(_decode(body).get("StartOffset", 0))
             raise StoreHistoryLostError(path, first)
@@ -213,6 +233,7 @@
         method = b"POST" if kind is CallKind.APPEND else b"GET"
         started_s = time.monotonic()
         outcome = CallOutcome.LOST
+        self._transfer = Transfer()
         try:
             async with asyncio.timeout(timeout_s):
                 status, answer = await self._exchange(method, path, body)
@@ -225,12 +246,16 @@
             failure = (
                 StoreAnswerLostError if was_sent else StoreUnavailableError
             )
-            raise failure(f"{path}: {type(error).__name__}.") from error
+            raise failure(
+                f"{path}: {type(error).__name__}.", self._transfer
+            ) from error
         except asyncio.CancelledError:
             self.close()
             raise
         finally:
-            self._on_call(kind, outcome, time.monotonic() - started_s)
+            time_s = time.monotonic() - started_s
+            received_bytes = self._transfer.received_bytes
+            self._on_call(CallEnd(kind, outcome, time_s, received_bytes))
 
     async def _exchange(
         self, method: bytes, path: str, body: bytes
@@ -245,11 +270,32 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         connection.send(method, path.encode(), headers, body)
         head: h11.Response = await connection.receive_head()
-        answer = await connection.receive_body(_BODY_LIMIT_BYTES)
+        answer = await self._receive_body(connection, head)
         if not connection.make_reusable():
             self.close()
         return head.status_code, answer
 
+    async def _receive_body(
+        self, connection: ClientConnection, head: h11.Response
+    ) -> bytes:
+        expected_bytes = _get_length(head)
+        self._transfer = Transfer(0, expected_bytes)
+        parts: list[bytes] = []
+        while (part := await connection.receive_part()) is not None:
+            parts.append(part)
+            received_bytes = self._transfer.received_bytes + len(part)
+            self._transfer = Transfer(received_bytes, expected_bytes)
+            if received_bytes > _BODY_LIMIT_BYTES:
+                raise WrongMessageError(f"Body over {_BODY_LIMIT_BYTES} bytes.")
+        return b"".join(parts)
+
+
+def _get_length(head: h11.Response) -> int | None:
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return None
+
 
 def _decode(body: bytes) -> dict[str, Any]:
     try:
