--- a/lab/metadata_store.py
+++ b/lab/metadata_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import contextlib
+import json
 import struct
 
 from aiohttp import web
@@ -15,6 +16,8 @@
 _LENGTH = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
 PAGE_RECORDS = 50
+SLICE_S = 0.02
+"""Bodies at a pace are sent in slices of this time."""
 MAX_WAIT_S = 30.0
 OPERATOR_ONLY = ("keyed.op", "keyed.servers")
 
@@ -27,6 +30,7 @@
     lose_appends: int = 0  # The next N appends are done and not answered.
     deaf: bool = False  # Reads that wait are not woken by records.
     break_after_bytes: int = 0  # Reads break off after so much of their body.
+    bytes_per_s: float = 0.0  # Pace of bodies of reads on each connection.
     stale_by: int = 0  # Reads show the topics without the last N records.
 
 
@@ -145,7 +149,7 @@
             topic.producers[producer] = (epoch, sequence)
         return None
 
-    async def _handle_read(self, request: web.Request) -> web.Response:
+    async def _handle_read(self, request: web.Request) -> web.StreamResponse:
         self.calls.append("read")
         failure = await self._fail(request)
         if failure is not None:
@@ -169,17 +173,23 @@
     async def _send_body(
         self, request: web.Request, body: bytes
     ) -> web.StreamResponse:
-        limit_bytes = self.faults.break_after_bytes
-        if not limit_bytes or len(body) <= limit_bytes:
-            return web.Response(body=body)
         response = web.StreamResponse()
         response.content_length = len(body)
         await response.prepare(request)
-        await response.write(body[:limit_bytes])
-        await self._reset(request)
+        limit_bytes = self.faults.break_after_bytes or len(body)
+        position = 0
+        while position < min(len(body), limit_bytes):
+            size = limit_bytes - position
+            if pace := self.faults.bytes_per_s:
+                size = min(size, int(pace * SLICE_S))
+                await asyncio.sleep(SLICE_S)
+            await response.write(body[position : position + size])
+            position += size
+        if position < len(body):
+            await self._reset(request)
         return response
 
-    async def _handle_newest(self, request: web.Request) -> web.Response:
+    async def _handle_newest(self, request: web.Request) -> web.StreamResponse:
         self.calls.append("newest")
         failure = await self._fail(request)
         if failure is not None:
@@ -195,13 +205,12 @@
             }
             for key in keys[:PAGE_RECORDS]
         ]
-        return web.json_response(
-            {
-                "Entries": entries,
-                "HasMore": len(keys) > PAGE_RECORDS,
-                "EndOffset": topic.end,
-            }
-        )
+        page = {
+            "Entries": entries,
+            "HasMore": len(keys) > PAGE_RECORDS,
+            "EndOffset": topic.end,
+        }
+        return await self._send_body(request, json.dumps(page).encode())
 
     async def _fail(self, request: web.Request) -> web.Response | None:
         if self.faults.slow_ms:
