Limit a read of the store by its silence, not by its whole time

Cause: a read had 0.9 s beyond its hold for the whole answer. 562 KB take longer there. The read was cut, its bytes were dropped, the next one began from the start and was cut as well, for ever. The same limit held for the newest records, with which a gateway starts.

Change: 0.9 s is the time without a byte. Why it is enough: a connection that went silent is still given up as soon as before, and an answer that arrives is never dropped, so that each read ends with something learned.

--- a/lab/metadata_store.py
+++ b/lab/metadata_store.py
@@ -30,6 +30,7 @@
     lose_appends: int = 0  # The next N appends are done and not answered.
     deaf: bool = False  # Reads that wait are not woken by records.
     break_after_bytes: int = 0  # Reads break off after so much of their body.
+    stall: bool = False  # Bodies that are being sent at a pace go silent.
     bytes_per_s: float = 0.0  # Pace of bodies of reads on each connection.
     stale_by: int = 0  # Reads show the topics without the last N records.
 
@@ -183,6 +184,8 @@
             if pace := self.faults.bytes_per_s:
                 size = min(size, int(pace * SLICE_S))
                 await asyncio.sleep(SLICE_S)
+            if self.faults.stall:
+                await hang(request)
             await response.write(body[position : position + size])
             position += size
         if position < len(body):
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -26,10 +26,11 @@
 
 _log = logging.getLogger(__name__)
 
-READ_TIMEOUT_S = 0.9
-"""Time for an answer beyond the wait that was asked for: over ten times what
-a slow store takes, and short enough for two tries within the shortest
-bound on a configuration."""
+SILENCE_S = 0.9
+"""Time without a byte of an answer beyond the wait that was asked for: over
+ten times what a slow store takes, and short enough for two tries within the
+shortest bound on a configuration. The whole answer may take longer: a large
+configuration over a narrow link does."""
 BACKOFF_BASE_S = 0.1
 BACKOFF_LIMIT_S = 0.8
 """A store that refuses is asked again after this at the latest, so that what
@@ -393,15 +394,13 @@
         sent_s = get_elapsed_s()
         known = self._topic_log.end
         if known is None:
-            page = await self._store.read_newest(self.topic, READ_TIMEOUT_S)
+            page = await self._store.read_newest(self.topic, SILENCE_S)
             self._topic_log.restart(page.end)
             self._listener.on_newest(page)
             self._note_known()
             self._prove(sent_s)
             return False
-        page = await self._store.read(
-            self.topic, known, wait_s, wait_s + READ_TIMEOUT_S
-        )
+        page = await self._store.read(self.topic, known, wait_s, SILENCE_S)
         if page.end < known:
             # The read shows the past: it proves nothing.
             _log.warning(
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -125,10 +125,18 @@
             self._connection = None
 
     async def read(
-        self, topic: str, offset: int, wait_s: float, timeout_s: float
+        self, topic: str, offset: int, wait_s: float, silence_s: float
     ) -> Page:
         """Reads records from an offset on, waiting up to `wait_s` for one.
 
+        Args:
+            topic: The topic.
+            offset: Where to begin.
+            wait_s: Time for which the store may hold the call.
+            silence_s: Time without a byte after which it is given up. The
+                whole may take longer: how long depends on size and link, and
+                a call that is sent again begins from the start.
+
         Raises:
             StoreHistoryLostError: The records were dropped.
             StoreUnavailableError: The store refused or did not answer.
@@ -137,7 +145,8 @@
         if wait_s:
             query += f"&WaitMs={int(wait_s * 1000)}"
         kind = CallKind.WAITING_READ if wait_s else CallKind.READ
-        body = await self._get(kind, f"/v1/log-read?{query}", timeout_s)
+        path = f"/v1/log-read?{query}"
+        body = await self._get(kind, path, wait_s + silence_s, silence_s)
         if len(body) < _READ_HEAD.size:
             raise StoreUnavailableError("Short answer to a read.")
         end, first = _READ_HEAD.unpack_from(body)
@@ -146,16 +155,18 @@
         is_keyed = topic.startswith(_KEYED_PREFIX)
         return Page(_parse_records(body, offset, is_keyed), end)
 
-    async def read_newest(self, topic: str, timeout_s: float) -> Page:
-        """Reads the newest record of each key; fails as `read` does."""
+    async def read_newest(self, topic: str, silence_s: float) -> Page:
+        """Reads the newest record of each key.
+
+        Limit and failures are those of `read`.
+        """
         records: list[Record] = []
         end: int | None = None
         query = f"Topic={topic}&part=0"
         after = ""
         while True:
-            body = await self._get(
-                CallKind.NEWEST, f"/v1/log-newest?{query}{after}", timeout_s
-            )
+            path = f"/v1/log-newest?{query}{after}"
+            body = await self._get(CallKind.NEWEST, path, silence_s, silence_s)
             fields = _decode(body)
             # Pages are not a snapshot: a record that moves from a later page
             # to after the first page's end is read again from there.
@@ -213,9 +224,11 @@
             raise StoreUnavailableError(f"Append: status {status}.")
         return int(_decode(answer)["Offset"])
 
-    async def _get(self, kind: CallKind, path: str, timeout_s: float) -> bytes:
+    async def _get(
+        self, kind: CallKind, path: str, head_s: float, silence_s: float
+    ) -> bytes:
         try:
-            status, body = await self._call(kind, path, b"", timeout_s)
+            status, body = await self._call(kind, path, b"", head_s, silence_s)
         except StoreAnswerLostError as error:
             raise StoreUnavailableError(
                 error.message, error.transfer
@@ -228,15 +241,37 @@
         return body
 
     async def _call(
-        self, kind: CallKind, path: str, body: bytes, timeout_s: float
+        self,
+        kind: CallKind,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        silence_s: float | None = None,
     ) -> tuple[int, bytes]:
+        """Makes one call.
+
+        Args:
+            kind: Its kind.
+            path: Path and query.
+            body: What is sent.
+            timeout_s: Time for the call, or for the head of its answer.
+            silence_s: Time for each part of the body after the one before;
+                None where the whole call has a time.
+        """
         method = b"POST" if kind is CallKind.APPEND else b"GET"
         started_s = time.monotonic()
         outcome = CallOutcome.LOST
-        self._transfer = Transfer()
         try:
-            async with asyncio.timeout(timeout_s):
-                status, answer = await self._exchange(method, path, body)
+            async with asyncio.timeout(timeout_s) as limit:
+
+                def on_part() -> None:
+                    if silence_s is not None:
+                        now_s = asyncio.get_running_loop().time()
+                        limit.reschedule(now_s + silence_s)
+
+                status, answer = await self._exchange(
+                    method, path, body, on_part
+                )
             is_good = status == 200
             outcome = CallOutcome.ANSWERED if is_good else CallOutcome.REFUSED
             return status, answer
@@ -255,10 +290,15 @@
         finally:
             time_s = time.monotonic() - started_s
             received_bytes = self._transfer.received_bytes
+            self._transfer = Transfer()
             self._on_call(CallEnd(kind, outcome, time_s, received_bytes))
 
     async def _exchange(
-        self, method: bytes, path: str, body: bytes
+        self,
+        method: bytes,
+        path: str,
+        body: bytes,
+        on_part: Callable[[], None],
     ) -> tuple[int, bytes]:
         if self._connection is None or not self._connection.channel.is_open:
             self.close()
@@ -270,18 +310,23 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         connection.send(method, path.encode(), headers, body)
         head: h11.Response = await connection.receive_head()
-        answer = await self._receive_body(connection, head)
+        answer = await self._receive_body(connection, head, on_part)
         if not connection.make_reusable():
             self.close()
         return head.status_code, answer
 
     async def _receive_body(
-        self, connection: ClientConnection, head: h11.Response
+        self,
+        connection: ClientConnection,
+        head: h11.Response,
+        on_part: Callable[[], None],
     ) -> bytes:
         expected_bytes = _get_length(head)
         self._transfer = Transfer(0, expected_bytes)
+        on_part()
         parts: list[bytes] = []
         while (part := await connection.receive_part()) is not None:
+            on_part()
             parts.append(part)
             received_bytes = self._transfer.received_bytes + len(part)
             self._transfer = Transfer(received_bytes, expected_bytes)
--- a/tests/test_gateway_narrow_links.py
+++ b/tests/test_gateway_narrow_links.py
@@ -4,11 +4,14 @@
 
 import asyncio
 
-from lovagestage.gateway.feeds import READ_TIMEOUT_S
+import pytest
+
+from lovagestage.exceptions import StoreUnavailableError
+from lovagestage.gateway.feeds import SILENCE_S
 from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
 
 LINK_BYTES_PER_S = 100_000
-TRANSFER_S = 2 * READ_TIMEOUT_S
+TRANSFER_S = 2 * SILENCE_S
 LARGE = b"x" * int(LINK_BYTES_PER_S * TRANSFER_S)
 """Takes twice as long as a silent store is waited for."""
 SLACK_S = 0.7
@@ -37,3 +40,20 @@
             # In the answer the record is written in text, by a third longer.
             await wait_until(lambda: listener.records, 4 * TRANSFER_S)
             assert feed.is_synced
+
+
+async def test_answer_that_stops_midway_is_given_up_soon():
+    # Guards against waiting for ever on a connection that went silent.
+    async with run_store() as (store, client):
+        store.put(TOPIC, "config", LARGE)
+        store.faults.bytes_per_s = LINK_BYTES_PER_S
+        read = asyncio.ensure_future(client.read(TOPIC, 0, 0.0, 0.3))
+        await asyncio.sleep(0.5)
+        assert not read.done()
+        store.faults.stall = True
+        loop = asyncio.get_running_loop()
+        stalled_s = loop.time()
+        with pytest.raises(StoreUnavailableError) as failure:
+            await read
+        assert loop.time() - stalled_s < 0.5
+        assert 0 < failure.value.transfer.received_bytes < len(LARGE)
