Let an answer that is arriving go on when another feed has the store back

A call whose answer is arriving does not hang; cut, its transfer began anew. With a large configuration and three feeds that fail and return by turns that can go on.

Change: only a call without a byte of an answer is given up for it. Test: a transfer of 1.8 s, the return told in its middle; begun anew before the change (fails), taken whole after it.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -375,9 +375,9 @@
             )
             if not read.done():
                 await asyncio.wait((read,), timeout=RETURN_GRACE_S)
-            if not read.done():
+            if not (read.done() or self._store.is_receiving):
                 raise StoreUnavailableError("Given up: the store is back.")
-            return read.result()
+            return await read
         finally:
             back.cancel()
             read.cancel()
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -124,6 +124,11 @@
             self._connection.abort()
             self._connection = None
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the answer to the call under way has begun to arrive."""
+        return self._transfer.expected_bytes is not None
+
     async def read(
         self, topic: str, offset: int, wait_s: float, silence_s: float
     ) -> Page:
--- a/tests/test_gateway_narrow_links.py
+++ b/tests/test_gateway_narrow_links.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lovagestage.exceptions import StoreUnavailableError
-from lovagestage.gateway.feeds import SILENCE_S
+from lovagestage.gateway.feeds import SILENCE_S, StoreReturn
 from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
 
 LINK_BYTES_PER_S = 100_000
@@ -42,6 +42,25 @@
             assert feed.is_synced
 
 
+async def test_answer_that_is_arriving_is_not_given_up_for_the_stores_return():
+    # Guards against a transfer that is cut whenever another topic's feed has
+    # the store back.
+    async with run_store() as (store, client):
+        back = StoreReturn()
+        async with run_feed(client, store_return=back) as (feed, listener):
+            await wait_until(lambda: listener.proofs)
+            store.faults.outage = "503"
+            await wait_until(lambda: feed.get_lost_age_s(0.0) is not None)
+            store.faults.bytes_per_s = LINK_BYTES_PER_S
+            store.put(TOPIC, "config", LARGE)
+            store.faults.outage = ""
+            await wait_until(lambda: client.is_receiving)
+            await asyncio.sleep(TRANSFER_S / 2)
+            back.tell()
+            # Begun anew, it would take its whole time again.
+            await wait_until(lambda: listener.records, 0.8 * TRANSFER_S)
+
+
 async def test_answer_that_stops_midway_is_given_up_soon():
     # Guards against waiting for ever on a connection that went silent.
     async with run_store() as (store, client):
