Act on a store's answer while it arrives

And a record that was whole was dropped where the next one broke off, so that a link that carries one record, not two, before it breaks falls behind.

Cause: the head of an answer tells at once that there is more, and records are whole one by one; both were looked at only when the answer was over.

Change: the client hands on each record as it is whole and the end that the head tells. A watcher whose transfer takes longer than 50 ms tells its followers at once, and never states an end short of what it has heard of.

Why it is safe: a follower's proof needs the end that its watcher states; the higher end only makes it read the store itself.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -52,7 +52,8 @@
 """A follower asks a store that its watcher has lost as well only so often."""
 TOLD_S = 0.05
 """Time for records that come after the answer that they belong to: several
-times what a datagram takes between zones."""
+times what a datagram takes between zones. Records that take longer to arrive
+at a watcher are read by its followers themselves."""
 
 
 class StoreReturn:
@@ -159,6 +160,7 @@
         self._is_told = is_told
         self._was_watching = False
         self._had_news = False
+        self._has_told_early = False
         self._told = asyncio.Event()
         self._listener = listener
         self._wait_s = wait_s
@@ -191,9 +193,11 @@
         if end is None or self._proved_s is None:
             return None
         lost_s = self.get_lost_age_s(now_s)
+        # What is still being read exists: a follower must not take the proof
+        # for one that there is nothing more.
         return TopicState(
             self.topic,
-            end,
+            max(end, self._lag.end),
             math.ceil(1000 * (now_s - self._proved_s)),
             None if lost_s is None else int(1000 * lost_s),
         )
@@ -298,6 +302,7 @@
         would be too old for followers, who would all read the store.
         """
         assert self._watch is not None
+        self._has_told_early = False
         self._had_news = await self._read(
             0.0 if self._had_news else self._watch_wait_s
         )
@@ -313,7 +318,7 @@
         if state.is_sound and self._is_told:
             await self._wait_told(state.end)
         end = self._topic_log.end
-        if not state.is_sound or end is None or state.end > end:
+        if not state.is_sound or end is None or self._lag.is_behind(end):
             return False
         self._note_regained("watcher")
         self._listener.on_proof(state.proved_s)
@@ -394,13 +399,11 @@
         sent_s = get_elapsed_s()
         known = self._topic_log.end
         if known is None:
-            page = await self._store.read_newest(self.topic, SILENCE_S)
-            self._topic_log.restart(page.end)
-            self._listener.on_newest(page)
-            self._note_known()
-            self._prove(sent_s)
+            await self._read_newest(sent_s)
             return False
-        page = await self._store.read(self.topic, known, wait_s, SILENCE_S)
+        page = await self._store.read(
+            self.topic, known, wait_s, SILENCE_S, self._take_page
+        )
         if page.end < known:
             # The read shows the past: it proves nothing.
             _log.warning(
@@ -412,14 +415,41 @@
                 },
             )
             return True
-        if fresh := self._topic_log.add(page.records):
-            self._hand_on(fresh)
         if known + len(page.records) >= page.end:
             # Nothing newer when the wait was over, or when it was sent.
             waited_s = 0.0 if page.records else wait_s
             self._prove(min(sent_s + waited_s, get_elapsed_s()))
         return bool(page.records)
 
+    async def _read_newest(self, sent_s: float) -> None:
+        page = await self._store.read_newest(self.topic, SILENCE_S)
+        self._topic_log.restart(page.end)
+        self._listener.on_newest(page)
+        self._note_known()
+        self._prove(sent_s)
+
+    def _take_page(self, page: Page) -> None:
+        """Takes a part of an answer while the rest arrives.
+
+        Records that are whole count at once, also where the rest is lost.
+        """
+        if fresh := self._topic_log.add(page.records):
+            self._hand_on(fresh)
+        self._note_end(page.end)
+        if self._was_watching and not self._has_told_early:
+            self._tell_early()
+
+    def _tell_early(self) -> None:
+        """Tells followers of records that take long to arrive here.
+
+        They read them from the store at the same time, instead of one
+        transfer later.
+        """
+        assert self._watch is not None
+        if self._lag.get_age_s(get_elapsed_s()) >= TOLD_S:
+            self._has_told_early = True
+            self._watch.tell_news()
+
     def _prove(self, at_s: float) -> None:
         self._proved_s = at_s
         self._listener.on_proof(at_s)
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -9,7 +9,7 @@
 import struct
 import time
 import urllib.parse
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
 import h11
@@ -102,6 +102,10 @@
 CallListener = Callable[[CallEnd], None]
 
 
+PartListener = Callable[[bytes], None]
+"""Takes a part of an answer's body."""
+
+
 class StoreClient:
     """Calls to the store, one at a time on one connection.
 
@@ -130,7 +134,12 @@
         return self._transfer.expected_bytes is not None
 
     async def read(
-        self, topic: str, offset: int, wait_s: float, silence_s: float
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        silence_s: float,
+        on_page: Callable[[Page], None] = lambda _: None,
     ) -> Page:
         """Reads records from an offset on, waiting up to `wait_s` for one.
 
@@ -141,6 +150,8 @@
             silence_s: Time without a byte after which it is given up. The
                 whole may take longer: how long depends on size and link, and
                 a call that is sent again begins from the start.
+            on_page: Takes the records in parts while they arrive. They stay
+                known where the rest of the answer is lost.
 
         Raises:
             StoreHistoryLostError: The records were dropped.
@@ -151,14 +162,9 @@
             query += f"&WaitMs={int(wait_s * 1000)}"
         kind = CallKind.WAITING_READ if wait_s else CallKind.READ
         path = f"/v1/log-read?{query}"
-        body = await self._get(kind, path, wait_s + silence_s, silence_s)
-        if len(body) < _READ_HEAD.size:
-            raise StoreUnavailableError("Short answer to a read.")
-        end, first = _READ_HEAD.unpack_from(body)
-        if offset < first:
-            raise StoreHistoryLostError(topic, first)
-        is_keyed = topic.startswith(_KEYED_PREFIX)
-        return Page(_parse_records(body, offset, is_keyed), end)
+        pages = _PageReader(topic, offset, on_page)
+        await self._get(kind, path, wait_s + silence_s, silence_s, pages.take)
+        return pages.get_page()
 
     async def read_newest(self, topic: str, silence_s: float) -> Page:
         """Reads the newest record of each key.
@@ -230,10 +236,17 @@
         return int(_decode(answer)["Offset"])
 
     async def _get(
-        self, kind: CallKind, path: str, head_s: float, silence_s: float
+        self,
+        kind: CallKind,
+        path: str,
+        head_s: float,
+        silence_s: float,
+        on_part: PartListener = lambda _: None,
     ) -> bytes:
         try:
-            status, body = await self._call(kind, path, b"", head_s, silence_s)
+            status, body = await self._call(
+                kind, path, b"", head_s, silence_s, on_part
+            )
         except StoreAnswerLostError as error:
             raise StoreUnavailableError(
                 error.message, error.transfer
@@ -252,6 +265,7 @@
         body: bytes,
         timeout_s: float,
         silence_s: float | None = None,
+        on_part: PartListener = lambda _: None,
     ) -> tuple[int, bytes]:
         """Makes one call.
 
@@ -262,6 +276,7 @@
             timeout_s: Time for the call, or for the head of its answer.
             silence_s: Time for each part of the body after the one before;
                 None where the whole call has a time.
+            on_part: Takes the body of a good answer as it arrives.
         """
         method = b"POST" if kind is CallKind.APPEND else b"GET"
         started_s = time.monotonic()
@@ -269,13 +284,14 @@
         try:
             async with asyncio.timeout(timeout_s) as limit:
 
-                def on_part() -> None:
+                def take_part(part: bytes) -> None:
                     if silence_s is not None:
                         now_s = asyncio.get_running_loop().time()
                         limit.reschedule(now_s + silence_s)
+                    on_part(part)
 
                 status, answer = await self._exchange(
-                    method, path, body, on_part
+                    method, path, body, take_part
                 )
             is_good = status == 200
             outcome = CallOutcome.ANSWERED if is_good else CallOutcome.REFUSED
@@ -303,7 +319,7 @@
         method: bytes,
         path: str,
         body: bytes,
-        on_part: Callable[[], None],
+        on_part: PartListener,
     ) -> tuple[int, bytes]:
         if self._connection is None or not self._connection.channel.is_open:
             self.close()
@@ -324,14 +340,15 @@
         self,
         connection: ClientConnection,
         head: h11.Response,
-        on_part: Callable[[], None],
+        on_part: PartListener,
     ) -> bytes:
         expected_bytes = _get_length(head)
         self._transfer = Transfer(0, expected_bytes)
-        on_part()
+        is_good = head.status_code == 200
+        on_part(b"")
         parts: list[bytes] = []
         while (part := await connection.receive_part()) is not None:
-            on_part()
+            on_part(part if is_good else b"")
             parts.append(part)
             received_bytes = self._transfer.received_bytes + len(part)
             self._transfer = Transfer(received_bytes, expected_bytes)
@@ -340,6 +357,68 @@
         return b"".join(parts)
 
 
+class _PageReader:
+    """Reads the records of an answer while it arrives.
+
+    Args:
+        topic: The topic.
+        offset: Offset of the first record.
+        on_page: Takes each part of the records.
+    """
+
+    def __init__(
+        self, topic: str, offset: int, on_page: Callable[[Page], None]
+    ) -> None:
+        self._topic = topic
+        self._is_keyed = topic.startswith(_KEYED_PREFIX)
+        self._offset = offset
+        self._on_page = on_page
+        self._rest = bytearray()
+        self._first = 0
+        self._end: int | None = None
+        self._records: list[Record] = []
+
+    def take(self, part: bytes) -> None:
+        """Takes a part of the body."""
+        self._rest += part
+        if self._end is None:
+            if len(self._rest) < _READ_HEAD.size:
+                return
+            self._end, self._first = _READ_HEAD.unpack_from(self._rest)
+            del self._rest[: _READ_HEAD.size]
+        if self._offset < self._first:
+            return
+        fresh = list(self._take_records())
+        self._records += fresh
+        self._on_page(Page(tuple(fresh), self._end))
+
+    def get_page(self) -> Page:
+        """All that was read.
+
+        Raises:
+            StoreHistoryLostError: The records were dropped.
+            StoreUnavailableError: The answer is too short.
+        """
+        if self._end is None:
+            raise StoreUnavailableError("Short answer to a read.")
+        if self._offset < self._first:
+            raise StoreHistoryLostError(self._topic, self._first)
+        return Page(tuple(self._records), self._end)
+
+    def _take_records(self) -> Iterator[Record]:
+        position = 0
+        while position + _LENGTH.size <= len(self._rest):
+            (size,) = _LENGTH.unpack_from(self._rest, position)
+            end = position + _LENGTH.size + size
+            if end > len(self._rest):
+                break
+            data = bytes(self._rest[position + _LENGTH.size : end])
+            yield _parse_record(data, self._offset, self._is_keyed)
+            self._offset += 1
+            position = end
+        del self._rest[:position]
+
+
 def _get_length(head: h11.Response) -> int | None:
     for name, value in head.headers:
         if name == b"content-length":
@@ -362,22 +441,6 @@
     return _LENGTH.pack(len(data)) + data
 
 
-def _parse_records(
-    body: bytes, offset: int, is_keyed: bool
-) -> tuple[Record, ...]:
-    records: list[Record] = []
-    position = _READ_HEAD.size
-    while position + _LENGTH.size <= len(body):
-        (size,) = _LENGTH.unpack_from(body, position)
-        position += _LENGTH.size
-        data = body[position : position + size]
-        if len(data) < size:
-            break
-        position += size
-        records.append(_parse_record(data, offset + len(records), is_keyed))
-    return tuple(records)
-
-
 def _parse_record(data: bytes, offset: int, is_keyed: bool) -> Record:
     if not is_keyed or not data:
         return Record(offset, "", data)
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -51,7 +51,12 @@
 
 @contextlib.asynccontextmanager
 async def run_feed(
-    client, wait_s=0.2, pause_s=0.0, topic=TOPIC, store_return=None
+    client,
+    wait_s=0.2,
+    pause_s=0.0,
+    topic=TOPIC,
+    store_return=None,
+    watch=None,
 ):
     listener = Recorder()
     feed = TopicFeed(
@@ -63,6 +68,7 @@
         topic.startswith("keyed."),
         random.Random(1),
         store_return or StoreReturn(),
+        watch,
     )
     await feed.start()
     try:
--- a/tests/test_gateway_narrow_links.py
+++ b/tests/test_gateway_narrow_links.py
@@ -9,6 +9,9 @@
 from lovagestage.exceptions import StoreUnavailableError
 from lovagestage.gateway.feeds import SILENCE_S, StoreReturn
 from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
+from tests.test_gateway_relay import one_watcher, run_gateways
+
+__all__ = ["one_watcher"]
 
 LINK_BYTES_PER_S = 100_000
 TRANSFER_S = 2 * SILENCE_S
@@ -76,3 +79,32 @@
             await read
         assert loop.time() - stalled_s < 0.5
         assert 0 < failure.value.transfer.received_bytes < len(LARGE)
+
+
+async def test_records_that_have_arrived_count_though_the_rest_is_lost():
+    # Guards against losing a whole record because the next one breaks off.
+    async with run_store() as (store, client):
+        async with run_feed(client) as (_, listener):
+            await wait_until(lambda: listener.proofs)
+            store.faults.break_after_bytes = 150
+            store.put(TOPIC, "config", b"first" * 20)
+            await wait_until(lambda: listener.records)
+            store.faults.break_after_bytes = 250
+            store.faults.outage = "503"
+            store.put(TOPIC, "config", b"other" * 20)
+            store.put(TOPIC, "config", b"third" * 50)
+            store.faults.outage = ""
+            await wait_until(lambda: len(listener.records) >= 2)
+            assert listener.records[1] == ("config", b"other" * 20)
+
+
+async def test_followers_read_a_large_record_while_their_watcher_does():
+    # Guards against a change that comes into force one transfer later at
+    # followers than at their watcher.
+    async with run_gateways() as (store, watcher, follower):
+        store.faults.bytes_per_s = LINK_BYTES_PER_S
+        proofs, calls = len(watcher.listener.proofs), follower.calls
+        await wait_until(lambda: len(watcher.listener.proofs) > proofs)
+        store.put(TOPIC, "config", LARGE)
+        await wait_until(lambda: follower.calls > calls, 0.4)
+        await wait_until(lambda: follower.listener.records, 4 * TRANSFER_S)
