Take no read for a proof that lacks what a watcher has read

Keys would be relied on, and the old configuration be used, though a newer one is known to exist.

Change: such a read, and a page of newest records like it, proves nothing; it is logged as stale and repeated.

Test: a store that shows the topic without its last record while a watcher tells of it; proofs went on before (fails), stop now until it shows all.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -404,7 +404,7 @@
         page = await self._store.read(
             self.topic, known, wait_s, SILENCE_S, self._take_page
         )
-        if page.end < known:
+        if page.end < max(known, self._lag.end):
             # The read shows the past: it proves nothing.
             _log.warning(
                 "store_read_stale",
@@ -426,7 +426,8 @@
         self._topic_log.restart(page.end)
         self._listener.on_newest(page)
         self._note_known()
-        self._prove(sent_s)
+        if not self._lag.is_behind(page.end):
+            self._prove(sent_s)
 
     def _take_page(self, page: Page) -> None:
         """Takes a part of an answer while the rest arrives.
--- a/tests/test_gateway_narrow_links.py
+++ b/tests/test_gateway_narrow_links.py
@@ -7,7 +7,9 @@
 import pytest
 
 from lovagestage.exceptions import StoreUnavailableError
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.feeds import SILENCE_S, StoreReturn
+from lovagestage.gateway.relay import RelayedState, RelayMode
 from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
 from tests.test_gateway_relay import one_watcher, run_gateways
 
@@ -108,3 +110,41 @@
         store.put(TOPIC, "config", LARGE)
         await wait_until(lambda: follower.calls > calls, 0.4)
         await wait_until(lambda: follower.listener.records, 4 * TRANSFER_S)
+
+
+class ToldWatch:
+    """Stands in for a watcher that has read further than the store shows."""
+
+    watch_wait_s = 0.2
+
+    def __init__(self, end):
+        self.end = end
+
+    def get_mode(self):
+        return RelayMode.FOLLOWER
+
+    async def wait_state(self, topic):
+        await asyncio.sleep(0.05)
+        return RelayedState(self.end, get_elapsed_s(), None, True)
+
+    def tell_news(self):
+        """Nobody follows."""
+
+
+async def test_read_that_lacks_what_a_watcher_has_read_proves_nothing():
+    # Guards against trust in an old configuration while reads show the past.
+    async with run_store() as (store, client):
+        store.put(TOPIC, "config", b"old")
+        watch = ToldWatch(1)
+        async with run_feed(client, watch=watch) as (_, listener):
+            await wait_until(lambda: listener.proofs)
+            store.faults.stale_by = 1
+            store.put(TOPIC, "config", b"new")
+            watch.end = 2
+            await asyncio.sleep(0.2)
+            proofs = len(listener.proofs)
+            await asyncio.sleep(0.3)
+            assert len(listener.proofs) == proofs
+            store.faults.stale_by = 0
+            await wait_until(lambda: len(listener.proofs) > proofs)
+            assert listener.records[-1] == ("config", b"new")
