Serve nothing by a configuration that a known newer one has overdue

Cause: trust in a configuration was only the age of its last proof, and it bound keys alone. That something newer exists was not known to admission.

Change: a feed tells its listener when there is more than it has read. A version that supersedes was written after the last proof, so no request is refused too early; with the store away there are no news, and open routes go on as before.

Tests: an answer that stops after its first bytes; the open route was answered 200 without the check (fails), 503 with it, 200 again once the store is away, and by the new version after its return. Two of the pure rule. `explain` and the operators' page know `configuration_superseded`.

--- a/lab/metadata_store.py
+++ b/lab/metadata_store.py
@@ -16,6 +16,7 @@
 _LENGTH = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
 PAGE_RECORDS = 50
+STALL_BYTES = 64
 SLICE_S = 0.02
 """Bodies at a pace are sent in slices of this time."""
 MAX_WAIT_S = 30.0
@@ -30,7 +31,7 @@
     lose_appends: int = 0  # The next N appends are done and not answered.
     deaf: bool = False  # Reads that wait are not woken by records.
     break_after_bytes: int = 0  # Reads break off after so much of their body.
-    stall: bool = False  # Bodies that are being sent at a pace go silent.
+    stall: bool = False  # Bodies go silent after their first bytes.
     bytes_per_s: float = 0.0  # Pace of bodies of reads on each connection.
     stale_by: int = 0  # Reads show the topics without the last N records.
 
@@ -185,9 +186,11 @@
                 size = min(size, int(pace * SLICE_S))
                 await asyncio.sleep(SLICE_S)
             if self.faults.stall:
-                await hang(request)
+                size = min(size, STALL_BYTES)
             await response.write(body[position : position + size])
             position += size
+            if self.faults.stall and position < len(body):
+                await hang(request)
         if position < len(body):
             await self._reset(request)
         return response
--- a/src/lovagestage/gateway/admission.py
+++ b/src/lovagestage/gateway/admission.py
@@ -75,6 +75,8 @@
     """
     if configuration is None:
         raise GatewayRefusalError(503, "no_configuration", COME_BACK_S)
+    if trust.is_superseded(now_s):
+        raise GatewayRefusalError(503, "configuration_superseded", COME_BACK_S)
     route = configuration.get_route(request.host, request.path)
     if route is None:
         # An old configuration may lack a route that a newer one has.
--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -69,6 +69,10 @@
         """Renews the trust in the configuration."""
         self._deployment.trust.note_proof(at_s)
 
+    def on_news(self, at_s: float) -> None:
+        """Ends the trust in the configuration, if it takes too long."""
+        self._deployment.trust.note_news(at_s)
+
     def _apply(self, record: Record) -> None:
         if record.value is None:
             return
@@ -142,6 +146,9 @@
     def on_proof(self, at_s: float) -> None:
         """Nothing depends on the age of the upstreams' list alone."""
 
+    def on_news(self, at_s: float) -> None:
+        """Nor on the age of what is missing from it."""
+
     def _was_away(self, now_s: float) -> bool:
         assert self._source is not None
         age_s = self._source.get_lost_age_s(now_s)
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -91,6 +91,9 @@
     def on_proof(self, at_s: float) -> None:
         """Learns that nothing newer existed at a time."""
 
+    def on_news(self, at_s: float) -> None:
+        """Learns at a time that there is more than it was handed."""
+
 
 class Watch(Protocol):
     """Tells how a topic is followed, and what a watcher says of it."""
@@ -233,6 +236,8 @@
         """Notes how far the topic reaches, read or not."""
         now_s, known = get_elapsed_s(), self._topic_log.end
         self._lag.note_end(end, known, now_s)
+        if self._lag.is_behind(known):
+            self._listener.on_news(now_s)
         if (age_s := self._lag.take_report(now_s)) is not None:
             _log.warning(
                 "topic_behind",
--- a/src/lovagestage/gateway/mailbox.py
+++ b/src/lovagestage/gateway/mailbox.py
@@ -119,6 +119,9 @@
     def on_proof(self, at_s: float) -> None:
         """Nothing depends on the age of the letters."""
 
+    def on_news(self, at_s: float) -> None:
+        """Nor on letters that are not read yet."""
+
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -158,12 +158,14 @@
 
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
+        now_s = get_elapsed_s()
         return (
             not self._is_leaving
             and self.deployment.configuration is not None
             and self._parts.upstream_feed.is_synced
             and self._parts.rollouts.is_resolved
-            and self.deployment.trust.holds(get_elapsed_s())
+            and self.deployment.trust.holds(now_s)
+            and not self.deployment.trust.is_superseded(now_s)
         )
 
     async def _answer_probe(
@@ -203,6 +205,7 @@
             return
         # Addresses and times to wait for stay as they are until a restart.
         self.deployment.trust.limit_s = settings.bounds.revoke_s
+        self.deployment.trust.apply_s = settings.bounds.apply_s
         self.deployment.pins.session_s = settings.bounds.session_s
         self._parts.rollouts.apply_bounds(settings.bounds)
         self._parts.forwarder.apply_bounds(settings.bounds)
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -111,7 +111,8 @@
     bounds = settings.bounds
     make_store = functools.partial(_make_store, settings, exposition)
     deployment = Deployment(
-        Trust(bounds.revoke_s), SessionPins(bounds.session_s)
+        Trust(bounds.revoke_s, bounds.apply_s),
+        SessionPins(bounds.session_s),
     )
     rollouts = RolloutService(
         make_store(), deployment, settings.vm, bounds, rng
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -46,6 +46,8 @@
 _REASONS = {
     "configuration_too_old": "The gateway had no recent proof from the store"
     " that the key still holds; nothing was run.",
+    "configuration_superseded": "A newer configuration had to be in force by"
+    " then, and the gateway was still reading it; nothing was run.",
     "no_configuration": "The gateway had just started and knew no"
     " configuration yet; nothing was run.",
     "unknown_key": "The configuration in force has no such key.",
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -36,6 +36,9 @@
     def on_proof(self, at_s):
         self.proofs.append(at_s)
 
+    def on_news(self, at_s):
+        """Not recorded."""
+
 
 @contextlib.asynccontextmanager
 async def run_store():
--- a/tests/test_gateway_narrow_links.py
+++ b/tests/test_gateway_narrow_links.py
@@ -10,6 +10,8 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.feeds import SILENCE_S, StoreReturn
 from lovagestage.gateway.relay import RelayedState, RelayMode
+from lovagestage.gateway.trust import NEWS_S
+from tests.gateway_stage import run_stage
 from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
 from tests.test_gateway_relay import one_watcher, run_gateways
 
@@ -148,3 +150,29 @@
             store.faults.stale_by = 0
             await wait_until(lambda: len(listener.proofs) > proofs)
             assert listener.records[-1] == ("config", b"new")
+
+
+async def test_configuration_that_is_overdue_is_not_served_by_the_old_one():
+    # Guards against use of a route that was taken away by a configuration
+    # that is known of and does not arrive.
+    async with run_stage() as stage:
+        gateway = stage.gateway
+        assert (await stage.call("/open/x")).status == 200
+        stage.store.faults.stall = True
+        stage.put_configuration(version=5)
+        await stage.wait_until(
+            lambda: gateway.deployment.trust.is_superseded(get_elapsed_s()), 6.0
+        )
+        refused = await stage.call("/open/x")
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) > 0
+        assert not await stage.is_ready()
+        # The store goes away: nothing is known to be within reach any more.
+        stage.store.faults.outage = "503"
+        await asyncio.sleep(NEWS_S + 0.2)
+        assert (await stage.call("/open/x")).status == 200
+        stage.store.faults.outage = ""
+        stage.store.faults.stall = False
+        await stage.wait_until(gateway.is_ready, 6.0)
+        assert gateway.deployment.configuration.version == 5
+        assert (await stage.call("/open/x")).status == 200
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -354,7 +354,7 @@
         PeerSocket("127.0.0.1:1", Exposition()), bound_s, Exposition()
     )
     oldest_s = relay.watch_wait_s + relays.SLACK_S + relay._period_s
-    trust = Trust(revoke_s)
+    trust = Trust(revoke_s, 4.0)
     trust.note_proof(0.0)
     assert trust.holds(oldest_s + 0.599 * revoke_s)
 
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -220,7 +220,7 @@
     # A session had a request on the old version a moment before the share was
     # agreed. Its hash is below the share, but in the first half it must not
     # change; one that begins later goes to the new version.
-    deployment = Deployment(Trust(5.0), SessionPins(5.0))
+    deployment = Deployment(Trust(5.0, 3.0), SessionPins(5.0))
     for number, version in enumerate(BOTH):
         entry = UpstreamEntry("pool", f"h:{number}", "a", version, 4, False)
         deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
@@ -233,7 +233,7 @@
     assert deployment.assign("pool", moved, "q4", 112.0).is_new
     deployment.pins.expire(200.0)
     assert len(deployment.pins) == 0
-    again = Deployment(Trust(5.0), SessionPins(5.0))
+    again = Deployment(Trust(5.0, 3.0), SessionPins(5.0))
     again.rotation, again.rollouts = deployment.rotation, deployment.rollouts
     assert again.assign("pool", moved, "q5", 102.0).is_new
 
@@ -448,7 +448,7 @@
     Returns the upstreams that answered, and the roll-out.
     """
     rng = random.Random(seed)
-    deployment = Deployment(Trust(5.0), SessionPins(5.0))
+    deployment = Deployment(Trust(5.0, 3.0), SessionPins(5.0))
     for number in range(94):
         version = BOTH[number % 2]
         entry = UpstreamEntry("pool", f"h:{number}", "a", version, 12, False)
@@ -506,7 +506,7 @@
 
 def test_a_version_without_others_is_not_kept_to_a_few_upstreams():
     # The old version's upstreams crashed while the new one is on trial.
-    deployment = Deployment(Trust(5.0), SessionPins(5.0))
+    deployment = Deployment(Trust(5.0, 3.0), SessionPins(5.0))
     for number in range(9):
         entry = UpstreamEntry("pool", f"h:{number}", "a", "v2", 4, False)
         deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
@@ -535,7 +535,7 @@
     """One gateway's answers of a new version, from three upstreams."""
 
     def __init__(self):
-        deployment = Deployment(Trust(5.0), SessionPins(5.0))
+        deployment = Deployment(Trust(5.0, 3.0), SessionPins(5.0))
         bounds = decode_settings(make_settings_text(1, 2, 3), "boot").bounds
         store = StoreClient("127.0.0.1:1")
         self.service = RolloutService(
--- a/tests/test_gateway_trust.py
+++ b/tests/test_gateway_trust.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lovagestage.gateway.settings import Bounds
-from lovagestage.gateway.trust import MARGIN_S, Trust
+from lovagestage.gateway.trust import MARGIN_S, NEWS_S, Trust
 from lovagestage.gateway.wiring import get_operator_wait_s
 from tests.gateway_stage import KEY, make_configuration, run_stage
 
@@ -123,7 +123,7 @@
 
     def __init__(self):
         super().__init__()
-        self.trust = Trust(self.LIMIT_S)
+        self.trust = Trust(self.LIMIT_S, 2.0)
         self.now_s = 50.0
         self.sent = []
         self.revoked_s = None
@@ -176,3 +176,22 @@
     bounds = Bounds(revoke_s, 3.0, 3.0, 8.0, 0.9, 0.15, 30.0, 5.0, 10.0, 54.0)
     oldest_proof_s = 2 * get_operator_wait_s(bounds)
     assert revoke_s - MARGIN_S - oldest_proof_s >= 0.2 * revoke_s
+
+
+def test_news_end_trust_once_they_must_be_in_force():
+    trust = Trust(5.0, 3.0)
+    trust.note_proof(10.0)
+    trust.note_news(10.5)
+    assert not trust.is_superseded(12.0)
+    trust.note_news(12.5)
+    assert trust.is_superseded(13.0)
+    # What was heard of long ago may be out of reach.
+    assert not trust.is_superseded(12.5 + NEWS_S)
+    trust.note_proof(12.7)
+    assert not trust.is_superseded(13.0)
+
+
+def test_nothing_is_overdue_without_news():
+    trust = Trust(5.0, 3.0)
+    trust.note_proof(10.0)
+    assert not trust.is_superseded(60.0)
