Limit reads of the log, ratings and VM list by silence as well

The same cause elsewhere: the adapters gave a read of the log five seconds beyond its hold for the whole answer, and the rater's and the VM list's five in all. A page of up to 500 records, ratings that piled up during an outage or a long list over a narrow link would be cut and begun anew, for ever. Not seen by callers so far.

Change: one `make_read_timeout` for calls whose answer may be large; five seconds are the time without a byte. Calls with short answers stay as they were.

--- a/src/lovagestage/adapters/http_log.py
+++ b/src/lovagestage/adapters/http_log.py
@@ -9,8 +9,8 @@
 
 from lovagestage.adapters.http_calls import (
     SHORT_CALL,
-    SHORT_CALL_TIMEOUT_S,
     UNREADABLE,
+    make_read_timeout,
 )
 from lovagestage.adapters.protocols import LogPage
 from lovagestage.exceptions import (
@@ -86,7 +86,7 @@
             "limit": str(limit),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        timeout = aiohttp.ClientTimeout(total=wait_s + SHORT_CALL_TIMEOUT_S)
+        timeout = make_read_timeout(wait_s)
         try:
             async with self._session.get(
                 self._get_url(stream), params=query, timeout=timeout
--- a/src/lovagestage/adapters/http_rater.py
+++ b/src/lovagestage/adapters/http_rater.py
@@ -5,7 +5,11 @@
 import aiohttp
 import msgspec
 
-from lovagestage.adapters.http_calls import SHORT_CALL, UNREADABLE
+from lovagestage.adapters.http_calls import (
+    SHORT_CALL,
+    UNREADABLE,
+    make_read_timeout,
+)
 from lovagestage.adapters.protocols import RatedAnswer, RaterError, RatingPage
 
 
@@ -38,7 +42,9 @@
         """See `Rater.read`."""
         try:
             async with self._session.get(
-                self._url, params={"from": str(start)}, timeout=SHORT_CALL
+                self._url,
+                params={"from": str(start)},
+                timeout=make_read_timeout(),
             ) as response:
                 response.raise_for_status()
                 return msgspec.json.decode(
--- a/src/lovagestage/adapters/http_vm_list.py
+++ b/src/lovagestage/adapters/http_vm_list.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from lovagestage.adapters.http_calls import SHORT_CALL, UNREADABLE
+from lovagestage.adapters.http_calls import UNREADABLE, make_read_timeout
 from lovagestage.adapters.protocols import Vm, VmListError
 from lovagestage.types import Role, VmId, VmState, ZoneId
 
@@ -33,7 +33,7 @@
         """See `VmList.get_vms`."""
         try:
             async with self._session.get(
-                f"{self._url}/v1/vms", timeout=SHORT_CALL
+                f"{self._url}/v1/vms", timeout=make_read_timeout()
             ) as response:
                 response.raise_for_status()
                 form = msgspec.json.decode(await response.read(), type=_VmsForm)
