Fetch a state from one peer, and wait longer for it each time

The same cause elsewhere: a process that starts while the log is down asked five peers for their whole state and gave each two seconds. The five answers share its link; a state over some 250 KB at 5 Mbit/s was never had in time, was asked for anew after a second, and came anew, five times, for ever. Not seen by callers so far.

Change: peers tell first how far they are; the one that is furthest sends its state. A question can't see an answer arrive on this transport, so the limit doubles after each that came to nothing, up to 64 s, and is two seconds again after one that succeeded. `peer_state_late` tells of it.

Tests: a table that brings whole states one after the other, each in over three times the first limit.

--- a/src/lovagestage/control/peerstate.py
+++ b/src/lovagestage/control/peerstate.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import hashlib
 import logging
 import random
@@ -35,6 +36,10 @@
 START_CHECK_S = 1.0
 COMPARE_INTERVAL_S = 10.0
 ASK_TIMEOUT_S = 2.0
+FETCH_LIMIT_S = 64.0
+"""A state that has not come within the first limit is waited for twice as long
+the next time, up to this: how long it takes depends on size and link, and
+each question begins its transfer anew."""
 MAX_ASKED = 5
 
 
@@ -71,6 +76,15 @@
     return None
 
 
+@dataclasses.dataclass(frozen=True)
+class _Offer:
+    """What a peer says of its state."""
+
+    table: LinkTable
+    vm: VmId
+    answer: StateAnswer
+
+
 class StateResponder:
     """Answers peers' questions and takes their offers.
 
@@ -126,6 +140,7 @@
     ) -> None:
         super().__init__()
         self.mismatches = 0
+        self._fetch_timeout_s = ASK_TIMEOUT_S
         self._control = control
         self._tables = tables
         self._upstreams = upstreams
@@ -147,14 +162,42 @@
                 await self.compare()
 
     async def fetch(self) -> bool:
-        """Asks some peers and installs the newest state they have."""
-        answers = await self._ask_some(MAX_ASKED, with_state=True)
-        state = choose_newest(answers)
+        """Asks some peers and installs the newest state they have.
+
+        They tell first how far they are, and one sends its state: those of
+        all would share the link and each take that much longer.
+        """
+        offers = await self._ask_some(MAX_ASKED)
+        offers.sort(key=lambda offer: offer.answer.next_offset, reverse=True)
+        for offer in offers:
+            if offer.answer.checksum and await self._fetch_from(offer):
+                return True
+        return False
+
+    async def _fetch_from(self, offer: _Offer) -> bool:
+        answer = await offer.table.ask(
+            offer.vm, StateQuestion(with_state=True), self._fetch_timeout_s
+        )
+        if not isinstance(answer, StateAnswer):
+            longer_s = min(FETCH_LIMIT_S, 2 * self._fetch_timeout_s)
+            _log.warning(
+                "peer_state_late",
+                extra={
+                    "peer": offer.vm,
+                    "timeout_s": self._fetch_timeout_s,
+                    "next_s": longer_s,
+                },
+            )
+            self._fetch_timeout_s = longer_s
+            return False
+        self._fetch_timeout_s = ASK_TIMEOUT_S
+        state = choose_newest([answer])
         return state is not None and self._control.install(state, whole=True)
 
     async def compare(self) -> None:
         """Compares hashes with a peer; a mismatch is logged as an error."""
-        for answer in await self._ask_some(1, with_state=False):
+        for offer in await self._ask_some(1):
+            answer = offer.answer
             folded = self._control.folded
             same_offset = answer.next_offset == folded.next_offset
             if (
@@ -172,19 +215,22 @@
                     },
                 )
 
-    async def _ask_some(
-        self, count: int, *, with_state: bool
-    ) -> list[StateAnswer]:
+    async def _ask_some(self, count: int) -> list[_Offer]:
+        """Asks some peers how far they are."""
         peers = [(table, vm) for table in self._tables for vm in table.links]
         random.shuffle(peers)
-        question = StateQuestion(with_state)
+        question = StateQuestion(with_state=False)
         answers = await asyncio.gather(
             *(
                 table.ask(vm, question, ASK_TIMEOUT_S)
                 for table, vm in peers[:count]
             )
         )
-        return [a for a in answers if isinstance(a, StateAnswer)]
+        return [
+            _Offer(table, vm, answer)
+            for (table, vm), answer in zip(peers[:count], answers, strict=True)
+            if isinstance(answer, StateAnswer)
+        ]
 
     async def _offer(self) -> None:
         for vm in self._get_empty_sidecars():
--- a/tests/test_peerstate.py
+++ b/tests/test_peerstate.py
@@ -11,6 +11,7 @@
 from lab.demo import make_client
 from lab.fleet import Fleet
 from lab.shapes import SHAPES
+from lovagestage.control import peerstate
 from lovagestage.control.peerstate import (
     PeerState,
     StateResponder,
@@ -89,6 +90,55 @@
         assert cold.services["s"].revision == 5
 
 
+class NarrowTable(DirectTable):
+    """Brings whole states one after the other, each in the same time."""
+
+    TRANSFER_S = 0.35
+
+    def __init__(self, hubs):
+        super().__init__(hubs)
+        self._link = asyncio.Lock()
+        self.transfers = 0
+
+    async def ask(self, vm, question, timeout_s):
+        if not question.with_state:
+            return await super().ask(vm, question, timeout_s)
+        self.transfers += 1
+        try:
+            async with asyncio.timeout(timeout_s), self._link:
+                await asyncio.sleep(self.TRANSFER_S)
+                return await super().ask(vm, question, timeout_s)
+        except TimeoutError:
+            return None
+
+
+async def test_state_that_takes_long_is_fetched(monkeypatch):
+    # Guards against a process that asks for a large state, gives it up and
+    # asks anew, for as long as the log is down.
+    monkeypatch.setattr(peerstate, "ASK_TIMEOUT_S", 0.1)
+    async with serve_log() as served:
+        served.faults.outage = True
+        cold = await served.start_reader()
+        peers = [make_peer(await make_control(served.log, 5)) for _ in "abc"]
+        table = NarrowTable(peers)
+        state = PeerState(cold, [table])
+        async with asyncio.timeout(5.0):
+            while not await state.fetch():
+                await asyncio.sleep(0.01)
+        assert cold.services["s"].revision == 5
+
+
+async def test_one_peer_sends_its_state_where_several_have_it():
+    # Guards against five copies of a state that share one narrow link.
+    async with serve_log() as served:
+        served.faults.outage = True
+        cold = await served.start_reader()
+        peers = [make_peer(await make_control(served.log, 5)) for _ in "abc"]
+        table = NarrowTable(peers)
+        assert await PeerState(cold, [table]).fetch()
+        assert table.transfers == 1
+
+
 async def test_installed_state_goes_on_from_the_log_when_it_returns():
     async with serve_log() as served:
         await fill(served, 6)
