Give a caller that sends its body slowly the time that it waits

A caller on a narrow link whose deadline is later was refused with 408 while its bytes arrived, sent it again from the start and was refused again. Not seen by callers so far; bodies of the known deployments take under a second.

Change: ten seconds are the time without a byte; the whole has as long as the caller waits for its answer, ten seconds at least and a minute at most.

--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -26,8 +26,12 @@
 
 _log = logging.getLogger(__name__)
 
-BODY_TIMEOUT_S = 10.0
-"""Time for a whole body; a caller that stalls would hold memory for ever."""
+BODY_SILENCE_S = 10.0
+"""Time without a byte of a body; a caller that stalls would hold memory for
+ever. One that sends slowly has as long as it waits for its answer: refused
+for the time that its body takes, it would send it again from the start."""
+MAX_BODY_S = 60.0
+"""Time for a whole body at most, whatever the caller says that it waits."""
 
 
 class CallerConnection:
@@ -84,7 +88,8 @@
             _check_head(event, limits.head_bytes)
             arrived_s = asyncio.get_running_loop().time()
             request = wire.decode_request(event)
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            body_s = min(MAX_BODY_S, max(BODY_SILENCE_S, request.budget_s))
+            async with asyncio.timeout(body_s):
                 body = await self._read_body(limits.body_bytes)
         except TimeoutError:
             raise WrongMessageError("Sent too slowly.", 408) from None
@@ -182,7 +187,8 @@
             if self._parser.they_are_waiting_for_100_continue:
                 answer = h11.InformationalResponse(status_code=100, headers=[])
                 self.channel.write(self._parser.send(answer) or b"")
-            event = await self._receive()
+            async with asyncio.timeout(BODY_SILENCE_S):
+                event = await self._receive()
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if not isinstance(event, h11.Data):
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lovagestage.gateway import server
 from tests.gateway_stage import (
     HOST,
     KEY,
@@ -127,3 +128,34 @@
         assert (await stage.call("/open/x", key=None)).status == 200
         headers = stage.workers["w1"].arrivals[0].headers
         assert "tenant-id" not in headers
+
+
+async def send_slowly(stage, parts, pause_s):
+    """Sends a body in parts until there is an answer; returns its status."""
+    reader, writer = await stage.connect()
+    body = b"y" * 100 * parts
+    request = make_request("/safe/x", method="POST", body=body)
+    writer.write(request[: -len(body)])
+    answer = asyncio.ensure_future(read_reply(reader))
+    for _ in range(parts):
+        await asyncio.wait((answer,), timeout=pause_s)
+        if answer.done():
+            break
+        writer.write(b"y" * 100)
+    reply = await asyncio.wait_for(answer, 8.0)
+    writer.close()
+    return reply.status
+
+
+async def test_caller_that_sends_slowly_has_its_time(monkeypatch):
+    # Guards against a caller on a narrow link whose body is refused for the
+    # time that it takes, again and again, though its deadline is not over.
+    monkeypatch.setattr(server, "BODY_SILENCE_S", 0.3)
+    async with run_stage() as stage:
+        assert await send_slowly(stage, 8, 0.1) == 200
+
+
+async def test_caller_that_stalls_within_its_body_is_refused(monkeypatch):
+    monkeypatch.setattr(server, "BODY_SILENCE_S", 0.3)
+    async with run_stage() as stage:
+        assert await send_slowly(stage, 2, 0.6) == 408
