Part what feeds hand on to, and the store's return, from the feeds

The protocols and StoreReturn move to modules of their own; an answer without a length counts as arriving once a byte of it has come.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -8,7 +8,6 @@
 import math
 import random
 from collections.abc import Sequence
-from typing import Protocol
 
 import mode
 
@@ -18,9 +17,11 @@
     StoreUnavailableError,
 )
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.feed_protocols import FeedListener, Watch
 from lovagestage.gateway.lag import Lag
 from lovagestage.gateway.relay import SLACK_S, RelayedState, RelayMode
 from lovagestage.gateway.relay_messages import TopicState
+from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.gateway.topic_log import TopicLog
 from lovagestage.platform.store import Page, Record, StoreClient
 
@@ -56,60 +57,6 @@
 at a watcher are read by its followers themselves."""
 
 
-class StoreReturn:
-    """Tells feeds that have lost the store when another one has it back.
-
-    Each feed finds the return by itself up to 1.7 s late, with a call that
-    was sent just before and hangs, and its pause. Callers are refused
-    meanwhile, though the process knows that the store answers again.
-    """
-
-    def __init__(self) -> None:
-        self._events: list[asyncio.Event] = []
-
-    def make_event(self) -> asyncio.Event:
-        """An event that is set at each return; its owner clears it."""
-        event = asyncio.Event()
-        self._events.append(event)
-        return event
-
-    def tell(self) -> None:
-        """Tells all feeds."""
-        for event in self._events:
-            event.set()
-
-
-class FeedListener(Protocol):
-    """Takes what a feed reads."""
-
-    def on_newest(self, page: Page) -> None:
-        """Takes the newest record of each key."""
-
-    def on_records(self, page: Page) -> None:
-        """Takes records in order."""
-
-    def on_proof(self, at_s: float) -> None:
-        """Learns that nothing newer existed at a time."""
-
-    def on_news(self, at_s: float) -> None:
-        """Learns at a time that there is more than it was handed."""
-
-
-class Watch(Protocol):
-    """Tells how a topic is followed, and what a watcher says of it."""
-
-    watch_wait_s: float
-
-    def get_mode(self) -> RelayMode:
-        """Whether this gateway reads the store or asks a watcher."""
-
-    async def wait_state(self, topic: str) -> RelayedState | None:
-        """The next state that a watcher tells; None without a sound one."""
-
-    def tell_news(self) -> None:
-        """Tells followers that a topic has grown."""
-
-
 class TopicFeed(mode.Service):
     """Reads a topic from its newest records on, for as long as it runs.
 
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -15,7 +15,7 @@
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
-from lovagestage.gateway.feeds import StoreReturn, TopicFeed
+from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.forwarder import Forwarder
 from lovagestage.gateway.gossip import Gossip
 from lovagestage.gateway.mailbox import Mailbox
@@ -38,6 +38,7 @@
 from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.service import GatewayService
 from lovagestage.gateway.settings import Bounds, GatewaySettings
+from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.gateway.suspects import SuspectWatch
 from lovagestage.gateway.trust import MARGIN_S, Trust
 from lovagestage.messages.crashes import CrashReport
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -100,8 +100,7 @@
 
 
 CallListener = Callable[[CallEnd], None]
-
-
+"""Takes each call that ended."""
 PartListener = Callable[[bytes], None]
 """Takes a part of an answer's body."""
 
@@ -131,7 +130,10 @@
     @property
     def is_receiving(self) -> bool:
         """Whether the answer to the call under way has begun to arrive."""
-        return self._transfer.expected_bytes is not None
+        transfer = self._transfer
+        return (
+            transfer.expected_bytes is not None or transfer.received_bytes > 0
+        )
 
     async def read(
         self,
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -16,7 +16,8 @@
     StoreHistoryLostError,
     StoreUnavailableError,
 )
-from lovagestage.gateway.feeds import StoreReturn, TopicFeed
+from lovagestage.gateway.feeds import TopicFeed
+from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.platform.store import StoreClient
 
 TOPIC = "keyed.op"
--- a/tests/test_gateway_narrow_links.py
+++ b/tests/test_gateway_narrow_links.py
@@ -8,8 +8,9 @@
 
 from lovagestage.exceptions import StoreUnavailableError
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.feeds import SILENCE_S, StoreReturn
+from lovagestage.gateway.feeds import SILENCE_S
 from lovagestage.gateway.relay import RelayedState, RelayMode
+from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.gateway.trust import NEWS_S
 from tests.gateway_stage import run_stage
 from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -16,7 +16,7 @@
 from lovagestage.gateway import watchers as watchers_of
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition
-from lovagestage.gateway.feeds import StoreReturn, TopicFeed
+from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.gossip import ALIVE_S
 from lovagestage.gateway.peers import FORGET_S, PeerSocket
 from lovagestage.gateway.relay import MIN_GATEWAYS, Relay, RelayMode
@@ -28,6 +28,7 @@
     split_records,
 )
 from lovagestage.gateway.settings import Bounds
+from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.gateway.trust import Trust
 from lovagestage.gateway.wiring import get_relay_bound_s
 from lovagestage.platform.store import Record, StoreClient
