--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lovagestage.adapters import http_log
+from lovagestage.adapters import http_calls
 from lovagestage.control import reader as control
 from lovagestage.control.reader import FollowState
 from lovagestage.control.writer import ControlWriter
@@ -68,7 +68,7 @@
 async def test_stalled_append_is_unknown_with_its_change_id(monkeypatch):
     # The log takes the call and says nothing. The caller may not be told
     # "not appended"; it gets the id, with which it asks again later.
-    monkeypatch.setattr(http_log, "SHORT_CALL_TIMEOUT_S", 1.0)
+    monkeypatch.setattr(http_calls, "SHORT_CALL_TIMEOUT_S", 1.0)
     async with serve_log() as served:
         writer = ControlWriter(served.log, await served.start_reader())
         served.faults.stall = True
