Part the store's records on the wire from the client that fetches them

Clean-up: store.py had grown to 451 lines by reading answers while they arrive; records, pages and their bytes move to platform/records. No behaviour changes.

--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -18,7 +18,7 @@
     decode_upstream,
     get_order_service,
 )
-from lovagestage.platform.store import Page, Record
+from lovagestage.platform.records import Page, Record
 from lovagestage.types import InstanceId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/feed_protocols.py
+++ b/src/lovagestage/gateway/feed_protocols.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from lovagestage.gateway.relay import RelayedState, RelayMode
-from lovagestage.platform.store import Page
+from lovagestage.platform.records import Page
 
 
 class FeedListener(Protocol):
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -23,7 +23,8 @@
 from lovagestage.gateway.relay_messages import TopicState
 from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.gateway.topic_log import TopicLog
-from lovagestage.platform.store import Page, Record, StoreClient
+from lovagestage.platform.records import Page, Record
+from lovagestage.platform.store import StoreClient
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/gateway/mailbox.py
+++ b/src/lovagestage/gateway/mailbox.py
@@ -23,7 +23,8 @@
     encode_letter,
 )
 from lovagestage.messages.crashes import CrashReport
-from lovagestage.platform.store import Page, StoreClient
+from lovagestage.platform.records import Page
+from lovagestage.platform.store import StoreClient
 from lovagestage.types import VmId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -42,7 +42,7 @@
     split_records,
 )
 from lovagestage.gateway.watchers import WatcherList
-from lovagestage.platform.store import Record
+from lovagestage.platform.records import Record
 
 _log = logging.getLogger(__name__)
 
--- a/src/lovagestage/gateway/relay_messages.py
+++ b/src/lovagestage/gateway/relay_messages.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lovagestage.exceptions import CodecError
-from lovagestage.platform.store import Record
+from lovagestage.platform.records import Record
 
 MAX_DATAGRAM_BYTES = 1200
 """Records of an answer are parted so, to be carried in one packet each. Longer
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -43,7 +43,8 @@
     encode_outcome,
     make_outcome_key,
 )
-from lovagestage.platform.store import OUTCOME_TOPIC, Page, StoreClient
+from lovagestage.platform.records import Page
+from lovagestage.platform.store import OUTCOME_TOPIC, StoreClient
 from lovagestage.types import ServiceId, VmId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/topic_log.py
+++ b/src/lovagestage/gateway/topic_log.py
@@ -9,7 +9,7 @@
 import collections
 from collections.abc import Sequence
 
-from lovagestage.platform.store import Record
+from lovagestage.platform.records import Record
 
 MAX_KEPT = 256
 """Newest records that are kept for followers: a release replaces some tens of
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -6,10 +6,9 @@
 import base64
 import dataclasses
 import enum
-import struct
 import time
 import urllib.parse
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import h11
@@ -25,42 +24,17 @@
     Transfer,
     WrongMessageError,
 )
+from lovagestage.platform.records import (
+    Page,
+    PageReader,
+    Record,
+    encode_record,
+)
 
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
 OUTCOME_TOPIC = "keyed.status"
-_KEYED_PREFIX = "keyed."
 _BODY_LIMIT_BYTES = 8 * 1024 * 1024
-_LENGTH = struct.Struct(">I")
-_READ_HEAD = struct.Struct(">QQ")
-
-
-@dataclasses.dataclass(frozen=True)
-class Record:
-    """A record of a topic.
-
-    Attributes:
-        offset: Its place in the topic.
-        key: Its key; empty in topics without keys.
-        value: Its bytes; None where the key was dropped.
-    """
-
-    offset: int
-    key: str
-    value: bytes | None
-
-
-@dataclasses.dataclass(frozen=True)
-class Page:
-    """What a read returned.
-
-    Attributes:
-        records: Records in order.
-        end: Offset of the next record to be appended.
-    """
-
-    records: tuple[Record, ...]
-    end: int
 
 
 class CallKind(enum.Enum):
@@ -164,7 +138,7 @@
             query += f"&WaitMs={int(wait_s * 1000)}"
         kind = CallKind.WAITING_READ if wait_s else CallKind.READ
         path = f"/v1/log-read?{query}"
-        pages = _PageReader(topic, offset, on_page)
+        pages = PageReader(topic, offset, on_page)
         await self._get(kind, path, wait_s + silence_s, silence_s, pages.take)
         return pages.get_page()
 
@@ -225,8 +199,7 @@
         if expected_end is not None:
             path += f"&At={expected_end}"
         body = b"".join(
-            _make_record(key, value, topic.startswith(_KEYED_PREFIX))
-            for key, value in records
+            encode_record(topic, key, value) for key, value in records
         )
         status, answer = await self._call(
             CallKind.APPEND, path, body, timeout_s
@@ -359,68 +332,6 @@
         return b"".join(parts)
 
 
-class _PageReader:
-    """Reads the records of an answer while it arrives.
-
-    Args:
-        topic: The topic.
-        offset: Offset of the first record.
-        on_page: Takes each part of the records.
-    """
-
-    def __init__(
-        self, topic: str, offset: int, on_page: Callable[[Page], None]
-    ) -> None:
-        self._topic = topic
-        self._is_keyed = topic.startswith(_KEYED_PREFIX)
-        self._offset = offset
-        self._on_page = on_page
-        self._rest = bytearray()
-        self._first = 0
-        self._end: int | None = None
-        self._records: list[Record] = []
-
-    def take(self, part: bytes) -> None:
-        """Takes a part of the body."""
-        self._rest += part
-        if self._end is None:
-            if len(self._rest) < _READ_HEAD.size:
-                return
-            self._end, self._first = _READ_HEAD.unpack_from(self._rest)
-            del self._rest[: _READ_HEAD.size]
-        if self._offset < self._first:
-            return
-        fresh = list(self._take_records())
-        self._records += fresh
-        self._on_page(Page(tuple(fresh), self._end))
-
-    def get_page(self) -> Page:
-        """All that was read.
-
-        Raises:
-            StoreHistoryLostError: The records were dropped.
-            StoreUnavailableError: The answer is too short.
-        """
-        if self._end is None:
-            raise StoreUnavailableError("Short answer to a read.")
-        if self._offset < self._first:
-            raise StoreHistoryLostError(self._topic, self._first)
-        return Page(tuple(self._records), self._end)
-
-    def _take_records(self) -> Iterator[Record]:
-        position = 0
-        while position + _LENGTH.size <= len(self._rest):
-            (size,) = _LENGTH.unpack_from(self._rest, position)
-            end = position + _LENGTH.size + size
-            if end > len(self._rest):
-                break
-            data = bytes(self._rest[position + _LENGTH.size : end])
-            yield _parse_record(data, self._offset, self._is_keyed)
-            self._offset += 1
-            position = end
-        del self._rest[:position]
-
-
 def _get_length(head: h11.Response) -> int | None:
     for name, value in head.headers:
         if name == b"content-length":
@@ -433,19 +344,3 @@
         return msgspec.json.decode(body, type=dict[str, Any])
     except msgspec.DecodeError as error:
         raise StoreUnavailableError(f"Undecodable answer: {error}.") from error
-
-
-def _make_record(key: str, value: bytes, is_keyed: bool) -> bytes:
-    data = value
-    if is_keyed:
-        name = key.encode()
-        data = bytes((len(name),)) + name + value
-    return _LENGTH.pack(len(data)) + data
-
-
-def _parse_record(data: bytes, offset: int, is_keyed: bool) -> Record:
-    if not is_keyed or not data:
-        return Record(offset, "", data)
-    end = 1 + data[0]
-    key = data[1:end].decode("utf-8", "replace")
-    return Record(offset, key, data[end:] or None)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -31,7 +31,8 @@
 from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.gateway.trust import Trust
 from lovagestage.gateway.wiring import get_relay_bound_s
-from lovagestage.platform.store import Record, StoreClient
+from lovagestage.platform.records import Record
+from lovagestage.platform.store import StoreClient
 from tests.test_gateway_feeds import TOPIC, Recorder, wait_until
 from tests.test_gateway_gossip import run_pair
 
--- a/tests/test_gateway_topic_log.py
+++ b/tests/test_gateway_topic_log.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from lovagestage.gateway.topic_log import MAX_KEPT, TopicLog
-from lovagestage.platform.store import Record
+from lovagestage.platform.records import Record
 
 
 def make_records(first, end):
