Say what a told end and a superseded configuration are; bound a fetch

Read as a newcomer: the end that a watcher states is what the topic has reached, not what it has read; why no caller is refused too early stands where the rule is.

--- a/src/lovagestage/control/peerstate.py
+++ b/src/lovagestage/control/peerstate.py
@@ -36,10 +36,11 @@
 START_CHECK_S = 1.0
 COMPARE_INTERVAL_S = 10.0
 ASK_TIMEOUT_S = 2.0
-FETCH_LIMIT_S = 64.0
+FETCH_LIMIT_S = 32.0
 """A state that has not come within the first limit is waited for twice as long
 the next time, up to this: how long it takes depends on size and link, and
-each question begins its transfer anew."""
+each question begins its transfer anew. The largest that snapshots hold, 12 MB,
+takes 20 s at 5 Mbit/s."""
 MAX_ASKED = 5
 
 
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -139,7 +139,7 @@
         return self._lag.get_age_s(now_s)
 
     def get_state(self, now_s: float) -> TopicState | None:
-        """What this gateway has read of the topic itself."""
+        """How far the topic reaches, as this gateway has heard itself."""
         end = self._topic_log.end
         if end is None or self._proved_s is None:
             return None
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -89,8 +89,8 @@
     """What a follower was told of a topic, by its own clock.
 
     Attributes:
-        end: Offset up to which there is nothing unknown to the watcher.
-        proved_s: When that was so.
+        end: Offset that the topic has reached, as its watcher has heard.
+        proved_s: When there was nothing beyond.
         lost_s: When the store last failed to answer; None for never.
         is_sound: Whether the proof is young enough to rely on.
     """
--- a/src/lovagestage/gateway/relay_messages.py
+++ b/src/lovagestage/gateway/relay_messages.py
@@ -21,8 +21,9 @@
 
     Attributes:
         topic: The topic.
-        end: Offset up to which it has read.
-        proof_age_ms: How long ago nothing else was there.
+        end: Offset that the topic has reached, though it may still be reading
+            the records before it.
+        proof_age_ms: How long ago there was nothing beyond.
         lost_age_ms: How long ago the store last failed to answer; None for
             never.
     """
--- a/src/lovagestage/gateway/trust.py
+++ b/src/lovagestage/gateway/trust.py
@@ -42,9 +42,9 @@
         """Whether a newer configuration exists that must be in force by now.
 
         It may be large and arrive slowly. Served by the old one, callers
-        would use routes that were taken away; other gateways know better.
-        While the store is away there is no news, and what is open to
-        everybody goes on.
+        would use routes that were taken away. It was written after the last
+        proof, so no caller is refused before it must be in force. While the
+        store is away there is no news, and what is open to everybody goes on.
         """
         age_s = self.get_age_s(now_s)
         has_news = self._news_s is not None and now_s - self._news_s < NEWS_S
