Send nothing to the upstreams of a zone that operators empty

Cause: op/evacuate/ZONE was read nowhere.

The order comes with the operators' records, which gateways follow anyway: a watcher is woken by it and tells the others. The newest record of a zone decides, whatever order reads come in; a full list that lacks an order takes it back, so that a dropped history neither loses nor keeps one. All choices of versions and upstreams leave emptied zones out; what runs there ends. The bound on an evacuation counts among those that relays keep to.

--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -16,10 +16,11 @@
     decode_configuration,
     decode_order,
     decode_upstream,
+    get_evacuated_zone,
     get_order_service,
 )
 from lovagestage.platform.records import Page, Record
-from lovagestage.types import InstanceId
+from lovagestage.types import InstanceId, Offset, ZoneId
 
 _log = logging.getLogger(__name__)
 
@@ -32,7 +33,7 @@
 
 
 class OperatorBeliefs:
-    """Takes configurations and roll-out orders.
+    """Takes configurations, roll-out orders and evacuations of zones.
 
     Args:
         deployment: What is in force.
@@ -51,8 +52,18 @@
         self._on_configuration = on_configuration
 
     def on_newest(self, page: Page) -> None:
-        """Takes the newest record of each key."""
+        """Takes the newest record of each key; what has none was removed."""
         self.on_records(page)
+        standing = {
+            zone: Offset(record.offset)
+            for record in page.records
+            if (zone := get_evacuated_zone(record.key)) is not None
+        }
+        changes = self._deployment.evacuations.replace_all(
+            standing, Offset(page.end)
+        )
+        for zone, is_standing in changes.items():
+            _log_evacuation(zone, is_standing, page.end)
 
     def on_records(self, page: Page) -> None:
         """Takes records in order."""
@@ -74,6 +85,10 @@
         self._deployment.trust.note_news(at_s)
 
     def _apply(self, record: Record) -> None:
+        zone = get_evacuated_zone(record.key)
+        if zone is not None:
+            self._apply_evacuation(zone, record)
+            return
         if record.value is None:
             return
         if record.key == CONFIG_KEY:
@@ -83,6 +98,13 @@
         elif get_order_service(record.key) is not None:
             self._apply_order(record)
 
+    def _apply_evacuation(self, zone: ZoneId, record: Record) -> None:
+        is_standing = record.value is not None
+        if self._deployment.evacuations.apply(
+            zone, Offset(record.offset), is_standing
+        ):
+            _log_evacuation(zone, is_standing, record.offset)
+
     def _apply_order(self, record: Record) -> None:
         assert record.value is not None
         order = decode_order(record.value)
@@ -101,6 +123,13 @@
         self._on_order(order, record.offset)
 
 
+def _log_evacuation(zone: ZoneId, is_standing: bool, offset: int) -> None:
+    if is_standing:
+        _log.info("zone_evacuated", extra={"zone": zone, "offset": offset})
+    else:
+        _log.info("zone_given_back", extra={"zone": zone, "offset": offset})
+
+
 class EntrySource(Protocol):
     """Where the upstreams' entries come from."""
 
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from lovagestage.decisions.evacuation import Evacuations
 from lovagestage.gateway.configuration import Configuration
 from lovagestage.gateway.pins import SessionPins
 from lovagestage.gateway.rollouts import (
@@ -29,6 +30,7 @@
         rotation: Upstreams.
         rollouts: The last order of each service.
         pins: Versions that sessions are on.
+        evacuations: Availability zones whose upstreams get nothing.
     """
 
     def __init__(self, trust: Trust, pins: SessionPins) -> None:
@@ -37,6 +39,7 @@
         self.rotation = Rotation()
         self.rollouts: dict[ServiceId, Rollout] = {}
         self.pins = pins
+        self.evacuations = Evacuations()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Takes a configuration; an older one than known is ignored.
@@ -56,6 +59,14 @@
         )
         self.configuration = configuration
 
+    def get_ready(self, service: ServiceId) -> list[Upstream]:
+        """Upstreams of a service to which requests may be sent."""
+        return [
+            upstream
+            for upstream in self.rotation.get_ready(service)
+            if upstream.entry.zone not in self.evacuations
+        ]
+
     def assign(
         self,
         service: ServiceId,
@@ -71,7 +82,7 @@
             request: Id of the request.
             now_s: Elapsed time.
         """
-        ready = self.rotation.get_ready(service)
+        ready = self.get_ready(service)
         versions = sorted({upstream.entry.version for upstream in ready})
         rollout = self.rollouts.get(service)
         if session is None:
@@ -89,7 +100,7 @@
         self, service: ServiceId, assignment: Assignment, now_s: float
     ) -> list[Upstream]:
         """Upstreams that take requests of an assignment."""
-        ready = self.rotation.get_ready(service)
+        ready = self.get_ready(service)
         version = assignment.version
         if version is None:
             return ready
@@ -117,7 +128,7 @@
         is_running = rollout.outcome is RolloutOutcome.RUNNING
         return [
             upstream
-            for upstream in self.rotation.get_ready(service)
+            for upstream in self.get_ready(service)
             if upstream.entry.version != assignment.version
             and (upstream.entry.version != target or is_running)
             and not (upstream.entry.version == target and rollout.is_stopped)
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -106,6 +106,11 @@
     OPEN_REQUESTS = SeriesSpec(
         "open_requests", SeriesKind.GAUGE, "Requests open now."
     )
+    EVACUATED_ZONES = SeriesSpec(
+        "evacuated_zones",
+        SeriesKind.GAUGE,
+        "Availability zones whose upstreams get nothing.",
+    )
     UPSTREAMS = SeriesSpec(
         "upstreams", SeriesKind.GAUGE, "Upstreams known, leaving ones included."
     )
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -15,6 +15,8 @@
         revoke_s: A key that was taken away may be used no longer than this.
         apply_s: A configuration is in force after this.
         drain_s: A leaving upstream takes no request after this.
+        evacuate_s: No upstream of a zone that is to be empty takes one after
+            this.
         stop_s: A process that was told to stop is killed after this.
         retry_ratio: Arrivals beyond the first of each request, as a share of
             requests, that a service may get within a window.
@@ -29,6 +31,7 @@
     revoke_s: float
     apply_s: float
     drain_s: float
+    evacuate_s: float
     stop_s: float
     retry_ratio: float
     exposure_ratio: float
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -211,6 +211,9 @@
     exposition.add_gauge(
         Series.UPSTREAMS, lambda: len(deployment.rotation.get_all())
     )
+    exposition.add_gauge(
+        Series.EVACUATED_ZONES, lambda: len(deployment.evacuations)
+    )
     exposition.add_gauge(
         Series.PROOF_AGE_S,
         lambda: deployment.trust.get_age_s(get_elapsed_s()),
@@ -284,13 +287,17 @@
     return min(
         bounds.apply_s,
         bounds.drain_s,
+        bounds.evacuate_s,
         oldest_s / (WATCH_RATIO + PERIOD_RATIO),
     )
 
 
 def get_operator_wait_s(bounds: Bounds) -> float:
     """Time for which the store holds a read of the operators' topic."""
-    return min(WAIT_RATIO * bounds.apply_s, TRUST_WAIT_RATIO * bounds.revoke_s)
+    return min(
+        WAIT_RATIO * min(bounds.apply_s, bounds.evacuate_s),
+        TRUST_WAIT_RATIO * bounds.revoke_s,
+    )
 
 
 def _make_operator_feed(
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -26,6 +26,7 @@
 
 CONFIG_KEY = "config"
 _ORDER_PREFIX = "rollout/"
+_EVACUATION_PREFIX = "evacuate/"
 _KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -161,6 +162,13 @@
     return ServiceId(key.removeprefix(_ORDER_PREFIX))
 
 
+def get_evacuated_zone(key: str) -> ZoneId | None:
+    """The availability zone that a key of the operators asks to empty."""
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return ZoneId(key.removeprefix(_EVACUATION_PREFIX))
+
+
 def decode_order(data: bytes) -> RolloutOrder:
     """Decodes an order to move a service to another version.
 
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 from collections.abc import Mapping
 
@@ -63,6 +64,8 @@
         revoke_s=reader.get_number("Bounds.RevokeMs") / 1000,
         apply_s=reader.get_number("Bounds.ConfigApplyMs") / 1000,
         drain_s=reader.get_number("Bounds.DrainMs") / 1000,
+        # A deployment whose zones are never emptied does not set it.
+        evacuate_s=reader.get_number("Bounds.EvacuationMs", math.inf) / 1000,
         stop_s=reader.get_number("Bounds.GraceS"),
         retry_ratio=reader.get_number("Bounds.RetryBudgetRatio"),
         exposure_ratio=reader.get_number("Bounds.ExposureShare"),
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -349,7 +349,9 @@
     # The store is lost just before a follower's next question. The proof that
     # it has then was told by a watcher and is as old as can be; callers with
     # a key must be served for three fifths of the bound on keys all the same.
-    bounds = Bounds(revoke_s, 4.0, 3.0, 8.0, 0.9, 0.1, 30.0, 5.0, 10.0, 54.0)
+    bounds = Bounds(
+        revoke_s, 4.0, 3.0, 9.0, 8.0, 0.9, 0.1, 30.0, 5.0, 10.0, 54.0
+    )
     bound_s = get_relay_bound_s(bounds)
     assert bound_s <= 3.0
     relay = Relay(
--- a/tests/test_gateway_trust.py
+++ b/tests/test_gateway_trust.py
@@ -173,7 +173,9 @@
     # A read returned a record just before its wait was over and proves only
     # the time of its sending; the next read is held as long, and the store is
     # lost at its end. Callers with keys must still be served for a while.
-    bounds = Bounds(revoke_s, 3.0, 3.0, 8.0, 0.9, 0.15, 30.0, 5.0, 10.0, 54.0)
+    bounds = Bounds(
+        revoke_s, 3.0, 3.0, 9.0, 8.0, 0.9, 0.15, 30.0, 5.0, 10.0, 54.0
+    )
     oldest_proof_s = 2 * get_operator_wait_s(bounds)
     assert revoke_s - MARGIN_S - oldest_proof_s >= 0.2 * revoke_s
 
