Send cold upstreams no more than they bear, over all gateways

Cause: what upstreams and configuration say of warm-up (time left, requests a second) was read nowhere.

An upstream is cold for as long as its entry says, and one of a zone that is given back for the whole warm-up: it may have become cold without having told it yet. An earlier word holds, as a late one may be of before. What is sent to a cold one is dealt by three gateways of its zone, chosen by hash, a third of its rate each, over any second, what was sent before it was known to be cold included. A gateway that started under 3 s ago deals nothing.

No message beyond the gossip that is there.

A roll-out moves sessions only once its upstreams are warm, and a session goes to others of its version before it changes that.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -142,12 +142,23 @@
         return None
 
     def _get_groups(self) -> list[list[Upstream]]:
-        """Upstreams by version, in the order in which they are asked."""
-        service = self.admitted.service
+        """Upstreams by version, in the order in which they are asked.
+
+        A session goes to others of its version before it changes that.
+        """
+        service, now_s = self.admitted.service, get_elapsed_s()
+        deployment = self._deployment
         own = self._get_own()
-        other = self._deployment.get_fallback(service, self.assignment)
+        same = deployment.get_open(
+            deployment.get_version_upstreams(service, self.assignment), now_s
+        )
+        other = deployment.get_open(
+            deployment.get_fallback(service, self.assignment), now_s
+        )
         # An answer that failed speaks against the version, not the upstream.
-        return [other, own] if self._has_new_failed else [own, other]
+        if self._has_new_failed:
+            return [other, own]
+        return [own, same, other]
 
     def get_least_wait_s(self) -> float:
         """Expected wait at the least busy upstream of the request's version."""
@@ -155,9 +166,11 @@
         return min(waits_s, default=0.0)
 
     def _get_own(self) -> list[Upstream]:
-        return self._deployment.get_upstreams(
-            self.admitted.service, self.assignment, get_elapsed_s()
+        now_s = get_elapsed_s()
+        upstreams = self._deployment.get_upstreams(
+            self.admitted.service, self.assignment, now_s
         )
+        return self._deployment.get_open(upstreams, now_s)
 
     def note_failure(
         self, upstream: Upstream, error: AttemptFailedError
--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -63,7 +63,7 @@
             standing, Offset(page.end)
         )
         for zone, is_standing in changes.items():
-            _log_evacuation(zone, is_standing, page.end)
+            self._note_evacuation(zone, is_standing, page.end)
 
     def on_records(self, page: Page) -> None:
         """Takes records in order."""
@@ -103,7 +103,16 @@
         if self._deployment.evacuations.apply(
             zone, Offset(record.offset), is_standing
         ):
-            _log_evacuation(zone, is_standing, record.offset)
+            self._note_evacuation(zone, is_standing, record.offset)
+
+    def _note_evacuation(
+        self, zone: ZoneId, is_standing: bool, offset: int
+    ) -> None:
+        if is_standing:
+            _log.info("zone_evacuated", extra={"zone": zone, "offset": offset})
+            return
+        _log.info("zone_given_back", extra={"zone": zone, "offset": offset})
+        self._deployment.note_given_back(zone, get_elapsed_s())
 
     def _apply_order(self, record: Record) -> None:
         assert record.value is not None
@@ -123,13 +132,6 @@
         self._on_order(order, record.offset)
 
 
-def _log_evacuation(zone: ZoneId, is_standing: bool, offset: int) -> None:
-    if is_standing:
-        _log.info("zone_evacuated", extra={"zone": zone, "offset": offset})
-    else:
-        _log.info("zone_given_back", extra={"zone": zone, "offset": offset})
-
-
 class EntrySource(Protocol):
     """Where the upstreams' entries come from."""
 
--- a/src/lovagestage/gateway/configuration.py
+++ b/src/lovagestage/gateway/configuration.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from lovagestage.decisions.warmup import Warmup
 from lovagestage.types import ServiceId, WorkspaceId
 
 
@@ -99,6 +100,8 @@
         routes: All routes.
         limits: What callers may send.
         keys: Workspace by key; None where callers need no keys.
+        warmups: What upstreams bear after their start, of services whose
+            upstreams are cold then.
     """
 
     def __init__(
@@ -107,10 +110,12 @@
         routes: Sequence[Route],
         limits: ClientLimits,
         keys: Mapping[str, WorkspaceEntry] | None,
+        warmups: Mapping[ServiceId, Warmup] = {},
     ) -> None:
         self.version = version
         self.limits = limits
         self.keys = keys
+        self.warmups = warmups
         self._routes = {(r.host, r.prefix): r for r in routes}
 
     def __len__(self) -> int:
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Sequence
 
 from lovagestage.decisions.evacuation import Evacuations
+from lovagestage.decisions.warmup import Warmup
 from lovagestage.gateway.configuration import Configuration
 from lovagestage.gateway.pins import SessionPins
 from lovagestage.gateway.rollouts import (
@@ -16,7 +18,8 @@
 )
 from lovagestage.gateway.rotation import Rotation, Upstream
 from lovagestage.gateway.trust import Trust
-from lovagestage.types import ServiceId
+from lovagestage.gateway.warmups import WarmupGuard
+from lovagestage.types import ServiceId, ZoneId
 
 _log = logging.getLogger(__name__)
 
@@ -24,6 +27,12 @@
 class Deployment:
     """Configuration, upstreams and roll-outs in force.
 
+    Args:
+        trust: Age of the configuration's last proof.
+        pins: Versions that sessions are on.
+        warmup_guard: Says which cold upstreams may get a request; None where
+            upstreams bear all from their start.
+
     Attributes:
         configuration: The newest one; None before the first.
         trust: Age of its last proof.
@@ -33,13 +42,19 @@
         evacuations: Availability zones whose upstreams get nothing.
     """
 
-    def __init__(self, trust: Trust, pins: SessionPins) -> None:
+    def __init__(
+        self,
+        trust: Trust,
+        pins: SessionPins,
+        warmup_guard: WarmupGuard | None = None,
+    ) -> None:
         self.configuration: Configuration | None = None
         self.trust = trust
         self.rotation = Rotation()
         self.rollouts: dict[ServiceId, Rollout] = {}
         self.pins = pins
         self.evacuations = Evacuations()
+        self._warmup_guard = warmup_guard
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Takes a configuration; an older one than known is ignored.
@@ -67,6 +82,37 @@
             if upstream.entry.zone not in self.evacuations
         ]
 
+    def get_warmup(self, service: ServiceId) -> Warmup | None:
+        """What upstreams of a service bear after their start."""
+        if self.configuration is None:
+            return None
+        return self.configuration.warmups.get(service)
+
+    def note_given_back(self, zone: ZoneId, now_s: float) -> None:
+        """Takes that a zone is no longer to be empty.
+
+        Its upstreams may have become cold shortly before, and tell it only
+        with their next heartbeat.
+        """
+        for upstream in self.rotation.get_all():
+            warmup = self.get_warmup(upstream.entry.service)
+            if warmup is not None and upstream.entry.zone == zone:
+                upstream.note_cold(warmup.duration_s, now_s)
+
+    def get_open(
+        self, upstreams: Sequence[Upstream], now_s: float
+    ) -> list[Upstream]:
+        """Those that are warm, or may get one more request from here."""
+        guard = self._warmup_guard
+        if guard is None:
+            return list(upstreams)
+        return [
+            upstream
+            for upstream in upstreams
+            if (warmup := self.get_warmup(upstream.entry.service)) is None
+            or guard.has_room(upstream, warmup, now_s)
+        ]
+
     def assign(
         self,
         service: ServiceId,
@@ -100,11 +146,8 @@
         self, service: ServiceId, assignment: Assignment, now_s: float
     ) -> list[Upstream]:
         """Upstreams that take requests of an assignment."""
+        own = self.get_version_upstreams(service, assignment)
         ready = self.get_ready(service)
-        version = assignment.version
-        if version is None:
-            return ready
-        own = [u for u in ready if u.entry.version == version]
         rollout = self.rollouts.get(service)
         if rollout is None or not assignment.is_new or len(own) == len(ready):
             return own
@@ -113,6 +156,15 @@
         )
         return [u for u in own if u.id in trial]
 
+    def get_version_upstreams(
+        self, service: ServiceId, assignment: Assignment
+    ) -> list[Upstream]:
+        """Upstreams of an assignment's version, on trial or not."""
+        ready = self.get_ready(service)
+        if assignment.version is None:
+            return ready
+        return [u for u in ready if u.entry.version == assignment.version]
+
     def get_fallback(
         self, service: ServiceId, assignment: Assignment
     ) -> list[Upstream]:
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -70,11 +70,13 @@
         self._has_sent = False
         # Under this number the upstream's silence counts while it waits.
         self._waiting_number: int | None = None
+        self._is_placed = False
 
     async def __aenter__(self) -> Self:
         performance, now_s = self.upstream.performance, get_elapsed_s()
         performance.note_sent(now_s)
         performance.running += 1
+        self._place()
         performance.waiting_s += self._waiting_s
         self._waiting_number = performance.silence.add(
             now_s, get_patience_s(self._expected_s)
@@ -95,6 +97,8 @@
             performance.note_absent(now_s)
         self._end_silence()
         self._end_wait()
+        if self._is_placed:
+            self.upstream.warmup.note_withdrawn()
         connection, head = self._connection, self.head
         if connection is None:
             return
@@ -124,6 +128,7 @@
                 if was_used and self._is_repeatable:
                     # The upstream closed it while it was idle.
                     connection.abort()
+                    self._place()
                     continue
                 raise AttemptFailedError(
                     "connection_lost", RunState.UNKNOWN
@@ -165,6 +170,10 @@
                 raise AttemptFailedError("answer_too_long", RunState.RAN)
         return b"".join(parts)
 
+    def _place(self) -> None:
+        self._is_placed = True
+        self.upstream.warmup.note_placed()
+
     def _end_silence(self) -> None:
         if self._waiting_number is not None:
             self.upstream.performance.silence.remove(self._waiting_number)
@@ -196,6 +205,8 @@
         call = self._call
         request = call.request
         self._has_sent = True
+        self._is_placed = False
+        self.upstream.warmup.note_sent(get_elapsed_s())
         connection.send(
             request.method,
             request.target,
--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -123,6 +123,11 @@
             self._forget()
             self._send()
 
+    def get_zone_peers(self) -> list[PeerAddress]:
+        """The gateways of the own availability zone that are known."""
+        zones = self._zones
+        return [p for p in self._socket.peers if zones.get(p) == self._zone]
+
     def _get_neighbours(self) -> Neighbours:
         return choose_neighbours(self._socket.peers, self._zones, self._zone)
 
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -114,7 +114,9 @@
 
     def on_order(self, order: RolloutOrder, offset: int) -> None:
         """Takes a new order; whether it is done already is looked up."""
-        rollout = Rollout(order, offset, get_elapsed_s())
+        warmup = self._deployment.get_warmup(order.service)
+        warmup_s = 0.0 if warmup is None else warmup.duration_s
+        rollout = Rollout(order, offset, get_elapsed_s(), warmup_s)
         self._deployment.rollouts[order.service] = rollout
         self._unresolved[order.service] = rollout
         self._followed[order.service] = _Followed()
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -209,6 +209,7 @@
         order: The order.
         offset: Offset of the order in the store; names it.
         seen_s: Elapsed time at which it was first seen.
+        warmup_s: Time for which upstreams are cold after their start.
 
     Attributes:
         order: The order.
@@ -228,6 +229,7 @@
         order: RolloutOrder,
         offset: int,
         seen_s: float,
+        warmup_s: float = 0.0,
     ) -> None:
         self.order = order
         self.offset = offset
@@ -238,6 +240,9 @@
         self.held: set[str] = set()
         self._agreed_s: float | None = None
         self._seen_s = seen_s
+        # A session that goes to a version while this is cold finds no room
+        # there half of the time, and would go to and fro between versions.
+        self._collect_s = max(COLLECT_S, warmup_s + WARM_MARGIN_S)
         self._evidence: dict[str, float] = {}
         self._failed_upstreams: set[str] = set()
         self._answers: dict[str, int] = {}
@@ -254,7 +259,9 @@
 
     def is_collecting(self, now_s: float) -> bool:
         """Whether gateways still tell which sessions are going on."""
-        return self._agreed_s is None or now_s - self._agreed_s < COLLECT_S
+        return (
+            self._agreed_s is None or now_s - self._agreed_s < self._collect_s
+        )
 
     def note_age(self, age_s: float, now_s: float) -> None:
         """Takes another gateway's word that the order is older."""
@@ -347,6 +354,8 @@
 HALF_RATIO = 0.51
 """Until then a session stays on the old version if it began there; a little
 over the half, since gateways learn of an order at different moments."""
+WARM_MARGIN_S = 0.5
+"""Time that upstreams of a new version may take to start after the order."""
 COLLECT_S = 2.0
 """Time in which gateways tell which sessions are going on, before any goes to
 the new version. A session's requests come to any gateway, so one gateway does
--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import Iterable
 
+from lovagestage.decisions.warmup import WarmupLog
 from lovagestage.gateway.performance import Performance
 from lovagestage.types import InstanceId, ServiceId, VersionId, ZoneId
 
@@ -41,6 +42,7 @@
         is_draining: It takes no new requests soon.
         born_ms: Unix time of its start; None where it does not tell. Another
             one under the same id is another process.
+        warmup_left_s: Time for which it stays cold, as it was told.
     """
 
     service: ServiceId
@@ -50,6 +52,7 @@
     slots: int
     is_draining: bool
     born_ms: int | None = None
+    warmup_left_s: float = 0.0
 
 
 class UpstreamState(enum.Enum):
@@ -74,6 +77,7 @@
             takes nothing any more, whatever is written of it later.
         changed_s: Elapsed time at the last change of the state.
         performance: What this gateway saw of it.
+        warmup: How cold it may be, and what was sent to it lately.
         past_born_ms: Starts of the processes that had its id before.
     """
 
@@ -87,6 +91,7 @@
         self.has_left = False
         self.changed_s = now_s
         self.performance = Performance()
+        self.warmup = WarmupLog()
         self.past_born_ms: tuple[int | None, ...] = ()
         self._sent_subjects: set[str] | None = None
 
@@ -126,6 +131,19 @@
         """
         return self._sent_subjects is None or subject in self._sent_subjects
 
+    def note_cold(self, left_s: float, now_s: float) -> None:
+        """Takes that it stays cold for so long; logs it where it is news."""
+        if self.warmup.note_left(left_s, now_s):
+            _log.info(
+                "upstream_cold",
+                extra={
+                    "upstream": self.id,
+                    "service": self.entry.service,
+                    "zone": self.entry.zone,
+                    "left_s": round(left_s, 2),
+                },
+            )
+
     def set_state(self, state: UpstreamState, now_s: float) -> None:
         """Changes the state and logs it."""
         if state is self.state:
@@ -195,6 +213,7 @@
         upstream.entry = entry
         upstream.offset = offset
         upstream.has_left = upstream.has_left or entry.is_draining
+        upstream.note_cold(entry.warmup_left_s, now_s)
         is_draining = upstream.has_left
         upstream.set_state(
             UpstreamState.DRAINING if is_draining else UpstreamState.READY,
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -10,6 +10,7 @@
 
 import mode
 
+from lovagestage.decisions.warmup import ZoneDealers
 from lovagestage.gateway.beliefs import OperatorBeliefs, UpstreamBeliefs
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
@@ -41,6 +42,7 @@
 from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.gateway.suspects import SuspectWatch
 from lovagestage.gateway.trust import MARGIN_S, Trust
+from lovagestage.gateway.warmups import WarmupGuard
 from lovagestage.messages.crashes import CrashReport
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
@@ -111,10 +113,20 @@
     rng = random.Random()
     bounds = settings.bounds
     make_store = functools.partial(_make_store, settings, exposition)
+    socket = _make_peer_socket(settings, exposition)
+    guard = WarmupGuard(
+        ZoneDealers(),
+        settings.zone,
+        None if socket is None else socket.own,
+        lambda: () if gossip is None else gossip.get_zone_peers(),
+        get_elapsed_s(),
+    )
     deployment = Deployment(
         Trust(bounds.revoke_s, bounds.apply_s),
         SessionPins(bounds.session_s),
+        guard,
     )
+    gossip = _make_gossip(settings, deployment, socket)
     rollouts = RolloutService(
         make_store(), deployment, settings.vm, bounds, rng
     )
@@ -126,8 +138,6 @@
     )
     rollouts.set_mailbox(mailbox)
     suspects = SuspectWatch(mailbox.post)
-    socket = _make_peer_socket(settings, exposition)
-    gossip = _make_gossip(settings, deployment, socket)
     if socket is not None and gossip is not None:
         mailbox.subscribe(HelloNote, _make_greeter(socket, gossip))
     relay = _make_relay(settings, socket, exposition)
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Annotated, Any, Literal
 
 import msgspec
 
+from lovagestage.decisions.warmup import Warmup
 from lovagestage.exceptions import CodecError
 from lovagestage.gateway.configuration import (
     Backend,
@@ -80,6 +81,7 @@
             [_decode_route(route) for route in fields.get("Routes", ())],
             _decode_limits(fields.get("Limits", {})),
             _decode_keys(fields.get("Tenants")),
+            _decode_warmups(fields.get("Services", ())),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise CodecError(f"Configuration: {error!r}.") from error
@@ -133,6 +135,16 @@
     return keys
 
 
+def _decode_warmups(services: Sequence[Fields]) -> dict[ServiceId, Warmup]:
+    warmups = {}
+    for fields in services:
+        duration_s = float(fields.get("WarmupS", 0.0))
+        per_s = float(fields.get("WarmupPerS", 0.0))
+        if duration_s > 0.0 and per_s > 0.0:
+            warmups[ServiceId(fields["Name"])] = Warmup(duration_s, per_s)
+    return warmups
+
+
 def decode_upstream(data: bytes) -> UpstreamEntry:
     """Decodes what an upstream says of itself.
 
@@ -152,6 +164,7 @@
         slots=fields.MaxBatchSize,
         is_draining=fields.State == "draining",
         born_ms=None if born is msgspec.UNSET else born,
+        warmup_left_s=max(0.0, fields.WarmupLeftMs / 1000),
     )
 
 
--- a/tests/gateway_stage.py
+++ b/tests/gateway_stage.py
@@ -45,7 +45,7 @@
     }
 
 
-def make_configuration(version=1, routes=None, keys=(KEY,)):
+def make_configuration(version=1, routes=None, keys=(KEY,), services=None):
     stream = {"Resumable": True, "TargetGapMs": 300, "SessionAffinity": True}
     return {
         "Version": version,
@@ -57,7 +57,7 @@
             make_route("sized", "streaming", Sizes=MODELS, **stream),
             make_route("open", Public=True),
         ],
-        "Services": [{"Name": "pool", "HealthPath": "/healthz"}],
+        "Services": services or [{"Name": "pool", "HealthPath": "/healthz"}],
         "Limits": LIMITS,
         "Tenants": [{"Name": "clinic", "ApiKeys": list(keys), "Priority": 2}],
     }
