Keep requests in the regions that their route and workspace name

Cause: AllowedRegions was read nowhere.

Where route and workspace both name regions, both bind. Regions of zones come from the settings, also after a reload; a zone of an unknown region is no home. Without an upstream at home a request is refused at once and says so (no_upstream_at_home), whatever room there is elsewhere. Bodies are not passed between gateways, so that only the choice of the upstream matters.

--- a/src/lovagestage/gateway/admission.py
+++ b/src/lovagestage/gateway/admission.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from lovagestage.decisions.homes import Homes, get_common_homes
 from lovagestage.exceptions import GatewayRefusalError
 from lovagestage.gateway.configuration import (
     Configuration,
@@ -51,6 +52,14 @@
             return min(MAX_PRIORITY, max(0, workspace.priority))
         return min(MAX_PRIORITY, max(0, self.route.priority))
 
+    @property
+    def homes(self) -> Homes | None:
+        """Regions where it may run; None for any."""
+        workspace = self.workspace
+        return get_common_homes(
+            self.route.homes, None if workspace is None else workspace.homes
+        )
+
     def get_left_s(self, now_s: float) -> float:
         """Time until the deadline."""
         return self.deadline_s - now_s
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -110,7 +110,7 @@
         """
         placement = self._place(work)
         if placement is None:
-            raise self.make_refusal("no_upstream")
+            raise self.make_refusal(self._get_missing_reason())
         upstream = placement.upstream
         self.work_s = placement.work_s
         self.is_cached = placement.is_cached
@@ -124,6 +124,16 @@
         self.extra_s = wait_s + placement.work_s - work.cached_s
         return upstream
 
+    def _get_missing_reason(self) -> str:
+        """Names why no upstream is left."""
+        admitted, deployment = self.admitted, self._deployment
+        at_home = deployment.get_ready(admitted.service, admitted.homes)
+        if not at_home and deployment.get_ready(admitted.service, None):
+            return "no_upstream_at_home"
+        if at_home and not deployment.get_open(at_home, get_elapsed_s()):
+            return "upstreams_cold"
+        return "no_upstream"
+
     def _place(self, work: choice.Work) -> choice.Placement | None:
         admitted, deployment = self.admitted, self._deployment
         now_s = get_elapsed_s()
@@ -132,6 +142,7 @@
             admitted.request.session,
             str(admitted.request.id),
             now_s,
+            admitted.homes,
         )
         for upstreams in self._get_groups():
             placement = choice.choose_upstream(
@@ -146,15 +157,17 @@
 
         A session goes to others of its version before it changes that.
         """
-        service, now_s = self.admitted.service, get_elapsed_s()
-        deployment = self._deployment
+        admitted, assignment = self.admitted, self.assignment
+        deployment, now_s = self._deployment, get_elapsed_s()
         own = self._get_own()
-        same = deployment.get_open(
-            deployment.get_version_upstreams(service, self.assignment), now_s
+        same = deployment.get_version_upstreams(
+            admitted.service, assignment, admitted.homes
         )
-        other = deployment.get_open(
-            deployment.get_fallback(service, self.assignment), now_s
+        other = deployment.get_fallback(
+            admitted.service, assignment, admitted.homes
         )
+        same = deployment.get_open(same, now_s)
+        other = deployment.get_open(other, now_s)
         # An answer that failed speaks against the version, not the upstream.
         if self._has_new_failed:
             return [other, own]
@@ -168,7 +181,7 @@
     def _get_own(self) -> list[Upstream]:
         now_s = get_elapsed_s()
         upstreams = self._deployment.get_upstreams(
-            self.admitted.service, self.assignment, now_s
+            self.admitted.service, self.assignment, now_s, self.admitted.homes
         )
         return self._deployment.get_open(upstreams, now_s)
 
--- a/src/lovagestage/gateway/configuration.py
+++ b/src/lovagestage/gateway/configuration.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from lovagestage.decisions.homes import Homes
 from lovagestage.decisions.warmup import Warmup
 from lovagestage.types import ServiceId, WorkspaceId
 
@@ -50,6 +51,7 @@
         models: Models that may answer, smallest first; empty where the
             caller names one.
         backends: Services that it leads to.
+        homes: Regions where its requests may run; None for any.
     """
 
     name: str
@@ -65,6 +67,7 @@
     is_resumable: bool
     models: tuple[str, ...]
     backends: tuple[Backend, ...]
+    homes: Homes | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -86,10 +89,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class WorkspaceEntry:
-    """A workspace as a key leads to it."""
+    """A workspace as a key leads to it.
+
+    Attributes:
+        name: Its name.
+        priority: Rank of its requests; None for that of their routes.
+        homes: Regions where they may run; None for any.
+    """
 
     name: WorkspaceId
     priority: int | None = None
+    homes: Homes | None = None
 
 
 class Configuration:
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from lovagestage.decisions.evacuation import Evacuations
+from lovagestage.decisions.homes import Homes, is_home
 from lovagestage.decisions.warmup import Warmup
 from lovagestage.gateway.configuration import Configuration
 from lovagestage.gateway.pins import SessionPins
@@ -19,7 +20,7 @@
 from lovagestage.gateway.rotation import Rotation, Upstream
 from lovagestage.gateway.trust import Trust
 from lovagestage.gateway.warmups import WarmupGuard
-from lovagestage.types import ServiceId, ZoneId
+from lovagestage.types import RegionId, ServiceId, ZoneId
 
 _log = logging.getLogger(__name__)
 
@@ -40,6 +41,7 @@
         rollouts: The last order of each service.
         pins: Versions that sessions are on.
         evacuations: Availability zones whose upstreams get nothing.
+        regions: Region of each availability zone.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.rollouts: dict[ServiceId, Rollout] = {}
         self.pins = pins
         self.evacuations = Evacuations()
+        self.regions: Mapping[ZoneId, RegionId] = {}
         self._warmup_guard = warmup_guard
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -74,12 +77,20 @@
         )
         self.configuration = configuration
 
-    def get_ready(self, service: ServiceId) -> list[Upstream]:
-        """Upstreams of a service to which requests may be sent."""
+    def get_ready(
+        self, service: ServiceId, homes: Homes | None
+    ) -> list[Upstream]:
+        """Upstreams of a service to which requests may be sent.
+
+        Args:
+            service: The service.
+            homes: Regions where the requests may run; None for any.
+        """
         return [
             upstream
             for upstream in self.rotation.get_ready(service)
             if upstream.entry.zone not in self.evacuations
+            and is_home(self.regions.get(upstream.entry.zone), homes)
         ]
 
     def get_warmup(self, service: ServiceId) -> Warmup | None:
@@ -119,6 +130,7 @@
         session: str | None,
         request: str,
         now_s: float,
+        homes: Homes | None = None,
     ) -> Assignment:
         """Chooses the version that a request's session is on.
 
@@ -127,8 +139,9 @@
             session: The session; None for a request by itself.
             request: Id of the request.
             now_s: Elapsed time.
+            homes: Regions where the request may run; None for any.
         """
-        ready = self.get_ready(service)
+        ready = self.get_ready(service, homes)
         versions = sorted({upstream.entry.version for upstream in ready})
         rollout = self.rollouts.get(service)
         if session is None:
@@ -143,11 +156,15 @@
         return assignment
 
     def get_upstreams(
-        self, service: ServiceId, assignment: Assignment, now_s: float
+        self,
+        service: ServiceId,
+        assignment: Assignment,
+        now_s: float,
+        homes: Homes | None = None,
     ) -> list[Upstream]:
         """Upstreams that take requests of an assignment."""
-        own = self.get_version_upstreams(service, assignment)
-        ready = self.get_ready(service)
+        own = self.get_version_upstreams(service, assignment, homes)
+        ready = self.get_ready(service, homes)
         rollout = self.rollouts.get(service)
         if rollout is None or not assignment.is_new or len(own) == len(ready):
             return own
@@ -157,16 +174,22 @@
         return [u for u in own if u.id in trial]
 
     def get_version_upstreams(
-        self, service: ServiceId, assignment: Assignment
+        self,
+        service: ServiceId,
+        assignment: Assignment,
+        homes: Homes | None = None,
     ) -> list[Upstream]:
         """Upstreams of an assignment's version, on trial or not."""
-        ready = self.get_ready(service)
+        ready = self.get_ready(service, homes)
         if assignment.version is None:
             return ready
         return [u for u in ready if u.entry.version == assignment.version]
 
     def get_fallback(
-        self, service: ServiceId, assignment: Assignment
+        self,
+        service: ServiceId,
+        assignment: Assignment,
+        homes: Homes | None = None,
     ) -> list[Upstream]:
         """Upstreams for a request that its own version can't answer.
 
@@ -180,7 +203,7 @@
         is_running = rollout.outcome is RolloutOutcome.RUNNING
         return [
             upstream
-            for upstream in self.get_ready(service)
+            for upstream in self.get_ready(service, homes)
             if upstream.entry.version != assignment.version
             and (upstream.entry.version != target or is_running)
             and not (upstream.entry.version == target and rollout.is_stopped)
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -206,6 +206,7 @@
         # Addresses and times to wait for stay as they are until a restart.
         self.deployment.trust.limit_s = settings.bounds.revoke_s
         self.deployment.trust.apply_s = settings.bounds.apply_s
+        self.deployment.regions = settings.regions
         self.deployment.pins.session_s = settings.bounds.session_s
         self._parts.rollouts.apply_bounds(settings.bounds)
         self._parts.forwarder.apply_bounds(settings.bounds)
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 
-from lovagestage.types import VmId, ZoneId
+from lovagestage.types import RegionId, VmId, ZoneId
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +49,7 @@
     Attributes:
         vm: The VM that it runs on.
         zone: The VM's availability zone.
+        regions: Region of each availability zone.
         client_address: `IP:PORT` that callers reach.
         readiness_address: `IP:PORT` that the balancer asks.
         peer_address: `IP:PORT` for datagrams of other gateways; None where
@@ -58,6 +60,7 @@
 
     vm: VmId
     zone: ZoneId
+    regions: Mapping[ZoneId, RegionId]
     client_address: str
     readiness_address: str
     peer_address: str | None
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -126,6 +126,7 @@
         SessionPins(bounds.session_s),
         guard,
     )
+    deployment.regions = settings.regions
     gossip = _make_gossip(settings, deployment, socket)
     rollouts = RolloutService(
         make_store(), deployment, settings.vm, bounds, rng
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lovagestage.decisions.homes import Homes
 from lovagestage.decisions.warmup import Warmup
 from lovagestage.exceptions import CodecError
 from lovagestage.gateway.configuration import (
@@ -23,7 +24,13 @@
     RolloutOutcome,
 )
 from lovagestage.gateway.rotation import UpstreamEntry
-from lovagestage.types import ServiceId, VersionId, WorkspaceId, ZoneId
+from lovagestage.types import (
+    RegionId,
+    ServiceId,
+    VersionId,
+    WorkspaceId,
+    ZoneId,
+)
 
 CONFIG_KEY = "config"
 _ORDER_PREFIX = "rollout/"
@@ -108,9 +115,15 @@
             Backend(ServiceId(part["Service"]), float(part["Weight"]))
             for part in backends
         ),
+        homes=_decode_homes(fields),
     )
 
 
+def _decode_homes(fields: Fields) -> Homes | None:
+    regions = fields.get("AllowedRegions")
+    return frozenset(RegionId(name) for name in regions) if regions else None
+
+
 def _decode_limits(fields: Fields) -> ClientLimits:
     default = ClientLimits()
     return ClientLimits(
@@ -129,7 +142,9 @@
     keys: dict[str, WorkspaceEntry] = {}
     for fields in workspaces:
         entry = WorkspaceEntry(
-            WorkspaceId(fields["Name"]), fields.get("Priority")
+            WorkspaceId(fields["Name"]),
+            fields.get("Priority"),
+            _decode_homes(fields),
         )
         keys.update(dict.fromkeys(fields.get("ApiKeys", ()), entry))
     return keys
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -8,9 +8,10 @@
 
 from lovagestage.exceptions import SettingsError
 from lovagestage.gateway.settings import Bounds, GatewaySettings
-from lovagestage.types import VmId, ZoneId
+from lovagestage.types import RegionId, VmId, ZoneId
 
 SETTINGS_VARIABLE = "LOVAGESTAGE_NODE_FILE"
+_ZONES_PREFIX = "Zones."
 
 
 def read_settings(path: pathlib.Path) -> GatewaySettings:
@@ -44,6 +45,7 @@
     return GatewaySettings(
         vm=VmId(reader.get_text("NodeName")),
         zone=ZoneId(reader.get_text("Zone")),
+        regions=_decode_regions(fields),
         client_address=reader.get_address("Listen.Frontend"),
         readiness_address=reader.get_address("Listen.Readiness"),
         peer_address=_decode_peer_address(reader),
@@ -52,6 +54,14 @@
     )
 
 
+def _decode_regions(fields: Mapping[str, str]) -> dict[ZoneId, RegionId]:
+    return {
+        ZoneId(key.removeprefix(_ZONES_PREFIX)): RegionId(region)
+        for key, region in fields.items()
+        if key.startswith(_ZONES_PREFIX)
+    }
+
+
 def _decode_peer_address(reader: _Reader) -> str | None:
     """The first of the ports that nodes may use between each other."""
     first = reader.get_text("PortRange", "").partition(",")[0]
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -9,6 +9,7 @@
 
 VmId = NewType("VmId", str)
 ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
 WorkspaceId = NewType("WorkspaceId", str)
 ServiceId = NewType("ServiceId", str)
 ModelId = NewType("ModelId", str)
--- a/tests/gateway_stage.py
+++ b/tests/gateway_stage.py
@@ -153,7 +153,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_stage(workers=2, script=None, **configuration):
+async def run_stage(workers=2, script=None, more="", **configuration):
     """A stage whose gateway is ready, with workers `w1`, `w2` and so on."""
     stage = Stage()
     runner, store_port = await start_app(stage.store.make_app(), "127.0.0.1", 0)
@@ -163,7 +163,7 @@
     text = make_settings_text(
         stage.client_port, stage.readiness_port, store_port
     )
-    text += f"\nIp=127.0.0.1\nPortRange={get_free_port()},0"
+    text += f"\nIp=127.0.0.1\nPortRange={get_free_port()},0\n{more}"
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "boot.conf"
         path.write_text(text)
