Serve callers by the first upstreams that are known, not the last

Cause: a gateway took its upstreams once the whole list had been read.

Each answer's entries count as it arrives. A gateway says that it is ready only once it has them all, as before; where none is ready, callers are sent to all.

Ruled out: reading by turns (the last one begins as late), other gateways as the source (they have all just started, and the narrow links stay).

--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -142,10 +142,20 @@
         await self._get(kind, path, wait_s + silence_s, silence_s, pages.take)
         return pages.get_page()
 
-    async def read_newest(self, topic: str, silence_s: float) -> Page:
+    async def read_newest(
+        self,
+        topic: str,
+        silence_s: float,
+        on_records: Callable[[Sequence[Record]], None] = lambda _: None,
+    ) -> Page:
         """Reads the newest record of each key.
 
         Limit and failures are those of `read`.
+
+        Args:
+            topic: The topic.
+            silence_s: Time without a byte of an answer.
+            on_records: Takes the records of each answer as it arrives.
         """
         records: list[Record] = []
         end: int | None = None
@@ -158,7 +168,7 @@
             # Pages are not a snapshot: a record that moves from a later page
             # to after the first page's end is read again from there.
             end = fields["EndOffset"] if end is None else end
-            records += [
+            fresh = [
                 Record(
                     item["Offset"],
                     item["Key"],
@@ -166,6 +176,8 @@
                 )
                 for item in fields["Entries"]
             ]
+            on_records(fresh)
+            records += fresh
             if not fields.get("HasMore") or not fields["Entries"]:
                 return Page(tuple(records), end)
             after = "&After=" + urllib.parse.quote(
