Let a datagram cost what it names, and choices reuse the list of upstreams

Cause: each datagram of another gateway, a hundred a second, recomputed the neighbours of all peers and the waits at all upstreams, with a hash of each name. Each request listed all upstreams of its service three times or more, and the versions of all also without a roll-out; with the checks for warm-up and evacuation it would have been eight times.

Sums are kept by upstream and changed by what a datagram names, in whole units so that they end where they began; all are summed anew once processes or neighbours came or went. The list of upstreams that take requests is kept until an entry changes it; no upstream is looked at for warm-up while none is known to be cold; versions are listed during roll-outs only, and the second and third choice only where the first has none.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -6,6 +6,7 @@
 import functools
 import logging
 import random
+from collections.abc import Iterator, Sequence
 
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway import choice
@@ -152,33 +153,37 @@
                 return placement
         return None
 
-    def _get_groups(self) -> list[list[Upstream]]:
+    def _get_groups(self) -> Iterator[Sequence[Upstream]]:
         """Upstreams by version, in the order in which they are asked.
 
         A session goes to others of its version before it changes that.
         """
-        admitted, assignment = self.admitted, self.assignment
-        deployment, now_s = self._deployment, get_elapsed_s()
-        own = self._get_own()
+        if self._has_new_failed:
+            # That speaks against the version, not the upstream.
+            yield self._get_others()
+        yield self._get_own()
+        if self._has_new_failed:
+            return
+        admitted, deployment = self.admitted, self._deployment
         same = deployment.get_version_upstreams(
-            admitted.service, assignment, admitted.homes
+            admitted.service, self.assignment, admitted.homes
         )
-        other = deployment.get_fallback(
-            admitted.service, assignment, admitted.homes
+        yield deployment.get_open(same, get_elapsed_s())
+        yield self._get_others()
+
+    def _get_others(self) -> Sequence[Upstream]:
+        admitted, deployment = self.admitted, self._deployment
+        others = deployment.get_fallback(
+            admitted.service, self.assignment, admitted.homes
         )
-        same = deployment.get_open(same, now_s)
-        other = deployment.get_open(other, now_s)
-        # An answer that failed speaks against the version, not the upstream.
-        if self._has_new_failed:
-            return [other, own]
-        return [own, same, other]
+        return deployment.get_open(others, get_elapsed_s())
 
     def get_least_wait_s(self) -> float:
         """Expected wait at the least busy upstream of the request's version."""
         waits_s = (u.performance.get_wait_s() for u in self._get_own())
         return min(waits_s, default=0.0)
 
-    def _get_own(self) -> list[Upstream]:
+    def _get_own(self) -> Sequence[Upstream]:
         now_s = get_elapsed_s()
         upstreams = self._deployment.get_upstreams(
             self.admitted.service, self.assignment, now_s, self.admitted.homes
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -20,7 +20,7 @@
 from lovagestage.gateway.rotation import Rotation, Upstream
 from lovagestage.gateway.trust import Trust
 from lovagestage.gateway.warmups import WarmupGuard
-from lovagestage.types import RegionId, ServiceId, ZoneId
+from lovagestage.types import RegionId, ServiceId, VersionId, ZoneId
 
 _log = logging.getLogger(__name__)
 
@@ -86,9 +86,12 @@
             service: The service.
             homes: Regions where the requests may run; None for any.
         """
+        ready = self.rotation.get_ready(service)
+        if homes is None and not len(self.evacuations):
+            return ready
         return [
             upstream
-            for upstream in self.rotation.get_ready(service)
+            for upstream in ready
             if upstream.entry.zone not in self.evacuations
             and is_home(self.regions.get(upstream.entry.zone), homes)
         ]
@@ -108,15 +111,15 @@
         for upstream in self.rotation.get_all():
             warmup = self.get_warmup(upstream.entry.service)
             if warmup is not None and upstream.entry.zone == zone:
-                upstream.note_cold(warmup.duration_s, now_s)
+                self.rotation.note_cold(upstream, warmup.duration_s, now_s)
 
     def get_open(
         self, upstreams: Sequence[Upstream], now_s: float
-    ) -> list[Upstream]:
+    ) -> Sequence[Upstream]:
         """Those that are warm, or may get one more request from here."""
         guard = self._warmup_guard
-        if guard is None:
-            return list(upstreams)
+        if guard is None or now_s >= self.rotation.cold_until_s:
+            return upstreams
         return [
             upstream
             for upstream in upstreams
@@ -141,9 +144,11 @@
             now_s: Elapsed time.
             homes: Regions where the request may run; None for any.
         """
-        ready = self.get_ready(service, homes)
-        versions = sorted({upstream.entry.version for upstream in ready})
         rollout = self.rollouts.get(service)
+        versions: list[VersionId] = []
+        if rollout is not None:
+            ready = self.get_ready(service, homes)
+            versions = sorted({upstream.entry.version for upstream in ready})
         if session is None:
             return choose_versions(rollout, versions, request, now_s)
         is_pinned_off = rollout is not None and self.pins.is_pinned_off(
--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -11,7 +11,7 @@
 import dataclasses
 import logging
 import struct
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 import mode
 import xxhash
@@ -20,6 +20,7 @@
 from lovagestage.gateway.neighbours import Neighbours, choose_neighbours
 from lovagestage.gateway.peers import PeerAddress, PeerSocket
 from lovagestage.gateway.rotation import Rotation, Upstream
+from lovagestage.gateway.told_waits import ToldWaits
 from lovagestage.types import VmId, ZoneId
 
 _log = logging.getLogger(__name__)
@@ -53,13 +54,13 @@
         at_s: When, by the loop's clock.
         sequence: Number of its datagram.
         zone: Its availability zone.
-        waiting: Expected wait by short name of the upstream, in seconds.
+        waiting: Expected wait by short name of the upstream, in units.
     """
 
     at_s: float
     sequence: int
     zone: ZoneId
-    waiting: dict[int, float]
+    waiting: Mapping[int, int]
 
 
 class Gossip(mode.Service):
@@ -82,6 +83,11 @@
         self._zone = zone
         self._zones: dict[PeerAddress, ZoneId] = {}
         self._heard: dict[int, _Heard] = {}
+        self._waits = ToldWaits()
+        self._by_name: dict[int, Upstream] = {}
+        self._revision = -1
+        self._neighbours: Neighbours | None = None
+        self._peers = 0
         self._sequence = 0
         self._was_empty = False
         self._sent_s = get_elapsed_s()
@@ -90,7 +96,9 @@
 
     def note_zone(self, peer: PeerAddress, zone: ZoneId) -> None:
         """Takes a gateway's availability zone."""
-        self._zones[peer] = zone
+        if self._zones.get(peer) != zone:
+            self._zones[peer] = zone
+            self._neighbours = None
 
     def take(self, data: bytes, address: PeerAddress) -> None:
         """Takes a datagram; one that can't be read is dropped and logged."""
@@ -98,10 +106,7 @@
             sender, sequence, size = _HEAD.unpack_from(data)
             first = _HEAD.size + size
             zone = ZoneId(data[_HEAD.size : first].decode())
-            waiting = {
-                name: units * UNIT_S
-                for name, units in _ENTRY.iter_unpack(data[first:])
-            }
+            waiting = dict(_ENTRY.iter_unpack(data[first:]))
         except (struct.error, UnicodeDecodeError) as error:
             _log.warning("gossip_refused", extra={"error": str(error)})
             return
@@ -114,7 +119,7 @@
             if now_s - known.at_s < self._get_heard_for_s():
                 return
         self._heard[sender] = _Heard(now_s, sequence, zone, waiting)
-        self._update()
+        self._update(sender)
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -129,7 +134,15 @@
         return [p for p in self._socket.peers if zones.get(p) == self._zone]
 
     def _get_neighbours(self) -> Neighbours:
-        return choose_neighbours(self._socket.peers, self._zones, self._zone)
+        """Who is told often; found anew only once gateways came or went."""
+        peers = self._socket.peers
+        if self._neighbours is None or self._peers != len(peers):
+            self._peers = len(peers)
+            before = self._neighbours
+            self._neighbours = choose_neighbours(peers, self._zones, self._zone)
+            if before != self._neighbours:
+                self._revision = -1
+        return self._neighbours
 
     def _get_period_s(self) -> float:
         neighbours = len(self._get_neighbours().peers)
@@ -173,22 +186,46 @@
             for name in old:
                 known = self._heard[name]
                 self._heard[name] = dataclasses.replace(known, waiting={})
-            self._update()
+                self._update(name)
         for peer in self._zones.keys() - self._socket.peers:
             del self._zones[peer]
+            self._neighbours = None
 
-    def _update(self) -> None:
+    def _update(self, sender: int) -> None:
+        """Counts what a gateway told at the upstreams that it named."""
         neighbours = self._get_neighbours()
-        totals: dict[int, float] = {}
-        for heard in self._heard.values():
-            if neighbours.zone not in (None, heard.zone):
-                continue
-            for name, wait_s in heard.waiting.items():
-                totals[name] = totals.get(name, 0.0) + wait_s
-        for upstream in self._rotation.get_all():
-            upstream.performance.waiting_elsewhere_s = (
-                neighbours.ratio * totals.get(_get_short_name(upstream), 0.0)
-            )
+        if self._revision != self._rotation.revision:
+            self._update_all(neighbours)
+            return
+        heard = self._heard[sender]
+        counted = self._is_counted(heard, neighbours)
+        changed = self._waits.replace(sender, heard.waiting if counted else {})
+        for name in changed:
+            if upstream := self._by_name.get(name):
+                self._set_wait(upstream, name, neighbours)
+
+    def _update_all(self, neighbours: Neighbours) -> None:
+        """The same for all, once upstreams or neighbours came or went."""
+        self._revision = self._rotation.revision
+        upstreams = self._rotation.get_all()
+        self._by_name = {_get_short_name(each): each for each in upstreams}
+        self._waits = ToldWaits()
+        for sender, heard in self._heard.items():
+            if self._is_counted(heard, neighbours):
+                self._waits.replace(sender, heard.waiting)
+        for name, upstream in self._by_name.items():
+            self._set_wait(upstream, name, neighbours)
+
+    @staticmethod
+    def _is_counted(heard: _Heard, neighbours: Neighbours) -> bool:
+        return neighbours.zone in (None, heard.zone)
+
+    def _set_wait(
+        self, upstream: Upstream, name: int, neighbours: Neighbours
+    ) -> None:
+        upstream.performance.waiting_elsewhere_s = (
+            neighbours.ratio * UNIT_S * self._waits.get(name)
+        )
 
 
 def _get_short_name(upstream: Upstream) -> int:
--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -170,9 +170,16 @@
     clocks: a start that was not seen before is a new process even where its
     time is an earlier one. A start that was replaced is of a process that is
     gone, and its record a write that was carried out late.
+
+    Attributes:
+        revision: Grows whenever processes come or go.
+        cold_until_s: Elapsed time from which none is known to be cold.
     """
 
     def __init__(self) -> None:
+        self.revision = 0
+        self.cold_until_s = 0.0
+        self._ready: dict[ServiceId, list[Upstream]] = {}
         self._upstreams: dict[InstanceId, Upstream] = {}
         self._by_service: dict[ServiceId, list[Upstream]] = {}
 
@@ -201,6 +208,7 @@
         known = self._upstreams.get(name)
         if known is not None and offset < known.offset:
             return
+        self._ready.clear()
         if entry is None:
             if known is not None:
                 known.offset = offset
@@ -210,10 +218,12 @@
             _log_late(known, entry, offset)
             return
         upstream = self._get_process(name, entry, offset, now_s)
+        if upstream.entry.born_ms != entry.born_ms:
+            self.revision += 1
         upstream.entry = entry
         upstream.offset = offset
         upstream.has_left = upstream.has_left or entry.is_draining
-        upstream.note_cold(entry.warmup_left_s, now_s)
+        self.note_cold(upstream, entry.warmup_left_s, now_s)
         is_draining = upstream.has_left
         upstream.set_state(
             UpstreamState.DRAINING if is_draining else UpstreamState.READY,
@@ -235,6 +245,7 @@
         for upstream in self._upstreams.values():
             if upstream.id not in listed and upstream.offset < end:
                 self._remove(upstream, now_s, was_away)
+        self._ready.clear()
 
     def expire(self, now_s: float) -> None:
         """Gives up lapsed upstreams that did not come back."""
@@ -243,17 +254,29 @@
             if upstream.state is UpstreamState.LAPSED:
                 if age_s > LAPSE_GRACE_S:
                     upstream.set_state(UpstreamState.GONE, now_s)
+                    self._ready.clear()
             elif upstream.state is UpstreamState.GONE and age_s > FORGET_S:
                 self._drop(upstream)
 
     def get_ready(self, service: ServiceId) -> list[Upstream]:
-        """Upstreams of a service that take requests."""
-        usable = (UpstreamState.READY, UpstreamState.LAPSED)
-        return [
-            upstream
-            for upstream in self._by_service.get(service, ())
-            if upstream.state in usable
-        ]
+        """Upstreams of a service that take requests; not to be changed."""
+        ready = self._ready.get(service)
+        if ready is None:
+            usable = (UpstreamState.READY, UpstreamState.LAPSED)
+            ready = [
+                upstream
+                for upstream in self._by_service.get(service, ())
+                if upstream.state in usable
+            ]
+            self._ready[service] = ready
+        return ready
+
+    def note_cold(
+        self, upstream: Upstream, left_s: float, now_s: float
+    ) -> None:
+        """Takes that an upstream stays cold for so long."""
+        upstream.note_cold(left_s, now_s)
+        self.cold_until_s = max(self.cold_until_s, now_s + left_s)
 
     def get_all(self) -> list[Upstream]:
         """All upstreams, also those that are gone."""
@@ -301,11 +324,13 @@
         return successor
 
     def _insert(self, upstream: Upstream) -> None:
+        self.revision += 1
         self._upstreams[upstream.id] = upstream
         service = upstream.entry.service
         self._by_service.setdefault(service, []).append(upstream)
 
     def _drop(self, upstream: Upstream) -> None:
+        self.revision += 1
         del self._upstreams[upstream.id]
         self._by_service[upstream.entry.service].remove(upstream)
 
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -7,6 +7,8 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from lab.ports import get_free_port
 from lovagestage.gateway import gossip as gossips
@@ -22,6 +24,7 @@
 from lovagestage.gateway.neighbours import choose_neighbours
 from lovagestage.gateway.peers import PeerSocket
 from lovagestage.gateway.rotation import Rotation, UpstreamEntry
+from lovagestage.gateway.told_waits import ToldWaits
 
 NAMES = ("w1", "w2", "w3")
 
@@ -205,3 +208,51 @@
         await wait_until(lambda: told.count(("10.3.0.1", 9)) >= 2)
     finally:
         await gossip.stop()
+
+
+@given(
+    told=st.lists(
+        st.tuples(
+            st.integers(0, 3),
+            st.dictionaries(st.integers(0, 5), st.integers(0, 9)),
+        ),
+        max_size=40,
+    )
+)
+def test_sums_are_those_of_what_each_gateway_told_last(told):
+    waits, newest = ToldWaits(), {}
+    for gateway, own in told:
+        waits.replace(gateway, own)
+        newest[gateway] = own
+    for name in range(6):
+        expected = sum(own.get(name, 0) for own in newest.values())
+        assert waits.get(name) == expected
+
+
+def test_a_datagram_costs_what_it_names_not_all_upstreams(monkeypatch):
+    # Guards against gateways that are busy with each other's datagrams where
+    # there are thousands of upstreams.
+    named = []
+    short_name = gossips._get_short_name
+    monkeypatch.setattr(
+        gossips, "_get_short_name", lambda u: named.append(1) or short_name(u)
+    )
+
+    async def run():
+        rotation = Rotation()
+        for number in range(2000):
+            entry = UpstreamEntry("pool", f"h:{number}", "a", "v1", 8, False)
+            rotation.apply(f"w{number}", entry, number, 0.0, False)
+        address = f"127.0.0.1:{get_free_port()}"
+        gossip = Gossip(
+            "edge", "a", PeerSocket(address, Exposition()), rotation
+        )
+        busy = rotation.get_ready("pool")[7]
+        for sequence in range(1, 101):
+            entry = gossips._ENTRY.pack(short_name(busy), sequence)
+            head = gossips._HEAD.pack(99, sequence, 1)
+            gossip.take(head + b"a" + entry, ("10.0.0.2", 7000))
+        assert busy.performance.waiting_elsewhere_s == pytest.approx(0.1)
+
+    asyncio.run(run())
+    assert len(named) <= 2 * 2000
