Let callers of a starting gateway wait for a configuration that is arriving

Callers are held while the store's first answer is arriving, a third of their time at most (they give an attempt up then), and refused at once where nothing arrives or it stops.

Ruled out: opening the port later (callers give up a connection that nobody reads after a third of their time, and are then not known here).

Tests: a caller before a gateway whose configuration takes over 0.25 s to arrive (refused before); one whose store falls silent midway.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -130,6 +130,11 @@
         self._read_s = get_elapsed_s()
         self.is_synced = False
 
+    @property
+    def is_beginning(self) -> bool:
+        """Whether its first answer is arriving."""
+        return not self.is_synced and self._store.is_receiving
+
     def get_lost_age_s(self, now_s: float) -> float | None:
         """Time since the store last failed to answer; None for never."""
         return None if self._lost_s is None else now_s - self._lost_s
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -10,6 +10,7 @@
 from lovagestage.gateway.admission import COME_BACK_S, Admitted, admit
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.cold_start import ColdStart
 from lovagestage.gateway.configuration import ClientLimits, RouteKind
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
@@ -29,6 +30,7 @@
         deployment: What is in force.
         forwarder: Runs requests.
         exposition: Takes what is measured.
+        cold_start: Lets the first callers wait for a configuration.
     """
 
     def __init__(
@@ -36,10 +38,12 @@
         deployment: Deployment,
         forwarder: Forwarder,
         exposition: Exposition,
+        cold_start: ColdStart,
     ) -> None:
         self._deployment = deployment
         self._forwarder = forwarder
         self._exposition = exposition
+        self._cold_start = cold_start
         self._takes_streams = True
 
     def refuse_streams(self) -> None:
@@ -65,6 +69,7 @@
         Raises:
             AttemptFailedError: A stream broke off after it had begun.
         """
+        await self._cold_start.wait(request.budget_s)
         try:
             admitted = self._admit(request)
         except GatewayRefusalError as refusal:
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -13,6 +13,7 @@
 from lovagestage.decisions.warmup import ZoneDealers
 from lovagestage.gateway.beliefs import OperatorBeliefs, UpstreamBeliefs
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.cold_start import ColdStart
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
@@ -153,11 +154,12 @@
         rng,
         lambda: None if socket is None else len(socket.peers) + 1,
     )
+    cold_start = ColdStart(lambda: operator_feed.is_beginning)
     store_return = StoreReturn()
     operator_beliefs = OperatorBeliefs(
         deployment,
         rollouts.on_order,
-        (lambda *_: None) if socket is None else socket.add_key,
+        _make_configuration_listener(socket, cold_start),
     )
     operator_feed = _make_operator_feed(
         make_store(), bounds, operator_beliefs, rng, store_return, relay
@@ -189,12 +191,23 @@
         rollouts,
         forwarder,
         upstream_feed,
-        GatewayService(deployment, forwarder, exposition),
+        GatewayService(deployment, forwarder, exposition, cold_start),
         timers,
         services,
     )
 
 
+def _make_configuration_listener(
+    socket: PeerSocket | None, cold_start: ColdStart
+) -> Callable[[int, bytes], None]:
+    def note(version: int, configuration: bytes) -> None:
+        cold_start.end()
+        if socket is not None:
+            socket.add_key(version, configuration)
+
+    return note
+
+
 def _make_store(
     settings: GatewaySettings, exposition: Exposition
 ) -> StoreClient:
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -15,10 +15,16 @@
 from lovagestage.exceptions import EXIT_UNAVAILABLE
 from lovagestage.gateway import command
 from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.feeds import SILENCE_S
 from lovagestage.gateway.listeners import open_listener
 from lovagestage.gateway.process import COLD_WAIT_S, Gateway
 from lovagestage.platform.settings import decode_settings
-from tests.gateway_stage import Stage, make_request, make_settings_text
+from tests.gateway_stage import (
+    Stage,
+    make_request,
+    make_route,
+    make_settings_text,
+)
 
 ANSWER_LIMIT_S = 1.0
 
@@ -140,3 +146,32 @@
         for worker in stage.workers.values():
             await worker.stop()
         await runner.cleanup()
+
+
+async def test_caller_waits_for_a_configuration_that_is_arriving():
+    # Guards against refusals of the first callers where a narrow link carries
+    # a large configuration for a second: their retry meets another gateway
+    # that has just started.
+    stage = Stage()
+    runner, store_port = await start_app(stage.store.make_app(), "127.0.0.1", 0)
+    routes = [make_route(f"r{number}") for number in range(300)]
+    stage.put_configuration(routes=[make_route("safe"), *routes])
+    worker = await stage.add_worker("w1")
+    stage.store.faults.bytes_per_s = 130_000.0
+    reply, took_s = await send_before_start(stage, store_port)
+    assert took_s > COLD_WAIT_S
+    assert reply.status == 200
+    await worker.stop()
+    await runner.cleanup()
+
+
+async def test_caller_is_refused_once_a_configuration_stops_arriving():
+    # Guards against callers that are held for a store which fell silent.
+    stage = Stage()
+    runner, store_port = await start_app(stage.store.make_app(), "127.0.0.1", 0)
+    stage.put_configuration()
+    stage.store.faults.stall = True
+    reply, took_s = await send_before_start(stage, store_port)
+    assert reply.status == 503
+    assert took_s < SILENCE_S + ANSWER_LIMIT_S
+    await runner.cleanup()
