Print where the time of requests goes, stage by stage

Cause: lines told when the first event came, not what came before it: whether the gateway, the connection or the upstream took the time could not be seen.

request_ended bears the time to the first attempt, to open the connection and from sending to the head; `python -m lab stages LOG...` prints p50 and p99 of each by route, with attempts a request.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -24,6 +24,7 @@
     "demo": "lab.demo",
     "soak": "lab.soak.command",
     "up": "lab.up",
+    "stages": "lab.stages",
     "worth": "lab.worth",
 }
 
--- /dev/null
+++ b/lab/stages.py
@@ -0,0 +1,111 @@
+"""Where the time of requests goes, stage by stage, from gateways' lines."""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import pathlib
+import re
+import sys
+from collections.abc import Iterable, Iterator
+
+import tabulate
+
+EVENT = "event=request_ended"
+STAGES = ("begun_s", "connect_s", "head_s", "first_s", "time_s")
+"""From the request's head to its first attempt; until a connection is open;
+from sending to the answer's head; from the request's head to its stream's
+first event; and to its end."""
+QUANTILES = (0.5, 0.99)
+_FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
+
+
+@dataclasses.dataclass
+class KindTimes:
+    """Times of the answered requests of one service and number of attempts.
+
+    Attributes:
+        times_s: Times by stage.
+        attempts: Attempts of all requests.
+        requests: Requests, answered or not.
+    """
+
+    times_s: dict[str, list[float]] = dataclasses.field(default_factory=dict)
+    attempts: int = 0
+    requests: int = 0
+
+
+def collect(lines: Iterable[str]) -> dict[str, KindTimes]:
+    """Sorts the requests of log lines by their route."""
+    kinds: dict[str, KindTimes] = {}
+    for fields in _parse_lines(lines):
+        kind = kinds.setdefault(fields.get("route", ""), KindTimes())
+        kind.requests += 1
+        upstreams = fields.get("upstreams", "").strip('"')
+        kind.attempts += len(upstreams.split(",")) if upstreams else 0
+        if fields.get("outcome") != "answered":
+            continue
+        for stage in STAGES:
+            if stage in fields:
+                times_s = kind.times_s.setdefault(stage, [])
+                times_s.append(float(fields[stage]))
+    return kinds
+
+
+def _parse_lines(lines: Iterable[str]) -> Iterator[dict[str, str]]:
+    for line in lines:
+        if EVENT in line:
+            yield dict(_FIELD.findall(line))
+
+
+def get_quantile(values: list[float], quantile: float) -> float:
+    """The value that a part of the others lies below."""
+    ranked = sorted(values)
+    return ranked[min(len(ranked) - 1, int(quantile * len(ranked)))]
+
+
+def format_table(kinds: dict[str, KindTimes]) -> str:
+    """A table with a row for each route, most requests first."""
+    rows = []
+    for route, kind in sorted(
+        kinds.items(), key=lambda item: -item[1].requests
+    ):
+        ratio = kind.attempts / kind.requests
+        row: list[str | int] = [route, kind.requests, f"{ratio:.2f}"]
+        for stage in STAGES:
+            values = kind.times_s.get(stage)
+            row.append(
+                " / ".join(
+                    f"{1000 * get_quantile(values, q):.1f}" for q in QUANTILES
+                )
+                if values
+                else ""
+            )
+        rows.append(row)
+    headers = ("route", "requests", "attempts", *STAGES)
+    table: str = tabulate.tabulate(rows, headers, tablefmt="github")
+    return table
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the files."""
+    parser.add_argument(
+        "logs", nargs="+", type=pathlib.Path, metavar="LOG", help="log files"
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Prints the table, in ms at p50 / p99; 1 where no request is told."""
+    lines: list[str] = []
+    for path in arguments.logs:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return 2
+    kinds = collect(lines)
+    if not kinds:
+        print("No line tells of a request's end.", file=sys.stderr)
+        return 1
+    print(format_table(kinds))
+    return 0
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -51,6 +51,9 @@
         is_cached: Whether that one has most likely read the subject before.
         model: Model of the last attempt; None where none is named.
         first_event_s: Time from the request's head to its first event.
+        begun_s: Time from the request's head to its first attempt.
+        connect_s: Time that the last answer's connection took to open.
+        head_s: Time from sending the request to the head of that answer.
     """
 
     def __init__(
@@ -72,6 +75,9 @@
         self.is_cached = False
         self.model: str | None = None
         self.first_event_s: float | None = None
+        self.begun_s: float | None = None
+        self.connect_s: float | None = None
+        self.head_s: float | None = None
         self._deployment = deployment
         self._budget = budget
         self._zone = zone
@@ -113,6 +119,9 @@
         if placement is None:
             raise self.make_refusal(self._get_missing_reason())
         upstream = placement.upstream
+        if self.begun_s is None:
+            now_s = asyncio.get_running_loop().time()
+            self.begun_s = now_s - self.admitted.request.arrived_s
         self.work_s = placement.work_s
         self.is_cached = placement.is_cached
         if work.subject is not None:
@@ -207,6 +216,10 @@
         if not error.has_arrived:
             self._budget.give_back()
 
+    def note_head(self, connect_s: float, head_s: float) -> None:
+        """Takes how long the last attempt took to be answered."""
+        self.connect_s, self.head_s = connect_s, head_s
+
     def take_back(self) -> None:
         """Uncounts an attempt that was not made."""
         self.sent -= 1
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -45,6 +45,8 @@
         upstream: Where to.
         head: Head of the answer, once read.
         is_whole: Whether the whole answer has been read.
+        connect_s: Time that the connection took to open; 0 for a kept one.
+        head_s: Time from sending the request to the head of its answer.
     """
 
     def __init__(
@@ -59,6 +61,8 @@
         self.upstream = upstream
         self.head: AnswerHead | None = None
         self.is_whole = False
+        self.connect_s = 0.0
+        self.head_s = 0.0
         self._pool = pool
         self._call = call
         self._is_repeatable = is_repeatable
@@ -120,7 +124,10 @@
             AttemptFailedError: There is no answer to pass on.
         """
         while True:
+            started_s = get_elapsed_s()
             connection = await self._connect()
+            sent_s = get_elapsed_s()
+            self.connect_s = sent_s - started_s
             was_used = connection.uses > 0
             try:
                 head = await self._ask(connection)
@@ -142,6 +149,7 @@
             self._end_silence()
             self._check_head(head)
             self.head = head
+            self.head_s = get_elapsed_s() - sent_s
             return head
 
     async def fetch_part(self) -> bytes | None:
--- a/src/lovagestage/gateway/plain.py
+++ b/src/lovagestage/gateway/plain.py
@@ -61,6 +61,7 @@
     ) as exchange:
         started_s = asyncio.get_running_loop().time()
         head = await limit_wait(attempts, exchange.fetch_head(), limit_s)
+        attempts.note_head(exchange.connect_s, exchange.head_s)
         exchange.note_begun(asyncio.get_running_loop().time() - started_s)
         body = await limit_wait(
             attempts, exchange.fetch_body(MAX_BODY_BYTES), attempts.left_s
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -131,6 +131,7 @@
             self.progress.last_id,
         ) as exchange:
             head = await limit_wait(attempts, exchange.fetch_head(), limit_s)
+            attempts.note_head(exchange.connect_s, exchange.head_s)
             if head.status >= 300:
                 return await self._pass_failure(exchange, head)
             larger = self._get_larger_model(head)
