Always compare cold upstreams that have room for one more request

Cause: a gateway compares three upstreams at random and the one that its subject is hashed to. The few gateways that may send to a cold one looked at it in one choice of nine, while warm ones had seconds waiting.

Ruled out: comparing all upstreams (tried before: gateways run to the same one); for cold ones that can't happen, three gateways may go there and no more than the rate.

Test: 29 busy upstreams and a cold one that is empty: found in each of 50 choices, in one of nine before.

--- a/src/lovagestage/gateway/choice.py
+++ b/src/lovagestage/gateway/choice.py
@@ -87,8 +87,9 @@
         return Placement(best, False, work.fresh_s)
     likely = max(good, key=lambda u: get_share(f"{work.subject}/{u.id}"))
     sample = rng.sample(good, min(SAMPLE, len(good)))
-    if likely not in sample:
-        sample.append(likely)
+    # Few gateways may send to a cold one, and seldom would it be among those.
+    cold = (u for u in good if u.warmup.is_cold(now_s))
+    sample += [u for u in (likely, *cold) if u not in sample]
     best = min(sample, key=lambda u: _get_wait_s(u, work, u is likely, rng))
     # One that has just started is preferred all the same: what it reads now
     # the next request of the subject finds there.
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import random
 
 import pytest
 from hypothesis import given
@@ -19,6 +20,8 @@
     ZoneDealers,
 )
 from lovagestage.gateway import warmups
+from lovagestage.gateway.choice import Work, choose_upstream
+from lovagestage.gateway.rotation import Rotation, UpstreamEntry
 from tests.gateway_stage import make_route, run_stage
 
 PER_S = 14.0
@@ -205,3 +208,21 @@
     result = experiment.run(3)
     assert result.ok
     assert result.baseline["31 calm"]["broken"] > 0
+
+
+def test_a_cold_upstream_with_room_is_found_among_many_that_are_busy():
+    # Guards against room at cold upstreams that nobody uses: the few gateways
+    # that may send there would compare three of many.
+    rotation = Rotation()
+    for number in range(30):
+        entry = UpstreamEntry("pool", f"h:{number}", "a", "v1", 8, False)
+        rotation.apply(f"w{number}", entry, number, 0.0, False)
+    busy = rotation.get_ready("pool")
+    for upstream in busy[1:]:
+        upstream.performance.waiting_elsewhere_s = 2.0
+    busy[0].note_cold(3.0, 0.0)
+    rng = random.Random(7)
+    for number in range(50):
+        work = Work(0.2, 0.1, f"subject-{number}")
+        placement = choose_upstream(busy, set(), work, "a", 1.0, rng)
+        assert placement.upstream is busy[0]
