Take the first upstreams' early use out again

The first answer holds the same 500 of 3,000 upstreams for all gateways, the first by name: all callers of the first seconds went to these.

Left: lists that each gateway begins elsewhere, or entries in a short form from the few gateways that have read them.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -380,24 +380,13 @@
         return bool(page.records)
 
     async def _read_newest(self, sent_s: float) -> None:
-        page = await self._store.read_newest(
-            self.topic, SILENCE_S, self._take_early
-        )
+        page = await self._store.read_newest(self.topic, SILENCE_S)
         self._topic_log.restart(page.end)
         self._listener.on_newest(page)
         self._note_known()
         if not self._lag.is_behind(page.end):
             self._prove(sent_s)
 
-    def _take_early(self, records: Sequence[Record]) -> None:
-        """Hands records on while the rest of a long list is being read.
-
-        The load that this answers: all gateways start at once and read
-        thousands of entries, for seconds. Callers are served by the first.
-        """
-        newest = max((record.offset for record in records), default=-1)
-        self._listener.on_records(Page(tuple(records), newest + 1))
-
     def _take_page(self, page: Page) -> None:
         """Takes a part of an answer while the rest arrives.
 
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -157,20 +157,10 @@
             self._is_paced = False
         return pages.get_page()
 
-    async def read_newest(
-        self,
-        topic: str,
-        silence_s: float,
-        on_records: Callable[[Sequence[Record]], None] = lambda _: None,
-    ) -> Page:
+    async def read_newest(self, topic: str, silence_s: float) -> Page:
         """Reads the newest record of each key.
 
         Limit and failures are those of `read`.
-
-        Args:
-            topic: The topic.
-            silence_s: Time without a byte of an answer.
-            on_records: Takes the records of each answer as it arrives.
         """
         records: list[Record] = []
         end: int | None = None
@@ -183,7 +173,7 @@
             # Pages are not a snapshot: a record that moves from a later page
             # to after the first page's end is read again from there.
             end = fields["EndOffset"] if end is None else end
-            fresh = [
+            records += [
                 Record(
                     item["Offset"],
                     item["Key"],
@@ -191,8 +181,6 @@
                 )
                 for item in fields["Entries"]
             ]
-            on_records(fresh)
-            records += fresh
             if not fields.get("HasMore") or not fields["Entries"]:
                 return Page(tuple(records), end)
             after = "&After=" + urllib.parse.quote(
