Take the pace of large reads out again: it serves nobody sooner

Hypothesis: large configurations fill narrow links, and read at half of the link's rate they leave the rest to callers.

What holds: such requests wait on the link (0.1 to 0.19 s until a connection is open, as long again for the answer). What is refuted: that the reader's pace or window bounds that wait. The pace cost half a second until a configuration was in force. Left: smaller configurations on the wire.

--- a/src/lovagestage/adapters/http1.py
+++ b/src/lovagestage/adapters/http1.py
@@ -50,15 +50,11 @@
 class Channel(asyncio.Protocol):
     """Bytes of one TCP connection, as a task reads and writes them.
 
-    Args:
-        read_limit_bytes: Reading stops while so much waits here.
-
     Attributes:
         lost: Completed when the peer has closed or reset the connection.
     """
 
-    def __init__(self, read_limit_bytes: int = READ_LIMIT_BYTES) -> None:
-        self._read_limit_bytes = read_limit_bytes
+    def __init__(self) -> None:
         self.lost: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -78,7 +74,7 @@
     def data_received(self, data: bytes) -> None:
         """Takes bytes; called by asyncio."""
         self._buffer += data
-        if len(self._buffer) > self._read_limit_bytes and self._transport:
+        if len(self._buffer) > READ_LIMIT_BYTES and self._transport:
             self._transport.pause_reading()
             self._paused = True
         self._wake()
@@ -197,16 +193,9 @@
             self._reader.set_result(None)
 
 
-async def open_channel(
-    address: str, timeout_s: float, read_limit_bytes: int = READ_LIMIT_BYTES
-) -> Channel:
+async def open_channel(address: str, timeout_s: float) -> Channel:
     """Connects to `IP:PORT`.
 
-    Args:
-        address: Where to.
-        timeout_s: Time to connect.
-        read_limit_bytes: Reading stops while so much waits unread.
-
     Raises:
         ConnectionLostError: Refused, unreachable or timed out; nothing of a
             request can have been sent.
@@ -215,9 +204,7 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, channel = await loop.create_connection(
-                lambda: Channel(read_limit_bytes), host, int(port)
-            )
+            _, channel = await loop.create_connection(Channel, host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
         raise ConnectionLostError(
             f"{address}: {type(error).__name__}."
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -56,7 +56,6 @@
             the deployment allows none.
         store_address: `IP:PORT` of the metadata store.
         bounds: Limits of the deployment.
-        link_bytes_per_s: What the VM's link carries; 0 where it is unknown.
     """
 
     vm: VmId
@@ -67,4 +66,3 @@
     peer_address: str | None
     store_address: str
     bounds: Bounds
-    link_bytes_per_s: float = 0.0
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -10,7 +10,6 @@
 
 import mode
 
-from lovagestage.decisions.transfers import TransferPace
 from lovagestage.decisions.warmup import ZoneDealers
 from lovagestage.gateway.beliefs import OperatorBeliefs, UpstreamBeliefs
 from lovagestage.gateway.clocks import get_elapsed_s
@@ -68,9 +67,6 @@
 OWED_RATIO = 0.6
 """Part of the time for which keys may be relied on that must be left when the
 store is lost: callers with a key are owed service for so long after it."""
-PACED_RATIO = 0.4
-"""Part of the time in which a configuration must be in force that reading it
-may take for the sake of callers on the same link."""
 MIN_RELAY_BOUND_S = 0.5
 """Where less is left, followers would ask more than ten times a second: each
 gateway reads the store for itself."""
@@ -227,11 +223,7 @@
         if call.outcome is CallOutcome.ANSWERED and not has_waited:
             exposition.observe(Series.STORE_CALL_S, labels, call.time_s)
 
-    pace = None
-    if settings.link_bytes_per_s:
-        longest_s = PACED_RATIO * settings.bounds.apply_s
-        pace = TransferPace(settings.link_bytes_per_s, longest_s)
-    return StoreClient(settings.store_address, note, pace)
+    return StoreClient(settings.store_address, note)
 
 
 def _add_gauges(
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -12,7 +12,6 @@
 
 SETTINGS_VARIABLE = "LOVAGESTAGE_NODE_FILE"
 _ZONES_PREFIX = "Zones."
-_BYTES_A_MBIT = 125_000
 
 
 def read_settings(path: pathlib.Path) -> GatewaySettings:
@@ -51,8 +50,6 @@
         readiness_address=reader.get_address("Listen.Readiness"),
         peer_address=_decode_peer_address(reader),
         store_address=reader.get_address("Platform.Address"),
-        link_bytes_per_s=reader.get_number("Limits.BandwidthMbps", 0.0)
-        * _BYTES_A_MBIT,
         bounds=_decode_bounds(reader),
     )
 
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from lovagestage.adapters.http1 import ClientConnection, open_channel
-from lovagestage.decisions.transfers import TransferPace
 from lovagestage.exceptions import (
     ConnectionLostError,
     StoreAnswerLostError,
@@ -74,8 +73,6 @@
     received_bytes: int
 
 
-READ_LIMIT_BYTES = 16 * 1024
-"""What waits unread, so that a paced transfer is held back at its sender."""
 CallListener = Callable[[CallEnd], None]
 """Takes each call that ended."""
 PartListener = Callable[[bytes], None]
@@ -88,18 +85,12 @@
     Args:
         address: `IP:PORT`.
         on_call: Told of each call that ended.
-        pace: Limits long answers to reads; None for no limit.
     """
 
     def __init__(
-        self,
-        address: str,
-        on_call: CallListener = lambda *_: None,
-        pace: TransferPace | None = None,
+        self, address: str, on_call: CallListener = lambda *_: None
     ) -> None:
         self._address = address
-        self._pace = pace
-        self._is_paced = False
         self._on_call = on_call
         self._connection: ClientConnection | None = None
         self._transfer = Transfer()
@@ -148,13 +139,7 @@
         kind = CallKind.WAITING_READ if wait_s else CallKind.READ
         path = f"/v1/log-read?{query}"
         pages = PageReader(topic, offset, on_page)
-        self._is_paced = True
-        try:
-            await self._get(
-                kind, path, wait_s + silence_s, silence_s, pages.take
-            )
-        finally:
-            self._is_paced = False
+        await self._get(kind, path, wait_s + silence_s, silence_s, pages.take)
         return pages.get_page()
 
     async def read_newest(self, topic: str, silence_s: float) -> Page:
@@ -313,7 +298,7 @@
     ) -> tuple[int, bytes]:
         if self._connection is None or not self._connection.channel.is_open:
             self.close()
-            channel = await open_channel(self._address, 60.0, READ_LIMIT_BYTES)
+            channel = await open_channel(self._address, 60.0)
             self._connection = ClientConnection(channel)
         connection = self._connection
         headers = [(b"Host", self._address.encode())]
@@ -336,7 +321,6 @@
         self._transfer = Transfer(0, expected_bytes)
         is_good = head.status_code == 200
         on_part(b"")
-        started_s = time.monotonic()
         parts: list[bytes] = []
         while (part := await connection.receive_part()) is not None:
             on_part(part if is_good else b"")
@@ -345,13 +329,6 @@
             self._transfer = Transfer(received_bytes, expected_bytes)
             if received_bytes > _BODY_LIMIT_BYTES:
                 raise WrongMessageError(f"Body over {_BODY_LIMIT_BYTES} bytes.")
-            if self._is_paced and self._pace is not None:
-                age_s = time.monotonic() - started_s
-                await asyncio.sleep(
-                    self._pace.get_pause_s(
-                        received_bytes, expected_bytes, age_s
-                    )
-                )
         return b"".join(parts)
 
 
