--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -15,8 +15,8 @@
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.repeats import RepeatBudget
 from lovagestage.gateway.rollouts import Assignment
-from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.suspects import make_fingerprint
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import Fingerprint, InstanceId, RunState, ZoneId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/beliefs.py
+++ b/src/lovagestage/gateway/beliefs.py
@@ -10,7 +10,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.rollouts import RolloutOrder
-from lovagestage.gateway.rotation import UpstreamEntry
+from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.platform.configuration import (
     CONFIG_KEY,
     decode_configuration,
--- a/src/lovagestage/gateway/choice.py
+++ b/src/lovagestage/gateway/choice.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import InstanceId, ZoneId
 
 SAMPLE = 3
--- a/src/lovagestage/gateway/connections.py
+++ b/src/lovagestage/gateway/connections.py
@@ -6,7 +6,7 @@
 import weakref
 
 from lovagestage.adapters.http1 import ClientConnection, open_channel
-from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.upstream import Upstream
 
 CONNECT_TIMEOUT_S = 0.4
 """Two lost opening packets of a near zone, or a dark VM: another upstream
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -17,8 +17,9 @@
     choose_trial,
     choose_versions,
 )
-from lovagestage.gateway.rotation import Rotation, Upstream
+from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.trust import Trust
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.gateway.warmups import WarmupGuard
 from lovagestage.types import RegionId, ServiceId, VersionId, ZoneId
 
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -16,8 +16,8 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
-from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.silence import get_patience_s
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import RunState
 
 MAX_SKIPPED = 2
--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -19,8 +19,9 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.neighbours import Neighbours, choose_neighbours
 from lovagestage.gateway.peers import PeerAddress, PeerSocket
-from lovagestage.gateway.rotation import Rotation, Upstream
+from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.told_waits import ToldWaits
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import VmId, ZoneId
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/plain.py
+++ b/src/lovagestage/gateway/plain.py
@@ -8,7 +8,6 @@
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.messages import AnswerHead
 from lovagestage.gateway.rollouts import AnswerQuality
-from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.runs import (
     MAX_BODY_BYTES,
     RunParts,
@@ -21,6 +20,7 @@
     note_failure,
 )
 from lovagestage.gateway.sinks import AnswerSink
+from lovagestage.gateway.upstream import Upstream
 
 
 async def forward_plain(
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -36,8 +36,8 @@
     get_evidence,
     get_first_share,
 )
-from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.settings import Bounds
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.platform.configuration import (
     decode_outcome,
     encode_outcome,
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -20,9 +20,9 @@
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.reading import ReadingTimes, make_prompt
 from lovagestage.gateway.rollouts import AnswerQuality
-from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.suspects import SuspectWatch
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -6,7 +6,7 @@
 
 from lovagestage.gateway.messages import AnswerHead
 from lovagestage.gateway.rollouts import AnswerQuality, Assignment
-from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import ServiceId
 
 
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -12,7 +12,6 @@
 from lovagestage.gateway.exchange import Exchange
 from lovagestage.gateway.messages import AnswerHead
 from lovagestage.gateway.rollouts import AnswerQuality
-from lovagestage.gateway.rotation import Upstream
 from lovagestage.gateway.runs import (
     MAX_BODY_BYTES,
     RunParts,
@@ -27,6 +26,7 @@
 )
 from lovagestage.gateway.sinks import AnswerSink
 from lovagestage.gateway.streams import EventSplitter
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.platform.headers import decode_event
 from lovagestage.types import RunState
 
--- a/src/lovagestage/gateway/suspects.py
+++ b/src/lovagestage/gateway/suspects.py
@@ -16,7 +16,7 @@
 from lovagestage.exceptions import ConnectionLostError
 from lovagestage.gateway.admission import Admitted
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.messages.crashes import CrashReport
 from lovagestage.types import Fingerprint, WorkspaceId
 
--- a/src/lovagestage/gateway/warmups.py
+++ b/src/lovagestage/gateway/warmups.py
@@ -6,7 +6,7 @@
 
 from lovagestage.decisions.warmup import Gateways, Warmup, WarmupPolicy
 from lovagestage.gateway.peers import PeerAddress
-from lovagestage.gateway.rotation import Upstream
+from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import ZoneId
 
 SETTLE_S = 3.0
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -23,7 +23,7 @@
     RolloutOrder,
     RolloutOutcome,
 )
-from lovagestage.gateway.rotation import UpstreamEntry
+from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.types import (
     RegionId,
     ServiceId,
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -23,8 +23,9 @@
 )
 from lovagestage.gateway.neighbours import choose_neighbours
 from lovagestage.gateway.peers import PeerSocket
-from lovagestage.gateway.rotation import Rotation, UpstreamEntry
+from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.told_waits import ToldWaits
+from lovagestage.gateway.upstream import UpstreamEntry
 
 NAMES = ("w1", "w2", "w3")
 
--- a/tests/test_gateway_incarnations.py
+++ b/tests/test_gateway_incarnations.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from lovagestage.exceptions import CodecError
-from lovagestage.gateway.rotation import Rotation, UpstreamEntry
+from lovagestage.gateway.rotation import Rotation
+from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.platform.configuration import decode_upstream
 from tests.gateway_stage import run_stage
 
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -12,7 +12,8 @@
 from lovagestage.gateway import choice
 from lovagestage.gateway.choice import Work, choose_upstream
 from lovagestage.gateway.performance import Performance
-from lovagestage.gateway.rotation import Rotation, UpstreamEntry
+from lovagestage.gateway.rotation import Rotation
+from lovagestage.gateway.upstream import UpstreamEntry
 from tests.test_gateway_gossip import tell_waits
 
 GATEWAYS = 24
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -43,8 +43,8 @@
     get_evidence,
     get_first_share,
 )
-from lovagestage.gateway.rotation import UpstreamEntry
 from lovagestage.gateway.trust import Trust
+from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.platform.settings import decode_settings
 from lovagestage.platform.store import StoreClient
 from tests.gateway_stage import make_settings_text, run_stage
--- a/tests/test_gateway_rotation.py
+++ b/tests/test_gateway_rotation.py
@@ -8,10 +8,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lovagestage.gateway.rotation import (
-    LAPSE_GRACE_S,
+from lovagestage.gateway.rotation import LAPSE_GRACE_S, Rotation
+from lovagestage.gateway.upstream import (
     MAX_PAST_STARTS,
-    Rotation,
     UpstreamEntry,
     UpstreamState,
 )
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -22,7 +22,8 @@
 )
 from lovagestage.gateway import warmups
 from lovagestage.gateway.choice import Work, choose_upstream
-from lovagestage.gateway.rotation import Rotation, UpstreamEntry
+from lovagestage.gateway.rotation import Rotation
+from lovagestage.gateway.upstream import UpstreamEntry
 from tests.gateway_stage import make_route, run_stage
 
 PER_S = 14.0
