Name how a topic is read in one value

Cause: TopicFeed took twelve parameters, seven of which say how its topic is read; calls named three numbers and a flag by place. They are one typed value now. No behaviour changes; tests of feeds, relays and narrow links hold.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import math
 import random
@@ -58,27 +59,44 @@
 at a watcher are read by its followers themselves."""
 
 
-class TopicFeed(mode.Service):
-    """Reads a topic from its newest records on, for as long as it runs.
+@dataclasses.dataclass(frozen=True)
+class TopicReading:
+    """How a topic is read.
 
-    Args:
-        store: Client for this feed alone; calls on it are one at a time.
+    Attributes:
         topic: The topic.
-        listener: Takes what is read.
         wait_s: Time for which the store holds a read without a record.
         pause_s: Time after records until the next read, so that records that
             come in clumps share a read.
         is_keyed: Whether to begin with the newest record of each key.
-        rng: Source of randomness.
-        store_return: Shared by the feeds of a process.
-        watch: Spares reads where another gateway watches the topic; None
-            where each reads for itself.
         watch_wait_s: Time for which the store holds a watcher's read; None
             for what a bounded proof needs.
         is_told: Whether a watcher tells followers its records. Callers' keys
             are read from the store alone.
         is_timely: Whether a change must be in force within a bound, so that
             followers rely on young proofs only.
+    """
+
+    topic: str
+    wait_s: float
+    pause_s: float
+    is_keyed: bool = True
+    watch_wait_s: float | None = None
+    is_told: bool = False
+    is_timely: bool = True
+
+
+class TopicFeed(mode.Service):
+    """Reads a topic from its newest records on, for as long as it runs.
+
+    Args:
+        store: Client for this feed alone; calls on it are one at a time.
+        reading: What is read, and how.
+        listener: Takes what is read.
+        rng: Source of randomness.
+        store_return: Shared by the feeds of a process.
+        watch: Spares reads where another gateway watches the topic; None
+            where each reads for itself.
 
     Attributes:
         topic: The topic.
@@ -89,39 +107,30 @@
     def __init__(
         self,
         store: StoreClient,
-        topic: str,
+        reading: TopicReading,
         listener: FeedListener,
-        wait_s: float,
-        pause_s: float,
-        is_keyed: bool,
         rng: random.Random,
         store_return: StoreReturn,
         watch: Watch | None = None,
-        watch_wait_s: float | None = None,
-        is_told: bool = False,
-        is_timely: bool = True,
     ) -> None:
         super().__init__()
         self._store = store
-        self.topic = topic
-        if watch_wait_s is None:
-            watch_wait_s = wait_s if watch is None else watch.watch_wait_s
-        self._watch_wait_s = watch_wait_s
-        self.proof_limit_s = watch_wait_s + SLACK_S if is_timely else math.inf
-        self._is_told = is_told
+        self._reading = reading
+        self.topic = reading.topic
+        self._watch_wait_s = _get_watch_wait_s(reading, watch)
+        self.proof_limit_s = math.inf
+        if reading.is_timely:
+            self.proof_limit_s = self._watch_wait_s + SLACK_S
         self._was_watching = False
         self._had_news = False
         self._has_told_early = False
         self._told = asyncio.Event()
         self._listener = listener
-        self._wait_s = wait_s
-        self._pause_s = pause_s
-        self._is_keyed = is_keyed
         self._rng = rng
         self._store_return = store_return
         self._watch = watch
         self._is_back = store_return.make_event()
-        self._topic_log = TopicLog(None if is_keyed else 0)
+        self._topic_log = TopicLog(None if reading.is_keyed else 0)
         self._lag = Lag()
         self._failures = 0
         self._lost_s: float | None = None
@@ -164,7 +173,9 @@
 
     def get_records(self, first: int) -> Sequence[Record]:
         """Newest records from an offset on; empty where one is missing."""
-        return self._topic_log.get_newest(first) if self._is_told else ()
+        return (
+            self._topic_log.get_newest(first) if self._reading.is_told else ()
+        )
 
     def take_records(
         self, records: Sequence[Record], lost_s: float | None
@@ -174,7 +185,7 @@
         What is still missing when an answer has told how far the topic goes
         is read from the store.
         """
-        if not self._is_told:
+        if not self._reading.is_told:
             return
         self._note_lost(lost_s)
         if fresh := self._topic_log.add_told(records):
@@ -231,7 +242,7 @@
         self._store.close()
 
     def _get_pause_s(self) -> float:
-        return WATCHER_PAUSE_S if self._was_watching else self._pause_s
+        return WATCHER_PAUSE_S if self._was_watching else self._reading.pause_s
 
     async def _follow(self) -> bool:
         """Learns what is new; returns whether there were records."""
@@ -250,7 +261,7 @@
         self._was_watching = mode is RelayMode.WATCHER
         if self._was_watching:
             return await self._watch_topic()
-        return await self._read(self._wait_s)
+        return await self._read(self._reading.wait_s)
 
     async def _watch_topic(self) -> bool:
         """Reads for the followers as well.
@@ -273,7 +284,7 @@
         self._note_lost(state.lost_s)
         if state.is_sound:
             self._note_end(state.end)
-        if state.is_sound and self._is_told:
+        if state.is_sound and self._reading.is_told:
             await self._wait_told(state.end)
         end = self._topic_log.end
         if not state.is_sound or end is None or self._lag.is_behind(end):
@@ -418,7 +429,7 @@
             "store_history_lost",
             extra={"topic": self.topic, "reason": error.message},
         )
-        self._topic_log.restart(None if self._is_keyed else error.first)
+        self._topic_log.restart(None if self._reading.is_keyed else error.first)
 
     async def _on_failure(self, error: StoreError) -> None:
         self._store.close()
@@ -465,6 +476,12 @@
         self._failed_s = None
 
 
+def _get_watch_wait_s(reading: TopicReading, watch: Watch | None) -> float:
+    if reading.watch_wait_s is not None:
+        return reading.watch_wait_s
+    return reading.wait_s if watch is None else watch.watch_wait_s
+
+
 def _is_power_of_two(number: int) -> bool:
     """Thins out lines of what happens over and over."""
     return number & (number - 1) == 0
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -17,7 +17,7 @@
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
-from lovagestage.gateway.feeds import TopicFeed
+from lovagestage.gateway.feeds import TopicFeed, TopicReading
 from lovagestage.gateway.forwarder import Forwarder
 from lovagestage.gateway.gossip import Gossip
 from lovagestage.gateway.mailbox import Mailbox
@@ -334,11 +334,10 @@
 ) -> TopicFeed:
     return TopicFeed(
         store,
-        OPERATOR_TOPIC,
+        TopicReading(
+            OPERATOR_TOPIC, get_operator_wait_s(bounds), OPERATOR_PAUSE_S
+        ),
         beliefs,
-        get_operator_wait_s(bounds),
-        OPERATOR_PAUSE_S,
-        True,
         rng,
         store_return,
         relay,
@@ -356,15 +355,16 @@
     beliefs = UpstreamBeliefs(deployment)
     feed = TopicFeed(
         store,
-        UPSTREAM_TOPIC,
+        TopicReading(
+            UPSTREAM_TOPIC,
+            WAIT_RATIO * bounds.drain_s,
+            UPSTREAM_PAUSE_RATIO * bounds.drain_s,
+            is_told=True,
+        ),
         beliefs,
-        WAIT_RATIO * bounds.drain_s,
-        UPSTREAM_PAUSE_RATIO * bounds.drain_s,
-        True,
         rng,
         store_return,
         relay,
-        is_told=True,
     )
     beliefs.set_source(feed)
     return feed
@@ -379,15 +379,17 @@
 ) -> TopicFeed:
     return TopicFeed(
         store,
-        TOPIC,
+        TopicReading(
+            TOPIC,
+            NOTES_WAIT_S,
+            NOTES_PAUSE_S,
+            is_keyed=False,
+            watch_wait_s=NOTES_WAIT_S,
+            is_told=True,
+            is_timely=False,
+        ),
         mailbox,
-        NOTES_WAIT_S,
-        NOTES_PAUSE_S,
-        False,
         rng,
         store_return,
         relay,
-        NOTES_WAIT_S,
-        is_told=True,
-        is_timely=False,
     )
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -16,7 +16,7 @@
     StoreHistoryLostError,
     StoreUnavailableError,
 )
-from lovagestage.gateway.feeds import TopicFeed
+from lovagestage.gateway.feeds import TopicFeed, TopicReading
 from lovagestage.gateway.store_return import StoreReturn
 from lovagestage.platform.store import StoreClient
 
@@ -65,11 +65,8 @@
     listener = Recorder()
     feed = TopicFeed(
         client,
-        topic,
+        TopicReading(topic, wait_s, pause_s, topic.startswith("keyed.")),
         listener,
-        wait_s,
-        pause_s,
-        topic.startswith("keyed."),
         random.Random(1),
         store_return or StoreReturn(),
         watch,
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 
 import pytest
@@ -16,7 +17,7 @@
 from lovagestage.gateway import watchers as watchers_of
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition
-from lovagestage.gateway.feeds import TopicFeed
+from lovagestage.gateway.feeds import TopicFeed, TopicReading
 from lovagestage.gateway.gossip import ALIVE_S
 from lovagestage.gateway.peers import FORGET_S, PeerSocket
 from lovagestage.gateway.relay import MIN_GATEWAYS, Relay, RelayMode
@@ -56,11 +57,8 @@
         self.client._exchange = self.count_call
         self.feed = TopicFeed(
             self.client,
-            TOPIC,
+            TopicReading(TOPIC, 0.4, 0.0),
             self.listener,
-            0.4,
-            0.0,
-            True,
             random.Random(1),
             StoreReturn(),
             self.relay,
@@ -363,9 +361,13 @@
     assert trust.holds(oldest_s + 0.599 * revoke_s)
 
 
+def change_reading(feed, **fields):
+    feed._reading = dataclasses.replace(feed._reading, **fields)
+
+
 def tell_records(gateways):
     for gateway in gateways:
-        gateway.feed._is_told = True
+        change_reading(gateway.feed, is_told=True)
 
 
 async def test_follower_gets_what_is_new_from_its_watcher():
@@ -430,7 +432,7 @@
     # follower would find the proof too old and read the store each time.
     async with run_gateways() as (store, watcher, follower):
         tell_records((watcher, follower))
-        watcher.feed._pause_s = 1.0
+        change_reading(watcher.feed, pause_s=1.0)
         calls = follower.calls
         for number in range(10):
             store.put(TOPIC, f"u{number}", b"new")
@@ -460,11 +462,8 @@
     relay.add_source(
         TopicFeed(
             StoreClient("127.0.0.1:1"),
-            TOPIC,
+            TopicReading(TOPIC, 0.4, 0.0),
             Recorder(),
-            0.4,
-            0.0,
-            True,
             random.Random(1),
             StoreReturn(),
             relay,
