Bound what is remembered of requests to an upstream by time

A list grows with use and loses what is older than any span.

Test: 5,000 requests in 50 s, then one much later.

--- a/src/lovagestage/decisions/warmup.py
+++ b/src/lovagestage/decisions/warmup.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from collections.abc import Collection
 from typing import Protocol
@@ -27,8 +26,10 @@
 """Gateways that are reckoned with where they can't hear of each other."""
 SECOND_S = 1.0
 """The rate counts over any second."""
+KEEP_S = 100.0
+"""What was sent is remembered for so long: any span of a pace."""
 MAX_SENT = 256
-"""Requests to an upstream that are remembered: over any pace of one gateway."""
+"""And so much of it: more than any pace lets one gateway send in its span."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,9 +149,7 @@
     def __init__(self) -> None:
         self._until_s = 0.0
         self._placed = 0
-        self._sent_s: collections.deque[float] = collections.deque(
-            maxlen=MAX_SENT
-        )
+        self._sent_s: list[float] = []
 
     def note_left(self, left_s: float, now_s: float) -> bool:
         """Takes that the upstream stays cold for so long.
@@ -187,3 +186,10 @@
         """Counts a request that is being sent."""
         self._placed -= 1
         self._sent_s.append(now_s)
+        if (
+            self._sent_s[0] < now_s - KEEP_S
+            or len(self._sent_s) >= 2 * MAX_SENT
+        ):
+            first_s = now_s - KEEP_S
+            kept = [sent_s for sent_s in self._sent_s if sent_s >= first_s]
+            self._sent_s = kept[-MAX_SENT:]
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -15,6 +15,8 @@
 from lab.worker import answer_plain, reset_connection
 from lovagestage.decisions.warmup import (
     DEALERS,
+    KEEP_S,
+    MAX_SENT,
     Gateways,
     Pace,
     WarmupLog,
@@ -231,3 +233,15 @@
         work = Work(0.2, 0.1, f"subject-{number}")
         placement = choose_upstream(busy, set(), work, "a", 1.0, rng, busy[:1])
         assert placement.upstream is busy[0]
+
+
+def test_what_is_remembered_of_an_upstream_is_bounded():
+    log = WarmupLog()
+    for number in range(5000):
+        log.note_placed()
+        log.note_sent(number * 0.01)
+    assert len(log._sent_s) < 2 * MAX_SENT
+    assert not log.has_room(Pace(90), 50.0)
+    log.note_placed()
+    log.note_sent(50.0 + 2 * KEEP_S)
+    assert len(log._sent_s) == 1
