--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -25,7 +25,8 @@
 """Upstreams that may refuse a request before its caller is told to come back:
 with three of them full the next one most likely is, too."""
 MANY_UPSTREAMS = 100
-"""Of more than these the least busy one is looked for among so many."""
+"""The least wait is looked for among this many at most: a gauge of the load
+needs no more, and each answer's head asks for it."""
 MIN_LEFT_S = 0.05
 """Time that must be left for another attempt to be of use."""
 
