Explain refusals for emptied zones, homes and cold upstreams

Cause: explain knew neither the lines on zones and cold upstreams nor the two new reasons, and printed a story without its cause.

Test: a story with two emptied zones and a cold upstream.

--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -28,6 +28,8 @@
         "topic_behind",
         "topic_caught_up",
         "drain_started",
+        "zone_evacuated",
+        "zone_given_back",
     )
 )
 """What a process believed, or how it was, when it handled the request."""
@@ -35,6 +37,7 @@
     (
         "upstream_added",
         "upstream_state_changed",
+        "upstream_cold",
         "upstream_crashed",
         "upstream_restarted",
         "upstream_record_refused",
@@ -66,6 +69,10 @@
     "unsigned_failure": "A failure that does not come from the upstream.",
     "silent": "The upstream gave no sign of an answer in time.",
     "no_upstream": "No upstream of the service and version could take it.",
+    "no_upstream_at_home": "Upstreams were there, but none in the regions that"
+    " route and workspace name; nothing was run.",
+    "upstreams_cold": "All upstreams had just started and had what they bear;"
+    " nothing was run.",
     "crashes_upstreams": "The request has crashed upstreams; it is not run"
     " again for a while.",
     "suspect_waiting": "A copy of the request was being tried alone.",
@@ -168,7 +175,8 @@
         if line.event == "process_started":
             # What the process before it believed is gone.
             last[line.vm].clear()
-        last[line.vm][line.event, line.get("topic")] = line
+        subject = line.get("topic") or line.get("zone")
+        last[line.vm][line.event, subject] = line
     return [line for lines in last.values() for line in lines.values()]
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -160,3 +160,19 @@
     story = make_log_story("r1", log)
     assert story.conclusion.endswith("The budget of repeats was used up.")
     assert [line.event for line in story.context] == ["upstream_restarted"]
+
+
+def test_story_tells_of_emptied_zones_and_cold_upstreams():
+    log = """\
+time=01.0 event=process_started vm=a address=x
+time=01.1 event=zone_evacuated vm=a zone=z1 offset=4
+time=01.2 event=zone_evacuated vm=a zone=z2 offset=5
+time=01.3 event=upstream_cold vm=a upstream=u1 service=s zone=z3 left_s=3.0
+time=01.4 event=request_ended vm=a request=r1 outcome=upstreams_cold \
+status=503 upstreams=u1 service=s
+"""
+    story = make_log_story("r1", log)
+    events = [line.event for line in story.context]
+    assert events.count("zone_evacuated") == 2
+    assert "upstream_cold" in events
+    assert "just started" in story.conclusion
