--- a/src/lovagestage/gateway/configuration.py
+++ b/src/lovagestage/gateway/configuration.py
@@ -111,7 +111,7 @@
         limits: What callers may send.
         keys: Workspace by key; None where callers need no keys.
         warmups: What upstreams bear after their start, of services whose
-            upstreams are cold then.
+            upstreams are cold then; None for no service.
     """
 
     def __init__(
@@ -120,12 +120,12 @@
         routes: Sequence[Route],
         limits: ClientLimits,
         keys: Mapping[str, WorkspaceEntry] | None,
-        warmups: Mapping[ServiceId, Warmup] = {},
+        warmups: Mapping[ServiceId, Warmup] | None = None,
     ) -> None:
         self.version = version
         self.limits = limits
         self.keys = keys
-        self.warmups = warmups
+        self.warmups = warmups or {}
         self._routes = {(r.host, r.prefix): r for r in routes}
 
     def __len__(self) -> int:
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lovagestage.decisions.warmup import Warmup
 from lovagestage.exceptions import CodecError, SettingsError, WrongMessageError
 from lovagestage.gateway.configuration import RouteKind
 from lovagestage.gateway.messages import OutgoingCall
@@ -19,6 +20,7 @@
     decode_outcome,
     decode_upstream,
     encode_outcome,
+    get_evacuated_zone,
     get_order_service,
 )
 from lovagestage.platform.headers import (
@@ -179,3 +181,40 @@
         decode_settings(text.replace(":1\n", ":x\n"), "boot.conf")
     with pytest.raises(SettingsError, match="RevokeMs"):
         decode_settings(text.replace("RevokeMs=1500", "RevokeMs=-1"), "f")
+
+
+def test_what_cold_upstreams_bear_and_where_requests_may_run():
+    services = [
+        {"Name": "pool", "WarmupS": 3.0, "WarmupPerS": 14.0},
+        {"Name": "plain", "WarmupS": 0.0, "WarmupPerS": 0.0},
+        {"Name": "older", "HealthPath": "/healthz"},
+    ]
+    route = {
+        "Hostname": "h",
+        "PathPrefix": "/p/",
+        "Service": "pool",
+        "AllowedRegions": ["east"],
+    }
+    tenants = [
+        {"Name": "one", "ApiKeys": ["k1"], "AllowedRegions": ["west"]},
+        {"Name": "two", "ApiKeys": ["k2"], "AllowedRegions": []},
+    ]
+    data = json.dumps(
+        {
+            "Version": 1,
+            "Services": services,
+            "Routes": [route],
+            "Tenants": tenants,
+        }
+    )
+    configuration = decode_configuration(data.encode())
+    assert configuration.warmups == {"pool": Warmup(3.0, 14.0)}
+    assert configuration.get_route("h", "/p/x").homes == {"east"}
+    assert configuration.keys["k1"].homes == {"west"}
+    assert configuration.keys["k2"].homes is None
+
+
+def test_only_orders_for_zones_name_one():
+    assert get_evacuated_zone("evacuate/lhr-johar") == "lhr-johar"
+    assert get_evacuated_zone("rollout/pool") is None
+    assert get_evacuated_zone("config") is None
