Read logs and paces of the lab with the product's own pieces

Cause: lab stages had a pattern and a reader of files for log lines beside telemetry/loglines and explain, which also know JSON lines and quoted text; the warm-up experiment's baseline turned a rate into a pace by its own copy.

Both call the product's pieces now (read_logs and make_pace, public for that). The inputs of a test got the time that each line of the product has; what it asserts stays.

--- a/lab/experiments/warmup.py
+++ b/lab/experiments/warmup.py
@@ -25,6 +25,7 @@
     WarmupLog,
     WarmupPolicy,
     ZoneDealers,
+    make_pace,
 )
 from lovagestage.types import InstanceId, ZoneId
 
@@ -62,12 +63,9 @@
         per_s: float,
     ) -> Pace:
         """What the gateway may send to a cold upstream."""
-        own_per_s = per_s / self._count
         if not gateways.is_settled:
             return NOTHING
-        if own_per_s < 1.0:
-            return Pace(1, 1.0 / own_per_s)
-        return Pace(int(own_per_s))
+        return make_pace(per_s / self._count)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/lab/stages.py
+++ b/lab/stages.py
@@ -4,25 +4,26 @@
 
 import argparse
 import dataclasses
-import pathlib
-import re
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import tabulate
 
-EVENT = "event=request_ended"
+from lovagestage.exceptions import LogFileError
+from lovagestage.operations.explain import read_logs
+from lovagestage.telemetry.loglines import LogLine
+
+EVENT = "request_ended"
 STAGES = ("begun_s", "connect_s", "head_s", "first_s", "time_s")
 """From the request's head to its first attempt; until a connection is open;
 from sending to the answer's head; from the request's head to its stream's
 first event; and to its end."""
 QUANTILES = (0.5, 0.99)
-_FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
 
 
 @dataclasses.dataclass
 class KindTimes:
-    """Times of the answered requests of one service and number of attempts.
+    """Times of the answered requests of one route and number of attempts.
 
     Attributes:
         times_s: Times by stage.
@@ -35,29 +36,25 @@
     requests: int = 0
 
 
-def collect(lines: Iterable[str]) -> dict[str, KindTimes]:
+def collect(lines: Iterable[LogLine]) -> dict[str, KindTimes]:
     """Sorts the requests of log lines by their route."""
     kinds: dict[str, KindTimes] = {}
-    for fields in _parse_lines(lines):
-        kind = kinds.setdefault(fields.get("route", ""), KindTimes())
+    for line in lines:
+        if line.event != EVENT:
+            continue
+        kind = kinds.setdefault(line.get("route"), KindTimes())
         kind.requests += 1
-        upstreams = fields.get("upstreams", "").strip('"')
+        upstreams = line.get("upstreams")
         kind.attempts += len(upstreams.split(",")) if upstreams else 0
-        if fields.get("outcome") != "answered":
+        if line.get("outcome") != "answered":
             continue
         for stage in STAGES:
-            if stage in fields:
+            if stage in line.fields:
                 times_s = kind.times_s.setdefault(stage, [])
-                times_s.append(float(fields[stage]))
+                times_s.append(float(line.get(stage)))
     return kinds
 
 
-def _parse_lines(lines: Iterable[str]) -> Iterator[dict[str, str]]:
-    for line in lines:
-        if EVENT in line:
-            yield dict(_FIELD.findall(line))
-
-
 def get_quantile(values: list[float], quantile: float) -> float:
     """The value that a part of the others lies below."""
     ranked = sorted(values)
@@ -89,21 +86,16 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Adds the files."""
-    parser.add_argument(
-        "logs", nargs="+", type=pathlib.Path, metavar="LOG", help="log files"
-    )
+    parser.add_argument("logs", nargs="+", metavar="LOG", help="log files")
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Prints the table, in ms at p50 / p99; 1 where no request is told."""
-    lines: list[str] = []
-    for path in arguments.logs:
-        try:
-            lines += path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            print(f"{path}: {error.strerror}", file=sys.stderr)
-            return 2
-    kinds = collect(lines)
+    try:
+        kinds = collect(read_logs(arguments.logs))
+    except LogFileError as error:
+        print(error.message, file=sys.stderr)
+        return 2
     if not kinds:
         print("No line tells of a request's end.", file=sys.stderr)
         return 1
--- a/src/lovagestage/decisions/warmup.py
+++ b/src/lovagestage/decisions/warmup.py
@@ -116,7 +116,7 @@
     ) -> Pace:
         """What the gateway may send to a cold upstream."""
         if gateways.neighbours is None:
-            return _make_pace(per_s / UNKNOWN_GATEWAYS)
+            return make_pace(per_s / UNKNOWN_GATEWAYS)
         if zone != gateways.zone or not gateways.is_settled:
             return NOTHING
         ranked = sorted(
@@ -128,10 +128,11 @@
         dealers = ranked[: min(DEALERS, max(1, int(per_s)))]
         if gateways.own not in dealers:
             return NOTHING
-        return _make_pace(per_s / len(dealers))
+        return make_pace(per_s / len(dealers))
 
 
-def _make_pace(per_s: float) -> Pace:
+def make_pace(per_s: float) -> Pace:
+    """What a rate allows, in whole requests."""
     if per_s <= 0.0:
         return NOTHING
     if per_s < 1.0:
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -277,7 +277,7 @@
     Raises:
         LogFileError: A file can't be read.
     """
-    story = make_story(options.request, _read_logs(options.files))
+    story = make_story(options.request, read_logs(options.files))
     if options.json:
         print_json(_make_json(story))
     else:
@@ -285,7 +285,12 @@
     return 0 if story.own else EXIT_FAILURE
 
 
-def _read_logs(paths: Sequence[str]) -> list[LogLine]:
+def read_logs(paths: Sequence[str]) -> list[LogLine]:
+    """Reads the lines of log files; `-` is standard input.
+
+    Raises:
+        LogFileError: A file can't be read.
+    """
     lines: list[LogLine] = []
     for path in paths:
         if path == "-":
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -5,9 +5,11 @@
 import argparse
 
 from lab.stages import add_arguments, collect, format_table, run
+from lovagestage.telemetry.loglines import parse_lines
 
 LINE = (
-    "level=INFO event=request_ended vm=edge-1 request=r{n} route=r-chat"
+    "time=01.0 level=INFO event=request_ended vm=edge-1 request=r{n}"
+    " route=r-chat"
     " outcome={outcome} status=200 upstreams={upstreams} begun_s={begun}"
     " connect_s=0.0 head_s=0.1 first_s=0.2 time_s=0.9"
 )
@@ -22,9 +24,9 @@
         make_line(1),
         make_line(2, upstreams='"i-1,i-2"', begun=0.003),
         make_line(3, outcome="silent", upstreams='""'),
-        "event=process_started vm=edge-1",
+        "time=01.0 event=process_started vm=edge-1",
     ]
-    kind = collect(lines)["r-chat"]
+    kind = collect(parse_lines(lines))["r-chat"]
     assert (kind.requests, kind.attempts) == (3, 3)
     assert kind.times_s["begun_s"] == [0.001, 0.003]
     assert "3.0 / 3.0" in format_table({"r-chat": kind})
