--- a/src/lovagestage/gateway/peers.py
+++ b/src/lovagestage/gateway/peers.py
@@ -28,6 +28,11 @@
 Handler = Callable[[bytes, PeerAddress], None]
 
 
+def format_peer(peer: PeerAddress) -> str:
+    """Writes an address as `IP:PORT`."""
+    return f"{peer[0]}:{peer[1]}"
+
+
 class PeerSocket(mode.Service):
     """Sends datagrams to the other gateways and hands on theirs.
 
@@ -143,7 +148,7 @@
         for peer in list(self.peers):
             if self._heard_s.get(peer, now_s) < limit_s:
                 _log.info(
-                    "peer_forgotten", extra={"address": f"{peer[0]}:{peer[1]}"}
+                    "peer_forgotten", extra={"address": format_peer(peer)}
                 )
                 self.peers.remove(peer)
                 del self._heard_s[peer]
@@ -162,7 +167,7 @@
         self._heard_s[peer] = get_elapsed_s()
         if peer in self.peers:
             return
-        _log.info("peer_added", extra={"address": f"{peer[0]}:{peer[1]}"})
+        _log.info("peer_added", extra={"address": format_peer(peer)})
         self.peers.add(peer)
 
 
--- a/src/lovagestage/gateway/warmups.py
+++ b/src/lovagestage/gateway/warmups.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection
 
 from lovagestage.decisions.warmup import Gateways, Warmup, WarmupPolicy
-from lovagestage.gateway.peers import PeerAddress
+from lovagestage.gateway.peers import PeerAddress, format_peer
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import ZoneId
 
@@ -58,14 +58,10 @@
     def _get_gateways(self, now_s: float) -> Gateways:
         neighbours = None
         if self._own is not None:
-            neighbours = [_get_name(peer) for peer in self._get_neighbours()]
+            neighbours = [format_peer(peer) for peer in self._get_neighbours()]
         return Gateways(
-            "" if self._own is None else _get_name(self._own),
+            "" if self._own is None else format_peer(self._own),
             self._zone,
             neighbours,
             now_s - self._started_s >= SETTLE_S,
         )
-
-
-def _get_name(peer: PeerAddress) -> str:
-    return f"{peer[0]}:{peer[1]}"
--- a/src/lovagestage/gateway/watchers.py
+++ b/src/lovagestage/gateway/watchers.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from lovagestage.gateway.peers import PeerAddress
+from lovagestage.gateway.peers import PeerAddress, format_peer
 
 MIN_WATCHERS = 2
 FOLLOWERS = 16
@@ -115,4 +115,4 @@
 def get_rank(peer: PeerAddress) -> int:
     """Place in the order in which gateways are to watch, lowest first."""
     # Kept: the watchers are looked up for each round, among all gateways.
-    return xxhash.xxh3_64_intdigest(f"{peer[0]}:{peer[1]}".encode())
+    return xxhash.xxh3_64_intdigest(format_peer(peer).encode())
