List a service's upstreams twice only for sessions on trial

Cause: each choice and each answer's head listed them a second time for a comparison that only sessions on a new version need; with zones emptied or homes named, each list is a walk over all upstreams.

--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -178,9 +178,10 @@
     ) -> list[Upstream]:
         """Upstreams that take requests of an assignment."""
         own = self.get_version_upstreams(service, assignment, homes)
-        ready = self.get_ready(service, homes)
         rollout = self.rollouts.get(service)
-        if rollout is None or not assignment.is_new or len(own) == len(ready):
+        if rollout is None or not assignment.is_new:
+            return own
+        if len(own) == len(self.get_ready(service, homes)):
             return own
         trial = choose_trial(
             [u.id for u in own], str(rollout.offset), rollout.get_share(now_s)
