Read the request limits that upstreams state; log and count them

New are the line upstream_notice_changed (also where a limit ends), upstream_notice_malformed (once for each kind and process of an upstream), the counter limited_attempts_total and the gauge limited_upstreams. Nothing is decided by the limit yet.

Texts that are malformed, negative or infinite are ignored, absurd ones are bounded, and the strictest of several binds. An answer whose request was sent before the limit was last stated does not end it, since answers on different connections overtake each other. Another process under the same id starts without a limit.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -48,6 +48,8 @@
         admitted: The request.
         assignment: Version to which the request's session is assigned.
         sent: Number of attempts made.
+        sent_limited: Number of attempts at upstreams that had stated a request
+            limit.
         runs: Number of attempts that may have run at an upstream.
         tried: Upstreams in the order of the attempts.
         waits_s: Expected queue time in seconds at each tried upstream when it
@@ -82,6 +84,7 @@
         self.admitted = admitted
         self.assignment = Assignment(None)
         self.sent = 0
+        self.sent_limited = 0
         self.runs = 0
         self.tried: list[InstanceId] = []
         self.waits_s: list[float] = []
@@ -149,6 +152,7 @@
         if work.prefix_key is not None:
             upstream.record_sent_prefix(work.prefix_key)
         self.sent += 1
+        self.sent_limited += upstream.notices.limit_per_s is not None
         self.runs += 1
         self.tried.append(upstream.id)
         wait_s = upstream.performance.get_wait_s()
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -246,9 +246,10 @@
     async def _send_call(self, connection: ClientConnection) -> AnswerHead:
         call = self._call
         request = call.request
+        sent_s = get_elapsed_s()
         self._has_sent = True
         self._has_warmup_slot = False
-        self.upstream.warmup.record_sent(get_elapsed_s())
+        self.upstream.warmup.record_sent(sent_s)
         connection.send(
             request.method,
             request.target,
@@ -258,6 +259,7 @@
         for _ in range(MAX_HEADS_READ):
             head = wire.decode_answer(await connection.receive_head())
             if head.request_id in (None, request.id):
+                self._record_notices(head, sent_s)
                 return head
             # This is a second answer to an earlier request on the connection.
             while await connection.receive_body_part() is not None:
@@ -265,6 +267,18 @@
             connection.discard_response()
         raise WrongMessageError("Got only answers to other requests.")
 
+    def _record_notices(self, head: AnswerHead, sent_s: float) -> None:
+        """Records what the upstream says of itself.
+
+        An answer of another process at this address, or one that the upstream
+        did not make, says nothing of this upstream.
+        """
+        if head.is_other_instance or not (head.is_signed or head.is_not_run):
+            return
+        self.upstream.record_answer_notices(
+            head.notices, sent_s, get_elapsed_s()
+        )
+
     def _check_head(self, head: AnswerHead) -> None:
         if head.is_other_instance:
             raise AttemptFailedError("other_instance", RunState.NOT_RUN)
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -53,6 +53,16 @@
     ATTEMPTS = SeriesSpec(
         "attempts_total", SeriesKind.COUNTER, "Attempts at upstreams."
     )
+    LIMITED_ATTEMPTS = SeriesSpec(
+        "limited_attempts_total",
+        SeriesKind.COUNTER,
+        "Attempts at upstreams that state a request limit.",
+    )
+    LIMITED_UPSTREAMS = SeriesSpec(
+        "limited_upstreams",
+        SeriesKind.GAUGE,
+        "Upstreams that state a request limit.",
+    )
     LINES_DROPPED = SeriesSpec(
         "log_lines_left_out_total",
         SeriesKind.COUNTER,
--- a/src/lovagestage/gateway/messages.py
+++ b/src/lovagestage/gateway/messages.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from lovagestage.decisions.upstream_notices import AnswerNotices
 from lovagestage.types import (
     InstanceId,
     RequestId,
@@ -123,6 +124,7 @@
             connection; None if it announces none.
         has_encoding: Whether the body has a content encoding, so that it is not
             as the upstream made it.
+        notices: What the upstream says of itself.
     """
 
     status: int
@@ -135,3 +137,4 @@
     closes_connection: bool
     idle_timeout_s: float | None
     has_encoding: bool
+    notices: AnswerNotices
--- a/src/lovagestage/gateway/upstream.py
+++ b/src/lovagestage/gateway/upstream.py
@@ -8,6 +8,11 @@
 
 import xxhash
 
+from lovagestage.decisions.upstream_notices import (
+    AnswerNotices,
+    NoticeChange,
+    UpstreamNotices,
+)
 from lovagestage.decisions.warmup import WarmupTracker
 from lovagestage.gateway.performance import Performance
 from lovagestage.types import InstanceId, ServiceId, VersionId, ZoneId
@@ -78,6 +83,7 @@
         performance: Load, health and speed as this gateway observes them.
         warmup: Whether the upstream may be warming up, and which requests this
             gateway sent to it recently.
+        notices: What the process has said of itself in its answers.
         past_start_ms: Start times of earlier processes with the same id.
     """
 
@@ -92,6 +98,7 @@
         self.changed_s = now_s
         self.performance = Performance()
         self.warmup = WarmupTracker()
+        self.notices = UpstreamNotices()
         self.past_start_ms: tuple[int | None, ...] = ()
         self._name = name.encode()
         self._sent_prefixes: set[str] | None = None
@@ -162,6 +169,42 @@
                 },
             )
 
+    def record_answer_notices(
+        self, notices: AnswerNotices, sent_s: float, now_s: float
+    ) -> None:
+        """Records what an answer of the upstream says of it; logs changes.
+
+        Args:
+            notices: Statements of the answer.
+            sent_s: Elapsed time in seconds at which the request was sent.
+            now_s: Elapsed time in seconds.
+        """
+        for change in self.notices.record_answer(notices, sent_s, now_s):
+            self._log_notice(change)
+
+    def _log_notice(self, change: NoticeChange) -> None:
+        if change.malformed is not None:
+            _log.warning(
+                "upstream_notice_malformed",
+                extra={
+                    "upstream": self.id,
+                    "service": self.entry.service,
+                    "notice": change.kind.value,
+                    "text": change.malformed,
+                },
+            )
+            return
+        _log.info(
+            "upstream_notice_changed",
+            extra={
+                "upstream": self.id,
+                "service": self.entry.service,
+                "notice": change.kind.value,
+                "value": change.value,
+                "previous": change.previous,
+            },
+        )
+
     def set_state(self, state: UpstreamState, now_s: float) -> None:
         """Changes the state and logs the change."""
         if state is self.state:
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -256,6 +256,13 @@
     exposition.add_gauge(
         Series.UPSTREAMS, lambda: len(deployment.rotation.get_all())
     )
+    exposition.add_gauge(
+        Series.LIMITED_UPSTREAMS,
+        lambda: sum(
+            upstream.notices.limit_per_s is not None
+            for upstream in deployment.rotation.get_all()
+        ),
+    )
     exposition.add_gauge(
         Series.EVACUATED_ZONES, lambda: len(deployment.evacuations)
     )
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -9,6 +9,7 @@
     get_raw_headers,
     remove_hop_by_hop,
 )
+from lovagestage.decisions.upstream_notices import AnswerNotices
 from lovagestage.exceptions import WrongMessageError
 from lovagestage.gateway.messages import (
     AnswerHead,
@@ -56,6 +57,7 @@
 _SIGNATURE = b"response-signature"
 _NOT_EXECUTED = b"not-executed"
 _CONFIDENCE = b"confidence"
+_REQUEST_LIMIT = b"server-limit"
 _MISDIRECTED_STATUS = 421
 _DEFAULT_DEADLINE_S = 30.0
 """Deadline in seconds of a request whose caller states none."""
@@ -171,6 +173,14 @@
         closes_connection=b"close" in fields.get(b"connection", b"").lower(),
         idle_timeout_s=_get_idle_timeout(_get_text(fields, b"keep-alive")),
         has_encoding=b"content-encoding" in fields,
+        notices=AnswerNotices(request_limit=_get_texts(raw, _REQUEST_LIMIT)),
+    )
+
+
+def _get_texts(raw: Headers, name: bytes) -> tuple[str, ...]:
+    """Returns the values of all headers with a name."""
+    return tuple(
+        value.decode("latin-1") for key, value in raw if key.lower() == name
     )
 
 
--- /dev/null
+++ b/tests/test_upstream_notices.py
@@ -0,0 +1,118 @@
+"""Tests of what upstreams say of themselves in their answers."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lovagestage.decisions.upstream_notices import (
+    MAX_REPORTED_CHARS,
+    MAX_REQUESTS_PER_S,
+    AnswerNotices,
+    UpstreamNotices,
+    parse_number,
+)
+from lovagestage.gateway.rotation import Rotation
+from lovagestage.gateway.upstream import UpstreamEntry
+
+SILENT = AnswerNotices()
+
+
+def state_limit(*texts):
+    return AnswerNotices(request_limit=texts)
+
+
+def make_rotation(start_ms=1):
+    rotation = Rotation()
+    apply_entry(rotation, start_ms)
+    return rotation
+
+
+def apply_entry(rotation, start_ms, offset=1, is_draining=False):
+    entry = UpstreamEntry(
+        "pool", "h:1", "a", "v1", 4, is_draining, start_ms=start_ms
+    )
+    rotation.apply("i-1", entry, offset, 0.0, False)
+    return rotation.get_all()[-1]
+
+
+@pytest.mark.parametrize(
+    ("texts", "expected"),
+    [
+        (("2.3",), 2.3),
+        (("0",), 0.0),
+        ((" 4 ",), 4.0),
+        (("5", "2"), 2.0),
+        (("5, 2",), 2.0),
+        (("x", "2"), 2.0),
+        (("",), None),
+        (("x",), None),
+        (("-1",), None),
+        (("nan",), None),
+        (("inf",), None),
+        (("-inf",), None),
+        (("2,3.4.5",), 2.0),
+        ((), None),
+    ],
+)
+def test_unusable_numbers_are_ignored_and_the_strictest_binds(texts, expected):
+    assert parse_number(texts) == expected
+
+
+@given(st.lists(st.text(max_size=40), max_size=3))
+def test_no_text_of_a_limit_is_an_error(texts):
+    notices = UpstreamNotices()
+    notices.record_answer(state_limit(*texts), 0.0, 0.0)
+    limit_per_s = notices.limit_per_s
+    assert limit_per_s is None or 0.0 <= limit_per_s <= MAX_REQUESTS_PER_S
+
+
+def test_absurd_limits_are_bounded():
+    notices = UpstreamNotices()
+    notices.record_answer(state_limit("1e300"), 0.0, 0.0)
+    assert notices.limit_per_s == MAX_REQUESTS_PER_S
+
+
+def test_malformed_limits_keep_the_last_one_and_are_reported_once():
+    notices = UpstreamNotices()
+    notices.record_answer(state_limit("2"), 0.0, 0.0)
+    changes = notices.record_answer(state_limit("x" * 900), 1.0, 1.0)
+    assert [len(change.malformed) for change in changes] == [MAX_REPORTED_CHARS]
+    assert notices.record_answer(state_limit("-1"), 2.0, 2.0) == []
+    assert notices.limit_per_s == 2.0
+
+
+def test_an_answer_that_was_overtaken_does_not_end_a_limit():
+    notices = UpstreamNotices()
+    notices.record_answer(state_limit("2"), 0.0, 1.0)
+    assert notices.record_answer(SILENT, 0.9, 1.1) == []
+    assert notices.limit_per_s == 2.0
+    (change,) = notices.record_answer(SILENT, 1.2, 1.3)
+    assert (change.value, change.previous) == (None, 2.0)
+    assert notices.limit_per_s is None
+
+
+def test_another_process_under_the_same_id_starts_without_a_limit():
+    rotation = make_rotation()
+    (upstream,) = rotation.get_all()
+    upstream.record_answer_notices(state_limit("2"), 0.0, 0.0)
+    assert upstream.notices.limit_per_s == 2.0
+    assert apply_entry(rotation, 2, 2).notices.limit_per_s is None
+
+
+def test_a_change_of_a_limit_is_one_log_line(caplog):
+    (upstream,) = make_rotation().get_all()
+    with caplog.at_level(logging.INFO):
+        for text in ("2", "2", "3", "x", "y"):
+            upstream.record_answer_notices(state_limit(text), 0.0, 0.0)
+        upstream.record_answer_notices(SILENT, 1.0, 1.0)
+    lines = [r for r in caplog.records if "notice" in r.message]
+    assert [getattr(r, "value", r.message) for r in lines] == [
+        2.0,
+        3.0,
+        "upstream_notice_malformed",
+        None,
+    ]
