--- a/lab/worker.py
+++ b/lab/worker.py
@@ -23,12 +23,15 @@
         target: Path and query string.
         headers: Header values by lower-case name.
         body: Complete request body.
+        notices: Headers by which the worker says something of itself in its
+            answer.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    notices: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def request_id(self) -> str:
@@ -52,6 +55,8 @@
         cancelled: Ids of requests whose connection closed before the end.
         connections: Number of accepted connections.
         address: `HOST:PORT` of the listener; empty before the start.
+        notices: Headers in each answer by which the worker says something of
+            itself, such as the number of requests per second that it accepts.
     """
 
     def __init__(self, instance: str, script: Script | None = None) -> None:
@@ -62,6 +67,7 @@
         self.cancelled: list[str] = []
         self.connections = 0
         self.address = ""
+        self.notices: dict[str, str] = {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -92,6 +98,9 @@
         self._writers.add(writer)
         try:
             while (arrival := await read_request(reader)) is not None:
+                arrival = dataclasses.replace(
+                    arrival, notices=dict(self.notices)
+                )
                 await self._answer(arrival, reader, writer)
         except (
             ConnectionError,
@@ -154,9 +163,8 @@
     lines.append(f"Attempt-Id: {arrival.request_id}")
     if signed:
         lines.append(f"Response-Signature: {SIGNATURE}")
-    lines += [
-        f"{name.replace('_', '-')}: {v}" for name, v in extra_headers.items()
-    ]
+    fields = {**arrival.notices, **extra_headers}
+    lines += [f"{name.replace('_', '-')}: {v}" for name, v in fields.items()]
     return "\r\n".join(lines).encode() + _CRLF + _CRLF
 
 
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -91,15 +91,23 @@
 
 
 class GatewayHarness:
-    """A store, workers and a gateway that run in this process."""
+    """A store, workers and gateways that run in this process."""
 
     def __init__(self):
         self.store = MetadataStore()
         self.workers = {}
-        self.gateway = None
-        self.client_port = get_free_port()
+        self.gateways = []
+        self.client_ports = [get_free_port()]
         self.readiness_port = get_free_port()
 
+    @property
+    def gateway(self):
+        return self.gateways[0]
+
+    @property
+    def client_port(self):
+        return self.client_ports[0]
+
     def put_configuration(self, **fields):
         data = json.dumps(make_configuration(**fields)).encode()
         return self.store.append_keyed("keyed.op", "config", data)
@@ -126,16 +134,34 @@
         data = json.dumps(entry).encode()
         return self.store.append_keyed("keyed.servers", name, data)
 
-    async def call(self, path, **fields):
-        reader, writer = await self.connect()
+    async def call(self, path, gateway=0, **fields):
+        reader, writer = await self.connect(gateway)
         writer.write(make_request(path, **fields))
         try:
             return await asyncio.wait_for(read_reply(reader), 8.0)
         finally:
             writer.close()
 
-    async def connect(self):
-        return await asyncio.open_connection("127.0.0.1", self.client_port)
+    async def connect(self, gateway=0):
+        port = self.client_ports[gateway]
+        return await asyncio.open_connection("127.0.0.1", port)
+
+    def make_gateway(self, store_port, folder, extra_settings):
+        readiness_port = self.readiness_port
+        if self.gateways:
+            self.client_ports.append(get_free_port())
+            readiness_port = get_free_port()
+        client_port = self.client_ports[-1]
+        text = make_settings_text(client_port, readiness_port, store_port)
+        text = text.replace("edge-a-1", f"edge-a-{len(self.gateways) + 1}")
+        text += (
+            f"\nIp=127.0.0.1\nPortRange={get_free_port()},0\n{extra_settings}"
+        )
+        path = pathlib.Path(folder) / f"boot{len(self.gateways)}.conf"
+        path.write_text(text)
+        settings = decode_settings(text, str(path))
+        listener = open_listener(settings.client_address)
+        self.gateways.append(Gateway(settings, path, 0, Exposition(), listener))
 
     async def wait_until(self, condition, timeout_s=4.0):
         async with asyncio.timeout(timeout_s):
@@ -154,9 +180,9 @@
 
 @contextlib.asynccontextmanager
 async def run_gateway_harness(
-    workers=2, script=None, extra_settings="", **configuration
+    workers=2, script=None, extra_settings="", gateways=1, **configuration
 ):
-    """Yields a harness with a ready gateway and workers `w1`, `w2` etc."""
+    """Yields a harness with ready gateways and workers `w1`, `w2` etc."""
     harness = GatewayHarness()
     runner, store_port = await start_app(
         harness.store.make_app(), "127.0.0.1", 0
@@ -164,29 +190,20 @@
     harness.put_configuration(**configuration)
     for number in range(workers):
         await harness.add_worker(f"w{number + 1}", script)
-    text = make_settings_text(
-        harness.client_port, harness.readiness_port, store_port
-    )
-    text += f"\nIp=127.0.0.1\nPortRange={get_free_port()},0\n{extra_settings}"
     with tempfile.TemporaryDirectory() as folder:
-        path = pathlib.Path(folder) / "boot.conf"
-        path.write_text(text)
-        settings = decode_settings(text, str(path))
-        harness.gateway = Gateway(
-            settings,
-            path,
-            0,
-            Exposition(),
-            open_listener(settings.client_address),
-        )
-        task = asyncio.ensure_future(harness.gateway.run())
+        for _ in range(gateways):
+            harness.make_gateway(store_port, folder, extra_settings)
+        tasks = [asyncio.ensure_future(g.run()) for g in harness.gateways]
         try:
-            await harness.wait_until(harness.gateway.is_ready)
+            for gateway in harness.gateways:
+                await harness.wait_until(gateway.is_ready)
             yield harness
         finally:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+            for task in tasks:
+                task.cancel()
+            for task in tasks:
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
             for worker in harness.workers.values():
                 await worker.stop()
             await runner.cleanup()
