Keep upstreams within the request limit that they state

Callers saw upstreams that asked for relief and got none: an upstream that names a limit of 2.1 requests a second got 21 in 4 s from gateways that it had told (18 are allowed).

Cause: what an answer says of its upstream was not read. Ruled out: a limit kept by each gateway for itself (one gateway alone sent five requests in a second), and a single path that goes past the choice (first attempts, retries and escalations were all among the surplus).

Where no upstream has room the caller is refused at once, with the time of the next turn; an answer that is ready is not dropped for a larger model that may not be asked.

--- a/lab/experiments/warmup.py
+++ b/lab/experiments/warmup.py
@@ -19,12 +19,14 @@
 from collections.abc import Callable
 
 from lab.experiments import Result
-from lovagestage.decisions.warmup import (
+from lovagestage.decisions.send_rates import (
     NO_REQUESTS,
-    GatewayView,
     RateLimit,
+    SendLog,
+)
+from lovagestage.decisions.warmup import (
+    GatewayView,
     WarmupPolicy,
-    WarmupTracker,
     ZoneWarmupPolicy,
     make_rate_limit,
 )
@@ -181,7 +183,7 @@
     upstreams = [InstanceId(f"i-{rng.random()}") for _ in range(UPSTREAMS)]
     discovered_s = _make_discovery_times(gateways, rng)
     logs = {
-        (g.name, upstream): WarmupTracker()
+        (g.name, upstream): SendLog()
         for g in gateways
         for upstream in upstreams
     }
--- a/src/lovagestage/decisions/upstream_notices.py
+++ b/src/lovagestage/decisions/upstream_notices.py
@@ -18,8 +18,18 @@
 import math
 from collections.abc import Sequence
 
+from lovagestage.decisions.send_rates import RateLimit, SendLog
+
 MAX_REQUESTS_PER_S = 1e5
 """Upper bound of a stated request limit: no upstream gets more requests."""
+UNCONFIRMED_RETENTION_S = 60.0
+"""Time in seconds for which a limit holds that nobody has confirmed. Gateways
+that share the limit confirm it to the others several times in this time."""
+MIN_RATE_PER_S = 1.0 / UNCONFIRMED_RETENTION_S
+"""Smallest limit from which times are computed."""
+RECHECK_RATIO = 0.25
+"""Part of a limit that gateways may use together to find out whether it still
+holds, once nobody has confirmed it."""
 MAX_REPORTED_CHARS = 60
 """Maximum length of the text of a malformed statement that is reported."""
 
@@ -30,6 +40,30 @@
     REQUEST_LIMIT = "request_limit"
 
 
+class Denial(enum.Enum):
+    """Why an upstream gets no further request from this gateway for now."""
+
+    COLD = "upstreams_cold"
+    LIMITED = "upstreams_limited"
+
+
+@dataclasses.dataclass(frozen=True)
+class Permission:
+    """Whether a request may be sent to an upstream.
+
+    Attributes:
+        denial: Why not; None where it may be sent.
+        wait_s: Time in seconds until the upstream accepts another request from
+            any gateway; None where it will not.
+    """
+
+    denial: Denial | None = None
+    wait_s: float | None = 0.0
+
+
+PERMITTED = Permission()
+
+
 @dataclasses.dataclass(frozen=True)
 class AnswerNotices:
     """Statements in the head of one answer, as they were received.
@@ -75,6 +109,77 @@
         """Requests per second accepted from all gateways; None for no limit."""
         return self._limit_per_s
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any statement may restrict requests to the upstream."""
+        return self._limit_per_s is not None
+
+    @property
+    def limit_heard_s(self) -> float:
+        """Time in seconds of the newest statement about the limit."""
+        return self._limit_heard_s
+
+    def check(
+        self, share: RateLimit, sends: SendLog, now_s: float, is_placed: bool
+    ) -> Permission:
+        """Decides whether a request may be sent to the upstream.
+
+        Args:
+            share: Limit of this gateway's requests while the upstream states a
+                request limit.
+            sends: This gateway's requests to the upstream.
+            now_s: Monotonic time in seconds.
+            is_placed: Whether the request is already counted in `sends`.
+        """
+        if self._limit_per_s is None:
+            return PERMITTED
+        # A gateway without a share tells its caller when others may send.
+        others_wait_s = 1.0 / max(MIN_RATE_PER_S, self._limit_per_s)
+        return check_rate(
+            share, sends, now_s, is_placed, Denial.LIMITED, others_wait_s
+        )
+
+    def is_limit_unconfirmed(
+        self, gateways: int, place: float, now_s: float
+    ) -> bool:
+        """Returns whether this gateway may check if the limit still holds.
+
+        An upstream that no gateway sends to confirms nothing and gets nothing,
+        for ever. Once its limit was not confirmed for long enough, the gateways
+        may each send one request, at times that are spread so widely that all
+        of these stay within `RECHECK_RATIO` of the limit.
+
+        Args:
+            gateways: Number of known gateways, this one included.
+            place: This gateway's place in the spread, from 0 to 1.
+            now_s: Monotonic time in seconds.
+        """
+        if self._limit_per_s is None:
+            return False
+        per_s = max(MIN_RATE_PER_S, self._limit_per_s)
+        spread_s = gateways / (RECHECK_RATIO * per_s)
+        due_s = UNCONFIRMED_RETENTION_S + place * spread_s
+        return now_s - self._limit_heard_s > due_s
+
+    def record_peer_limit(self, per_s: float | None, heard_s: float) -> bool:
+        """Records what another gateway has read in the upstream's answers.
+
+        Args:
+            per_s: The limit; None where the upstream no longer states one.
+            heard_s: Monotonic time in seconds at which that gateway read it.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        if heard_s <= self._limit_heard_s:
+            return False
+        previous = self._limit_per_s
+        self._limit_heard_s = heard_s
+        self._limit_per_s = (
+            None if per_s is None else min(per_s, MAX_REQUESTS_PER_S)
+        )
+        return previous != self._limit_per_s
+
     def record_answer(
         self, notices: AnswerNotices, sent_s: float, now_s: float
     ) -> list[NoticeChange]:
@@ -97,6 +202,7 @@
         if self._limit_per_s is None or sent_s < self._limit_heard_s:
             return []
         previous, self._limit_per_s = self._limit_per_s, None
+        self._limit_heard_s = now_s
         return [NoticeChange(NoticeKind.REQUEST_LIMIT, None, previous)]
 
     def _record_limit(
@@ -125,6 +231,37 @@
         return [NoticeChange(kind, None, malformed=text)]
 
 
+def check_rate(
+    share: RateLimit,
+    sends: SendLog,
+    now_s: float,
+    is_placed: bool,
+    denial: Denial,
+    others_wait_s: float,
+) -> Permission:
+    """Decides whether a request stays within this gateway's share of a rate.
+
+    Args:
+        share: The gateway's share.
+        sends: The gateway's requests to the upstream.
+        now_s: Monotonic time in seconds.
+        is_placed: Whether the request is already counted in `sends`.
+        denial: The reason to report if it does not.
+        others_wait_s: Time in seconds until another gateway may send, for a
+            gateway without a share.
+    """
+    is_permitted = (
+        sends.is_within(share, now_s)
+        if is_placed
+        else sends.has_capacity(share, now_s)
+    )
+    if is_permitted:
+        return PERMITTED
+    if not share.requests:
+        return Permission(denial, others_wait_s)
+    return Permission(denial, sends.get_wait_s(share, now_s))
+
+
 def parse_number(texts: Sequence[str]) -> float | None:
     """Returns the smallest of the stated numbers.
 
--- a/src/lovagestage/decisions/warmup.py
+++ b/src/lovagestage/decisions/warmup.py
@@ -18,6 +18,7 @@
 
 import xxhash
 
+from lovagestage.decisions.send_rates import NO_REQUESTS, RateLimit
 from lovagestage.types import InstanceId, ZoneId
 
 WARMUP_GATEWAYS = 3
@@ -31,12 +32,6 @@
 other."""
 RATE_WINDOW_S = 1.0
 """Length in seconds of the sliding window in which requests are counted."""
-SEND_TIME_RETENTION_S = 100.0
-"""Seconds for which send times are retained; it covers the span of any
-limit."""
-MAX_SEND_TIMES = 256
-"""Maximum number of retained send times. It is larger than the number of
-requests that any limit lets one gateway send in its span."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,23 +48,6 @@
     requests_per_s: float
 
 
-@dataclasses.dataclass(frozen=True)
-class RateLimit:
-    """Maximum number of requests in any time span of a given length.
-
-    Attributes:
-        requests: Maximum number of requests; 0 if none may be sent at any time.
-        span_s: Length of the span in seconds.
-    """
-
-    requests: int
-    span_s: float = RATE_WINDOW_S
-
-
-NO_REQUESTS = RateLimit(0)
-"""Limit of a gateway that may not send to the upstream."""
-
-
 @dataclasses.dataclass(frozen=True)
 class GatewayView:
     """The set of gateways as one gateway knows it.
@@ -152,17 +130,10 @@
 
 
 class WarmupTracker:
-    """Tracks one upstream's warm-up and this gateway's requests to it.
-
-    All requests to the upstream count, including those sent before the gateway
-    learnt that the upstream is warming up. A request counts from the moment at
-    which it is placed until its send time is older than the span of the limit.
-    """
+    """Tracks one upstream's warm-up."""
 
     def __init__(self) -> None:
         self._until_s = 0.0
-        self._placed_count = 0
-        self._send_times_s: list[float] = []
 
     def record_time_left(self, left_s: float, now_s: float) -> bool:
         """Records the remaining warm-up time that was reported.
@@ -184,35 +155,3 @@
     def is_cold(self, now_s: float) -> bool:
         """Returns whether the upstream may still be warming up."""
         return now_s < self._until_s
-
-    def has_capacity(self, rate_limit: RateLimit, now_s: float) -> bool:
-        """Returns whether one more request stays within a limit."""
-        span_start_s = now_s - rate_limit.span_s
-        recent_count = sum(
-            sent_s > span_start_s for sent_s in self._send_times_s
-        )
-        return self._placed_count + recent_count < rate_limit.requests
-
-    def record_placed(self) -> None:
-        """Counts a request that will either be sent or be withdrawn."""
-        self._placed_count += 1
-
-    def record_withdrawn(self) -> None:
-        """Removes a request from the count that was placed but not sent."""
-        self._placed_count -= 1
-
-    def record_sent(self, now_s: float) -> None:
-        """Moves a placed request to the sent ones and stores its send time."""
-        self._placed_count -= 1
-        self._send_times_s.append(now_s)
-        if (
-            self._send_times_s[0] < now_s - SEND_TIME_RETENTION_S
-            or len(self._send_times_s) >= 2 * MAX_SEND_TIMES
-        ):
-            retention_start_s = now_s - SEND_TIME_RETENTION_S
-            retained = [
-                sent_s
-                for sent_s in self._send_times_s
-                if sent_s >= retention_start_s
-            ]
-            self._send_times_s = retained[-MAX_SEND_TIMES:]
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -142,7 +142,7 @@
         """
         placement = self._choose_placement(work)
         if placement is None:
-            raise self.make_refusal(self._get_missing_reason())
+            raise self._make_missing_refusal()
         upstream = placement.upstream
         if self.first_attempt_s is None:
             now_s = asyncio.get_running_loop().time()
@@ -160,19 +160,23 @@
         self.excess_s = wait_s + placement.work_s - work.cached_s
         return upstream
 
-    def _get_missing_reason(self) -> str:
-        """Returns the name of the reason why no upstream is left."""
+    def _make_missing_refusal(self) -> GatewayRefusalError:
+        """Makes the error of a request for which no upstream is left.
+
+        Where all upstreams accept requests later, the caller is told when.
+        """
         admitted, deployment = self.admitted, self._deployment
         allowed = deployment.get_ready(
             admitted.service, admitted.allowed_regions
         )
         if not allowed and deployment.get_ready(admitted.service, None):
-            return "no_upstream_at_home"
-        if allowed and not deployment.filter_available(
-            allowed, get_elapsed_s()
-        ):
-            return "upstreams_cold"
-        return "no_upstream"
+            return self.make_refusal("no_upstream_at_home")
+        denial = deployment.get_denial(allowed, get_elapsed_s())
+        if denial is None or denial.denial is None:
+            return self.make_refusal("no_upstream")
+        return self.make_refusal(
+            denial.denial.value, retry_after_s=denial.wait_s
+        )
 
     def _choose_placement(
         self, work: upstream_choice.AttemptCost
@@ -342,10 +346,16 @@
         route = self.admitted.route
         if self.runs >= route.max_attempts or not route.may_run_again:
             return False
+        # The answer that is ready is dropped for the larger model's.
+        if not self.has_other_upstream():
+            return False
         return self._budget.try_acquire_escalation(get_elapsed_s())
 
     def make_refusal(
-        self, reason: str, is_retryable: bool = True
+        self,
+        reason: str,
+        is_retryable: bool = True,
+        retry_after_s: float | None = None,
     ) -> GatewayRefusalError:
         """Makes the final error of a request that no upstream has answered.
 
@@ -355,13 +365,16 @@
         Args:
             reason: Stable name of the reason.
             is_retryable: Whether a retry by the caller could help.
+            retry_after_s: Time in seconds after which it could; None where
+                that is not known.
 
         Returns:
             The refusal: 503 where no attempt can have run, 504 where too
             little time is left until the deadline, 502 otherwise.
         """
         if self.runs == 0:
-            retry_after_s = RETRY_AFTER_S if is_retryable else None
+            if is_retryable and retry_after_s is None:
+                retry_after_s = RETRY_AFTER_S
             return GatewayRefusalError(503, reason, retry_after_s)
         if self.remaining_s <= MIN_REMAINING_S:
             return GatewayRefusalError(504, reason)
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Mapping, Sequence
 
 from lovagestage.decisions.allowed_regions import RegionSet, is_region_allowed
 from lovagestage.decisions.evacuation import EvacuatedZones
+from lovagestage.decisions.upstream_notices import Permission
 from lovagestage.decisions.warmup import Warmup
 from lovagestage.gateway.configuration import Configuration
 from lovagestage.gateway.freshness import ConfigurationFreshness
@@ -20,7 +22,7 @@
 from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.session_pins import SessionPins
 from lovagestage.gateway.upstream import Upstream
-from lovagestage.gateway.warmup_guard import WarmupGuard
+from lovagestage.gateway.upstream_guard import UpstreamGuard
 from lovagestage.types import RegionId, ServiceId, VersionId, ZoneId
 
 _log = logging.getLogger(__name__)
@@ -32,9 +34,8 @@
     Args:
         freshness: Freshness of the configuration.
         pins: Versions that sessions were last answered by.
-        warmup_guard: Decides which upstreams that are warming up may get a
-            request; None where upstreams handle their full load from the
-            start.
+        guard: Decides which upstreams may get another request.
+        rotation: All known upstreams and their states.
 
     Attributes:
         configuration: The newest configuration; None before the first one.
@@ -44,22 +45,24 @@
         pins: Versions that sessions were last answered by.
         evacuations: Availability zones whose upstreams get no requests.
         regions: Region of each availability zone.
+        guard: Decides which upstreams may get another request.
     """
 
     def __init__(
         self,
         freshness: ConfigurationFreshness,
         pins: SessionPins,
-        warmup_guard: WarmupGuard | None = None,
+        guard: UpstreamGuard,
+        rotation: Rotation,
     ) -> None:
         self.configuration: Configuration | None = None
         self.freshness = freshness
-        self.rotation = Rotation()
+        self.rotation = rotation
         self.rollouts: dict[ServiceId, Rollout] = {}
         self.pins = pins
         self.evacuations = EvacuatedZones()
         self.regions: Mapping[ZoneId, RegionId] = {}
-        self._warmup_guard = warmup_guard
+        self.guard = guard
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Applies a configuration, unless a newer or the same one is known.
@@ -140,18 +143,37 @@
     ) -> Sequence[Upstream]:
         """Returns the upstreams that may get a request from this gateway now.
 
-        An upstream that is warming up is included only while this gateway may
-        send it another request.
+        An upstream that is warming up, or that states a request limit, is
+        included only while this gateway may send it another request.
         """
-        guard = self._warmup_guard
-        if guard is None or now_s >= self.rotation.cold_until_s:
+        if now_s < self.rotation.cold_until_s:
+            return [
+                upstream
+                for upstream in upstreams
+                if self.guard.check(upstream, now_s).denial is None
+            ]
+        denied = self.guard.get_denied(now_s)
+        if not denied:
             return upstreams
-        return [
-            upstream
-            for upstream in upstreams
-            if (warmup := self.get_warmup(upstream.entry.service)) is None
-            or guard.may_send(upstream, warmup, now_s)
-        ]
+        return [upstream for upstream in upstreams if upstream not in denied]
+
+    def get_denial(
+        self, upstreams: Sequence[Upstream], now_s: float
+    ) -> Permission | None:
+        """Returns why none of the upstreams may get a request now.
+
+        Args:
+            upstreams: The upstreams.
+            now_s: Elapsed time in seconds.
+
+        Returns:
+            What holds for the upstream that accepts a request soonest; None
+            where one accepts a request now, and for no upstreams.
+        """
+        checks = [self.guard.check(upstream, now_s) for upstream in upstreams]
+        if any(check.denial is None for check in checks):
+            return None
+        return min(checks, key=_get_sort_key, default=None)
 
     def assign(
         self,
@@ -258,3 +280,7 @@
             and (upstream.entry.version != target or is_running)
             and not (upstream.entry.version == target and rollout.is_stopped)
         ]
+
+
+def _get_sort_key(permission: Permission) -> float:
+    return math.inf if permission.wait_s is None else permission.wait_s
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -18,6 +18,7 @@
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.stall_detection import get_stall_timeout_s
 from lovagestage.gateway.upstream import Upstream
+from lovagestage.gateway.upstream_guard import UpstreamGuard
 from lovagestage.types import RunState
 
 MAX_HEADS_READ = 2
@@ -35,6 +36,7 @@
 
     Args:
         pool: Connections to upstreams.
+        guard: Decides whether the upstream may get the request.
         upstream: The upstream that gets the request.
         call: The request to send.
         is_repeatable: Whether the request may run more than once.
@@ -55,6 +57,7 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        guard: UpstreamGuard,
         upstream: Upstream,
         call: OutgoingCall,
         is_repeatable: bool,
@@ -67,6 +70,7 @@
         self.connect_s = 0.0
         self.head_s = 0.0
         self._pool = pool
+        self._guard = guard
         self._call = call
         self._is_repeatable = is_repeatable
         self._expected_s = expected_s
@@ -79,13 +83,13 @@
         # Key of this request in the upstream's stall detector; None once the
         # request no longer counts as waiting.
         self._inactivity_key: int | None = None
-        self._has_warmup_slot = False
+        self._is_placed = False
 
     async def __aenter__(self) -> Self:
         performance, now_s = self.upstream.performance, get_elapsed_s()
         performance.record_sent(now_s)
         performance.running += 1
-        self._reserve_warmup_slot()
+        self._place()
         performance.waiting_s += self._pending_work_s
         self._inactivity_key = performance.stall_detector.add(
             now_s, get_stall_timeout_s(self._expected_s)
@@ -107,8 +111,8 @@
             performance.record_unreachable(now_s)
         self._end_inactivity_check()
         self._remove_pending_work()
-        if self._has_warmup_slot:
-            self.upstream.warmup.record_withdrawn()
+        if self._is_placed:
+            self.upstream.sends.record_withdrawn()
         connection, head = self._connection, self.head
         if connection is None:
             return
@@ -141,6 +145,7 @@
         while True:
             started_s = get_elapsed_s()
             connection = await self._connect()
+            self._check_permission()
             sent_s = get_elapsed_s()
             self.connect_s = sent_s - started_s
             was_reused = connection.requests_sent > 0
@@ -151,7 +156,7 @@
                     # The upstream probably closed the pooled connection while
                     # it was idle.
                     connection.abort()
-                    self._reserve_warmup_slot()
+                    self._place()
                     continue
                 raise AttemptFailedError(
                     "connection_lost", RunState.UNKNOWN
@@ -210,9 +215,9 @@
                 raise AttemptFailedError("answer_too_long", RunState.RAN)
         return b"".join(chunks)
 
-    def _reserve_warmup_slot(self) -> None:
-        self._has_warmup_slot = True
-        self.upstream.warmup.record_placed()
+    def _place(self) -> None:
+        self._is_placed = True
+        self.upstream.sends.record_placed()
 
     def _end_inactivity_check(self) -> None:
         if self._inactivity_key is not None:
@@ -243,13 +248,31 @@
             performance.record_connect_end(begun_s)
         return self._connection
 
+    def _check_permission(self) -> None:
+        """Checks again whether the upstream accepts the request.
+
+        Raises:
+            AttemptFailedError: It has said meanwhile that it does not, or a
+                request that is sent again exceeds what it accepts.
+        """
+        now_s = get_elapsed_s()
+        permission = self._guard.check(self.upstream, now_s, is_placed=True)
+        if permission.denial is None:
+            return
+        raise AttemptFailedError(
+            permission.denial.value,
+            RunState.UNKNOWN if self._has_sent else RunState.NOT_RUN,
+            is_upstream_at_fault=False,
+            may_have_arrived=self._has_sent,
+        )
+
     async def _send_call(self, connection: ClientConnection) -> AnswerHead:
         call = self._call
         request = call.request
         sent_s = get_elapsed_s()
         self._has_sent = True
-        self._has_warmup_slot = False
-        self.upstream.warmup.record_sent(sent_s)
+        self._is_placed = False
+        self.upstream.sends.record_sent(sent_s)
         connection.send(
             request.method,
             request.target,
@@ -275,8 +298,8 @@
         """
         if head.is_other_instance or not (head.is_signed or head.is_not_run):
             return
-        self.upstream.record_answer_notices(
-            head.notices, sent_s, get_elapsed_s()
+        self._guard.record_answer(
+            self.upstream, head.notices, sent_s, get_elapsed_s()
         )
 
     def _check_head(self, head: AnswerHead) -> None:
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -56,6 +56,7 @@
         self._budgets: dict[ServiceId, ServiceRetryBudget] = {}
         self._context = RunContext(
             pool,
+            deployment.guard,
             evidence,
             LatencyTable(),
             PrefillTimes(),
--- a/src/lovagestage/gateway/gossip.py
+++ b/src/lovagestage/gateway/gossip.py
@@ -270,7 +270,7 @@
 
 
 def _get_name_hash(upstream: Upstream) -> int:
-    return xxhash.xxh32_intdigest(upstream.incarnation.encode())
+    return upstream.get_process_hash()
 
 
 def _get_wait_units(upstream: Upstream) -> int:
--- a/src/lovagestage/gateway/peers.py
+++ b/src/lovagestage/gateway/peers.py
@@ -93,6 +93,14 @@
         self._record_peer(peer)
         return peer
 
+    def get_peers_since(self, start_s: float) -> list[PeerAddress]:
+        """Returns the peers that were heard from since a time."""
+        return [
+            peer
+            for peer in self.peers
+            if self._last_received_s.get(peer, start_s) >= start_s
+        ]
+
     async def on_start(self) -> None:
         """Opens the socket."""
         loop = asyncio.get_running_loop()
--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -48,6 +48,8 @@
         self._ready: dict[ServiceId, list[Upstream]] = {}
         self._upstreams: dict[InstanceId, Upstream] = {}
         self._by_service: dict[ServiceId, list[Upstream]] = {}
+        self._by_process_hash: dict[int, Upstream] = {}
+        self._hashed_revision = -1
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -165,6 +167,16 @@
         """Returns all upstreams, including those in the state GONE."""
         return list(self._upstreams.values())
 
+    def find_process(self, process_hash: int) -> Upstream | None:
+        """Returns the upstream process with a hash; None if it is not known."""
+        if self._hashed_revision != self.revision:
+            self._hashed_revision = self.revision
+            self._by_process_hash = {
+                upstream.get_process_hash(): upstream
+                for upstream in self._upstreams.values()
+            }
+        return self._by_process_hash.get(process_hash)
+
     def _get_process(
         self, name: InstanceId, entry: UpstreamEntry, offset: int, now_s: float
     ) -> Upstream:
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -31,6 +31,7 @@
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.gateway.upstream_choice import AttemptCost
+from lovagestage.gateway.upstream_guard import UpstreamGuard
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
@@ -58,6 +59,7 @@
 
     Attributes:
         pool: Connections to upstreams.
+        guard: Decides which upstreams may get another request.
         evidence: Receives evidence for or against versions.
         latency: Latencies of answers by route and model.
         prefill_times: Times that upstreams take to prefill prompts, by model.
@@ -66,6 +68,7 @@
     """
 
     pool: ConnectionPool
+    guard: UpstreamGuard
     evidence: EvidenceSink
     latency: LatencyTable
     prefill_times: PrefillTimes
@@ -173,6 +176,7 @@
     )
     return Exchange(
         context.pool,
+        context.guard,
         upstream,
         call,
         admitted.route.may_run_again,
--- a/src/lovagestage/gateway/upstream.py
+++ b/src/lovagestage/gateway/upstream.py
@@ -8,9 +8,11 @@
 
 import xxhash
 
+from lovagestage.decisions.send_rates import SendLog
 from lovagestage.decisions.upstream_notices import (
     AnswerNotices,
     NoticeChange,
+    NoticeKind,
     UpstreamNotices,
 )
 from lovagestage.decisions.warmup import WarmupTracker
@@ -81,8 +83,8 @@
             entries say.
         changed_s: Elapsed time in seconds of the last change of the state.
         performance: Load, health and speed as this gateway observes them.
-        warmup: Whether the upstream may be warming up, and which requests this
-            gateway sent to it recently.
+        warmup: Whether the upstream may be warming up.
+        sends: Requests that this gateway sent to the process recently.
         notices: What the process has said of itself in its answers.
         past_start_ms: Start times of earlier processes with the same id.
     """
@@ -98,6 +100,7 @@
         self.changed_s = now_s
         self.performance = Performance()
         self.warmup = WarmupTracker()
+        self.sends = SendLog()
         self.notices = UpstreamNotices()
         self.past_start_ms: tuple[int | None, ...] = ()
         self._name = name.encode()
@@ -108,6 +111,10 @@
         """Name of this process, distinct from others under the same id."""
         return f"{self.id}/{self.entry.start_ms}"
 
+    def get_process_hash(self) -> int:
+        """Returns a short name of this process, the same at all gateways."""
+        return int(xxhash.xxh32_intdigest(self.incarnation.encode()))
+
     def get_rank(self, seed: int) -> int:
         """Returns the upstream's hash rank; the same at all gateways."""
         return int(xxhash.xxh3_64_intdigest(self._name, seed))
@@ -171,16 +178,35 @@
 
     def record_answer_notices(
         self, notices: AnswerNotices, sent_s: float, now_s: float
-    ) -> None:
+    ) -> list[NoticeChange]:
         """Records what an answer of the upstream says of it; logs changes.
 
         Args:
             notices: Statements of the answer.
             sent_s: Elapsed time in seconds at which the request was sent.
             now_s: Elapsed time in seconds.
+
+        Returns:
+            What has changed, and statements that could not be used.
         """
-        for change in self.notices.record_answer(notices, sent_s, now_s):
+        changes = self.notices.record_answer(notices, sent_s, now_s)
+        for change in changes:
             self._log_notice(change)
+        return changes
+
+    def record_peer_limit(self, per_s: float | None, heard_s: float) -> None:
+        """Records a request limit that another gateway has read; logs changes.
+
+        Args:
+            per_s: The limit; None where the upstream no longer states one.
+            heard_s: Elapsed time in seconds at which that gateway read it.
+        """
+        previous = self.notices.limit_per_s
+        if self.notices.record_peer_limit(per_s, heard_s):
+            value = self.notices.limit_per_s
+            self._log_notice(
+                NoticeChange(NoticeKind.REQUEST_LIMIT, value, previous)
+            )
 
     def _log_notice(self, change: NoticeChange) -> None:
         if change.malformed is not None:
--- /dev/null
+++ b/src/lovagestage/gateway/upstream_guard.py
@@ -0,0 +1,260 @@
+"""Decides whether this gateway may send a request to an upstream.
+
+Each path on which a request reaches an upstream asks here twice: when the
+upstream is chosen, and immediately before the request is sent. In between, a
+connection may take some hundred milliseconds to open, and the upstream may have
+said something of itself in another answer. A request that is sent again after
+its kept connection broke is asked about once more.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Collection
+from typing import Protocol
+
+import xxhash
+
+from lovagestage.decisions.limit_sharing import GatewaySet, LimitPolicy
+from lovagestage.decisions.send_rates import NO_REQUESTS, RateLimit
+from lovagestage.decisions.upstream_notices import (
+    MIN_RATE_PER_S,
+    PERMITTED,
+    UNCONFIRMED_RETENTION_S,
+    AnswerNotices,
+    Denial,
+    NoticeKind,
+    Permission,
+    check_rate,
+)
+from lovagestage.decisions.warmup import GatewayView, Warmup, WarmupPolicy
+from lovagestage.gateway.upstream import Upstream, UpstreamState
+from lovagestage.types import InstanceId, ServiceId, ZoneId
+
+STARTUP_DELAY_S = 3.0
+"""Time in seconds after its start in which a gateway leaves upstreams that are
+warming up or limited to other gateways: its hello message reaches them within
+about a second, and it receives the reported queue times, which name the other
+gateways, several times a second."""
+SHARE_RETENTION_S = 1.0
+"""Time in seconds for which a share of a limit is used before it is computed
+again: it depends on hundreds of gateways, and is asked for several times in
+each choice."""
+RECHECK_LIMIT = RateLimit(1, UNCONFIRMED_RETENTION_S)
+"""Limit of a gateway that finds out whether a limit still holds."""
+
+
+class PeerDirectory(Protocol):
+    """Names of the other gateways."""
+
+    def get_all(self) -> Collection[str] | None:
+        """Returns all known ones; None where gateways can't learn of them."""
+
+    def get_live(self, now_s: float) -> Collection[str]:
+        """Returns those that were heard from lately."""
+
+    def get_in_zone(self) -> Collection[str]:
+        """Returns those in this gateway's availability zone."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Share:
+    """A gateway's share of an upstream's request limit.
+
+    Attributes:
+        per_s: The upstream's limit in requests per second.
+        rate_limit: The gateway's share of it.
+        computed_s: Elapsed time in seconds at which it was computed.
+    """
+
+    per_s: float
+    rate_limit: RateLimit
+    computed_s: float
+
+
+class UpstreamGuard:
+    """Applies what is known of an upstream's capacity to each request.
+
+    Args:
+        warmup_policy: How gateways share the request rate of an upstream that
+            is warming up.
+        limit_policy: How gateways share the request limit that an upstream
+            states.
+        get_warmup: Returns the warm-up of a service's upstreams; None where
+            they handle their full load from the start.
+        zone: The gateway's availability zone.
+        own_name: Name of the gateway among the gateways.
+        peers: Names of the other gateways.
+        started_s: Elapsed time in seconds at the start of the process.
+    """
+
+    def __init__(
+        self,
+        warmup_policy: WarmupPolicy,
+        limit_policy: LimitPolicy,
+        get_warmup: Callable[[ServiceId], Warmup | None],
+        zone: ZoneId,
+        own_name: str,
+        peers: PeerDirectory,
+        started_s: float,
+    ) -> None:
+        self._warmup_policy = warmup_policy
+        self._limit_policy = limit_policy
+        self._get_warmup = get_warmup
+        self._zone = zone
+        self._own_name = own_name
+        self._peers = peers
+        self._started_s = started_s
+        self._shares: dict[InstanceId, _Share] = {}
+        # A few of thousands of upstreams say anything of themselves, and each
+        # choice goes through these alone.
+        self._noticed: set[Upstream] = set()
+        self._on_limit_changed: Callable[[Upstream], None] | None = None
+
+    def set_limit_listener(self, listener: Callable[[Upstream], None]) -> None:
+        """Sets what is called when an upstream has changed its limit."""
+        self._on_limit_changed = listener
+
+    def check(
+        self, upstream: Upstream, now_s: float, is_placed: bool = False
+    ) -> Permission:
+        """Returns whether an upstream may get a request from here.
+
+        Args:
+            upstream: The upstream.
+            now_s: Elapsed time in seconds.
+            is_placed: Whether the request is already counted as placed at the
+                upstream.
+        """
+        notices = upstream.notices
+        share = NO_REQUESTS
+        if notices.limit_per_s is not None:
+            share = self._get_share(upstream, notices.limit_per_s, now_s)
+        permission = notices.check(share, upstream.sends, now_s, is_placed)
+        if permission.denial is None and upstream.warmup.is_cold(now_s):
+            return self._check_warmup(upstream, now_s, is_placed)
+        return permission
+
+    def record_answer(
+        self,
+        upstream: Upstream,
+        notices: AnswerNotices,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Records what an answer of an upstream says of it.
+
+        Args:
+            upstream: The upstream.
+            notices: Statements of the answer.
+            sent_s: Elapsed time in seconds at which the request was sent.
+            now_s: Elapsed time in seconds.
+        """
+        changes = upstream.record_answer_notices(notices, sent_s, now_s)
+        if changes:
+            self._noticed.add(upstream)
+        is_limit_changed = any(
+            change.kind is NoticeKind.REQUEST_LIMIT and change.malformed is None
+            for change in changes
+        )
+        if is_limit_changed and self._on_limit_changed is not None:
+            self._on_limit_changed(upstream)
+
+    def record_peer_limit(
+        self, upstream: Upstream, per_s: float | None, heard_s: float
+    ) -> None:
+        """Records a request limit that another gateway has read.
+
+        Args:
+            upstream: The upstream.
+            per_s: The limit; None where the upstream no longer states one.
+            heard_s: Elapsed time in seconds at which that gateway read it.
+        """
+        upstream.record_peer_limit(per_s, heard_s)
+        self._noticed.add(upstream)
+
+    def get_denied(self, now_s: float) -> set[Upstream]:
+        """Returns the upstreams that get nothing because of their notices."""
+        return {
+            upstream
+            for upstream in self.get_noticed()
+            if self.check(upstream, now_s).denial is not None
+        }
+
+    def get_noticed(self) -> set[Upstream]:
+        """Returns the upstreams whose notices may restrict requests."""
+        for upstream in list(self._noticed):
+            is_gone = upstream.state is UpstreamState.GONE
+            if is_gone or not upstream.notices.has_any:
+                self._noticed.remove(upstream)
+                self._shares.pop(upstream.id, None)
+        return self._noticed
+
+    def get_gateway_set(self, now_s: float) -> GatewaySet:
+        """Returns the gateways that share upstreams, as known here."""
+        return GatewaySet(
+            self._own_name,
+            self._peers.get_all(),
+            self._peers.get_live(now_s),
+            now_s - self._started_s >= STARTUP_DELAY_S,
+        )
+
+    def _get_share(
+        self, upstream: Upstream, per_s: float, now_s: float
+    ) -> RateLimit:
+        known = self._shares.get(upstream.id)
+        if (
+            known is None
+            or known.per_s != per_s
+            or now_s - known.computed_s >= SHARE_RETENTION_S
+        ):
+            rate_limit = self._compute_share(upstream, per_s, now_s)
+            known = self._shares[upstream.id] = _Share(per_s, rate_limit, now_s)
+        return known.rate_limit
+
+    def _compute_share(
+        self, upstream: Upstream, per_s: float, now_s: float
+    ) -> RateLimit:
+        gateways = self.get_gateway_set(now_s)
+        name = f"{upstream.incarnation}/{self._own_name}"
+        place = xxhash.xxh32_intdigest(name.encode()) / 2**32
+        count = 1 + len(gateways.peers or ())
+        rate_limit = self._limit_policy.get_rate_limit(
+            gateways, upstream.id, per_s
+        )
+        is_recheck_due = upstream.notices.is_limit_unconfirmed(
+            count, place, now_s
+        )
+        if not rate_limit.requests and is_recheck_due:
+            return RECHECK_LIMIT
+        return rate_limit
+
+    def _check_warmup(
+        self, upstream: Upstream, now_s: float, is_placed: bool
+    ) -> Permission:
+        warmup = self._get_warmup(upstream.entry.service)
+        if warmup is None:
+            return PERMITTED
+        rate_limit = self._warmup_policy.get_rate_limit(
+            self._get_zone_view(now_s),
+            upstream.id,
+            upstream.entry.zone,
+            warmup.requests_per_s,
+        )
+        return check_rate(
+            rate_limit,
+            upstream.sends,
+            now_s,
+            is_placed,
+            Denial.COLD,
+            1.0 / max(MIN_RATE_PER_S, warmup.requests_per_s),
+        )
+
+    def _get_zone_view(self, now_s: float) -> GatewayView:
+        is_discovering = self._peers.get_all() is not None
+        return GatewayView(
+            self._own_name,
+            self._zone,
+            self._peers.get_in_zone() if is_discovering else None,
+            now_s - self._started_s >= STARTUP_DELAY_S,
+        )
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -10,7 +10,8 @@
 
 import mode
 
-from lovagestage.decisions.warmup import ZoneWarmupPolicy
+from lovagestage.decisions.limit_sharing import RankedLimitPolicy
+from lovagestage.decisions.warmup import Warmup, ZoneWarmupPolicy
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.crash_detection import SuspectWatch
@@ -23,6 +24,11 @@
     ConfigurationFreshness,
 )
 from lovagestage.gateway.gossip import Gossip
+from lovagestage.gateway.limit_exchange import LimitExchange
+from lovagestage.gateway.peer_directory import (
+    NoPeerDirectory,
+    SocketPeerDirectory,
+)
 from lovagestage.gateway.peer_messages import (
     PEER_MESSAGES_TOPIC,
     ActiveSessionsMessage,
@@ -32,7 +38,7 @@
     OutcomeMessage,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
-from lovagestage.gateway.peers import PeerSocket
+from lovagestage.gateway.peers import PeerSocket, format_peer
 from lovagestage.gateway.relay import (
     CONFIRMATION_AGE_SLACK_S,
     HELD_READ_RATIO,
@@ -40,13 +46,14 @@
     Relay,
 )
 from lovagestage.gateway.rollout_service import RolloutService
+from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.service import GatewayService
 from lovagestage.gateway.session_pins import SessionPins
 from lovagestage.gateway.settings import Bounds, GatewaySettings
 from lovagestage.gateway.startup_gate import StartupGate
 from lovagestage.gateway.state_view import OperatorStateView, UpstreamStateView
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
-from lovagestage.gateway.warmup_guard import WarmupGuard
+from lovagestage.gateway.upstream_guard import PeerDirectory, UpstreamGuard
 from lovagestage.messages.crashes import CrashReport
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
@@ -57,6 +64,7 @@
     StoreClient,
 )
 from lovagestage.timers import TimerService
+from lovagestage.types import ServiceId
 
 LONG_POLL_RATIO = 0.7
 """Time for which the store holds a long poll, as a share of the time in which a
@@ -130,20 +138,21 @@
     bounds = settings.bounds
     make_store = functools.partial(_make_store, settings, exposition)
     socket = _make_peer_socket(settings, exposition)
-    warmup_guard = WarmupGuard(
-        ZoneWarmupPolicy(),
-        settings.zone,
-        None if socket is None else socket.own_address,
-        lambda: () if gossip is None else gossip.get_zone_peers(),
-        get_elapsed_s(),
+    rotation = Rotation()
+    gossip = _make_gossip(settings, rotation, socket)
+    guard = _make_guard(
+        settings,
+        lambda service: deployment.get_warmup(service),
+        socket,
+        gossip,
     )
     deployment = Deployment(
         ConfigurationFreshness(bounds.revoke_s, bounds.apply_s),
         SessionPins(bounds.session_s),
-        warmup_guard,
+        guard,
+        rotation,
     )
     deployment.regions = settings.regions
-    gossip = _make_gossip(settings, deployment, socket)
     rollouts = RolloutService(
         make_store(), deployment, settings.vm, bounds, rng
     )
@@ -192,7 +201,10 @@
             relay.add_source(feed)
     _add_gauges(exposition, deployment, socket, operator_feed)
     timers = TimerService()
-    peer_services = (socket, gossip, relay)
+    limit_exchange = (
+        None if socket is None else LimitExchange(socket, rotation, guard)
+    )
+    peer_services = (socket, gossip, relay, limit_exchange)
     services = (
         timers,
         *(each for each in peer_services if each is not None),
@@ -313,12 +325,34 @@
 
 def _make_gossip(
     settings: GatewaySettings,
-    deployment: Deployment,
+    rotation: Rotation,
     socket: PeerSocket | None,
 ) -> Gossip | None:
     if socket is None:
         return None
-    return Gossip(settings.vm, settings.zone, socket, deployment.rotation)
+    return Gossip(settings.vm, settings.zone, socket, rotation)
+
+
+def _make_guard(
+    settings: GatewaySettings,
+    get_warmup: Callable[[ServiceId], Warmup | None],
+    socket: PeerSocket | None,
+    gossip: Gossip | None,
+) -> UpstreamGuard:
+    own_name = ""
+    peers: PeerDirectory = NoPeerDirectory()
+    if socket is not None and gossip is not None:
+        own_name = format_peer(socket.own_address)
+        peers = SocketPeerDirectory(socket, gossip)
+    return UpstreamGuard(
+        ZoneWarmupPolicy(),
+        RankedLimitPolicy(),
+        get_warmup,
+        settings.zone,
+        own_name,
+        peers,
+        get_elapsed_s(),
+    )
 
 
 def _make_relay(
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -42,6 +42,8 @@
         "upstream_crashed",
         "upstream_restarted",
         "upstream_record_refused",
+        "upstream_notice_changed",
+        "upstream_notice_malformed",
     )
 )
 _SERVICE_EVENTS = frozenset(
@@ -77,6 +79,9 @@
     " the route and the workspace allow; nothing was run.",
     "upstreams_cold": "All upstreams had just started and were at the limit of"
     " their warm-up; nothing was run.",
+    "upstreams_limited": "Each upstream that could run the request states a"
+    " request limit, and this gateway's share of it was used up; nothing was"
+    " run.",
     "crashes_upstreams": "The request has crashed upstreams; it will not be"
     " run again for some time.",
     "suspect_waiting": "A copy of the request was being run alone.",
@@ -225,7 +230,7 @@
         if name not in names:
             continue
         if line.event in _UPSTREAM_EVENTS:
-            last[line.vm, name, line.event] = line
+            last[line.vm, name, line.event, line.get("notice")] = line
         elif line.event == "attempt_failed":
             last[name, line.event, line.get("reason")] = line
     processes = {line.vm for line in own}
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -14,9 +14,17 @@
 from lab.ports import get_free_port
 from lab.server import start_app
 from lab.worker import Worker
+from lovagestage.decisions.limit_sharing import RankedLimitPolicy
+from lovagestage.decisions.warmup import ZoneWarmupPolicy
+from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.freshness import ConfigurationFreshness
 from lovagestage.gateway.listeners import open_listener
+from lovagestage.gateway.peer_directory import NoPeerDirectory
 from lovagestage.gateway.process import Gateway
+from lovagestage.gateway.rotation import Rotation
+from lovagestage.gateway.session_pins import SessionPins
+from lovagestage.gateway.upstream_guard import UpstreamGuard
 from lovagestage.platform.settings import decode_settings
 
 KEY = "n2ctnfzs989anu6wsjnb"
@@ -90,6 +98,27 @@
     return caller.make_request(path, key=key, **fields)
 
 
+def make_guard(own_name="", peers=None, started_s=-60.0, get_warmup=None):
+    return UpstreamGuard(
+        ZoneWarmupPolicy(),
+        RankedLimitPolicy(),
+        get_warmup or (lambda service: None),
+        "a",
+        own_name,
+        peers or NoPeerDirectory(),
+        started_s,
+    )
+
+
+def make_deployment():
+    return Deployment(
+        ConfigurationFreshness(5.0, 3.0),
+        SessionPins(5.0),
+        make_guard(),
+        Rotation(),
+    )
+
+
 class GatewayHarness:
     """A store, workers and gateways that run in this process."""
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -187,3 +187,21 @@
     assert events.count("zone_evacuated") == 2
     assert "upstream_cold" in events
     assert "just started" in explanation.conclusion
+
+
+def test_explanation_tells_what_upstreams_said_of_themselves():
+    log = """\
+time=01.0 event=process_started vm=a address=x
+time=01.1 event=upstream_notice_changed vm=a upstream=u1 notice=request_limit \
+value=3.0
+time=01.2 event=upstream_notice_changed vm=a upstream=u1 notice=request_limit \
+value=2.0 previous=3.0
+time=01.3 event=attempt_failed vm=a request=r1 upstream=u1 \
+reason=upstreams_limited run=not_run
+time=01.4 event=request_ended vm=a request=r1 outcome=upstreams_limited \
+status=503 upstreams=u1 service=s
+"""
+    explanation = explain_log("r1", log)
+    notices = [line for line in explanation.context if line.get("notice")]
+    assert [line.get("value") for line in notices] == ["2.0"]
+    assert "states a request limit" in explanation.conclusion
--- a/tests/test_gateway_request_limits.py
+++ b/tests/test_gateway_request_limits.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from lab.worker import answer_plain, make_stream
+from lab.worker import answer_plain, make_stream, reset
+from lovagestage.gateway import upstream_guard
 from tests.gateway_harness import run_gateway_harness
 
 LIMIT_PER_S = 2.0
@@ -79,3 +80,53 @@
         await call_all_gateways(harness, times_s, end_s)
         assert get_most_in_window(times_s, start_s + SETTLE_S) <= ALLOWED
         assert len(harness.workers["w2"].arrivals) > len(times_s)
+
+
+@pytest.fixture
+def settled(monkeypatch):
+    monkeypatch.setattr(upstream_guard, "STARTUP_DELAY_S", 0.0)
+
+
+async def test_refuses_at_once_and_says_when_to_return(settled):
+    # Guards against callers that wait until their deadline, or come back before
+    # the upstream accepts another request.
+    async with run_gateway_harness(1) as harness:
+        harness.workers["w1"].notices = {"Server-Limit": "1"}
+        assert (await harness.call("/safe/1")).status == 200
+        started_s = time.monotonic()
+        refusal = await harness.call("/safe/2", request_id="a2")
+        assert refusal.status == 503
+        assert time.monotonic() - started_s < 0.5
+        wait_s = float(refusal.headers["retry-after"])
+        assert 0.0 < wait_s <= 1.0
+        await asyncio.sleep(wait_s + 0.02)
+        reply = await harness.call("/safe/3", request_id="a3")
+        assert reply.status == 200
+        assert len(harness.workers["w1"].arrivals) == 2
+
+
+async def test_keeps_a_ready_answer_when_no_upstream_accepts_another(settled):
+    # Guards against a small model's answer that is dropped for a larger model
+    # that may not be asked.
+    script = make_stream(events=2, confidence={"small": 5})
+    async with run_gateway_harness(1, script) as harness:
+        harness.workers["w1"].notices = {"Server-Limit": "1"}
+        reply = await harness.call("/sized/1", Model_Name="*")
+        assert (reply.status, reply.is_complete) == (200, True)
+        assert b"small" in reply.body
+        assert len(harness.workers["w1"].arrivals) == 1
+
+
+async def test_broken_kept_connection_does_not_exceed_the_limit(settled):
+    # Guards against the second send of a request whose kept connection broke,
+    # which no choice of an upstream goes before.
+    async def reset_second(arrival, writer):
+        script = reset if arrival.request_id == "a2" else answer_plain
+        await script(arrival, writer)
+
+    async with run_gateway_harness(1, reset_second) as harness:
+        harness.workers["w1"].notices = {"Server-Limit": "2"}
+        assert (await harness.call("/safe/1")).status == 200
+        reply = await harness.call("/safe/2", request_id="a2")
+        assert reply.status == 502
+        assert len(harness.workers["w1"].arrivals) == 2
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -12,8 +12,6 @@
 
 from lab import worker as lab
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.deployment import Deployment
-from lovagestage.gateway.freshness import ConfigurationFreshness
 from lovagestage.gateway.latency import LatencyTable
 from lovagestage.gateway.peer_messages import (
     PEER_MESSAGES_TOPIC,
@@ -43,11 +41,14 @@
     get_first_share,
     get_log_likelihood_ratio,
 )
-from lovagestage.gateway.session_pins import SessionPins
 from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.platform.settings import decode_settings
 from lovagestage.platform.store import StoreClient
-from tests.gateway_harness import make_settings_text, run_gateway_harness
+from tests.gateway_harness import (
+    make_deployment,
+    make_settings_text,
+    run_gateway_harness,
+)
 
 ORDER = RolloutOrder("pool", "v2", 20.0)
 BOTH = ["v1", "v2"]
@@ -226,7 +227,7 @@
     # A session had a request on the old version a moment before the share was
     # agreed. Its hash is below the share, but in the first half it must not
     # change its version; a session that begins later goes to the new version.
-    deployment = Deployment(ConfigurationFreshness(5.0, 3.0), SessionPins(5.0))
+    deployment = make_deployment()
     for number, version in enumerate(BOTH):
         entry = UpstreamEntry("pool", f"h:{number}", "a", version, 4, False)
         deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
@@ -239,7 +240,7 @@
     assert deployment.assign("pool", moved, "q4", 112.0).is_new
     deployment.pins.expire(200.0)
     assert len(deployment.pins) == 0
-    again = Deployment(ConfigurationFreshness(5.0, 3.0), SessionPins(5.0))
+    again = make_deployment()
     again.rotation, again.rollouts = deployment.rotation, deployment.rollouts
     assert again.assign("pool", moved, "q5", 102.0).is_new
 
@@ -467,7 +468,7 @@
         The upstreams that answered, and the roll-out.
     """
     rng = random.Random(seed)
-    deployment = Deployment(ConfigurationFreshness(5.0, 3.0), SessionPins(5.0))
+    deployment = make_deployment()
     for number in range(94):
         version = BOTH[number % 2]
         entry = UpstreamEntry("pool", f"h:{number}", "a", version, 12, False)
@@ -525,7 +526,7 @@
 
 def test_a_version_without_others_is_not_kept_to_a_few_upstreams():
     # The old version's upstreams have crashed while the new one is on trial.
-    deployment = Deployment(ConfigurationFreshness(5.0, 3.0), SessionPins(5.0))
+    deployment = make_deployment()
     for number in range(9):
         entry = UpstreamEntry("pool", f"h:{number}", "a", "v2", 4, False)
         deployment.rotation.apply(f"w{number}", entry, number, 0.0, False)
@@ -555,9 +556,7 @@
     """Records one gateway's answers of a new version, from three upstreams."""
 
     def __init__(self):
-        deployment = Deployment(
-            ConfigurationFreshness(5.0, 3.0), SessionPins(5.0)
-        )
+        deployment = make_deployment()
         bounds = decode_settings(make_settings_text(1, 2, 3), "boot").bounds
         store = StoreClient("127.0.0.1:1")
         self.service = RolloutService(
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -13,16 +13,19 @@
 
 from lab.experiments import warmup as experiment
 from lab.worker import answer_plain, reset_connection
-from lovagestage.decisions.warmup import (
+from lovagestage.decisions.send_rates import (
     MAX_SEND_TIMES,
     SEND_TIME_RETENTION_S,
+    RateLimit,
+    SendLog,
+)
+from lovagestage.decisions.warmup import (
     WARMUP_GATEWAYS,
     GatewayView,
-    RateLimit,
     WarmupTracker,
     ZoneWarmupPolicy,
 )
-from lovagestage.gateway import warmup_guard
+from lovagestage.gateway import upstream_guard
 from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.gateway.upstream_choice import AttemptCost, choose_upstream
@@ -97,7 +100,7 @@
 )
 def test_no_second_holds_more_than_the_pace(gaps_s, delays_s, requests):
     # Requests are sent some time after they were placed, in any order.
-    log, rate_limit = WarmupTracker(), RateLimit(requests)
+    log, rate_limit = SendLog(), RateLimit(requests)
     now_s, sent_s, pending = 0.0, [], []
     for gap_s, delay_s in zip(gaps_s, delays_s, strict=False):
         now_s += gap_s
@@ -114,11 +117,10 @@
 
 
 def test_what_was_sent_before_it_was_known_to_be_cold_counts():
-    log = WarmupTracker()
+    log = SendLog()
     for _ in range(3):
         log.record_placed()
         log.record_sent(10.0)
-    log.record_time_left(3.0, 10.2)
     assert not log.has_capacity(RateLimit(3), 10.9)
     assert log.has_capacity(RateLimit(3), 11.1)
 
@@ -174,7 +176,7 @@
     # Guards against an empty upstream that gets all requests while it is
     # warming up, so that it crashes, restarts, warms up again and crashes
     # again.
-    monkeypatch.setattr(warmup_guard, "STARTUP_DELAY_S", 0.0)
+    monkeypatch.setattr(upstream_guard, "STARTUP_DELAY_S", 0.0)
 
     async def run():
         crashes = []
@@ -201,7 +203,7 @@
     # Guards against a burst of requests to upstreams that started to warm up
     # while their zone was evacuated, and whose next heartbeat has not reported
     # that yet.
-    monkeypatch.setattr(warmup_guard, "STARTUP_DELAY_S", 0.0)
+    monkeypatch.setattr(upstream_guard, "STARTUP_DELAY_S", 0.0)
 
     async def run():
         async with run_gateway_harness(
@@ -250,7 +252,7 @@
 
 
 def test_retained_send_times_are_bounded():
-    log = WarmupTracker()
+    log = SendLog()
     for number in range(5000):
         log.record_placed()
         log.record_sent(number * 0.01)
