Keep the limit of an upstream whose entry comes back

An upstream whose entry expired while the store was away dropped out of the upstreams that a choice looks at for their notices. When the same process wrote its entry again, it was chosen without its limit, and each such attempt failed at the check before the send. Shown by a test that failed on the code before.

--- a/src/lovagestage/gateway/limit_exchange.py
+++ b/src/lovagestage/gateway/limit_exchange.py
@@ -149,7 +149,7 @@
     def _repeat(self) -> None:
         """Repeats what is in force, and forgets upstreams that are gone."""
         now_s = self._repeated_s = get_elapsed_s()
-        noticed = self._guard.get_noticed()
+        noticed = self._guard.get_noticed(now_s)
         gateways = self._guard.get_gateway_set(now_s)
         limited = {
             upstream
--- a/src/lovagestage/gateway/upstream_guard.py
+++ b/src/lovagestage/gateway/upstream_guard.py
@@ -28,6 +28,7 @@
     check_rate,
 )
 from lovagestage.decisions.warmup import GatewayView, Warmup, WarmupPolicy
+from lovagestage.gateway.rotation import GONE_RETENTION_S
 from lovagestage.gateway.upstream import Upstream, UpstreamState
 from lovagestage.types import InstanceId, ServiceId, ZoneId
 
@@ -177,15 +178,18 @@
         """Returns the upstreams that get nothing because of their notices."""
         return {
             upstream
-            for upstream in self.get_noticed()
+            for upstream in self.get_noticed(now_s)
             if self.check(upstream, now_s).denial is not None
         }
 
-    def get_noticed(self) -> set[Upstream]:
+    def get_noticed(self, now_s: float) -> set[Upstream]:
         """Returns the upstreams whose notices may restrict requests."""
         for upstream in list(self._noticed):
-            is_gone = upstream.state is UpstreamState.GONE
-            if is_gone or not upstream.notices.has_any:
+            is_forgotten = (
+                upstream.state is UpstreamState.GONE
+                and now_s - upstream.changed_s > GONE_RETENTION_S
+            )
+            if is_forgotten or not upstream.notices.has_any:
                 self._noticed.remove(upstream)
                 self._shares.pop(upstream.id, None)
         return self._noticed
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -248,3 +248,16 @@
         guards[0].record_answer(old, state_limit("2.5"), now_s, now_s)
         await asyncio.sleep(0.2)
         assert new.notices.limit_per_s is None
+
+
+def test_an_upstream_that_comes_back_is_still_limited():
+    # Guards against a limit that is dropped with an entry that expired while
+    # the store was away: the process is the same.
+    rotation, guard = make_rotation(), make_guard("10.0.0.1:1")
+    (upstream,) = rotation.get_all()
+    guard.record_answer(upstream, state_limit("0.5"), 0.0, 0.0)
+    rotation.apply("i-1", None, 2, 1.0, False)
+    guard.get_denied(1.0)
+    apply_entry(rotation, 1, 3)
+    upstream.sends.record_placed()
+    assert guard.get_denied(2.0) == {upstream}
