Read what upstreams say of their departure; log and count it

New are notice=leaving in upstream_notice_changed and _malformed, the gauge leaving_upstreams, and noticed_attempts_total by notice in place of limited_attempts_total. Nothing is decided by it yet. Only the text 1 is a departure, which is final for its process; another process under the same id has said nothing.

--- a/src/lovagestage/decisions/upstream_notices.py
+++ b/src/lovagestage/decisions/upstream_notices.py
@@ -32,12 +32,14 @@
 holds, once nobody has confirmed it."""
 MAX_REPORTED_CHARS = 60
 """Maximum length of the text of a malformed statement that is reported."""
+_YES, _NO = "1", "0"
 
 
 class NoticeKind(enum.Enum):
     """Kinds of statements that an upstream makes about itself."""
 
     REQUEST_LIMIT = "request_limit"
+    LEAVING = "leaving"
 
 
 class Denial(enum.Enum):
@@ -74,9 +76,11 @@
     Attributes:
         request_limit: Requests per second that the upstream accepts from all
             gateways together.
+        leaving: "1" if the upstream is leaving.
     """
 
     request_limit: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +106,7 @@
     def __init__(self) -> None:
         self._limit_per_s: float | None = None
         self._limit_heard_s = -math.inf
+        self._is_leaving = False
         self._malformed_kinds: set[NoticeKind] = set()
 
     @property
@@ -109,10 +114,23 @@
         """Requests per second accepted from all gateways; None for no limit."""
         return self._limit_per_s
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the process has said that it is leaving; that is final."""
+        return self._is_leaving
+
     @property
     def has_any(self) -> bool:
         """Whether any statement may restrict requests to the upstream."""
-        return self._limit_per_s is not None
+        return bool(self.get_kinds())
+
+    def get_kinds(self) -> list[NoticeKind]:
+        """Returns the kinds of statements that are in force."""
+        in_force = {
+            NoticeKind.REQUEST_LIMIT: self._limit_per_s is not None,
+            NoticeKind.LEAVING: self._is_leaving,
+        }
+        return [kind for kind, holds in in_force.items() if holds]
 
     @property
     def limit_heard_s(self) -> float:
@@ -197,15 +215,32 @@
         Returns:
             What has changed, and statements that could not be used.
         """
-        if notices.request_limit:
-            return self._record_limit(notices.request_limit, now_s)
+        return [
+            *self._record_limit(notices.request_limit, sent_s, now_s),
+            *self._record_leaving(notices.leaving),
+        ]
+
+    def _record_leaving(self, texts: Sequence[str]) -> list[NoticeChange]:
+        stated = {part.strip() for text in texts for part in text.split(",")}
+        if _YES in stated and not self._is_leaving:
+            self._is_leaving = True
+            return [NoticeChange(NoticeKind.LEAVING, 1.0)]
+        if stated - {_YES, _NO}:
+            return self._make_malformed(NoticeKind.LEAVING, texts)
+        return []
+
+    def _record_limit(
+        self, texts: Sequence[str], sent_s: float, now_s: float
+    ) -> list[NoticeChange]:
+        if texts:
+            return self._record_stated_limit(texts, now_s)
         if self._limit_per_s is None or sent_s < self._limit_heard_s:
             return []
         previous, self._limit_per_s = self._limit_per_s, None
         self._limit_heard_s = now_s
         return [NoticeChange(NoticeKind.REQUEST_LIMIT, None, previous)]
 
-    def _record_limit(
+    def _record_stated_limit(
         self, texts: Sequence[str], now_s: float
     ) -> list[NoticeChange]:
         value = parse_number(texts)
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import functools
 import logging
 import random
 from collections.abc import Iterator, Sequence
 
+from lovagestage.decisions.upstream_notices import NoticeKind
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway import upstream_choice
 from lovagestage.gateway.admission import RETRY_AFTER_S, AdmittedRequest
@@ -48,8 +50,8 @@
         admitted: The request.
         assignment: Version to which the request's session is assigned.
         sent: Number of attempts made.
-        sent_limited: Number of attempts at upstreams that had stated a request
-            limit.
+        noticed: Number of attempts at upstreams that had said something of
+            themselves, by its kind.
         runs: Number of attempts that may have run at an upstream.
         tried: Upstreams in the order of the attempts.
         waits_s: Expected queue time in seconds at each tried upstream when it
@@ -84,7 +86,7 @@
         self.admitted = admitted
         self.assignment = Assignment(None)
         self.sent = 0
-        self.sent_limited = 0
+        self.noticed: collections.Counter[NoticeKind] = collections.Counter()
         self.runs = 0
         self.tried: list[InstanceId] = []
         self.waits_s: list[float] = []
@@ -152,7 +154,7 @@
         if work.prefix_key is not None:
             upstream.record_sent_prefix(work.prefix_key)
         self.sent += 1
-        self.sent_limited += upstream.notices.limit_per_s is not None
+        self.noticed.update(upstream.notices.get_kinds())
         self.runs += 1
         self.tried.append(upstream.id)
         wait_s = upstream.performance.get_wait_s()
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -53,16 +53,23 @@
     ATTEMPTS = SeriesSpec(
         "attempts_total", SeriesKind.COUNTER, "Attempts at upstreams."
     )
-    LIMITED_ATTEMPTS = SeriesSpec(
-        "limited_attempts_total",
+    NOTICED_ATTEMPTS = SeriesSpec(
+        "noticed_attempts_total",
         SeriesKind.COUNTER,
-        "Attempts at upstreams that state a request limit.",
+        "Attempts at upstreams that state a request limit, or have said that"
+        " they leave.",
+        ("notice",),
     )
     LIMITED_UPSTREAMS = SeriesSpec(
         "limited_upstreams",
         SeriesKind.GAUGE,
         "Upstreams that state a request limit.",
     )
+    LEAVING_UPSTREAMS = SeriesSpec(
+        "leaving_upstreams",
+        SeriesKind.GAUGE,
+        "Upstreams that have said in an answer that they leave.",
+    )
     LINES_DROPPED = SeriesSpec(
         "log_lines_left_out_total",
         SeriesKind.COUNTER,
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -179,9 +179,9 @@
         labels = f'kind="{kind}",outcome="{outcome}"'
         self._exposition.count(Series.REQUESTS, labels)
         self._exposition.count(Series.ATTEMPTS, "", attempts.sent)
-        self._exposition.count(
-            Series.LIMITED_ATTEMPTS, "", attempts.sent_limited
-        )
+        for notice, count in attempts.noticed.items():
+            labels = f'notice="{notice.value}"'
+            self._exposition.count(Series.NOTICED_ATTEMPTS, labels, count)
         self._exposition.observe(Series.ANSWER_S, f'kind="{kind}"', time_s)
         if attempts.first_event_s is not None:
             self._exposition.observe(
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -11,6 +11,7 @@
 import mode
 
 from lovagestage.decisions.limit_sharing import RankedLimitPolicy
+from lovagestage.decisions.upstream_notices import NoticeKind
 from lovagestage.decisions.warmup import Warmup, ZoneWarmupPolicy
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
@@ -268,13 +269,13 @@
     exposition.add_gauge(
         Series.UPSTREAMS, lambda: len(deployment.rotation.get_all())
     )
-    exposition.add_gauge(
-        Series.LIMITED_UPSTREAMS,
-        lambda: sum(
-            upstream.notices.limit_per_s is not None
-            for upstream in deployment.rotation.get_all()
-        ),
-    )
+    for series, kind in (
+        (Series.LIMITED_UPSTREAMS, NoticeKind.REQUEST_LIMIT),
+        (Series.LEAVING_UPSTREAMS, NoticeKind.LEAVING),
+    ):
+        exposition.add_gauge(
+            series, functools.partial(_count_noticed, deployment, kind)
+        )
     exposition.add_gauge(
         Series.EVACUATED_ZONES, lambda: len(deployment.evacuations)
     )
@@ -290,6 +291,13 @@
         exposition.add_gauge(Series.PEERS, lambda: len(socket.peers))
 
 
+def _count_noticed(deployment: Deployment, kind: NoticeKind) -> int:
+    return sum(
+        kind in upstream.notices.get_kinds()
+        for upstream in deployment.rotation.get_all()
+    )
+
+
 def _subscribe_to_peer_messages(
     peer_messenger: PeerMessenger,
     rollouts: RolloutService,
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -58,6 +58,7 @@
 _NOT_EXECUTED = b"not-executed"
 _CONFIDENCE = b"confidence"
 _REQUEST_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
 _MISDIRECTED_STATUS = 421
 _DEFAULT_DEADLINE_S = 30.0
 """Deadline in seconds of a request whose caller states none."""
@@ -173,7 +174,10 @@
         closes_connection=b"close" in fields.get(b"connection", b"").lower(),
         idle_timeout_s=_get_idle_timeout(_get_text(fields, b"keep-alive")),
         has_encoding=b"content-encoding" in fields,
-        notices=AnswerNotices(request_limit=_get_texts(raw, _REQUEST_LIMIT)),
+        notices=AnswerNotices(
+            request_limit=_get_texts(raw, _REQUEST_LIMIT),
+            leaving=_get_texts(raw, _LEAVING),
+        ),
     )
 
 
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -116,3 +116,34 @@
         "upstream_notice_malformed",
         None,
     ]
+
+
+@pytest.mark.parametrize(
+    ("texts", "expected"),
+    [
+        (("1",), True),
+        ((" 1 ",), True),
+        (("1", "1"), True),
+        (("0", "1"), True),
+        (("yes, 1",), True),
+        (("0",), False),
+        (("yes",), False),
+        (("-1",), False),
+        (("",), False),
+        ((), False),
+    ],
+)
+def test_only_a_clear_statement_means_that_an_upstream_leaves(texts, expected):
+    notices = UpstreamNotices()
+    notices.record_answer(AnswerNotices(leaving=texts), 0.0, 0.0)
+    assert notices.is_leaving is expected
+
+
+def test_an_upstream_that_has_said_that_it_leaves_does_not_return():
+    rotation = make_rotation()
+    (upstream,) = rotation.get_all()
+    upstream.record_answer_notices(AnswerNotices(leaving=("1",)), 0.0, 0.0)
+    for notices in (SILENT, AnswerNotices(leaving=("0",))):
+        upstream.record_answer_notices(notices, 1.0, 1.0)
+        assert upstream.notices.is_leaving
+    assert not apply_entry(rotation, 2, 2).notices.is_leaving
