Send nothing to upstreams that have said that they leave

Callers' requests reached an upstream up to 11 s after its answers had told the gateway that it leaves; one got no answer, since the upstream had ended (docs/incidents/stated-departure-ignored.md).

Cause: of a departure only the entry in the store was read, and while the store was away the upstream could not write it. After the store's return the entry was removed, which passed for an expiry, so the upstream was used for another 1.4 s. Ruled out: a statement that was read and forgotten (no change of state in 29 s), and single paths (a first attempt and a retry were among the breaches).

Change: upstream_notices knows the departure, which is final for the process. The rotation takes the upstream out at once, and its removal from the store is no expiry then; the check before each send refuses requests that were placed before. Another process under the same id starts unbound.

--- a/src/lovagestage/decisions/upstream_notices.py
+++ b/src/lovagestage/decisions/upstream_notices.py
@@ -2,8 +2,9 @@
 
 An upstream in need names in its answers the number of requests per second that
 it accepts from all gateways together. Nobody else knows that, and an upstream
-that is sent more falls over. The statement binds on every path on which a
-request reaches the upstream.
+that is sent more falls over. An upstream that leaves says so in its answers:
+while the store is away, it can't say so there. The statements bind on every
+path on which a request reaches the upstream.
 
 Each process of an upstream has notices of its own: what an earlier process
 under the same id has said does not bind a later one.
@@ -46,6 +47,7 @@
     """Why an upstream gets no further request from this gateway for now."""
 
     COLD = "upstreams_cold"
+    LEAVING = "upstreams_leaving"
     LIMITED = "upstreams_limited"
 
 
@@ -149,6 +151,8 @@
             now_s: Monotonic time in seconds.
             is_placed: Whether the request is already counted in `sends`.
         """
+        if self._is_leaving:
+            return Permission(Denial.LEAVING, None)
         if self._limit_per_s is None:
             return PERMITTED
         # A gateway without a share tells its caller when others may send.
--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -99,6 +99,16 @@
             now_s,
         )
 
+    def record_leaving(self, upstream: Upstream, now_s: float) -> None:
+        """Takes out an upstream that has said in an answer that it leaves.
+
+        The process does not return, whatever entries it has written before.
+        """
+        upstream.has_left = True
+        if upstream.state is not UpstreamState.GONE:
+            upstream.set_state(UpstreamState.DRAINING, now_s)
+            self._ready.clear()
+
     def replace_all(
         self,
         entries: Iterable[tuple[InstanceId, UpstreamEntry, int]],
--- a/src/lovagestage/gateway/upstream.py
+++ b/src/lovagestage/gateway/upstream.py
@@ -78,8 +78,8 @@
         entry: The newest entry.
         offset: Offset of the newest entry, or of its removal, in the store.
         state: Whether the upstream takes requests.
-        has_left: Whether any entry of this process said that it is draining.
-            Such a process gets no more requests, whatever its later
+        has_left: Whether any entry or answer of this process said that it is
+            leaving. Such a process gets no more requests, whatever its later
             entries say.
         changed_s: Elapsed time in seconds of the last change of the state.
         performance: Load, health and speed as this gateway observes them.
--- a/src/lovagestage/gateway/upstream_guard.py
+++ b/src/lovagestage/gateway/upstream_guard.py
@@ -23,12 +23,13 @@
     UNCONFIRMED_RETENTION_S,
     AnswerNotices,
     Denial,
+    NoticeChange,
     NoticeKind,
     Permission,
     check_rate,
 )
 from lovagestage.decisions.warmup import GatewayView, Warmup, WarmupPolicy
-from lovagestage.gateway.rotation import GONE_RETENTION_S
+from lovagestage.gateway.rotation import GONE_RETENTION_S, Rotation
 from lovagestage.gateway.upstream import Upstream, UpstreamState
 from lovagestage.types import InstanceId, ServiceId, ZoneId
 
@@ -81,6 +82,7 @@
             is warming up.
         limit_policy: How gateways share the request limit that an upstream
             states.
+        rotation: The upstreams, of which leaving ones are taken out.
         get_warmup: Returns the warm-up of a service's upstreams; None where
             they handle their full load from the start.
         zone: The gateway's availability zone.
@@ -93,6 +95,7 @@
         self,
         warmup_policy: WarmupPolicy,
         limit_policy: LimitPolicy,
+        rotation: Rotation,
         get_warmup: Callable[[ServiceId], Warmup | None],
         zone: ZoneId,
         own_name: str,
@@ -101,6 +104,7 @@
     ) -> None:
         self._warmup_policy = warmup_policy
         self._limit_policy = limit_policy
+        self._rotation = rotation
         self._get_warmup = get_warmup
         self._zone = zone
         self._own_name = own_name
@@ -154,12 +158,19 @@
         changes = upstream.record_answer_notices(notices, sent_s, now_s)
         if changes:
             self._noticed.add(upstream)
-        is_limit_changed = any(
-            change.kind is NoticeKind.REQUEST_LIMIT and change.malformed is None
-            for change in changes
-        )
-        if is_limit_changed and self._on_limit_changed is not None:
-            self._on_limit_changed(upstream)
+        for change in changes:
+            if change.malformed is None:
+                self._apply(change, upstream, now_s)
+
+    def _apply(
+        self, change: NoticeChange, upstream: Upstream, now_s: float
+    ) -> None:
+        match change.kind:
+            case NoticeKind.LEAVING:
+                self._rotation.record_leaving(upstream, now_s)
+            case NoticeKind.REQUEST_LIMIT:
+                if self._on_limit_changed is not None:
+                    self._on_limit_changed(upstream)
 
     def record_peer_limit(
         self, upstream: Upstream, per_s: float | None, heard_s: float
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -143,6 +143,7 @@
     gossip = _make_gossip(settings, rotation, socket)
     guard = _make_guard(
         settings,
+        rotation,
         lambda service: deployment.get_warmup(service),
         socket,
         gossip,
@@ -343,6 +344,7 @@
 
 def _make_guard(
     settings: GatewaySettings,
+    rotation: Rotation,
     get_warmup: Callable[[ServiceId], Warmup | None],
     socket: PeerSocket | None,
     gossip: Gossip | None,
@@ -355,6 +357,7 @@
     return UpstreamGuard(
         ZoneWarmupPolicy(),
         RankedLimitPolicy(),
+        rotation,
         get_warmup,
         settings.zone,
         own_name,
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -79,6 +79,8 @@
     " the route and the workspace allow; nothing was run.",
     "upstreams_cold": "All upstreams had just started and were at the limit of"
     " their warm-up; nothing was run.",
+    "upstreams_leaving": "Each upstream that could run the request has said"
+    " that it leaves; nothing was run.",
     "upstreams_limited": "Each upstream that could run the request states a"
     " request limit, and this gateway's share of it was used up; nothing was"
     " run.",
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -98,24 +98,26 @@
     return caller.make_request(path, key=key, **fields)
 
 
-def make_guard(own_name="", peers=None, started_s=-60.0, get_warmup=None):
+def make_guard(rotation, own_name="", started_s=-60.0):
     return UpstreamGuard(
         ZoneWarmupPolicy(),
         RankedLimitPolicy(),
-        get_warmup or (lambda service: None),
+        rotation,
+        lambda service: None,
         "a",
         own_name,
-        peers or NoPeerDirectory(),
+        NoPeerDirectory(),
         started_s,
     )
 
 
 def make_deployment():
+    rotation = Rotation()
     return Deployment(
         ConfigurationFreshness(5.0, 3.0),
         SessionPins(5.0),
-        make_guard(),
-        Rotation(),
+        make_guard(rotation),
+        rotation,
     )
 
 
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -187,7 +187,7 @@
     addresses = [f"127.0.0.1:{get_free_port()}" for _ in range(count)]
     sockets = [PeerSocket(address, Exposition()) for address in addresses]
     rotations = [make_rotation() for _ in addresses]
-    guards = [make_guard(address) for address in addresses]
+    guards = [make_guard(rotation) for rotation in rotations]
     services = [
         LimitExchange(*parts)
         for parts in zip(sockets, rotations, guards, strict=True)
@@ -253,7 +253,8 @@
 def test_an_upstream_that_comes_back_is_still_limited():
     # Guards against a limit that is dropped with an entry that expired while
     # the store was away: the process is the same.
-    rotation, guard = make_rotation(), make_guard("10.0.0.1:1")
+    rotation = make_rotation()
+    guard = make_guard(rotation)
     (upstream,) = rotation.get_all()
     guard.record_answer(upstream, state_limit("0.5"), 0.0, 0.0)
     rotation.apply("i-1", None, 2, 1.0, False)
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -12,11 +12,13 @@
     MAX_REPORTED_CHARS,
     MAX_REQUESTS_PER_S,
     AnswerNotices,
+    Denial,
     UpstreamNotices,
     parse_number,
 )
 from lovagestage.gateway.rotation import Rotation
-from lovagestage.gateway.upstream import UpstreamEntry
+from lovagestage.gateway.upstream import UpstreamEntry, UpstreamState
+from tests.gateway_harness import make_guard
 
 SILENT = AnswerNotices()
 
@@ -147,3 +149,28 @@
         upstream.record_answer_notices(notices, 1.0, 1.0)
         assert upstream.notices.is_leaving
     assert not apply_entry(rotation, 2, 2).notices.is_leaving
+
+
+def test_a_leaving_upstream_is_not_ready_whatever_its_entry_says():
+    rotation = make_rotation()
+    (upstream,) = rotation.get_all()
+    guard = make_guard(rotation)
+    guard.record_answer(upstream, AnswerNotices(leaving=("1",)), 0.0, 0.0)
+    assert rotation.get_ready("pool") == []
+    apply_entry(rotation, 1, 2)
+    assert rotation.get_ready("pool") == []
+    # A removal is final, though the store was away.
+    rotation.apply("i-1", None, 3, 1.0, True)
+    assert upstream.state is UpstreamState.GONE
+    successor = apply_entry(rotation, 2, 4)
+    assert rotation.get_ready("pool") == [successor]
+
+
+def test_a_request_placed_before_an_upstream_said_it_leaves_is_not_sent():
+    rotation = make_rotation()
+    (upstream,) = rotation.get_all()
+    guard = make_guard(rotation)
+    assert guard.check(upstream, 0.0, is_placed=True).denial is None
+    guard.record_answer(upstream, AnswerNotices(leaving=("1",)), 0.0, 0.0)
+    denied = guard.check(upstream, 0.0, is_placed=True)
+    assert (denied.denial, denied.wait_s) == (Denial.LEAVING, None)
