Read the rest that upstreams ask for when they refuse; log and count it

New are notice=rest in upstream_notice_changed (once a rest) and _malformed, the gauge resting_upstreams and notice="rest" in noticed_attempts_total. Nothing is decided by it yet. Only refusals (503, 429) ask for a rest; the longest of several counts, at most 300 s; another process under the same id starts rested.

--- a/src/lovagestage/decisions/upstream_notices.py
+++ b/src/lovagestage/decisions/upstream_notices.py
@@ -17,7 +17,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from lovagestage.decisions.send_rates import RateLimit, SendLog
 
@@ -31,6 +31,9 @@
 RECHECK_RATIO = 0.25
 """Part of a limit that gateways may use together to find out whether it still
 holds, once nobody has confirmed it."""
+MAX_REST_S = 300.0
+"""Longest rest in seconds that is applied: an upstream that states an absurd
+time is asked again after this one."""
 MAX_REPORTED_CHARS = 60
 """Maximum length of the text of a malformed statement that is reported."""
 _YES, _NO = "1", "0"
@@ -41,6 +44,7 @@
 
     REQUEST_LIMIT = "request_limit"
     LEAVING = "leaving"
+    REST = "rest"
 
 
 class Denial(enum.Enum):
@@ -79,10 +83,15 @@
         request_limit: Requests per second that the upstream accepts from all
             gateways together.
         leaving: "1" if the upstream is leaving.
+        rest: Time in seconds for which the upstream wants no requests from
+            this gateway; it counts in an answer that refuses a request.
+        is_refusal: Whether the answer refuses the request for now.
     """
 
     request_limit: tuple[str, ...] = ()
     leaving: tuple[str, ...] = ()
+    rest: tuple[str, ...] = ()
+    is_refusal: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,6 +118,7 @@
         self._limit_per_s: float | None = None
         self._limit_heard_s = -math.inf
         self._is_leaving = False
+        self._rest_until_s = -math.inf
         self._malformed_kinds: set[NoticeKind] = set()
 
     @property
@@ -121,16 +131,12 @@
         """Whether the process has said that it is leaving; that is final."""
         return self._is_leaving
 
-    @property
-    def has_any(self) -> bool:
-        """Whether any statement may restrict requests to the upstream."""
-        return bool(self.get_kinds())
-
-    def get_kinds(self) -> list[NoticeKind]:
+    def get_kinds(self, now_s: float) -> list[NoticeKind]:
         """Returns the kinds of statements that are in force."""
         in_force = {
             NoticeKind.REQUEST_LIMIT: self._limit_per_s is not None,
             NoticeKind.LEAVING: self._is_leaving,
+            NoticeKind.REST: now_s < self._rest_until_s,
         }
         return [kind for kind, holds in in_force.items() if holds]
 
@@ -222,8 +228,24 @@
         return [
             *self._record_limit(notices.request_limit, sent_s, now_s),
             *self._record_leaving(notices.leaving),
+            *self._record_rest(notices, now_s),
         ]
 
+    def _record_rest(
+        self, notices: AnswerNotices, now_s: float
+    ) -> list[NoticeChange]:
+        if not notices.rest or not notices.is_refusal:
+            return []
+        value = parse_number(notices.rest, max)
+        if value is None:
+            return self._make_malformed(NoticeKind.REST, notices.rest)
+        was_resting = now_s < self._rest_until_s
+        rest_s = min(value, MAX_REST_S)
+        self._rest_until_s = max(self._rest_until_s, now_s + rest_s)
+        # Requests that were under way are refused as well, and each of them
+        # prolongs the rest a little.
+        return [] if was_resting else [NoticeChange(NoticeKind.REST, rest_s)]
+
     def _record_leaving(self, texts: Sequence[str]) -> list[NoticeChange]:
         stated = {part.strip() for text in texts for part in text.split(",")}
         if _YES in stated and not self._is_leaving:
@@ -247,7 +269,7 @@
     def _record_stated_limit(
         self, texts: Sequence[str], now_s: float
     ) -> list[NoticeChange]:
-        value = parse_number(texts)
+        value = parse_number(texts, min)
         if value is None:
             return self._make_malformed(NoticeKind.REQUEST_LIMIT, texts)
         previous = self._limit_per_s
@@ -301,14 +323,18 @@
     return Permission(denial, sends.get_wait_s(share, now_s))
 
 
-def parse_number(texts: Sequence[str]) -> float | None:
-    """Returns the smallest of the stated numbers.
+def parse_number(
+    texts: Sequence[str],
+    choose_strictest: Callable[[Sequence[float]], float],
+) -> float | None:
+    """Returns a stated number.
 
     A statement that is made twice with different values binds by its strictest
     value. Texts that are no finite number of 0 or more are ignored.
 
     Args:
         texts: The stated numbers.
+        choose_strictest: Returns the strictest of several numbers.
 
     Returns:
         The number; None where no text is one.
@@ -322,4 +348,4 @@
                 continue
             if math.isfinite(number) and number >= 0.0:
                 numbers.append(number)
-    return min(numbers, default=None)
+    return choose_strictest(numbers) if numbers else None
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -154,7 +154,7 @@
         if work.prefix_key is not None:
             upstream.record_sent_prefix(work.prefix_key)
         self.sent += 1
-        self.noticed.update(upstream.notices.get_kinds())
+        self.noticed.update(upstream.notices.get_kinds(get_elapsed_s()))
         self.runs += 1
         self.tried.append(upstream.id)
         wait_s = upstream.performance.get_wait_s()
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -56,8 +56,8 @@
     NOTICED_ATTEMPTS = SeriesSpec(
         "noticed_attempts_total",
         SeriesKind.COUNTER,
-        "Attempts at upstreams that state a request limit, or have said that"
-        " they leave.",
+        "Attempts at upstreams that state a request limit, have said that they"
+        " leave or have asked for a rest.",
         ("notice",),
     )
     LIMITED_UPSTREAMS = SeriesSpec(
@@ -70,6 +70,11 @@
         SeriesKind.GAUGE,
         "Upstreams that have said in an answer that they leave.",
     )
+    RESTING_UPSTREAMS = SeriesSpec(
+        "resting_upstreams",
+        SeriesKind.GAUGE,
+        "Upstreams that have asked this gateway for a rest.",
+    )
     LINES_DROPPED = SeriesSpec(
         "log_lines_left_out_total",
         SeriesKind.COUNTER,
--- a/src/lovagestage/gateway/upstream_guard.py
+++ b/src/lovagestage/gateway/upstream_guard.py
@@ -200,7 +200,7 @@
                 upstream.state is UpstreamState.GONE
                 and now_s - upstream.changed_s > GONE_RETENTION_S
             )
-            if is_forgotten or not upstream.notices.has_any:
+            if is_forgotten or not upstream.notices.get_kinds(now_s):
                 self._noticed.remove(upstream)
                 self._shares.pop(upstream.id, None)
         return self._noticed
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -273,6 +273,7 @@
     for series, kind in (
         (Series.LIMITED_UPSTREAMS, NoticeKind.REQUEST_LIMIT),
         (Series.LEAVING_UPSTREAMS, NoticeKind.LEAVING),
+        (Series.RESTING_UPSTREAMS, NoticeKind.REST),
     ):
         exposition.add_gauge(
             series, functools.partial(_count_noticed, deployment, kind)
@@ -293,8 +294,9 @@
 
 
 def _count_noticed(deployment: Deployment, kind: NoticeKind) -> int:
+    now_s = get_elapsed_s()
     return sum(
-        kind in upstream.notices.get_kinds()
+        kind in upstream.notices.get_kinds(now_s)
         for upstream in deployment.rotation.get_all()
     )
 
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -11,8 +11,10 @@
 from lovagestage.decisions.upstream_notices import (
     MAX_REPORTED_CHARS,
     MAX_REQUESTS_PER_S,
+    MAX_REST_S,
     AnswerNotices,
     Denial,
+    NoticeKind,
     UpstreamNotices,
     parse_number,
 )
@@ -61,7 +63,7 @@
     ],
 )
 def test_unusable_numbers_are_ignored_and_the_strictest_binds(texts, expected):
-    assert parse_number(texts) == expected
+    assert parse_number(texts, min) == expected
 
 
 @given(st.lists(st.text(max_size=40), max_size=3))
@@ -174,3 +176,53 @@
     guard.record_answer(upstream, AnswerNotices(leaving=("1",)), 0.0, 0.0)
     denied = guard.check(upstream, 0.0, is_placed=True)
     assert (denied.denial, denied.wait_s) == (Denial.LEAVING, None)
+
+
+def ask_for_rest(*texts, is_refusal=True):
+    return AnswerNotices(rest=texts, is_refusal=is_refusal)
+
+
+@pytest.mark.parametrize(
+    ("texts", "expected_s"),
+    [
+        (("3",), 3.0),
+        (("0.5",), 0.5),
+        (("1", "3"), 3.0),
+        (("1e300",), MAX_REST_S),
+        (("0",), 0.0),
+        (("-3",), 0.0),
+        (("inf",), 0.0),
+        (("nan",), 0.0),
+        (("Wed, 21 Oct 2026 07:28:00 GMT",), 0.0),
+        ((), 0.0),
+    ],
+)
+def test_a_rest_lasts_as_long_as_was_asked_for(texts, expected_s):
+    notices = UpstreamNotices()
+    notices.record_answer(ask_for_rest(*texts), 0.0, 10.0)
+    if expected_s:
+        last_s = 10.0 + expected_s - 0.01
+        assert notices.get_kinds(last_s) == [NoticeKind.REST]
+    assert notices.get_kinds(10.0 + expected_s) == []
+
+
+def test_only_a_refusal_asks_for_a_rest():
+    notices = UpstreamNotices()
+    notices.record_answer(ask_for_rest("3", is_refusal=False), 0.0, 0.0)
+    assert notices.get_kinds(1.0) == []
+
+
+def test_a_shorter_rest_does_not_end_a_longer_one():
+    notices = UpstreamNotices()
+    (change,) = notices.record_answer(ask_for_rest("3"), 0.0, 0.0)
+    assert (change.kind, change.value) == (NoticeKind.REST, 3.0)
+    assert notices.record_answer(ask_for_rest("1"), 0.0, 0.5) == []
+    assert notices.get_kinds(2.9) == [NoticeKind.REST]
+
+
+def test_another_process_under_the_same_id_starts_rested():
+    rotation = make_rotation()
+    (upstream,) = rotation.get_all()
+    upstream.record_answer_notices(ask_for_rest("30"), 0.0, 0.0)
+    assert upstream.notices.get_kinds(1.0) == [NoticeKind.REST]
+    assert apply_entry(rotation, 2, 2).notices.get_kinds(1.0) == []
