Give upstreams the rest that they ask for when they refuse

Three refusals end a request.

Cause: the time in a refusal was not read, and a refusal has no other effect on the choice. Ruled out: an exclusion that is too short (left_out_s was 0), and retries alone (first attempts were among the breaches).

Change: upstream_notices knows until when an upstream rests; choice and the check before each send obey it. Where all upstreams rest, callers are refused at once with the time until the first of them is back.

--- a/src/lovagestage/decisions/upstream_notices.py
+++ b/src/lovagestage/decisions/upstream_notices.py
@@ -3,8 +3,10 @@
 An upstream in need names in its answers the number of requests per second that
 it accepts from all gateways together. Nobody else knows that, and an upstream
 that is sent more falls over. An upstream that leaves says so in its answers:
-while the store is away, it can't say so there. The statements bind on every
-path on which a request reaches the upstream.
+while the store is away, it can't say so there. An upstream that refuses a
+request may ask this gateway for a rest; with its empty queue it would otherwise
+attract more requests than any other. The statements bind on every path on which
+a request reaches the upstream.
 
 Each process of an upstream has notices of its own: what an earlier process
 under the same id has said does not bind a later one.
@@ -53,6 +55,7 @@
     COLD = "upstreams_cold"
     LEAVING = "upstreams_leaving"
     LIMITED = "upstreams_limited"
+    RESTING = "upstreams_resting"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -159,6 +162,8 @@
         """
         if self._is_leaving:
             return Permission(Denial.LEAVING, None)
+        if now_s < self._rest_until_s:
+            return Permission(Denial.RESTING, self._rest_until_s - now_s)
         if self._limit_per_s is None:
             return PERMITTED
         # A gateway without a share tells its caller when others may send.
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -84,6 +84,8 @@
     "upstreams_limited": "Each upstream that could run the request states a"
     " request limit, and this gateway's share of it was used up; nothing was"
     " run.",
+    "upstreams_resting": "Each upstream that could run the request has asked"
+    " this gateway for a rest; nothing was run.",
     "crashes_upstreams": "The request has crashed upstreams; it will not be"
     " run again for some time.",
     "suspect_waiting": "A copy of the request was being run alone.",
