Let soaks state request limits and check that gateways keep them

Workers of a soak state one or two limits for 4 to 9 s each, and unusable ones. The check counts, as the rule does, what gateways send that had passed on such an answer half a second before; restarts, suspensions and cuts of a gateway excuse it.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Iterator
 
+from lab.soak.notice_checks import NoticeChecker
 from lab.soak.traffic import DEADLINE_S, SentRequest
 from lab.soak.world import DRAIN_S, EVENTS, REVOKE_S, SoakEnvironment
 from lab.worker import SIGNATURE
@@ -38,6 +39,7 @@
         for text in _check_request(environment, request)
     ]
     breaches += _check_workers(environment)
+    breaches += NoticeChecker(environment, sent, TIMING_SLACK_S).find_breaches()
     recovery = [s for s in sent if s.sent_s > recovery_from_s and s.ended_s]
     recovery = [s for s in recovery if environment.keys[s.key] is None]
     served = sum(_is_served(request) for request in recovery)
--- a/lab/soak/traffic.py
+++ b/lab/soak/traffic.py
@@ -26,6 +26,7 @@
         kind: Name of the route: `safe`, `unsafe` or `stream`.
         key: API key that the request was sent with.
         sent_s: Monotonic time in seconds at which sending started.
+        gateway: Name of the gateway that it was sent to.
         expected: Body of a correct response; None for streams.
         ended_s: Monotonic time in seconds at which the request ended; 0.0
             while it is open.
@@ -37,6 +38,7 @@
     kind: str
     key: str
     sent_s: float
+    gateway: str
     expected: bytes | None
     ended_s: float = 0.0
     reply: Reply | None = None
@@ -82,11 +84,14 @@
             await asyncio.sleep(PAUSE_S)
             return
         port = self._rng.choice(self._ready_ports)
+        gateway = next(
+            g.name for g in self._environment.gateways if g.client_port == port
+        )
         async with asyncio.timeout(1.0):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
             while True:
-                reply = await self._send_request(reader, writer)
+                reply = await self._send_request(gateway, reader, writer)
                 await asyncio.sleep(self._rng.uniform(0.0, 2 * PAUSE_S))
                 is_last = reply.headers.get("connection") == "close"
                 if is_last or self._rng.random() > KEEP_ALIVE_RATIO:
@@ -95,7 +100,10 @@
             writer.close()
 
     async def _send_request(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        gateway: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> Reply:
         kind = self._rng.choice(("safe", "unsafe", "stream"))
         valid = [
@@ -118,6 +126,7 @@
             kind,
             key,
             time.monotonic(),
+            gateway,
             None if kind == "stream" else expected,
         )
         self.sent.append(sent)
--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -6,30 +6,49 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import math
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from lab.soak.proxy import LinkState
-from lab.soak.world import SCRIPTS, SoakEnvironment
+from lab.soak.world import SCRIPTS, SoakEnvironment, StatedLimit
 
 Fault = Callable[[SoakEnvironment], Awaitable[None]]
 
 
+@contextlib.contextmanager
+def _record_gateway_fault(
+    environment: SoakEnvironment, gateway: str
+) -> Iterator[None]:
+    """Records the span of a fault of one gateway."""
+    begun_s = time.monotonic()
+    environment.gateway_faults.append((gateway, begun_s, math.inf))
+    index = len(environment.gateway_faults) - 1
+    try:
+        yield
+    finally:
+        ended = (gateway, begun_s, time.monotonic())
+        environment.gateway_faults[index] = ended
+
+
 async def end_gateway(environment: SoakEnvironment) -> None:
     """Terminates or kills a gateway process and starts a replacement."""
     gateway = environment.rng.choice(environment.gateways)
     signal_number = environment.rng.choice((signal.SIGTERM, signal.SIGKILL))
     if gateway.is_alive and not gateway.is_frozen:
-        await gateway.restart(signal_number)
+        with _record_gateway_fault(environment, gateway.name):
+            await gateway.restart(signal_number)
 
 
 async def freeze_gateway(environment: SoakEnvironment) -> None:
     """Suspends a gateway process with SIGSTOP for 0.3 to 3.5 s."""
     gateway = environment.rng.choice(environment.gateways)
-    gateway.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(environment.rng.uniform(0.3, 3.5))
-    gateway.send_signal(signal.SIGCONT)
+    with _record_gateway_fault(environment, gateway.name):
+        gateway.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(environment.rng.uniform(0.3, 3.5))
+        gateway.send_signal(signal.SIGCONT)
 
 
 async def reload_gateway(environment: SoakEnvironment) -> None:
@@ -65,16 +84,18 @@
 
 async def spoil_link(environment: SoakEnvironment) -> None:
     """Injects a connection fault into a link to the store or to a worker."""
-    links = [gateway.link for gateway in environment.gateways]
-    links += [
-        environment.links[name] for name in environment.get_live_workers()
-    ]
-    link = environment.rng.choice(links)
-    link.state = environment.rng.choice(list(LinkState))
-    if link.state is LinkState.REFUSED:
-        link.reset_all()
-    await asyncio.sleep(environment.rng.uniform(0.3, 3.0))
-    link.state = LinkState.HEALTHY
+    links = {gateway.name: gateway.link for gateway in environment.gateways}
+    links |= {
+        name: environment.links[name] for name in environment.get_live_workers()
+    }
+    name = environment.rng.choice(list(links))
+    link = links[name]
+    with _record_gateway_fault(environment, name):
+        link.state = environment.rng.choice(list(LinkState))
+        if link.state is LinkState.REFUSED:
+            link.reset_all()
+        await asyncio.sleep(environment.rng.uniform(0.3, 3.0))
+        link.state = LinkState.HEALTHY
 
 
 async def crash_worker(environment: SoakEnvironment) -> None:
@@ -112,6 +133,35 @@
     await environment.add_worker()
 
 
+async def state_limit(environment: SoakEnvironment) -> None:
+    """Makes a worker state one or two request limits, for 4 to 9 s each."""
+    name = environment.rng.choice(environment.get_live_workers())
+    worker = environment.workers[name]
+    if worker.notices:
+        return
+    for _ in range(environment.rng.randint(1, 2)):
+        limit = StatedLimit(
+            name, environment.rng.choice((0.5, 2.0, 5.0)), time.monotonic()
+        )
+        environment.limits.append(limit)
+        worker.notices = {"Server-Limit": f"{limit.per_s}"}
+        await asyncio.sleep(environment.rng.uniform(4.0, 9.0))
+        limit.ended_s = time.monotonic()
+    worker.notices = {}
+
+
+async def state_nonsense(environment: SoakEnvironment) -> None:
+    """Makes a worker state unusable things of itself for 0.5 to 2 s."""
+    name = environment.rng.choice(environment.get_live_workers())
+    worker = environment.workers[name]
+    if worker.notices:
+        return
+    value = environment.rng.choice(("-1", "inf", "nan", "", "x", "1e999"))
+    worker.notices = {"Server-Limit": value}
+    await asyncio.sleep(environment.rng.uniform(0.5, 2.0))
+    worker.notices = {}
+
+
 async def spoil_answers(environment: SoakEnvironment) -> None:
     """Makes workers answer 5% to 30% of their requests in one faulty way."""
     name = environment.rng.choice((*SCRIPTS, "break"))
@@ -142,4 +192,6 @@
     drain_worker,
     spoil_answers,
     change_configuration,
+    state_limit,
+    state_nonsense,
 )
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import hashlib
 import json
+import math
 import os
 import pathlib
 import random
@@ -69,6 +71,23 @@
     return f"{name} {digest}".encode()
 
 
+@dataclasses.dataclass
+class StatedLimit:
+    """A request limit that a worker states in its answers.
+
+    Attributes:
+        worker: Instance name of the worker.
+        per_s: Requests per second from all gateways together.
+        begun_s: Monotonic time in seconds from which its answers say so.
+        ended_s: Monotonic time in seconds until which they do.
+    """
+
+    worker: str
+    per_s: float
+    begun_s: float
+    ended_s: float = math.inf
+
+
 class GatewayProcess:
     """One gateway, whose process is restarted after each fault that ends it.
 
@@ -181,6 +200,9 @@
             script; for `break`, ratio of streams that break off.
         injected_faults: Name, monotonic start and monotonic end in seconds of
             each injected fault that has ended.
+        gateway_faults: Name of the gateway, monotonic start and monotonic end
+            in seconds of each restart, suspension and cut of one gateway.
+        limits: Request limits that workers have stated.
     """
 
     def __init__(
@@ -196,6 +218,8 @@
         self.departure_s: dict[str, float] = {}
         self.fault_ratios: dict[str, float] = {}
         self.injected_faults: list[tuple[str, float, float]] = []
+        self.gateway_faults: list[tuple[str, float, float]] = []
+        self.limits: list[StatedLimit] = []
         self._folder = folder
         self._gateway_count = gateways
         self._version = 0
@@ -303,11 +327,11 @@
     async def _handle_request(
         self, arrival: Arrival, writer: asyncio.StreamWriter
     ) -> None:
+        instance = arrival.headers.get("expected-instance", "")
         script = self._draw_script()
         if script is lab.refuse:
             await script(arrival, writer)
             return
-        instance = arrival.headers.get("expected-instance", "")
         run = (time.monotonic(), instance)
         self.runs.setdefault(arrival.request_id, []).append(run)
         await asyncio.sleep(self.rng.uniform(0.002, 0.06))
--- a/lab/worker.py
+++ b/lab/worker.py
@@ -7,6 +7,7 @@
 import dataclasses
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -25,6 +26,7 @@
         body: Complete request body.
         notices: Headers by which the worker says something of itself in its
             answer.
+        arrived_s: Monotonic time in seconds of the arrival.
     """
 
     method: str
@@ -32,6 +34,7 @@
     headers: dict[str, str]
     body: bytes
     notices: dict[str, str] = dataclasses.field(default_factory=dict)
+    arrived_s: float = 0.0
 
     @property
     def request_id(self) -> str:
@@ -99,7 +102,9 @@
         try:
             while (arrival := await read_request(reader)) is not None:
                 arrival = dataclasses.replace(
-                    arrival, notices=dict(self.notices)
+                    arrival,
+                    notices=dict(self.notices),
+                    arrived_s=time.monotonic(),
                 )
                 await self._answer(arrival, reader, writer)
         except (
