Keep engines and plain services within the request limit that they state

A sidecar is the only way to its upstream, so it uses the whole limit: it refuses what exceeds it as not run, with the time of the next turn, and is published as full meanwhile, so that entries choose another upstream. The repeat of a dispatch whose run is held is never refused by this. An engine that could not be read may be another process next time and starts unbound.

--- a/lab/engine.py
+++ b/lab/engine.py
@@ -42,6 +42,8 @@
     crash_on: str | None = None
     # Stops sending after this number of tokens; the connection stays open.
     silent_after_tokens: int | None = None
+    # Answers 503 to all requests, which do not run.
+    outage: bool = False
     # Answers 500 to requests for this version.
     refuse_model: str | None = None
     # Answers requests for this version with garbage.
@@ -207,6 +209,8 @@
 
     async def _handle_chat(self, request: web.Request) -> web.StreamResponse:
         body = await read_object(request)
+        if self.faults.outage:
+            return error(503, "outage")
         model = body.get("model")
         if not isinstance(model, str) or model not in self.models.loaded:
             return error(404, "model_not_loaded")
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -19,6 +19,9 @@
     A field with its default value means that the fault is off.
     """
 
+    # Headers of each answer by which the stand-in says something of itself.
+    notices: dict[str, str] | None = None
+
     def update(self, changes: dict[str, Any]) -> None:
         """Sets the named faults atomically; None restores a fault's default.
 
--- a/lab/server.py
+++ b/lab/server.py
@@ -44,7 +44,13 @@
     async def handle_health(_request: web.Request) -> web.Response:
         return web.json_response({"status": "ok"})
 
+    async def state_notices(
+        _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers.extend(faults.notices or {})
+
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.on_response_prepare.append(state_notices)
     add_fault_route(app, faults)
     app.router.add_get("/_stats", handle_stats)
     app.router.add_get("/healthz", handle_health)
--- a/src/lovagestage/adapters/http_engine.py
+++ b/src/lovagestage/adapters/http_engine.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp
 import msgspec
 
+from lovagestage.adapters.answer_notices import NoticeListener, read_notices
 from lovagestage.adapters.http_calls import SHORT_TIMEOUT, STREAM_TIMEOUT
 from lovagestage.adapters.protocols import EngineLoad
 from lovagestage.exceptions import EngineError, EngineRefusedError
@@ -42,10 +44,18 @@
     Args:
         session: HTTP client of the process.
         url: Base URL of the engine.
+        on_notices: Receives what the engine says of itself in its answers to
+            requests.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        on_notices: NoticeListener,
+    ) -> None:
         self._session = session
+        self._on_notices = on_notices
         self._url = url.rstrip("/")
 
     async def run(
@@ -148,9 +158,11 @@
         self, request: aiohttp.client._RequestContextManager
     ) -> AsyncIterator[bytes]:
         response_started = False
+        sent_s = time.monotonic()
         try:
             async with request as response:
                 response_started = True
+                self._on_notices(read_notices(response), sent_s)
                 if response.status in (404, 429, 503):
                     raise EngineRefusedError(
                         f"The engine refused with {response.status}."
--- a/src/lovagestage/adapters/http_plain_service.py
+++ b/src/lovagestage/adapters/http_plain_service.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Sequence
 
 import aiohttp
 import yarl
 from multidict import CIMultiDict
 
+from lovagestage.adapters.answer_notices import NoticeListener, read_notices
 from lovagestage.adapters.http_calls import CONNECT_TIMEOUT_S
 from lovagestage.decisions.plain_calls import make_answer_headers
 from lovagestage.exceptions import EngineError, EngineRefusedError
@@ -56,6 +58,7 @@
             that never ran would look as if it might have run.
         url: Base URL of the service.
         max_answer_bytes: Maximum size of an answer; larger ones are refused.
+        on_notices: Receives what the service says of itself in its answers.
     """
 
     def __init__(
@@ -63,8 +66,10 @@
         session: aiohttp.ClientSession,
         url: str,
         max_answer_bytes: int,
+        on_notices: NoticeListener,
     ) -> None:
         self._session = session
+        self._on_notices = on_notices
         self._url = yarl.URL(url.rstrip("/"))
         self._max_answer_bytes = max_answer_bytes
 
@@ -72,6 +77,7 @@
         self, call: PlainCall, headers: Sequence[Header]
     ) -> PlainAnswer:
         """See `PlainService.call`."""
+        sent_s = time.monotonic()
         try:
             async with self._session.request(
                 call.method,
@@ -84,6 +90,7 @@
                 timeout=_CALL_TIMEOUT,
                 middlewares=(_SendOnceMiddleware(),),
             ) as response:
+                self._on_notices(read_notices(response), sent_s)
                 return PlainAnswer(
                     response.status,
                     _make_headers(response),
--- a/src/lovagestage/execution/runs.py
+++ b/src/lovagestage/execution/runs.py
@@ -107,6 +107,10 @@
         )
         return InquiryAnswer(knowledge)
 
+    def holds(self, dispatch: Dispatch) -> bool:
+        """Returns whether a dispatch repeats one whose run is held here."""
+        return (dispatch.request_id, dispatch.attempt) in self._runs
+
     def forbid(self, dispatch: Dispatch) -> None:
         """Prevents a refused keyed run from starting later."""
         if dispatch.keyed:
--- a/src/lovagestage/execution/sidecar.py
+++ b/src/lovagestage/execution/sidecar.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import time
 from collections.abc import Coroutine
 
@@ -17,6 +18,8 @@
 from lovagestage.bus.transport import PeerId
 from lovagestage.control.reader import ControlReader
 from lovagestage.decisions.plain_calls import make_pool_version
+from lovagestage.decisions.retries import RETRY_AFTER_S
+from lovagestage.decisions.upstream_notices import PERMITTED, Denial
 from lovagestage.exceptions import (
     EngineError,
     ModelNotAllowedError,
@@ -25,6 +28,7 @@
 )
 from lovagestage.execution.permissions import check_pool, check_version
 from lovagestage.execution.runs import RunTable
+from lovagestage.execution.upstream_gate import UpstreamGate
 from lovagestage.messages.envelope import (
     DumpAnswer,
     DumpRequest,
@@ -63,6 +67,12 @@
 )
 """Codes of refusals that a retry may overcome: another upstream may have
 capacity, and the entry will have read the document that this process has."""
+_DENIAL_TEXTS = {
+    Denial.COLD: "The upstream is warming up.",
+    Denial.LEAVING: "The upstream is leaving.",
+    Denial.LIMITED: "The upstream's request limit is used up.",
+    Denial.RESTING: "The upstream has asked for a rest.",
+}
 _NO_LOAD = EngineLoad(0, 0, 0, 0.0, 0.0)
 
 
@@ -111,6 +121,7 @@
         control: Configuration in force.
         engine: The engine or plain service of the upstream.
         runs: Runs at the upstream.
+        gate: Applies what the upstream says of itself.
         timers: Timer service.
         hub: Delivers the messages that arrive at the sidecar's listener.
     """
@@ -122,6 +133,7 @@
         control: ControlReader,
         engine: Engine | PlainService,
         runs: RunTable,
+        gate: UpstreamGate,
         timers: TimerService,
         hub: Hub,
     ) -> None:
@@ -142,6 +154,7 @@
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._hub = hub
         self._runs = runs
+        self._gate = gate
         hub.register(Hello, self._on_hello)
         hub.register(Dispatch, self._on_dispatch)
         hub.register(Attach, self._on_attach)
@@ -210,13 +223,20 @@
 
     def _on_dispatch(self, peer: PeerId, dispatch: Message) -> None:
         assert isinstance(dispatch, Dispatch)
-        reason = self._get_refusal(dispatch)
+        # A repeated dispatch sends the upstream nothing, and to refuse it as
+        # not run would be wrong.
+        is_repeated = self._runs.holds(dispatch)
+        permission = PERMITTED if is_repeated else self._gate.check()
+        reason = self._get_refusal(dispatch, permission.denial)
         if reason is None:
+            if not is_repeated:
+                self._gate.record_sent()
             self._runs.start(peer, dispatch)
             return
         if dispatch.keyed:
             self._runs.forbid(dispatch)
         code, text = reason
+        retry_after_s = max(RETRY_AFTER_S, math.ceil(permission.wait_s or 0.0))
         self._hub.send(
             peer,
             Refused(
@@ -225,15 +245,19 @@
                 code,
                 text,
                 RunState.NOT_RUN,
-                1 if code in _RETRYABLE_CODES else None,
+                retry_after_s if code in _RETRYABLE_CODES else None,
             ),
         )
 
-    def _get_refusal(self, dispatch: Dispatch) -> tuple[str, str] | None:
+    def _get_refusal(
+        self, dispatch: Dispatch, denial: Denial | None
+    ) -> tuple[str, str] | None:
         if dispatch.incarnation not in (0, self._runs.gate.incarnation):
             return "dispatch_lost", "The sidecar has restarted."
         if self._leaving:
             return "no_capacity", "The upstream is leaving."
+        if denial is not None:
+            return "no_capacity", _DENIAL_TEXTS[denial]
         if self._runs.running >= self._role.max_running:
             return "no_capacity", "The upstream is full."
         if self._runs.conflicts_with_probe(dispatch):
@@ -260,6 +284,8 @@
         previous = (self._versions, self._is_up)
         if isinstance(self._engine, PlainService):
             self._is_up = await self._engine.is_up()
+            if not self._is_up:
+                self._gate.reset()
         else:
             await self._refresh_engine(self._engine)
         if (self._versions, self._is_up) != previous:
@@ -273,6 +299,9 @@
             self._versions = await engine.get_versions()
             self._engine_last_read_s = time.monotonic()
         except EngineError as error:
+            # The engine may have stopped, and the next answer may come from
+            # another process.
+            self._gate.reset()
             age_s = time.monotonic() - self._engine_last_read_s
             if age_s > ENGINE_TIMEOUT_S:
                 self._versions = []
@@ -302,9 +331,24 @@
                 del self._peers[peer]
 
     def _get_current_state(self) -> _PublishedState:
-        is_full = self._runs.running >= self._role.max_running
+        is_full = self._get_shown_running() >= self._role.max_running
         versions = tuple(self._versions)
-        return _PublishedState(self._leaving, is_full, self._is_up, versions)
+        return _PublishedState(
+            self._is_leaving(), is_full, self._is_up, versions
+        )
+
+    def _is_leaving(self) -> bool:
+        return self._leaving or self._gate.check().denial is Denial.LEAVING
+
+    def _get_shown_running(self) -> int:
+        """Returns the number of runs that is published to entries.
+
+        An upstream that accepts nothing now is published as full, so that
+        entries choose another one.
+        """
+        if self._gate.check().denial is not None:
+            return max(self._runs.running, self._role.max_running)
+        return self._runs.running
 
     def _make_heartbeat(self, answered_sequence: int = 0) -> Heartbeat:
         self._sequence += 1
@@ -313,9 +357,9 @@
             self._settings.zone,
             self._runs.gate.incarnation,
             self._sequence,
-            self._leaving,
+            self._is_leaving(),
             self._versions,
-            self._runs.running,
+            self._get_shown_running(),
             self._load.waiting,
             self._role.max_running,
             self._load.token_interval_ms,
--- a/src/lovagestage/wiring.py
+++ b/src/lovagestage/wiring.py
@@ -59,6 +59,7 @@
 from lovagestage.execution.permissions import RequestPermissions
 from lovagestage.execution.runs import RunTable
 from lovagestage.execution.sidecar import Sidecar
+from lovagestage.execution.upstream_gate import UpstreamGate
 from lovagestage.messages.envelope import Hello
 from lovagestage.settings import EntrySettings, Settings, SidecarSettings
 from lovagestage.state.members import MemberJoined
@@ -421,21 +422,27 @@
 
 
 def _make_upstream(
-    components: _Components, role_settings: SidecarSettings
+    components: _Components,
+    role_settings: SidecarSettings,
+    gate: UpstreamGate,
 ) -> HttpEngine | HttpPlainService:
     if not role_settings.pool:
-        return HttpEngine(components.session, role_settings.upstream_url)
+        return HttpEngine(
+            components.session, role_settings.upstream_url, gate.record_answer
+        )
     return HttpPlainService(
         components.session,
         role_settings.upstream_url,
         role_settings.max_answer_bytes,
+        gate.record_answer,
     )
 
 
 def _make_sidecar(
     components: _Components, role_settings: SidecarSettings
 ) -> tuple[_Process, list[mode.Service]]:
-    engine = _make_upstream(components, role_settings)
+    gate = UpstreamGate()
+    engine = _make_upstream(components, role_settings, gate)
     runs = RunTable(
         engine, components.hub, role_settings, components.own.incarnation
     )
@@ -447,6 +454,7 @@
         components.control,
         engine,
         runs,
+        gate,
         components.timers,
         components.hub,
     )
--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import types
 
+import aiohttp
 import pytest
 
+from lab.plain import PlainService
+from lab.server import start_app
+from lovagestage.adapters.http_plain_service import HttpPlainService
 from lovagestage.adapters.protocols import EngineLoad
 from lovagestage.bus.hub import Hub
+from lovagestage.decisions.upstream_notices import AnswerNotices, Denial
 from lovagestage.exceptions import EngineError
 from lovagestage.execution.sidecar import Sidecar
+from lovagestage.execution.upstream_gate import UpstreamGate
+from lovagestage.messages.calls import PlainCall
 from lovagestage.messages.runs import Dispatch, Refused
 from lovagestage.settings import SidecarSettings
 from lovagestage.state.document import VersionState
@@ -26,11 +34,15 @@
 
     def __init__(self) -> None:
         self.running = 0
+        self.is_held = False
         self.seen: list[object] = []
 
     def start(self, peer, dispatch) -> None:
         self.seen.append("started")
 
+    def holds(self, dispatch) -> bool:
+        return self.is_held
+
     def conflicts_with_probe(self, dispatch) -> bool:
         return False
 
@@ -71,6 +83,7 @@
         control,
         None,
         recorder,
+        UpstreamGate(),
         None,
         hub,
     )
@@ -104,7 +117,14 @@
     hub.set_listener(Recorder())
     sidecar_settings = SidecarSettings("http://unused", max_running=1)
     sidecar = Sidecar(
-        None, sidecar_settings, None, engine, Recorder(), None, hub
+        None,
+        sidecar_settings,
+        None,
+        engine,
+        Recorder(),
+        UpstreamGate(),
+        None,
+        hub,
     )
     sidecar._send_heartbeats = lambda: None
     await sidecar._refresh_load()
@@ -117,3 +137,56 @@
     engine.fails = False
     await sidecar._refresh_load()
     assert sidecar._versions == ["large@1"]
+
+
+def make_gated_sidecar(notices):
+    """Makes a sidecar whose upstream has answered with these notices."""
+    document = make_document((VersionState.ACTIVE,) * 3)
+    control = types.SimpleNamespace(
+        services={"vault": ServiceInForce(2, document, b"", 0, {})}
+    )
+    recorder, hub, gate = Recorder(), Hub(), UpstreamGate()
+    hub.set_listener(recorder)
+    role = SidecarSettings("http://unused", max_running=4)
+    sidecar = Sidecar(None, role, control, None, recorder, gate, None, hub)
+    gate.record_answer(notices, time.monotonic())
+    return sidecar, recorder, hub
+
+
+def send_dispatch(hub, name):
+    fields = (1, "audit", "vault", "large@1", 0, 9.0, False, b"{}")
+    hub.on_message(b"peer", Dispatch(name, *fields, False))
+
+
+REFUSED = ("no_capacity", "not_run")
+
+
+@pytest.mark.parametrize(
+    ("notices", "expected"),
+    [
+        (AnswerNotices(request_limit=("2",)), ["started"] * 2 + [REFUSED]),
+        (AnswerNotices(request_limit=("x",)), ["started"] * 3),
+    ],
+)
+def test_sidecar_obeys_what_its_upstream_says_of_itself(notices, expected):
+    # Guards against requests from any entry to an upstream that has said that
+    # it leaves, rests or accepts only so many requests.
+    _, recorder, hub = make_gated_sidecar(notices)
+    for name in ("r1", "r2", "r3"):
+        send_dispatch(hub, name)
+    assert recorder.seen == expected
+
+
+async def test_adapters_read_the_notices_of_upstreams():
+    gate, service = UpstreamGate(), PlainService()
+    service.faults.update({"notices": {"X-Request-Limit": "0"}})
+    runner, port = await start_app(service.app(), "127.0.0.1", 0)
+    async with aiohttp.ClientSession() as session:
+        adapter = HttpPlainService(
+            session, f"http://127.0.0.1:{port}", 1000, gate.record_answer
+        )
+        await adapter.call(PlainCall("GET", "/lookup", b""), [])
+    await runner.cleanup()
+    assert gate.check().denial is None
+    gate.record_sent()
+    assert gate.check().denial is Denial.LIMITED
