Let soaks state departures and rests and check that gateways obey them

Workers say in their answers that they leave before their entry does, refuse everything for a while and ask for a rest, and state nonsense.

--- a/lab/soak/notice_checks.py
+++ b/lab/soak/notice_checks.py
@@ -6,16 +6,22 @@
 from collections.abc import Iterator, Mapping
 
 from lab.soak.traffic import SentRequest
-from lab.soak.world import SoakEnvironment, StatedLimit
+from lab.soak.world import (
+    DRAIN_S,
+    SoakEnvironment,
+    StatedLimit,
+    StatedRest,
+)
 from lab.worker import Arrival
 
 CONTACT_S = 3.0
 """Seconds from the first statement of a limit until it must hold."""
 TOLD_S = 0.5
-"""Seconds after an answer was passed on from which the gateway must act on
-it."""
+"""Seconds after an answer was passed on, or a rest was asked for, from which
+the gateway must act on it."""
 WINDOW_S = 4.0
 LIMIT_RATIO, LIMIT_SLACK = 1.5, 5.0
+MAX_REST_ARRIVALS = 2
 
 
 class NoticeChecker:
@@ -41,6 +47,10 @@
         """Yields a description of each statement that was not obeyed."""
         for limit in self._environment.limits:
             yield from self._check_limit(limit)
+        for name in self._environment.workers:
+            yield from self._check_departure(name)
+        for rest in self._environment.rests:
+            yield from self._check_rest(rest)
 
     def _check_limit(self, limit: StatedLimit) -> Iterator[str]:
         told_s = self._get_told_s(limit.worker, "server-limit", limit.begun_s)
@@ -63,6 +73,38 @@
                 )
                 return
 
+    def _check_departure(self, worker: str) -> Iterator[str]:
+        told_s = self._get_told_s(worker, "server-leaving", 0.0, "1")
+        for arrival in self._get_arrivals(worker):
+            gateway = self._get_gateway(arrival)
+            if gateway not in told_s:
+                continue
+            limit_s = told_s[gateway] + DRAIN_S + self._slack_s
+            sent_s = self._sent[arrival.request_id].sent_s
+            if sent_s > limit_s and not self._is_excused(
+                gateway, told_s[gateway], arrival.arrived_s
+            ):
+                yield f"{arrival.request_id} reached {worker}, which left"
+
+    def _check_rest(self, rest: StatedRest) -> Iterator[str]:
+        request = self._sent.get(rest.request_id)
+        if request is None:
+            return
+        begun_s = rest.asked_s + TOLD_S + self._slack_s
+        ended_s = rest.asked_s + rest.rest_s
+        if self._is_excused(request.gateway, rest.asked_s, ended_s):
+            return
+        count = sum(
+            begun_s <= arrival.arrived_s < ended_s
+            and self._get_gateway(arrival) == request.gateway
+            for arrival in self._get_arrivals(rest.worker)
+        )
+        if count > MAX_REST_ARRIVALS:
+            yield (
+                f"{rest.worker} got {count} requests from {request.gateway}"
+                f" within a rest of {rest.rest_s:.1f} s"
+            )
+
     def _get_arrivals(self, worker: str) -> list[Arrival]:
         return [
             arrival
--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -150,6 +150,32 @@
     worker.notices = {}
 
 
+async def state_departure(environment: SoakEnvironment) -> None:
+    """Makes a worker say in its answers that it leaves, then adds a worker.
+
+    Its store entry says so 0.5 to 4 s later. Nothing happens if at most two
+    workers are live.
+    """
+    live = environment.get_live_workers()
+    if len(live) <= 2:
+        return
+    name = environment.rng.choice(live)
+    environment.workers[name].notices = {"Server-Leaving": "1"}
+    await environment.add_worker()
+    await asyncio.sleep(environment.rng.uniform(0.5, 4.0))
+    if name not in environment.departure_s:
+        environment.departure_s[name] = time.monotonic()
+        environment.write_worker_entry(name, "draining")
+
+
+async def ask_for_rest(environment: SoakEnvironment) -> None:
+    """Makes a worker refuse all requests for 0.5 to 3 s and ask for a rest."""
+    name = environment.rng.choice(environment.get_live_workers())
+    environment.rest_s[name] = environment.rng.uniform(0.8, 3.0)
+    await asyncio.sleep(environment.rng.uniform(0.5, 3.0))
+    environment.rest_s.pop(name, None)
+
+
 async def state_nonsense(environment: SoakEnvironment) -> None:
     """Makes a worker state unusable things of itself for 0.5 to 2 s."""
     name = environment.rng.choice(environment.get_live_workers())
@@ -157,7 +183,7 @@
     if worker.notices:
         return
     value = environment.rng.choice(("-1", "inf", "nan", "", "x", "1e999"))
-    worker.notices = {"Server-Limit": value}
+    worker.notices = {"Server-Limit": value, "Server-Leaving": value}
     await asyncio.sleep(environment.rng.uniform(0.5, 2.0))
     worker.notices = {}
 
@@ -193,5 +219,7 @@
     spoil_answers,
     change_configuration,
     state_limit,
+    state_departure,
+    ask_for_rest,
     state_nonsense,
 )
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -88,6 +88,23 @@
     ended_s: float = math.inf
 
 
+@dataclasses.dataclass(frozen=True)
+class StatedRest:
+    """A refusal in which a worker asks a gateway for a rest.
+
+    Attributes:
+        worker: Instance name of the worker.
+        request_id: Id of the refused request.
+        asked_s: Monotonic time in seconds of the refusal.
+        rest_s: Length of the rest in seconds.
+    """
+
+    worker: str
+    request_id: str
+    asked_s: float
+    rest_s: float
+
+
 class GatewayProcess:
     """One gateway, whose process is restarted after each fault that ends it.
 
@@ -203,6 +220,9 @@
         gateway_faults: Name of the gateway, monotonic start and monotonic end
             in seconds of each restart, suspension and cut of one gateway.
         limits: Request limits that workers have stated.
+        rests: Rests that workers have asked for.
+        rest_s: Time in seconds for which a worker that refuses all requests
+            asks for a rest, by the worker's instance name.
     """
 
     def __init__(
@@ -220,6 +240,8 @@
         self.injected_faults: list[tuple[str, float, float]] = []
         self.gateway_faults: list[tuple[str, float, float]] = []
         self.limits: list[StatedLimit] = []
+        self.rests: list[StatedRest] = []
+        self.rest_s: dict[str, float] = {}
         self._folder = folder
         self._gateway_count = gateways
         self._version = 0
@@ -328,6 +350,9 @@
         self, arrival: Arrival, writer: asyncio.StreamWriter
     ) -> None:
         instance = arrival.headers.get("expected-instance", "")
+        if instance in self.rest_s:
+            await self._ask_for_rest(arrival, writer, instance)
+            return
         script = self._draw_script()
         if script is lab.refuse:
             await script(arrival, writer)
@@ -342,6 +367,15 @@
         else:
             await lab.send(writer, 200, arrival, make_body(arrival))
 
+    async def _ask_for_rest(
+        self, arrival: Arrival, writer: asyncio.StreamWriter, worker: str
+    ) -> None:
+        rest_s = self.rest_s[worker]
+        self.rests.append(
+            StatedRest(worker, arrival.request_id, time.monotonic(), rest_s)
+        )
+        await lab.make_refusal_with_rest(rest_s)(arrival, writer)
+
     def _draw_script(self) -> lab.Script | None:
         remaining = self.rng.random()
         for name, share in self.fault_ratios.items():
--- a/lab/worker.py
+++ b/lab/worker.py
@@ -200,6 +200,23 @@
     await send(writer, 503, arrival, b"", signed=False, Not_Executed="1")
 
 
+def make_refusal_with_rest(rest_s: float) -> Script:
+    """Makes a script that refuses requests and asks for a rest."""
+
+    async def run(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        await send(
+            writer,
+            503,
+            arrival,
+            b"",
+            signed=False,
+            Not_Executed="1",
+            Retry_After=str(rest_s),
+        )
+
+    return run
+
+
 async def fail(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
     """Script that answers 500: the request has run and the worker failed."""
     await send(writer, 500, arrival, b"bad")
--- a/tests/test_gateway_resting_upstreams.py
+++ b/tests/test_gateway_resting_upstreams.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from lab.worker import answer_plain, make_stream, send
+from lab.worker import (
+    answer_plain,
+    make_refusal_with_rest,
+    make_stream,
+    send,
+)
 from tests.gateway_harness import run_gateway_harness
 
 REST_S = 2.0
@@ -16,16 +21,7 @@
 has asked for a rest and the end of that rest."""
 
 
-async def ask_for_rest(arrival, writer):
-    await send(
-        writer,
-        503,
-        arrival,
-        b"",
-        signed=False,
-        Not_Executed="1",
-        Retry_After=str(REST_S),
-    )
+ask_for_rest = make_refusal_with_rest(REST_S)
 
 
 async def run_script(arrival, writer):
