Take a rest from refusals with 503 alone

The status 429 speaks of one caller. A rest that one caller's limit asks for must not keep all others away from the upstream, so only 503 asks for one.

--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -61,7 +61,7 @@
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED_STATUS = 421
-_REFUSAL_STATUSES = (429, 503)
+_UNAVAILABLE_STATUS = 503
 _DEFAULT_DEADLINE_S = 30.0
 """Deadline in seconds of a request whose caller states none."""
 
@@ -180,7 +180,7 @@
             request_limit=_get_texts(raw, _REQUEST_LIMIT),
             leaving=_get_texts(raw, _LEAVING),
             rest=_get_texts(raw, _RETRY_AFTER),
-            is_refusal=event.status_code in _REFUSAL_STATUSES,
+            is_refusal=event.status_code == _UNAVAILABLE_STATUS,
         ),
     )
 
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lovagestage.decisions.upstream_notices import AnswerNotices
 from lovagestage.decisions.warmup import Warmup
 from lovagestage.exceptions import CodecError, SettingsError, WrongMessageError
 from lovagestage.gateway.configuration import RouteKind
@@ -121,6 +122,21 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("status", "is_refusal"), [(503, True), (429, False), (200, False)]
+)
+def test_decodes_what_an_upstream_says_of_itself(status, is_refusal):
+    headers = [
+        (b"Server-Limit", b"2.5"),
+        (b"server-limit", b"3"),
+        (b"Server-Leaving", b"1"),
+        (b"Retry-After", b"0.5"),
+    ]
+    event = h11.Response(status_code=status, headers=headers)
+    expected = AnswerNotices(("2.5", "3"), ("1",), ("0.5",), is_refusal)
+    assert decode_answer(event).notices == expected
+
+
 def test_decodes_event_ids():
     assert decode_event_id(b"weight-versions: 3\nid: 12\ndata: x\n\n") == "12"
     assert decode_event_id(b"id:7\r\ndata: x\r\n\r\n") == "7"
