Keep away from engines and plain services that leave or rest

The same fault on the product's own front end: Retry-After of an engine's 503, and a departure that it states, were not read. The sidecar refuses new requests as not run, says when to return, and publishes itself as leaving or full.

--- a/tests/test_sidecar_check.py
+++ b/tests/test_sidecar_check.py
@@ -164,8 +164,11 @@
 @pytest.mark.parametrize(
     ("notices", "expected"),
     [
+        (AnswerNotices(leaving=("1",)), [REFUSED] * 3),
+        (AnswerNotices(rest=("5",), is_refusal=True), [REFUSED] * 3),
+        (AnswerNotices(rest=("5",)), ["started"] * 3),
         (AnswerNotices(request_limit=("2",)), ["started"] * 2 + [REFUSED]),
-        (AnswerNotices(request_limit=("x",)), ["started"] * 3),
+        (AnswerNotices(request_limit=("x",), leaving=("?",)), ["started"] * 3),
     ],
 )
 def test_sidecar_obeys_what_its_upstream_says_of_itself(notices, expected):
@@ -177,9 +180,42 @@
     assert recorder.seen == expected
 
 
+def test_sidecar_publishes_what_its_upstream_says_of_itself():
+    leaving, *_ = make_gated_sidecar(AnswerNotices(leaving=("1",)))
+    assert leaving._get_current_state().leaving
+    resting, *_ = make_gated_sidecar(
+        AnswerNotices(rest=("5",), is_refusal=True)
+    )
+    assert resting._get_current_state().full
+    assert not resting._get_current_state().leaving
+
+
+def test_repeated_dispatch_is_not_refused_while_the_upstream_rests():
+    # Guards against "not run" as the answer to the repeat of a dispatch whose
+    # run is in progress: the entry would run the request a second time.
+    notices = AnswerNotices(rest=("5",), is_refusal=True)
+    _, recorder, hub = make_gated_sidecar(notices)
+    recorder.is_held = True
+    send_dispatch(hub, "r1")
+    assert recorder.seen == ["started"]
+
+
+async def test_engine_that_can_not_be_reached_is_another_one_next_time():
+    engine, hub, gate = FlakyEngine(), Hub(), UpstreamGate()
+    hub.set_listener(Recorder())
+    role = SidecarSettings("http://unused", max_running=1)
+    sidecar = Sidecar(None, role, None, engine, Recorder(), gate, None, hub)
+    sidecar._send_heartbeats = lambda: None
+    gate.record_answer(AnswerNotices(leaving=("1",)), time.monotonic())
+    assert gate.check().denial is Denial.LEAVING
+    engine.fails = True
+    await sidecar._refresh_load()
+    assert gate.check().denial is None
+
+
 async def test_adapters_read_the_notices_of_upstreams():
     gate, service = UpstreamGate(), PlainService()
-    service.faults.update({"notices": {"X-Request-Limit": "0"}})
+    service.faults.update({"notices": {"X-Leaving": "1"}})
     runner, port = await start_app(service.app(), "127.0.0.1", 0)
     async with aiohttp.ClientSession() as session:
         adapter = HttpPlainService(
@@ -187,6 +223,4 @@
         )
         await adapter.call(PlainCall("GET", "/lookup", b""), [])
     await runner.cleanup()
-    assert gate.check().denial is None
-    gate.record_sent()
-    assert gate.check().denial is Denial.LIMITED
+    assert gate.check().denial is Denial.LEAVING
