Create the gateway's feeds in a module of their own

The composition root had grown to 482 lines, a third of them about what each feed reads and how long the store holds its reads. No change of behaviour.

--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -18,10 +18,16 @@
 from lovagestage.gateway.crash_detection import SuspectWatch
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
-from lovagestage.gateway.feeds import TopicFeed, TopicReadOptions
+from lovagestage.gateway.feed_wiring import (
+    MIN_RELAY_BOUND_S,
+    get_relay_bound_s,
+    make_operator_feed,
+    make_peer_messages_feed,
+    make_upstream_feed,
+)
+from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.forwarder import Forwarder
 from lovagestage.gateway.freshness import (
-    FRESHNESS_MARGIN_S,
     ConfigurationFreshness,
 )
 from lovagestage.gateway.gossip import Gossip
@@ -31,7 +37,6 @@
     SocketPeerDirectory,
 )
 from lovagestage.gateway.peer_messages import (
-    PEER_MESSAGES_TOPIC,
     ActiveSessionsMessage,
     AnswerCountMessage,
     FailureMessage,
@@ -41,24 +46,19 @@
 from lovagestage.gateway.peer_messenger import PeerMessenger
 from lovagestage.gateway.peers import PeerSocket, format_peer
 from lovagestage.gateway.relay import (
-    CONFIRMATION_AGE_SLACK_S,
-    HELD_READ_RATIO,
-    QUERY_INTERVAL_RATIO,
     Relay,
 )
 from lovagestage.gateway.rollout_service import RolloutService
 from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.service import GatewayService
 from lovagestage.gateway.session_pins import SessionPins
-from lovagestage.gateway.settings import Bounds, GatewaySettings
+from lovagestage.gateway.settings import GatewaySettings
 from lovagestage.gateway.startup_gate import StartupGate
-from lovagestage.gateway.state_view import OperatorStateView, UpstreamStateView
+from lovagestage.gateway.state_view import OperatorStateView
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
 from lovagestage.gateway.upstream_guard import PeerDirectory, UpstreamGuard
 from lovagestage.messages.crashes import CrashReport
 from lovagestage.platform.store import (
-    OPERATOR_TOPIC,
-    UPSTREAM_TOPIC,
     CallKind,
     CallOutcome,
     CallResult,
@@ -67,43 +67,6 @@
 from lovagestage.timers import TimerService
 from lovagestage.types import ServiceId
 
-LONG_POLL_RATIO = 0.7
-"""Time for which the store holds a long poll, as a share of the time in which a
-change must be in force. A change normally ends the poll immediately. The store
-does not always wake a waiting read, and then the next read still finds the
-change in time."""
-FRESHNESS_POLL_RATIO = 0.3
-"""Time for which the store holds a read of the operators' topic, as a share of
-the time for which keys may be relied on. It applies if it is shorter than the
-time above. A read that returns records confirms the state only as of its
-sending. The last confirmation is therefore two waits old if the store is lost
-at the end of the next poll, and callers must still be served for a while after
-that."""
-OUTAGE_SERVICE_RATIO = 0.6
-"""Share of the time for which keys may be relied on that must be left when the
-store becomes unavailable. Requests with a key must be served for that long
-afterwards."""
-MIN_RELAY_BOUND_S = 0.5
-"""Shortest relay bound in seconds. With a shorter one, followers would query
-their watcher more than ten times a second, so each gateway reads the store
-itself."""
-OPERATOR_READ_PAUSE_S = 0.2
-"""Pause in seconds after records of the operators' topic. Configurations come
-in bursts of several a second, and the pause makes such records share a read. It
-is a tenth of the time in which a configuration must be in force."""
-UPSTREAM_READ_PAUSE_RATIO = 0.25
-"""Pause after records of the upstreams' topic, as a share of the time for which
-a draining upstream still serves. A release changes many upstreams within
-seconds, and without the pause each change would wake every gateway that reads
-the store itself."""
-PEER_MESSAGES_POLL_S = 10.0
-"""Time in seconds for which the store holds a read of the peer messages. Peer
-messages are rare, and each read that ends costs a call."""
-PEER_MESSAGES_READ_PAUSE_S = 1.0
-"""Pause in seconds after records of the peer messages. All gateways report
-evidence within moments and a verdict may take seconds. Gateways also have
-longer than this to send their ongoing sessions to each other."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Components:
@@ -189,13 +152,13 @@
         rollouts.on_order,
         _make_configuration_listener(socket, startup_gate),
     )
-    operator_feed = _make_operator_feed(
+    operator_feed = make_operator_feed(
         make_store(), bounds, operator_state, rng, store_recovery, relay
     )
-    upstream_feed = _make_upstream_feed(
+    upstream_feed = make_upstream_feed(
         make_store(), bounds, deployment, rng, store_recovery, relay
     )
-    peer_messages_feed = _make_peer_messages_feed(
+    peer_messages_feed = make_peer_messages_feed(
         make_store(), peer_messenger, rng, store_recovery, relay
     )
     if relay is not None:
@@ -377,106 +340,3 @@
     if socket is None or bound_s < MIN_RELAY_BOUND_S:
         return None
     return Relay(socket, bound_s, exposition)
-
-
-def get_relay_bound_s(bounds: Bounds) -> float:
-    """Returns the time in seconds in which followers must apply a change.
-
-    A freshness confirmation that a watcher reports is older than one from a
-    gateway's own read, and keys are relied on only as long as it is young. The
-    bound keeps it from being so old that callers are refused soon after the
-    store becomes unavailable.
-    """
-    max_age_s = (
-        (1.0 - OUTAGE_SERVICE_RATIO) * bounds.revoke_s
-        - FRESHNESS_MARGIN_S
-        - CONFIRMATION_AGE_SLACK_S
-    )
-    return min(
-        bounds.apply_s,
-        bounds.drain_s,
-        bounds.evacuate_s,
-        max_age_s / (HELD_READ_RATIO + QUERY_INTERVAL_RATIO),
-    )
-
-
-def get_operator_poll_s(bounds: Bounds) -> float:
-    """Returns the time in seconds for which the store holds operator reads.
-
-    These are the reads of the operators' topic.
-    """
-    return min(
-        LONG_POLL_RATIO * min(bounds.apply_s, bounds.evacuate_s),
-        FRESHNESS_POLL_RATIO * bounds.revoke_s,
-    )
-
-
-def _make_operator_feed(
-    store: StoreClient,
-    bounds: Bounds,
-    state: OperatorStateView,
-    rng: random.Random,
-    store_recovery: StoreRecoverySignal,
-    relay: Relay | None,
-) -> TopicFeed:
-    return TopicFeed(
-        store,
-        TopicReadOptions(
-            OPERATOR_TOPIC, get_operator_poll_s(bounds), OPERATOR_READ_PAUSE_S
-        ),
-        state,
-        rng,
-        store_recovery,
-        relay,
-    )
-
-
-def _make_upstream_feed(
-    store: StoreClient,
-    bounds: Bounds,
-    deployment: Deployment,
-    rng: random.Random,
-    store_recovery: StoreRecoverySignal,
-    relay: Relay | None,
-) -> TopicFeed:
-    state = UpstreamStateView(deployment)
-    feed = TopicFeed(
-        store,
-        TopicReadOptions(
-            UPSTREAM_TOPIC,
-            LONG_POLL_RATIO * bounds.drain_s,
-            UPSTREAM_READ_PAUSE_RATIO * bounds.drain_s,
-            is_relayed=True,
-        ),
-        state,
-        rng,
-        store_recovery,
-        relay,
-    )
-    state.set_source(feed)
-    return feed
-
-
-def _make_peer_messages_feed(
-    store: StoreClient,
-    peer_messenger: PeerMessenger,
-    rng: random.Random,
-    store_recovery: StoreRecoverySignal,
-    relay: Relay | None,
-) -> TopicFeed:
-    return TopicFeed(
-        store,
-        TopicReadOptions(
-            PEER_MESSAGES_TOPIC,
-            PEER_MESSAGES_POLL_S,
-            PEER_MESSAGES_READ_PAUSE_S,
-            is_keyed=False,
-            watch_wait_s=PEER_MESSAGES_POLL_S,
-            is_relayed=True,
-            requires_freshness=False,
-        ),
-        peer_messenger,
-        rng,
-        store_recovery,
-        relay,
-    )
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -17,6 +17,7 @@
 from lovagestage.gateway import watchers as watchers_module
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition
+from lovagestage.gateway.feed_wiring import get_relay_bound_s
 from lovagestage.gateway.feeds import TopicFeed, TopicReadOptions
 from lovagestage.gateway.freshness import ConfigurationFreshness
 from lovagestage.gateway.gossip import KEEPALIVE_INTERVAL_S
@@ -31,7 +32,6 @@
 )
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
-from lovagestage.gateway.wiring import get_relay_bound_s
 from lovagestage.platform.records import Record
 from lovagestage.platform.store import StoreClient
 from tests.test_gateway_feeds import TOPIC, Recorder, wait_until
--- a/tests/test_gateway_trust.py
+++ b/tests/test_gateway_trust.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from lovagestage.gateway.feed_wiring import get_operator_poll_s
 from lovagestage.gateway.freshness import (
     FRESHNESS_MARGIN_S,
     NOTIFICATION_LIFETIME_S,
     ConfigurationFreshness,
 )
 from lovagestage.gateway.settings import Bounds
-from lovagestage.gateway.wiring import get_operator_poll_s
 from tests.gateway_harness import KEY, make_configuration, run_gateway_harness
 
 SECOND_KEY = "anfqasnmgkcuyj8pjbvk"
