--- a/src/lovagestage/decisions/upstream_notices.py
+++ b/src/lovagestage/decisions/upstream_notices.py
@@ -129,6 +129,11 @@
         """Requests per second accepted from all gateways; None for no limit."""
         return self._limit_per_s
 
+    @property
+    def limit_heard_s(self) -> float:
+        """Time in seconds of the newest statement about the limit."""
+        return self._limit_heard_s
+
     @property
     def is_leaving(self) -> bool:
         """Whether the process has said that it is leaving; that is final."""
@@ -143,11 +148,6 @@
         }
         return [kind for kind, holds in in_force.items() if holds]
 
-    @property
-    def limit_heard_s(self) -> float:
-        """Time in seconds of the newest statement about the limit."""
-        return self._limit_heard_s
-
     def check(
         self, share: RateLimit, sends: SendLog, now_s: float, is_placed: bool
     ) -> Permission:
@@ -344,13 +344,19 @@
     Returns:
         The number; None where no text is one.
     """
-    numbers = []
-    for text in texts:
-        for part in text.split(","):
-            try:
-                number = float(part)
-            except ValueError:
-                continue
-            if math.isfinite(number) and number >= 0.0:
-                numbers.append(number)
+    parts = [part for text in texts for part in text.split(",")]
+    numbers = [
+        number for part in parts if (number := _parse_part(part)) is not None
+    ]
     return choose_strictest(numbers) if numbers else None
+
+
+def _parse_part(text: str) -> float | None:
+    # Python's own notation of numbers with underscores is no number here.
+    if "_" in text:
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0.0 else None
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -176,8 +176,11 @@
         denial = deployment.get_denial(allowed, get_elapsed_s())
         if denial is None or denial.denial is None:
             return self.make_refusal("no_upstream")
+        # Callers that return sooner meet the others that were refused with
+        # them.
+        retry_after_s = max(RETRY_AFTER_S, denial.wait_s or 0.0)
         return self.make_refusal(
-            denial.denial.value, retry_after_s=denial.wait_s
+            denial.denial.value, retry_after_s=retry_after_s
         )
 
     def _choose_placement(
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -55,6 +55,7 @@
         (("",), None),
         (("x",), None),
         (("-1",), None),
+        (("1_0",), None),
         (("nan",), None),
         (("inf",), None),
         (("-inf",), None),
