--- a/src/lovagestage/gateway/upstream_guard.py
+++ b/src/lovagestage/gateway/upstream_guard.py
@@ -39,9 +39,9 @@
 about a second, and it receives the reported queue times, which name the other
 gateways, several times a second."""
 SHARE_RETENTION_S = 1.0
-"""Time in seconds for which a share of a limit is used before it is computed
-again: it depends on hundreds of gateways, and is asked for several times in
-each choice."""
+"""Time in seconds for which a share of a limit, and the gateways that it
+depends on, are used before they are determined again: there may be hundreds of
+them, and a share is asked for several times in each choice."""
 RECHECK_LIMIT = RateLimit(1, UNCONFIRMED_RETENTION_S)
 """Limit of a gateway that finds out whether a limit still holds."""
 
@@ -111,6 +111,8 @@
         self._peers = peers
         self._started_s = started_s
         self._shares: dict[InstanceId, _Share] = {}
+        self._gateways: GatewaySet | None = None
+        self._gateways_s = 0.0
         # A few of thousands of upstreams say anything of themselves, and each
         # choice goes through these alone.
         self._noticed: set[Upstream] = set()
@@ -206,13 +208,17 @@
         return self._noticed
 
     def get_gateway_set(self, now_s: float) -> GatewaySet:
-        """Returns the gateways that share upstreams, as known here."""
-        return GatewaySet(
-            self._own_name,
-            self._peers.get_all(),
-            self._peers.get_live(now_s),
-            now_s - self._started_s >= STARTUP_DELAY_S,
-        )
+        """Returns the gateways that share upstreams, as known lately."""
+        known = self._gateways
+        if known is None or now_s - self._gateways_s >= SHARE_RETENTION_S:
+            known = self._gateways = GatewaySet(
+                self._own_name,
+                self._peers.get_all(),
+                self._peers.get_live(now_s),
+                now_s - self._started_s >= STARTUP_DELAY_S,
+            )
+            self._gateways_s = now_s
+        return known
 
     def _get_share(
         self, upstream: Upstream, per_s: float, now_s: float
