Give callers that are refused for lack of room one turn after the other

Callers that were refused together were told the same time: they returned together, and all but one were refused again. Where upstreams accept a limited rate, each refused caller now gets the next free turn at it; a turn after its deadline is told and stays free. After a rest all may return at once.

Shown by tests/test_gateway_request_limits.py (three callers, one second apart at a limit of 1 a second).

--- a/src/lovagestage/decisions/upstream_notices.py
+++ b/src/lovagestage/decisions/upstream_notices.py
@@ -66,10 +66,13 @@
         denial: Why not; None where it may be sent.
         wait_s: Time in seconds until the upstream accepts another request from
             any gateway; None where it will not.
+        interval_s: Mean time in seconds between requests that it accepts from
+            then on; 0 for no limit.
     """
 
     denial: Denial | None = None
     wait_s: float | None = 0.0
+    interval_s: float = 0.0
 
 
 PERMITTED = Permission()
@@ -324,8 +327,9 @@
     if is_permitted:
         return PERMITTED
     if not share.requests:
-        return Permission(denial, others_wait_s)
-    return Permission(denial, sends.get_wait_s(share, now_s))
+        return Permission(denial, others_wait_s, others_wait_s)
+    interval_s = share.span_s / share.requests
+    return Permission(denial, sends.get_wait_s(share, now_s), interval_s)
 
 
 def parse_number(
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -173,12 +173,13 @@
         )
         if not allowed and deployment.get_ready(admitted.service, None):
             return self.make_refusal("no_upstream_at_home")
-        denial = deployment.get_denial(allowed, get_elapsed_s())
+        now_s = get_elapsed_s()
+        denial = deployment.get_denial(allowed, now_s)
         if denial is None or denial.denial is None:
             return self.make_refusal("no_upstream")
-        # Callers that return sooner meet the others that were refused with
-        # them.
-        retry_after_s = max(RETRY_AFTER_S, denial.wait_s or 0.0)
+        retry_after_s = deployment.assign_turn(
+            admitted.service, denial, self.remaining_s, now_s
+        )
         return self.make_refusal(
             denial.denial.value, retry_after_s=retry_after_s
         )
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import math
 from collections.abc import Mapping, Sequence
 
 from lovagestage.decisions.allowed_regions import RegionSet, is_region_allowed
 from lovagestage.decisions.evacuation import EvacuatedZones
+from lovagestage.decisions.return_turns import ReturnTurns
 from lovagestage.decisions.upstream_notices import Permission
 from lovagestage.decisions.warmup import Warmup
+from lovagestage.gateway.admission import RETRY_AFTER_S
 from lovagestage.gateway.configuration import Configuration
 from lovagestage.gateway.freshness import ConfigurationFreshness
 from lovagestage.gateway.rollouts import (
@@ -63,6 +66,7 @@
         self.evacuations = EvacuatedZones()
         self.regions: Mapping[ZoneId, RegionId] = {}
         self.guard = guard
+        self._turns: dict[ServiceId, ReturnTurns] = {}
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Applies a configuration, unless a newer or the same one is known.
@@ -167,13 +171,37 @@
             now_s: Elapsed time in seconds.
 
         Returns:
-            What holds for the upstream that accepts a request soonest; None
+            The denial of the upstream that accepts a request soonest, with the
+            interval of the requests that all of them accept together; None
             where one accepts a request now, and for no upstreams.
         """
         checks = [self.guard.check(upstream, now_s) for upstream in upstreams]
-        if any(check.denial is None for check in checks):
+        if not checks or any(check.denial is None for check in checks):
             return None
-        return min(checks, key=_get_sort_key, default=None)
+        soonest = min(checks, key=_get_sort_key)
+        if not soonest.interval_s:
+            return soonest
+        per_s = sum(1.0 / c.interval_s for c in checks if c.interval_s)
+        return dataclasses.replace(soonest, interval_s=1.0 / per_s)
+
+    def assign_turn(
+        self,
+        service: ServiceId,
+        denial: Permission,
+        remaining_s: float,
+        now_s: float,
+    ) -> float:
+        """Returns the time in seconds after which a caller should return.
+
+        Args:
+            service: The service of the request.
+            denial: Why no upstream accepts it now.
+            remaining_s: Time in seconds until the request's deadline.
+            now_s: Elapsed time in seconds.
+        """
+        turns = self._turns.setdefault(service, ReturnTurns())
+        wait_s = max(RETRY_AFTER_S, denial.wait_s or 0.0)
+        return turns.assign(wait_s, denial.interval_s, remaining_s, now_s)
 
     def assign(
         self,
--- a/tests/test_gateway_request_limits.py
+++ b/tests/test_gateway_request_limits.py
@@ -130,3 +130,18 @@
         reply = await harness.call("/safe/2", request_id="a2")
         assert reply.status == 502
         assert len(harness.workers["w1"].arrivals) == 2
+
+
+async def test_refused_callers_are_told_different_times(settled):
+    # Guards against callers that are refused together, return together, and
+    # are all refused again but for one.
+    async with run_gateway_harness(1) as harness:
+        harness.workers["w1"].notices = {"Server-Limit": "1"}
+        assert (await harness.call("/safe/1")).status == 200
+        refusals = await asyncio.gather(
+            *(harness.call(f"/safe/{n}", request_id=f"b{n}") for n in range(3))
+        )
+        times_s = sorted(float(r.headers["retry-after"]) for r in refusals)
+        assert {r.status for r in refusals} == {503}
+        assert times_s[1] - times_s[0] == pytest.approx(1.0, abs=0.1)
+        assert times_s[2] - times_s[1] == pytest.approx(1.0, abs=0.1)
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -17,6 +17,7 @@
     GatewaySet,
     RankedLimitPolicy,
 )
+from lovagestage.decisions.return_turns import ReturnTurns
 from lovagestage.decisions.send_rates import (
     MAX_SEND_TIMES,
     SEND_TIME_RETENTION_S,
@@ -262,3 +263,23 @@
     apply_entry(rotation, 1, 3)
     upstream.sends.record_placed()
     assert guard.get_denied(2.0) == {upstream}
+
+
+def test_callers_that_are_refused_together_return_in_turn():
+    turns = ReturnTurns()
+    waits_s = [turns.assign(0.5, 1.0, 60.0, 10.0) for _ in range(3)]
+    assert waits_s == pytest.approx([0.5, 1.5, 2.5])
+    # Turns that have passed are free again.
+    assert turns.assign(0.5, 1.0, 60.0, 20.0) == pytest.approx(0.5)
+
+
+def test_a_turn_that_a_caller_cannot_use_stays_free():
+    turns = ReturnTurns()
+    assert turns.assign(0.5, 1.0, 60.0, 0.0) == pytest.approx(0.5)
+    assert turns.assign(0.5, 1.0, 1.0, 0.0) == pytest.approx(1.5)
+    assert turns.assign(0.5, 1.0, 60.0, 0.0) == pytest.approx(1.5)
+
+
+def test_callers_return_together_after_a_rest():
+    turns = ReturnTurns()
+    assert {turns.assign(2.0, 0.0, 60.0, 0.0) for _ in range(3)} == {2.0}
