Let a wait be above 0 while a limit is used up

Found by a property test on the code before (two sends 2 s less 1e-38 s apart): rounding made the wait 0 although the limit had no room yet, so that a caller could have been told to return at once. The case is kept as an example.

--- a/src/lovagestage/decisions/send_rates.py
+++ b/src/lovagestage/decisions/send_rates.py
@@ -14,6 +14,9 @@
 MAX_REQUESTS_PER_SPAN = 64
 """Maximum number of requests of a limit that is made from a rate. A higher rate
 gets a shorter span, so that the log's bounded number of times covers it."""
+MIN_WAIT_S = 1e-6
+"""Shortest wait in seconds: rounding could otherwise make it 0 while the limit
+is still used up."""
 SEND_TIME_RETENTION_S = 100.0
 """Seconds for which send times are retained; it covers the span of any
 limit."""
@@ -76,7 +79,8 @@
             return 0.0
         if free <= 0:
             return rate_limit.span_s
-        return recent_s[-free] + rate_limit.span_s - now_s
+        wait_s = recent_s[-free] + rate_limit.span_s - now_s
+        return max(MIN_WAIT_S, wait_s)
 
     def record_placed(self) -> None:
         """Counts a request that will either be sent or be withdrawn."""
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -8,7 +8,7 @@
 import struct
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from lab.experiments import request_limits as experiment
@@ -121,6 +121,7 @@
 
 
 @given(st.lists(st.floats(0.0, 3.0), max_size=20), st.integers(1, 4))
+@example([1.1754943508222875e-38, 2.0], 1)
 def test_a_request_may_be_sent_after_the_wait(gaps_s, requests):
     log, rate_limit, now_s = SendLog(), RateLimit(requests, 2.0), 0.0
     for gap_s in gaps_s:
