--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import pathlib
 import tempfile
@@ -130,6 +131,7 @@
         self.gateways = []
         self.client_ports = [get_free_port()]
         self.readiness_port = get_free_port()
+        self.tasks = []
 
     @property
     def gateway(self):
@@ -194,6 +196,10 @@
         listener = open_listener(settings.client_address)
         self.gateways.append(Gateway(settings, path, 0, Exposition(), listener))
 
+    def start_gateway(self, store_port, folder, extra_settings=""):
+        self.make_gateway(store_port, folder, extra_settings)
+        self.tasks.append(asyncio.ensure_future(self.gateways[-1].run()))
+
     async def wait_until(self, condition, timeout_s=4.0):
         async with asyncio.timeout(timeout_s):
             while not condition():
@@ -222,17 +228,19 @@
     for number in range(workers):
         await harness.add_worker(f"w{number + 1}", script)
     with tempfile.TemporaryDirectory() as folder:
+        harness.start_another = functools.partial(
+            harness.start_gateway, store_port, folder, extra_settings
+        )
         for _ in range(gateways):
-            harness.make_gateway(store_port, folder, extra_settings)
-        tasks = [asyncio.ensure_future(g.run()) for g in harness.gateways]
+            harness.start_another()
         try:
             for gateway in harness.gateways:
                 await harness.wait_until(gateway.is_ready)
             yield harness
         finally:
-            for task in tasks:
+            for task in harness.tasks:
                 task.cancel()
-            for task in tasks:
+            for task in harness.tasks:
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
             for worker in harness.workers.values():
