Log which lost attempts were checked for a crash, and reports of crashes

The lines of the incident did not say whether a lost attempt had been looked at as a crash, nor when a gateway applied another one's report, so late reports and uncounted crashes looked alike. attempt_failed says whether it was checked, upstream_not_crashed that the upstream accepted a new connection, and crash_report_applied that another gateway's report has arrived.

--- a/src/lovagestage/gateway/crash_detection.py
+++ b/src/lovagestage/gateway/crash_detection.py
@@ -77,7 +77,17 @@
 
     def on_report(self, report: CrashReport) -> None:
         """Applies another gateway's report."""
-        self._table.apply_report(report, get_elapsed_s())
+        now_s = get_elapsed_s()
+        self._table.apply_report(report, now_s)
+        _log.info(
+            "crash_report_applied",
+            extra={
+                "kind": report.kind.value,
+                "run": report.run,
+                "fingerprint": report.fingerprint,
+                "strikes": self._table.get_strikes(report.fingerprint, now_s),
+            },
+        )
 
     async def _confirm_crash(
         self, fingerprint: Fingerprint, run: str, upstream: Upstream
@@ -90,6 +100,14 @@
             self._add_strike(fingerprint, run, upstream)
         else:
             channel.abort()
+            _log.info(
+                "upstream_not_crashed",
+                extra={
+                    "run": run,
+                    "upstream": upstream.id,
+                    "fingerprint": fingerprint,
+                },
+            )
 
     def _add_strike(
         self, fingerprint: Fingerprint, run: str, upstream: Upstream
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -257,6 +257,9 @@
         performance.record_answer(True)
     elif error.is_upstream_at_fault:
         performance.record_unreachable(now_s)
+    is_checked = error.is_upstream_at_fault and (
+        error.reason in CRASH_LIKE_REASONS
+    )
     _log.warning(
         "attempt_failed",
         extra={
@@ -264,12 +267,13 @@
             "upstream": upstream.id,
             "reason": error.reason,
             "run": error.run.value,
+            "checked": is_checked,
             "attempts": attempts.sent,
             "left_s": round(attempts.remaining_s, 3),
             "left_out_s": round(performance.get_exclusion_left_s(now_s), 2),
         },
     )
-    if error.is_upstream_at_fault and error.reason in CRASH_LIKE_REASONS:
+    if is_checked:
         context.suspects.check_for_crash(
             attempts.fingerprint, attempts.run_name, upstream
         )
