Count crashes of one request together, over all gateways

What callers saw: all upstreams of a service ended again and again under one request that came back; everybody else on that service got 502 and 503.

Cause: the fleet must count the crashes under a request together, and it did not. Half of them were counted by nobody: an attempt on a kept connection that the crash resets is sent again, the dead upstream accepts no connection, and the failure was named unreachable, which was not looked at. What was counted came through the store alone, a second late and not at all while it is away; copies at several gateways each began a probe; retries of one request went from crash to crash before the first was confirmed; any answer, a 500 too, cleared it; the end of a probe without an answer was told to nobody, so copies of innocent requests waited up to 120 s for it.

Change: a strike is named by the upstream process, so reports in any order, late or twice lead to the same verdict and copies at one upstream count once. A run that was sent and lost in any way is checked; two unchecked losses hold the next retry until the check is done. Reports also go by datagram at once, twice, and a gateway that has just started gets all strikes from three others. A probe is claimed for 0.1 s before it starts; of claims at one moment one wins. An answer with success takes back all strikes but the newest. A crash that a convicted request explains counts against nobody else who was there. A copy waits for a probe for 1 s at most. Both front ends use it; the entry names the sidecar's process in its reports.

--- a/src/lovagestage/entry/crash_watch.py
+++ b/src/lovagestage/entry/crash_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import time
 from collections.abc import Iterator
@@ -11,7 +12,11 @@
 from lovagestage.bus.hub import Hub
 from lovagestage.bus.links import LinkTable
 from lovagestage.bus.transport import PeerId
-from lovagestage.decisions.crash_suspects import Admission, SuspectTable
+from lovagestage.decisions.crash_suspects import (
+    CLAIM_SETTLE_S,
+    Admission,
+    SuspectTable,
+)
 from lovagestage.exceptions import (
     IsolatedRunPendingError,
     RequestCrashesUpstreamsError,
@@ -30,6 +35,17 @@
 twice."""
 
 
+@dataclasses.dataclass
+class TrackedAttempt:
+    """An attempt whose end is recorded.
+
+    Attributes:
+        upstream: Name of the upstream process; empty until it is chosen.
+    """
+
+    upstream: str = ""
+
+
 class CrashWatch:
     """The crash suspects of an entry, shared with the other entries.
 
@@ -81,42 +97,60 @@
                 case Admission.FREE:
                     return False
                 case Admission.PROBE:
-                    self._publish(
-                        self._table.start_probe(fingerprint, label, now_s)
-                    )
-                    return True
+                    if await self._claim_probe(fingerprint, label):
+                        return True
                 case Admission.REFUSE:
                     raise RequestCrashesUpstreamsError(
                         "Each upstream that ran this request has died; it is"
                         " not run again for a while."
                     )
-                case Admission.WAIT if now_s >= end_s:
-                    raise IsolatedRunPendingError(
-                        "The same request is being run apart from others.",
-                        retry_after_s=1,
-                    )
+            if now_s >= end_s:
+                raise IsolatedRunPendingError(
+                    "The same request is being run apart from others.",
+                    retry_after_s=1,
+                )
             await asyncio.sleep(WAIT_POLL_S)
 
+    async def _claim_probe(self, fingerprint: Fingerprint, label: str) -> bool:
+        """Claims that an attempt runs as the only probe of all entries."""
+        self._publish(
+            self._table.start_probe(fingerprint, label, time.monotonic())
+        )
+        if self._peers.get_permanent():
+            await asyncio.sleep(CLAIM_SETTLE_S)
+        return self._table.holds_probe(fingerprint, label, time.monotonic())
+
     @contextlib.contextmanager
     def track_attempt(
-        self, fingerprint: Fingerprint, label: str, is_probe: bool
-    ) -> Iterator[None]:
+        self, fingerprint: Fingerprint, label: str
+    ) -> Iterator[TrackedAttempt]:
         """Records how the enclosed attempt ends.
 
         Args:
             fingerprint: Fingerprint of the request.
             label: Name of the attempt.
-            is_probe: Whether the attempt is a probe.
+
+        Yields:
+            The attempt, whose upstream the caller sets once it is known.
         """
+        tracked = TrackedAttempt()
         try:
-            yield
+            yield tracked
         except UpstreamCrashedError:
             now_s = time.monotonic()
             self._publish(
-                self._table.record_crash(fingerprint, label, is_probe, now_s)
+                self._table.record_crash(
+                    fingerprint, label, tracked.upstream, now_s
+                )
             )
             _log.warning(
-                "upstream_crashed", extra={"run": label, "probe": is_probe}
+                "upstream_crashed",
+                extra={
+                    "run": label,
+                    "upstream": tracked.upstream,
+                    "fingerprint": fingerprint,
+                    "strikes": self._table.get_strikes(fingerprint, now_s),
+                },
             )
             raise
         except BaseException:
--- a/src/lovagestage/entry/dispatcher.py
+++ b/src/lovagestage/entry/dispatcher.py
@@ -165,7 +165,7 @@
         probe = await self._crashes.admit(
             fingerprint, label, request.deadline_at_s
         )
-        with self._crashes.track_attempt(fingerprint, label, probe):
+        with self._crashes.track_attempt(fingerprint, label) as tracked:
             attempt = await self._start_attempt(
                 request,
                 result,
@@ -173,6 +173,7 @@
                 self._crashes.get_strikes(fingerprint),
                 probe,
             )
+            tracked.upstream = attempt.upstream
             try:
                 async for data in self._read_answer(request, attempt, result):
                     yield data
@@ -208,8 +209,9 @@
         probe = await self._crashes.admit(
             fingerprint, label, request.deadline_at_s
         )
-        with self._crashes.track_attempt(fingerprint, label, probe):
+        with self._crashes.track_attempt(fingerprint, label) as tracked:
             attempt = self._open_run(run)
+            tracked.upstream = attempt.upstream
             dispatch = msgspec.structs.replace(
                 self._make_dispatch(
                     request,
--- a/src/lovagestage/execution/attempts.py
+++ b/src/lovagestage/execution/attempts.py
@@ -56,6 +56,11 @@
         self._ready: collections.deque[Outcome] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
 
+    @property
+    def upstream(self) -> str:
+        """Name of the sidecar's process, different for each of its starts."""
+        return f"{self.vm}/{self.incarnation}"
+
     @property
     def is_idle(self) -> bool:
         """Whether all outcomes that are ready have been read."""
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -116,6 +116,11 @@
         """Name of the last attempt: the request's id and attempt number."""
         return f"{self.admitted.request.id}/{self.sent}"
 
+    @property
+    def next_run_name(self) -> str:
+        """Name of the attempt that is made next."""
+        return f"{self.admitted.request.id}/{self.sent + 1}"
+
     @property
     def remaining_s(self) -> float:
         """Time in seconds until the request's deadline."""
--- a/src/lovagestage/gateway/crash_detection.py
+++ b/src/lovagestage/gateway/crash_detection.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from lovagestage.adapters.http1 import open_channel
 from lovagestage.decisions.crash_suspects import (
-    STRIKES_TO_PROBE,
+    CLAIM_SETTLE_S,
     Admission,
     SuspectTable,
     get_fingerprint,
@@ -17,7 +17,7 @@
 from lovagestage.gateway.admission import AdmittedRequest
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.upstream import Upstream
-from lovagestage.messages.crashes import CrashReport
+from lovagestage.messages.crashes import CrashReport, CrashReportKind
 from lovagestage.types import Fingerprint, WorkspaceId
 
 _log = logging.getLogger(__name__)
@@ -36,21 +36,54 @@
 
     Args:
         post: Sends a report to the other gateways.
+        has_peers: Returns whether there are other gateways.
     """
 
-    def __init__(self, post: Callable[[CrashReport], None]) -> None:
+    def __init__(
+        self,
+        post: Callable[[CrashReport], None],
+        has_peers: Callable[[], bool],
+    ) -> None:
         self._table = SuspectTable()
         self._post = post
+        self._has_peers = has_peers
+        self._own_probes: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def __len__(self) -> int:
+        return len(self._table)
+
     def admit(self, fingerprint: Fingerprint) -> Admission:
         """Returns whether a request may run now, and whether as a probe."""
         return self._table.admit(fingerprint, get_elapsed_s())
 
-    def start_probe(self, fingerprint: Fingerprint, run: str) -> None:
-        """Records and reports that a suspect request runs alone as a probe."""
+    async def claim_probe(self, fingerprint: Fingerprint, run: str) -> bool:
+        """Claims that a suspect request runs alone, over all gateways.
+
+        Without the claim, copies of a request that arrive at several gateways
+        at one moment would each be run as a probe.
+
+        Returns:
+            Whether the run may start; otherwise another one is the probe.
+        """
         report = self._table.start_probe(fingerprint, run, get_elapsed_s())
+        self._own_probes.add(run)
         self._post(report)
+        if self._has_peers():
+            await asyncio.sleep(CLAIM_SETTLE_S)
+        now_s = get_elapsed_s()
+        has_won = self._table.holds_probe(fingerprint, run, now_s)
+        if not has_won:
+            self._own_probes.discard(run)
+        _log.info(
+            "suspect_probed" if has_won else "suspect_held",
+            extra={
+                "run": run,
+                "fingerprint": fingerprint,
+                "strikes": self._table.get_strikes(fingerprint, now_s),
+            },
+        )
+        return has_won
 
     def check_for_crash(
         self, fingerprint: Fingerprint, run: str, upstream: Upstream
@@ -62,6 +95,9 @@
             run: Name of the attempt.
             upstream: The upstream whose connection was lost.
         """
+        self._table.start_check(
+            fingerprint, run, upstream.incarnation, get_elapsed_s()
+        )
         task = asyncio.get_running_loop().create_task(
             self._confirm_crash(fingerprint, run, upstream)
         )
@@ -69,25 +105,62 @@
         task.add_done_callback(self._tasks.discard)
 
     def record_answered(self, fingerprint: Fingerprint, run: str) -> None:
-        """Clears a request that an upstream has answered."""
-        now_s = get_elapsed_s()
-        report = self._table.record_end(fingerprint, run, True, now_s)
-        if report is not None:
-            self._post(report)
+        """Records that an upstream has answered a request with success."""
+        self._record_end(fingerprint, run, True)
+
+    def record_ended(self, fingerprint: Fingerprint, run: str) -> None:
+        """Records that a run has ended in any other way.
+
+        A run whose upstream is being checked ends with the result of the check.
+        """
+        if not self._table.is_checked(fingerprint, run):
+            self._record_end(fingerprint, run, False)
 
     def on_report(self, report: CrashReport) -> None:
         """Applies another gateway's report."""
         now_s = get_elapsed_s()
+        fingerprint = report.fingerprint
+        before = self._table.get_strikes(fingerprint, now_s)
+        probe = self._table.get_probe(fingerprint, now_s)
         self._table.apply_report(report, now_s)
-        _log.info(
-            "crash_report_applied",
-            extra={
-                "kind": report.kind.value,
-                "run": report.run,
-                "fingerprint": report.fingerprint,
-                "strikes": self._table.get_strikes(report.fingerprint, now_s),
-            },
+        strikes = self._table.get_strikes(fingerprint, now_s)
+        if strikes != before:
+            _log.info(
+                "crash_report_applied",
+                extra={
+                    "kind": report.kind.value,
+                    "run": report.run,
+                    "upstream": report.upstream,
+                    "fingerprint": fingerprint,
+                    "strikes": strikes,
+                },
+            )
+        if report.kind is CrashReportKind.PROBE and probe in self._own_probes:
+            self._defend_probe(report, probe)
+
+    def get_reports(self) -> Iterable[CrashReport]:
+        """Yields the reports that tell a new gateway of all strikes."""
+        return self._table.get_reports(get_elapsed_s())
+
+    def _defend_probe(self, claim: CrashReport, probe: str) -> None:
+        """Repeats a claim to a gateway that has not heard of it."""
+        now_s = get_elapsed_s()
+        if claim.run != probe and self._table.holds_probe(
+            claim.fingerprint, probe, now_s
+        ):
+            self._post(
+                CrashReport(CrashReportKind.PROBE, claim.fingerprint, probe)
+            )
+
+    def _record_end(
+        self, fingerprint: Fingerprint, run: str, answered: bool
+    ) -> None:
+        self._own_probes.discard(run)
+        report = self._table.record_end(
+            fingerprint, run, answered, get_elapsed_s()
         )
+        if report is not None:
+            self._post(report)
 
     async def _confirm_crash(
         self, fingerprint: Fingerprint, run: str, upstream: Upstream
@@ -98,28 +171,25 @@
             )
         except ConnectionLostError:
             self._add_strike(fingerprint, run, upstream)
-        else:
-            channel.abort()
-            _log.info(
-                "upstream_not_crashed",
-                extra={
-                    "run": run,
-                    "upstream": upstream.id,
-                    "fingerprint": fingerprint,
-                },
-            )
+            return
+        channel.abort()
+        self._record_end(fingerprint, run, False)
+        _log.info(
+            "upstream_not_crashed",
+            extra={
+                "run": run,
+                "upstream": upstream.id,
+                "fingerprint": fingerprint,
+            },
+        )
 
     def _add_strike(
         self, fingerprint: Fingerprint, run: str, upstream: Upstream
     ) -> None:
         now_s = get_elapsed_s()
-        # With this number of strikes before this one, the run was the request's
-        # probe, or it began in the moment before the last strike was
-        # confirmed.
-        strikes = self._table.get_strikes(fingerprint, now_s)
-        is_final_strike = strikes >= STRIKES_TO_PROBE
+        self._own_probes.discard(run)
         report = self._table.record_crash(
-            fingerprint, run, is_final_strike, now_s
+            fingerprint, run, upstream.incarnation, now_s
         )
         _log.warning(
             "upstream_crashed",
--- a/src/lovagestage/gateway/plain_runs.py
+++ b/src/lovagestage/gateway/plain_runs.py
@@ -36,24 +36,39 @@
     Raises:
         GatewayRefusalError: No upstream gave an answer that can be forwarded.
     """
-    while True:
-        model = attempts.admitted.request.model
-        upstream = await begin_attempt(context, attempts, model)
-        started_s = asyncio.get_running_loop().time()
-        try:
-            head, body = await _fetch_answer(context, attempts, upstream)
-        except AttemptFailedError as error:
-            record_failed_attempt(context, attempts, upstream, error)
-            if not attempts.may_retry():
-                raise attempts.make_refusal(error.reason) from error
-            continue
+    while not await _forward_once(context, attempts, sink):
+        pass
+
+
+async def _forward_once(
+    context: RunContext, attempts: Attempts, sink: AnswerSink
+) -> bool:
+    """Makes one attempt; returns whether the caller has its answer.
+
+    Raises:
+        GatewayRefusalError: No upstream gave an answer that can be forwarded.
+    """
+    model = attempts.admitted.request.model
+    upstream = await begin_attempt(context, attempts, model)
+    run = attempts.run_name
+    started_s = asyncio.get_running_loop().time()
+    try:
+        head, body = await _fetch_answer(context, attempts, upstream)
+    except AttemptFailedError as error:
+        record_failed_attempt(context, attempts, upstream, error)
+        if not attempts.may_retry():
+            raise attempts.make_refusal(error.reason) from error
+        return False
+    else:
         _record_answer(context, attempts, upstream, head, started_s)
-        if head.status >= 500 and should_retry_answer(
-            attempts, upstream, head.status
-        ):
-            continue
-        await sink.send_answer(head, body)
-        return
+    finally:
+        context.suspects.record_ended(attempts.fingerprint, run)
+    if head.status >= 500 and should_retry_answer(
+        attempts, upstream, head.status
+    ):
+        return False
+    await sink.send_answer(head, body)
+    return True
 
 
 async def _fetch_answer(
@@ -88,7 +103,10 @@
     kind = (admitted.route.name, admitted.request.model)
     failed = head.status >= 500
     upstream.performance.record_answer(failed)
-    context.suspects.record_answered(attempts.fingerprint, attempts.run_name)
+    if not failed:
+        context.suspects.record_answered(
+            attempts.fingerprint, attempts.run_name
+        )
     is_slow = context.latency.is_slow(kind, time_s)
     quality = AnswerQuality.SLOW if is_slow else AnswerQuality.GOOD
     if failed:
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -14,7 +14,7 @@
 
 from lovagestage.decisions.crash_suspects import Admission
 from lovagestage.decisions.retries import PROBE_WAIT_S
-from lovagestage.exceptions import AttemptFailedError
+from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
@@ -35,8 +35,22 @@
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
-CRASH_LIKE_REASONS = ("connection_lost", "answer_broken")
-"""Failure reasons that a crash of the upstream would also cause."""
+CRASH_LIKE_REASONS = (
+    "connection_lost",
+    "unreachable",
+    "answer_broken",
+    "event_broken",
+)
+"""Failure reasons that a crash of the upstream would also cause, if the request
+was sent. An upstream is unreachable after that where a kept connection broke,
+the request was to be sent again, and no new connection was accepted."""
+MAX_SUSPECT_WAIT_S = 1.0
+"""Longest time in seconds for which a request waits for another copy that is
+probed. Most answers come sooner; a caller that is held longer has no time left
+to try again."""
+SUSPECT_POLL_S = 0.02
+"""Interval in seconds between looks at whether a waiting request may run. It
+is short, as the check of a crashed upstream takes a few milliseconds."""
 _Result = TypeVar("_Result")
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -92,21 +106,43 @@
     Raises:
         GatewayRefusalError: The request must not run, or no upstream is left.
     """
+    await _wait_for_admission(context, attempts)
+    attempts.model = model
+    run = attempts.next_run_name
+    try:
+        return attempts.choose_upstream(estimate_work(context, attempts, model))
+    except GatewayRefusalError:
+        context.suspects.record_ended(attempts.fingerprint, run)
+        raise
+
+
+async def _wait_for_admission(context: RunContext, attempts: Attempts) -> None:
+    """Waits while a copy of a suspect request is probed or checked.
+
+    Raises:
+        GatewayRefusalError: The request crashes its upstreams, or the wait has
+            become too long.
+    """
     fingerprint = attempts.fingerprint
+    end_s = get_elapsed_s() + min(
+        MAX_SUSPECT_WAIT_S, attempts.remaining_s - PROBE_WAIT_S
+    )
     while True:
-        admission = context.suspects.admit(fingerprint)
-        if admission is Admission.REFUSE:
-            raise attempts.make_refusal("crashes_upstreams", is_retryable=False)
-        if admission is not Admission.WAIT:
-            break
-        if attempts.remaining_s <= PROBE_WAIT_S:
+        match context.suspects.admit(fingerprint):
+            case Admission.FREE:
+                return
+            case Admission.REFUSE:
+                raise attempts.make_refusal(
+                    "crashes_upstreams", is_retryable=False
+                )
+            case Admission.PROBE:
+                if await context.suspects.claim_probe(
+                    fingerprint, attempts.next_run_name
+                ):
+                    return
+        if get_elapsed_s() >= end_s:
             raise attempts.make_refusal("suspect_waiting")
-        await asyncio.sleep(PROBE_WAIT_S)
-    attempts.model = model
-    upstream = attempts.choose_upstream(estimate_work(context, attempts, model))
-    if admission is Admission.PROBE:
-        context.suspects.start_probe(fingerprint, attempts.run_name)
-    return upstream
+        await asyncio.sleep(SUSPECT_POLL_S)
 
 
 def estimate_work(
@@ -257,8 +293,10 @@
         performance.record_answer(True)
     elif error.is_upstream_at_fault:
         performance.record_unreachable(now_s)
-    is_checked = error.is_upstream_at_fault and (
-        error.reason in CRASH_LIKE_REASONS
+    is_checked = (
+        error.is_upstream_at_fault
+        and error.run is not RunState.NOT_RUN
+        and error.reason in CRASH_LIKE_REASONS
     )
     _log.warning(
         "attempt_failed",
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -81,6 +81,7 @@
     progress = _Progress(admitted.request.resume_after, False)
     while True:
         upstream = await begin_attempt(context, attempts, model)
+        name = attempts.run_name
         run = _StreamRun(context, attempts, upstream, model, progress, sink)
         try:
             next_run = await run.run()
@@ -92,6 +93,8 @@
             if progress.is_started:
                 raise
             raise attempts.make_refusal(error.reason) from error
+        finally:
+            context.suspects.record_ended(attempts.fingerprint, name)
         if next_run is None:
             return
         model = next_run.model
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -10,12 +10,16 @@
 
 import mode
 
-from lovagestage.decisions.limit_sharing import RankedLimitPolicy
+from lovagestage.decisions.limit_sharing import RankedLimitPolicy, get_rank
 from lovagestage.decisions.upstream_notices import NoticeKind
 from lovagestage.decisions.warmup import Warmup, ZoneWarmupPolicy
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.crash_detection import SuspectWatch
+from lovagestage.gateway.crash_exchange import (
+    INFORMING_GATEWAYS,
+    CrashExchange,
+)
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.feed_wiring import (
@@ -44,7 +48,7 @@
     OutcomeMessage,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
-from lovagestage.gateway.peers import PeerSocket, format_peer
+from lovagestage.gateway.peers import PeerAddress, PeerSocket, format_peer
 from lovagestage.gateway.relay import (
     Relay,
 )
@@ -65,7 +69,7 @@
     StoreClient,
 )
 from lovagestage.timers import TimerService
-from lovagestage.types import ServiceId
+from lovagestage.types import InstanceId, ServiceId
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,10 +132,13 @@
         HelloMessage(settings.peer_address or "", settings.zone),
     )
     rollouts.set_peer_messenger(peer_messenger)
-    suspects = SuspectWatch(peer_messenger.enqueue)
+    suspects, crash_exchange = _make_suspect_watch(peer_messenger, socket)
     if socket is not None and gossip is not None:
         peer_messenger.subscribe(
-            HelloMessage, _make_hello_handler(socket, gossip)
+            HelloMessage,
+            _make_hello_handler(
+                socket, gossip, _make_informer(suspects, crash_exchange, guard)
+            ),
         )
     relay = _make_relay(settings, socket, exposition)
     _subscribe_to_peer_messages(peer_messenger, rollouts, suspects)
@@ -169,7 +176,7 @@
     limit_exchange = (
         None if socket is None else LimitExchange(socket, rotation, guard)
     )
-    peer_services = (socket, gossip, relay, limit_exchange)
+    peer_services = (socket, gossip, relay, limit_exchange, crash_exchange)
     services = (
         timers,
         *(each for each in peer_services if each is not None),
@@ -286,13 +293,52 @@
     return PeerSocket(settings.peer_address, exposition)
 
 
+def _make_suspect_watch(
+    peer_messenger: PeerMessenger, socket: PeerSocket | None
+) -> tuple[SuspectWatch, CrashExchange | None]:
+    if socket is None:
+        return SuspectWatch(peer_messenger.enqueue, lambda: False), None
+
+    def post(report: CrashReport) -> None:
+        exchange.send(report)
+        peer_messenger.enqueue(report)
+
+    suspects = SuspectWatch(post, lambda: bool(socket.peers))
+    exchange = CrashExchange(socket, suspects.on_report)
+    return suspects, exchange
+
+
+def _make_informer(
+    suspects: SuspectWatch,
+    exchange: CrashExchange | None,
+    guard: UpstreamGuard,
+) -> Callable[[PeerAddress], None]:
+    """Makes the function that informs gateways which have just started.
+
+    A few gateways, chosen by a hash, inform each of them.
+    """
+
+    def inform(peer: PeerAddress) -> None:
+        gateways = guard.get_gateway_set(get_elapsed_s())
+        rank = get_rank(gateways, InstanceId(format_peer(peer)))
+        if exchange is not None and rank < INFORMING_GATEWAYS:
+            exchange.inform_newcomer(peer, suspects.get_reports())
+
+    return inform
+
+
 def _make_hello_handler(
-    socket: PeerSocket, gossip: Gossip
+    socket: PeerSocket,
+    gossip: Gossip,
+    inform: Callable[[PeerAddress], None],
 ) -> Callable[[HelloMessage], None]:
     def on_hello(message: HelloMessage) -> None:
         peer = socket.add_peer(message.peer_address)
-        if peer is not None and message.zone:
+        if peer is None:
+            return
+        if message.zone:
             gossip.record_zone(peer, message.zone)
+        inform(peer)
 
     return on_hello
 
--- a/src/lovagestage/messages/crashes.py
+++ b/src/lovagestage/messages/crashes.py
@@ -16,7 +16,9 @@
     PROBE = "probe"
     PROBE_ENDED = "probe_ended"
     CLEARED = "cleared"
+    """A run was answered."""
     CONVICTED = "convicted"
+    """A strike of a run that was the request's probe."""
 
 
 class CrashReport(
@@ -28,8 +30,11 @@
         kind: Event that the entry reports.
         fingerprint: Fingerprint of the request.
         run: Identifies the attempt that the event belongs to.
+        upstream: Name of the upstream process that crashed; empty for other
+            events.
     """
 
     kind: CrashReportKind
     fingerprint: Fingerprint
     run: str
+    upstream: str = ""
