--- a/lab/metadata_store.py
+++ b/lab/metadata_store.py
@@ -85,6 +85,23 @@
         """Returns the records from `offset` up to, but not including, `end`."""
         return self._records[offset - self.first : end - self.first]
 
+    def copy(self) -> Topic:
+        """Returns a copy of the topic as it is now."""
+        topic = Topic.__new__(Topic)
+        topic.is_keyed, topic.first = self.is_keyed, self.first
+        topic.newest = dict(self.newest)
+        topic.producers = dict(self.producers)
+        topic._records = list(self._records)
+        topic._appended = self._appended
+        return topic
+
+    def restore(self, copy: Topic) -> None:
+        """Goes back to a copy; offsets after it are given out again."""
+        restored = copy.copy()
+        self.first, self.newest = restored.first, restored.newest
+        self.producers = restored.producers
+        self._records = restored._records
+
     def delete_records(self) -> None:
         """Deletes all records, but keeps the newest value of each key."""
         self.first = self.end
@@ -112,18 +129,31 @@
     Attributes:
         faults: Faults that are set now.
         topics: Topics by name.
+        era: Number of times that the store has come back from a copy; stated
+            in each of its answers.
         calls: Types of the calls so far: `append`, `read` or `newest`.
     """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.topics: dict[str, Topic] = {}
+        self.era = 1
         self.calls: list[str] = []
 
     def get_topic(self, name: str) -> Topic:
         """Returns a topic, which is created on its first use."""
         return self.topics.setdefault(name, Topic(name))
 
+    def take_copy(self) -> dict[str, Topic]:
+        """Returns a copy of all topics, from which the store may come back."""
+        return {name: topic.copy() for name, topic in self.topics.items()}
+
+    def restore_copy(self, copies: dict[str, Topic]) -> None:
+        """Loses all that was written since a copy, and begins a new era."""
+        for name, topic in self.topics.items():
+            topic.restore(copies.get(name) or Topic(name))
+        self.era += 1
+
     def append_keyed(self, topic: str, key: str, value: bytes) -> int:
         """Appends a keyed record, as operators and upstreams do.
 
@@ -136,11 +166,18 @@
     def make_app(self) -> web.Application:
         """Creates the web application that serves the store."""
         app = make_app(self.faults, lambda: {"calls": len(self.calls)})
+        app.on_response_prepare.append(self._state_era)
         app.router.add_post("/v1/log-append", self._handle_append)
         app.router.add_get("/v1/log-read", self._handle_read)
         app.router.add_get("/v1/log-newest", self._handle_newest)
         return app
 
+    async def _state_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        del request
+        response.headers["Store-Era"] = str(self.era)
+
     async def _handle_append(self, request: web.Request) -> web.Response:
         self.calls.append("append")
         name = request.query["Topic"]
@@ -187,12 +224,12 @@
         topic = self.get_topic(request.query["Topic"])
         offset = int(request.query["Source"])
         wait_s = float(request.query.get("WaitMs", 0)) / 1000
-        if offset < topic.first:
+        if not topic.first <= offset <= topic.end:
             return web.json_response({"StartOffset": topic.first}, status=410)
         if self.faults.deaf:
             await asyncio.sleep(min(wait_s, MAX_WAIT_S))
         await topic.wait(offset, min(wait_s, MAX_WAIT_S))
-        if offset < topic.first:
+        if not topic.first <= offset <= topic.end:
             return web.json_response({"StartOffset": topic.first}, status=410)
         end = max(topic.first, topic.end - self.faults.stale_by)
         body = _READ_HEAD.pack(end, topic.first)
