--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lovagestage.decisions.routing import UpstreamView
+from lovagestage.entry.crash_watch import TrackedAttempt
 from lovagestage.entry.dispatcher import Dispatcher
 from lovagestage.exceptions import (
     IsolatedRunPendingError,
@@ -77,8 +78,8 @@
     def get_strikes(self, fingerprint):
         return 0
 
-    def track_attempt(self, fingerprint, label, is_probe):
-        return contextlib.nullcontext()
+    def track_attempt(self, fingerprint, label):
+        return contextlib.nullcontext(TrackedAttempt())
 
 
 @pytest.mark.parametrize(
