--- a/src/lovagestage/decisions/evacuation.py
+++ b/src/lovagestage/decisions/evacuation.py
@@ -13,7 +13,8 @@
 import dataclasses
 from collections.abc import Mapping
 
-from lovagestage.types import Offset, ZoneId
+from lovagestage.decisions.positions import START
+from lovagestage.types import Position, ZoneId
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,11 +22,11 @@
     """The newest record of one zone.
 
     Attributes:
-        offset: Offset of the record in the store.
+        position: Position of the record in the store.
         is_evacuated: Whether the zone is evacuated.
     """
 
-    offset: Offset
+    position: Position
     is_evacuated: bool
 
 
@@ -48,24 +49,29 @@
         return sum(order.is_evacuated for order in self._orders.values())
 
     def apply_record(
-        self, zone: ZoneId, offset: Offset, is_evacuated: bool
+        self, zone: ZoneId, position: Position, is_evacuated: bool
     ) -> bool:
         """Applies a record; returns whether the zone's state changes."""
         existing = self._orders.get(zone)
-        if existing is not None and offset <= existing.offset:
+        if existing is not None and position <= existing.position:
             return False
         was_evacuated = zone in self
-        self._orders[zone] = _Order(offset, is_evacuated)
+        self._orders[zone] = _Order(position, is_evacuated)
         return is_evacuated != was_evacuated
 
+    def get_position(self, zone: ZoneId) -> Position:
+        """Returns the position of the newest record known of a zone."""
+        order = self._orders.get(zone)
+        return START if order is None else order.position
+
     def replace_all(
-        self, evacuated: Mapping[ZoneId, Offset], end: Offset
+        self, evacuated: Mapping[ZoneId, Position], end: Position
     ) -> dict[ZoneId, bool]:
         """Applies a list of all evacuated zones; restores all others.
 
         Args:
-            evacuated: Evacuated zones, with the offsets of their records.
-            end: Offset at which the list ends. State from later records is
+            evacuated: Evacuated zones, with the positions of their records.
+            end: Position at which the list ends. State from later records is
                 retained.
 
         Returns:
@@ -73,12 +79,12 @@
         """
         changes = {
             zone: True
-            for zone, offset in evacuated.items()
-            if self.apply_record(zone, offset, True)
+            for zone, position in evacuated.items()
+            if self.apply_record(zone, position, True)
         }
         for zone in self._orders.keys() - evacuated.keys():
             # The store retains no record of the removal, which took place
             # before the end of the list.
-            if self.apply_record(zone, Offset(end - 1), False):
+            if self.apply_record(zone, Position(end - 1), False):
                 changes[zone] = False
         return changes
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -8,7 +8,14 @@
 
 import dataclasses
 
-from lovagestage.types import ChangeId, FencingNumber, LeaseId, RunState
+from lovagestage.types import (
+    ChangeId,
+    Era,
+    FencingNumber,
+    LeaseId,
+    Position,
+    RunState,
+)
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
@@ -594,29 +601,46 @@
     """The store has dropped the requested records.
 
     Attributes:
-        first_offset: Offset of the oldest record that the store still holds.
+        first: Position of the oldest record that the store still holds.
     """
 
     code = "store_history_lost"
 
-    def __init__(self, topic: str, first_offset: int) -> None:
-        super().__init__(f"{topic} starts at {first_offset}.")
-        self.first_offset = first_offset
+    def __init__(self, topic: str, first: Position) -> None:
+        super().__init__(f"{topic} starts at {first}.")
+        self.first = first
+
+
+class StoreEraChangedError(StoreError):
+    """The store has come back from a copy since a position was read.
+
+    The position says nothing any more. An append on condition of it may have
+    taken effect, where the topic happened to end at the same offset.
+
+    Attributes:
+        era: The store's era now.
+    """
+
+    code = "store_era_changed"
+
+    def __init__(self, era: Era) -> None:
+        super().__init__(f"The store is in era {era}.")
+        self.era = era
 
 
 class StoreConflictError(StoreError):
     """A conditional append did not match the end of the topic.
 
     Attributes:
-        end_offset: Offset at which the topic currently ends.
+        end: Position at which the topic currently ends.
     """
 
     code = "store_conflict"
     exit_code = EXIT_CONFLICT
 
-    def __init__(self, end_offset: int) -> None:
-        super().__init__(f"The topic ends at {end_offset}.")
-        self.end_offset = end_offset
+    def __init__(self, end: Position) -> None:
+        super().__init__(f"The topic ends at {end}.")
+        self.end = end
 
 
 class AttemptFailedError(LovagestageError):
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -267,7 +267,7 @@
             return version_upstreams
         trial = choose_trial_upstreams(
             [u.id for u in version_upstreams],
-            str(rollout.offset),
+            rollout.order.version,
             rollout.get_share(now_s),
         )
         return [u for u in version_upstreams if u.id in trial]
--- a/src/lovagestage/gateway/feed_protocols.py
+++ b/src/lovagestage/gateway/feed_protocols.py
@@ -18,8 +18,18 @@
     def on_newest(self, page: Page) -> None:
         """Called with the newest record of each key of the topic."""
 
+    def on_copy(self, page: Page) -> None:
+        """Called with the newest records after the store came back.
+
+        The store may have lost newer ones, and what it does not list may be
+        written again. `on_newest` follows once that has had its time.
+        """
+
+    def on_era_changed(self) -> None:
+        """Called when the store has come back from an earlier copy."""
+
     def on_records(self, page: Page) -> None:
-        """Called with new records in the order of their offsets."""
+        """Called with new records in the order of their positions."""
 
     def on_freshness_confirmed(self, at_s: float) -> None:
         """Called when it is confirmed that no newer record existed.
--- a/src/lovagestage/gateway/feed_wiring.py
+++ b/src/lovagestage/gateway/feed_wiring.py
@@ -40,6 +40,11 @@
 """Share of the time for which keys may be relied on that must be left when the
 store becomes unavailable. Requests with a key must be served for that long
 afterwards."""
+TRUST_DELAY_RATIO = 0.1
+"""Time after the store has come back from a copy for which no read confirms the
+configuration, as a share of the time for which keys may be relied on. The store
+may lack a newer configuration until the operator has written it again. Callers
+are served meanwhile by the confirmation before the outage."""
 MIN_RELAY_BOUND_S = 0.5
 """Shortest relay bound in seconds. With a shorter one, followers would query
 their watcher more than ten times a second, so each gateway reads the store
@@ -106,7 +111,10 @@
     return TopicFeed(
         store,
         TopicReadOptions(
-            OPERATOR_TOPIC, get_operator_poll_s(bounds), OPERATOR_READ_PAUSE_S
+            OPERATOR_TOPIC,
+            get_operator_poll_s(bounds),
+            OPERATOR_READ_PAUSE_S,
+            trust_delay_s=TRUST_DELAY_RATIO * bounds.revoke_s,
         ),
         state,
         rng,
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -12,7 +12,16 @@
 
 import mode
 
+from lovagestage.decisions.positions import (
+    START,
+    EraSettling,
+    advance,
+    format_position,
+    get_era,
+    make_position,
+)
 from lovagestage.exceptions import (
+    StoreEraChangedError,
     StoreError,
     StoreHistoryLostError,
     StoreUnavailableError,
@@ -30,6 +39,7 @@
 from lovagestage.gateway.topic_log import TopicLog
 from lovagestage.platform.records import Page, Record
 from lovagestage.platform.store import StoreClient
+from lovagestage.types import Position
 
 _log = logging.getLogger(__name__)
 
@@ -93,6 +103,8 @@
         requires_freshness: Whether a change must be in force within a time
             limit, so that followers rely on recent freshness confirmations
             only.
+        trust_delay_s: Time in seconds after the store has come back from a
+            copy for which no read confirms that the records are current.
     """
 
     topic: str
@@ -102,6 +114,7 @@
     watch_wait_s: float | None = None
     is_relayed: bool = False
     requires_freshness: bool = True
+    trust_delay_s: float = 0.0
 
 
 class TopicFeed(mode.Service):
@@ -155,8 +168,9 @@
         self._store_recovery = store_recovery
         self._relay = relay
         self._store_recovered = store_recovery.make_event()
-        self._topic_log = TopicLog(None if options.is_keyed else 0)
+        self._topic_log = TopicLog(None if options.is_keyed else START)
         self._lag = TopicLag()
+        self._settling = EraSettling(options.trust_delay_s)
         self._failures = 0
         self._last_failure_s: float | None = None
         self._own_failure_s: float | None = None
@@ -214,15 +228,15 @@
             None if failure_age_s is None else int(1000 * failure_age_s),
         )
 
-    def get_known_end(self) -> int | None:
+    def get_known_end(self) -> Position | None:
         """Returns the end of the known records; None before the first read."""
         return self._topic_log.end
 
-    def get_recent_records(self, first: int) -> Sequence[Record]:
-        """Returns the recent records from an offset on.
+    def get_recent_records(self, first: Position) -> Sequence[Record]:
+        """Returns the recent records from a position on.
 
         Args:
-            first: The offset.
+            first: The position.
 
         Returns:
             The records; empty where one of them is no longer stored here, and
@@ -243,7 +257,7 @@
         the topic are read from the store.
 
         Args:
-            records: Records with consecutive offsets.
+            records: Records with consecutive positions.
             last_failure_s: Elapsed time at which the store last failed to
                 answer the watcher; None for never.
         """
@@ -255,10 +269,11 @@
             self._relayed_records_added.set()
 
     def _deliver_records(self, records: tuple[Record, ...]) -> None:
-        self._listener.on_records(Page(records, records[-1].offset + 1))
+        end = advance(records[-1].position, 1)
+        self._listener.on_records(Page(records, end))
         self._record_known_end()
 
-    def _record_end(self, end: int) -> None:
+    def _record_end(self, end: Position) -> None:
         """Records the end of the topic, whether or not it is read so far.
 
         Notifies the listener that there are records beyond the known ones, and
@@ -273,8 +288,8 @@
                 "topic_behind",
                 extra={
                     "topic": self.topic,
-                    "known": known_end,
-                    "end": self._lag.end,
+                    "known": format_position(known_end),
+                    "end": format_position(self._lag.end),
                     "age_s": round(age_s, 2),
                 },
             )
@@ -287,7 +302,7 @@
                 "topic_caught_up",
                 extra={
                     "topic": self.topic,
-                    "known": known_end,
+                    "known": format_position(known_end),
                     "age_s": round(age_s, 2),
                 },
             )
@@ -297,6 +312,9 @@
         while not self.should_stop:
             try:
                 has_records = await self._update()
+            except StoreEraChangedError as error:
+                self._on_era_changed(error)
+                has_records = False
             except StoreHistoryLostError as error:
                 self._on_history_lost(error)
                 has_records = False
@@ -323,6 +341,8 @@
         if self._relay is not None and self.is_synced:
             relay_mode = self._relay.get_mode()
         self._was_watching = False
+        if self._settling.get_left_s(get_elapsed_s()) == 0.0:
+            return await self._read(0.0)
         if relay_mode is RelayMode.FOLLOWER:
             assert self._relay is not None
             state = await self._relay.wait_for_state(self.topic)
@@ -363,6 +383,11 @@
             Whether the confirmation was accepted.
         """
         self._record_store_failure(state.last_failure_s)
+        known_end = self._topic_log.end
+        if known_end is None or get_era(state.end) != get_era(known_end):
+            # One of the two has not heard yet that the store came back; the
+            # store itself tells which.
+            return False
         if state.is_fresh:
             self._record_end(state.end)
         if state.is_fresh and self._options.is_relayed:
@@ -371,7 +396,8 @@
         if not state.is_fresh or end is None or self._lag.is_behind(end):
             return False
         self._record_recovery("watcher")
-        self._listener.on_freshness_confirmed(state.confirmed_s)
+        if self._settling.is_trusted(state.confirmed_s):
+            self._listener.on_freshness_confirmed(state.confirmed_s)
         return True
 
     def _is_shared_outage(self, state: RelayedState) -> bool:
@@ -394,11 +420,11 @@
             < SHARED_OUTAGE_READ_INTERVAL_S
         )
 
-    async def _wait_for_relayed_records(self, end: int) -> None:
+    async def _wait_for_relayed_records(self, end: Position) -> None:
         """Waits for records whose datagrams arrive after the response."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RELAYED_RECORDS_TIMEOUT_S):
-                while (self._topic_log.end or 0) < end:
+                while (self._topic_log.end or START) < end:
                     self._relayed_records_added.clear()
                     await self._relayed_records_added.wait()
 
@@ -465,9 +491,12 @@
         """
         sent_s = get_elapsed_s()
         known_end = self._topic_log.end
-        if known_end is None:
+        settling_s = self._settling.get_left_s(sent_s)
+        if known_end is None or settling_s == 0.0:
             await self._read_newest(sent_s)
             return False
+        if settling_s is not None:
+            wait_s = min(wait_s, settling_s)
         page = await self._store.read(
             self.topic,
             known_end,
@@ -482,12 +511,12 @@
                 "store_read_stale",
                 extra={
                     "topic": self.topic,
-                    "end": page.end,
-                    "known": known_end,
+                    "end": format_position(page.end),
+                    "known": format_position(known_end),
                 },
             )
             return True
-        if known_end + len(page.records) >= page.end:
+        if advance(known_end, len(page.records)) >= page.end:
             # Nothing newer existed at the end of the wait or, for a read that
             # returned records, when the read was sent.
             waited_s = 0.0 if page.records else wait_s
@@ -497,7 +526,12 @@
     async def _read_newest(self, sent_s: float) -> None:
         page = await self._store.read_newest(self.topic, INACTIVITY_TIMEOUT_S)
         self._topic_log.restart(page.end)
-        self._listener.on_newest(page)
+        if self._settling.get_left_s(sent_s) == 0.0:
+            self._settling.finish()
+        if self._settling.is_settling:
+            self._listener.on_copy(page)
+        else:
+            self._listener.on_newest(page)
         self._record_known_end()
         if not self._lag.is_behind(page.end):
             self._confirm_freshness(sent_s)
@@ -526,6 +560,8 @@
             self._relay.notify_followers()
 
     def _confirm_freshness(self, at_s: float) -> None:
+        if not self._settling.is_trusted(at_s):
+            return
         self._confirmed_s = at_s
         self._listener.on_freshness_confirmed(at_s)
 
@@ -534,9 +570,34 @@
             "store_history_lost",
             extra={"topic": self.topic, "reason": error.message},
         )
+        self._topic_log.restart(None if self._options.is_keyed else error.first)
+
+    def _on_era_changed(self, error: StoreEraChangedError) -> None:
+        """Forgets where the topic stands, but nothing that was read of it.
+
+        The store has lost records, and others stand at their offsets. The
+        newest of each key are read at once. What they lack or contradict stays
+        in force until it has had time to be written again. A topic without keys
+        is read again from its beginning, as nothing tells where the copy ends.
+        """
+        now_s, known_end = get_elapsed_s(), self._topic_log.end
+        _log.warning(
+            "store_era_changed",
+            extra={
+                "topic": self.topic,
+                "era": error.era,
+                "previous": None if known_end is None else get_era(known_end),
+                "known": format_position(known_end),
+            },
+        )
+        self._last_failure_s = now_s
+        self._settling.start(now_s)
         self._topic_log.restart(
-            None if self._options.is_keyed else error.first_offset
+            None if self._options.is_keyed else make_position(error.era, 0)
         )
+        if not self._options.is_keyed:
+            self._settling.finish()
+        self._listener.on_era_changed()
 
     async def _on_failure(self, error: StoreError) -> None:
         self._store.close()
--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -10,7 +10,7 @@
 
 from lovagestage.exceptions import CodecError
 from lovagestage.messages.crashes import CrashReport
-from lovagestage.types import InstanceId, ServiceId, VmId, ZoneId
+from lovagestage.types import InstanceId, Position, ServiceId, VmId, ZoneId
 
 PEER_MESSAGES_TOPIC = "lovagestage"
 
@@ -35,7 +35,7 @@
 
     Attributes:
         service: The service.
-        order: Offset of the order.
+        order: Position of the order.
         route: Route of the request.
         upstream: The upstream that answered.
         evidence: Log-likelihood ratio of this answer and of the good answers
@@ -44,7 +44,7 @@
     """
 
     service: ServiceId
-    order: int
+    order: Position
     route: str
     upstream: InstanceId
     evidence: float
@@ -58,14 +58,14 @@
 
     Attributes:
         service: The service.
-        order: Offset of the order.
+        order: Position of the order.
         gateway: The gateway that received the answers.
         answers: Number of answers so far.
         age_s: Age of the order in seconds.
     """
 
     service: ServiceId
-    order: int
+    order: Position
     gateway: VmId
     answers: int
     age_s: float
@@ -78,14 +78,14 @@
 
     Attributes:
         service: The service.
-        order: Offset of the order.
+        order: Position of the order.
         sessions: Ids of the sessions that the share alone would move to the
             new version immediately.
         age_s: Age of the order in seconds.
     """
 
     service: ServiceId
-    order: int
+    order: Position
     sessions: tuple[str, ...]
     age_s: float
 
@@ -97,14 +97,14 @@
 
     Attributes:
         service: The service.
-        order: Offset of the order.
+        order: Position of the order.
         outcome: Value of the state.
         first_share: Share of the sessions before the load step.
         age_s: Age of the order in seconds.
     """
 
     service: ServiceId
-    order: int
+    order: Position
     outcome: str
     first_share: float
     age_s: float
--- a/src/lovagestage/gateway/peer_messenger.py
+++ b/src/lovagestage/gateway/peer_messenger.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import dataclasses
 import logging
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import mode
+import xxhash
 
 from lovagestage.exceptions import CodecError, StoreError
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.peer_messages import (
     PEER_MESSAGES_TOPIC,
     ActiveSessionsMessage,
@@ -49,6 +53,26 @@
 MAX_QUEUED_MESSAGES = 500
 """Maximum number of messages that are queued while the store is unavailable.
 The oldest are dropped first."""
+REWRITE_S = 60.0
+"""Time in seconds for which a gateway's own batches are kept. The store may
+come back from a copy that is some seconds old, and those that it has lost are
+then appended again."""
+MAX_SEEN_BATCHES = 2_000
+"""Maximum number of batches that are remembered, so that none is applied twice
+when the topic is read again."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _OwnBatch:
+    """A batch that this gateway has appended.
+
+    Attributes:
+        data: The batch as it is stored.
+        appended_s: Elapsed time in seconds of the append.
+    """
+
+    data: bytes
+    appended_s: float
 
 
 class PeerMessenger(mode.Service):
@@ -77,6 +101,11 @@
         self._outbox: list[GatewayMessage] = [hello]
         self._message_added = asyncio.Event()
         self._message_added.set()
+        self._unsent: collections.deque[bytes] = collections.deque()
+        self._own_batches: collections.deque[_OwnBatch] = collections.deque()
+        self._seen: dict[int, None] = {}
+        self._own_found: set[int] = set()
+        self._must_find_own = False
 
     @property
     def gateway_count(self) -> int:
@@ -110,11 +139,25 @@
         """Applies the records; message batches have no keys."""
         self.on_records(page)
 
+    def on_copy(self, page: Page) -> None:
+        """Applies the records; message batches have no keys."""
+        self.on_records(page)
+
+    def on_era_changed(self) -> None:
+        """Looks for this gateway's batches in what is read from now on."""
+        self._own_found.clear()
+        self._must_find_own = True
+
     def on_records(self, page: Page) -> None:
-        """Dispatches message batches in order, except this gateway's own."""
+        """Dispatches message batches in order, except this gateway's own.
+
+        A batch that is read again, or was appended twice, is dispatched once.
+        """
         for record in page.records:
+            data = record.value or b""
+            batch_hash = xxhash.xxh3_64_intdigest(data)
             try:
-                batch = decode_batch(record.value or b"")
+                batch = decode_batch(data)
             except CodecError as error:
                 _log.error("letter_refused", extra={"error": error.message})
                 continue
@@ -122,6 +165,9 @@
                 self._vm,
                 self._incarnation,
             ):
+                self._own_found.add(batch_hash)
+                continue
+            if self._is_repeat(batch_hash):
                 continue
             self._gateways.add(batch.vm)
             for message in batch.messages:
@@ -129,8 +175,28 @@
                 if handler is not None:
                     handler(message)
 
+    def _is_repeat(self, batch_hash: int) -> bool:
+        is_repeat = batch_hash in self._seen
+        self._seen[batch_hash] = None
+        while len(self._seen) > MAX_SEEN_BATCHES:
+            del self._seen[next(iter(self._seen))]
+        return is_repeat
+
     def on_freshness_confirmed(self, at_s: float) -> None:
-        """Does nothing: no decision depends on the age of the messages."""
+        """Appends again what the store has lost, once the topic is read."""
+        del at_s
+        if not self._must_find_own:
+            return
+        self._must_find_own = False
+        lost = [
+            batch.data
+            for batch in self._own_batches
+            if xxhash.xxh3_64_intdigest(batch.data) not in self._own_found
+        ]
+        if lost:
+            _log.warning("batches_rewritten", extra={"batches": len(lost)})
+            self._unsent.extend(lost)
+            self._message_added.set()
 
     def on_update_available(self, at_s: float) -> None:
         """Does nothing: no decision depends on messages not read yet."""
@@ -141,25 +207,37 @@
             await self._message_added.wait()
             await asyncio.sleep(BATCH_DELAY_S)
             self._message_added.clear()
-            messages, self._outbox = tuple(self._outbox), []
             try:
-                await self._send(messages)
+                await self._send_all()
             except StoreError as error:
                 _log.warning(
                     "notes_not_sent",
-                    extra={"notes": len(messages), "reason": error.message},
+                    extra={
+                        "batches": len(self._unsent),
+                        "reason": error.message,
+                    },
                 )
-                self._outbox = [*messages, *self._outbox]
                 self._message_added.set()
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _send(self, messages: tuple[GatewayMessage, ...]) -> None:
-        if not messages:
-            return
-        # Retrying an append whose answer was lost is harmless: counting a
-        # failure twice has little effect, and the other messages are
-        # idempotent.
-        batch = MessageBatch(self._vm, self._incarnation, messages)
+    async def _send_all(self) -> None:
+        # New messages wait in the outbox, which is bounded, while a batch
+        # can't be appended.
+        while self._unsent or self._outbox:
+            if not self._unsent:
+                messages, self._outbox = tuple(self._outbox), []
+                batch = MessageBatch(self._vm, self._incarnation, messages)
+                self._unsent.append(encode_batch(batch))
+            await self._send(self._unsent[0])
+            self._unsent.popleft()
+
+    async def _send(self, data: bytes) -> None:
+        # An append whose answer was lost is retried with the same bytes, by
+        # which the others recognize a batch that was appended twice.
         await self._store.append(
-            PEER_MESSAGES_TOPIC, [("", encode_batch(batch))], APPEND_TIMEOUT_S
+            PEER_MESSAGES_TOPIC, [("", data)], APPEND_TIMEOUT_S
         )
+        now_s = get_elapsed_s()
+        self._own_batches.append(_OwnBatch(data, now_s))
+        while self._own_batches[0].appended_s < now_s - REWRITE_S:
+            self._own_batches.popleft()
--- a/src/lovagestage/gateway/relay.py
+++ b/src/lovagestage/gateway/relay.py
@@ -9,8 +9,8 @@
 stopped watcher costs a call to the store and causes no further delay.
 
 New records are sent along with the response, as the store's records with their
-offsets in the topic, so that a change does not cost the store a call from each
-follower.
+positions in the topic, so that a change does not cost the store a call from
+each follower.
 
 Freshness confirmations need no common clock. A follower dates the confirmation
 by its own clock: to the time at which it sent its query, minus the age that the
@@ -29,6 +29,7 @@
 
 import mode
 
+from lovagestage.decisions.positions import advance
 from lovagestage.exceptions import CodecError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition, Series
@@ -46,6 +47,7 @@
 )
 from lovagestage.gateway.watchers import WatcherList
 from lovagestage.platform.records import Record
+from lovagestage.types import Position
 
 _log = logging.getLogger(__name__)
 
@@ -106,7 +108,7 @@
             on.
     """
 
-    end: int
+    end: Position
     confirmed_s: float
     last_failure_s: float | None
     is_fresh: bool
@@ -127,16 +129,16 @@
     def get_topic_state(self, now_s: float) -> TopicState | None:
         """Returns the topic's state; None before a freshness confirmation."""
 
-    def get_known_end(self) -> int | None:
+    def get_known_end(self) -> Position | None:
         """Returns the end of the known records; None before the first read."""
 
-    def get_recent_records(self, first: int) -> Sequence[Record]:
-        """Returns the recent records from an offset on; empty if incomplete."""
+    def get_recent_records(self, first: Position) -> Sequence[Record]:
+        """Returns the records from a position on; empty if incomplete."""
 
     def apply_relayed_records(
         self, records: Sequence[Record], last_failure_s: float | None
     ) -> None:
-        """Applies records with consecutive offsets that a watcher has sent.
+        """Applies records with consecutive positions that a watcher has sent.
 
         Args:
             records: The records.
@@ -312,7 +314,7 @@
         self._send(StateResponse(query.number, tuple(states)), sender)
 
     def _send_records(
-        self, state: TopicState, first: int, peer: PeerAddress
+        self, state: TopicState, first: Position, peer: PeerAddress
     ) -> None:
         """Sends the records that a follower lacks.
 
@@ -323,7 +325,7 @@
         for part in split_records(records):
             relayed = RelayedRecords(
                 state.topic,
-                part[0].offset,
+                part[0].position,
                 state.last_failure_age_ms,
                 tuple((record.key, record.value) for record in part),
             )
@@ -339,7 +341,7 @@
                 get_elapsed_s() - message.last_failure_age_ms / 1000
             )
         records = [
-            Record(message.first + index, key, value)
+            Record(advance(message.first, index), key, value)
             for index, (key, value) in enumerate(message.records)
         ]
         source.apply_relayed_records(records, last_failure_s)
--- a/src/lovagestage/gateway/relay_messages.py
+++ b/src/lovagestage/gateway/relay_messages.py
@@ -12,6 +12,7 @@
 
 from lovagestage.exceptions import CodecError
 from lovagestage.platform.records import Record
+from lovagestage.types import Position
 
 MAX_DATAGRAM_BYTES = 1200
 """Maximum size in bytes of the records in one datagram, so that each datagram
@@ -35,7 +36,7 @@
     """
 
     topic: str
-    end: int
+    end: Position
     confirmation_age_ms: int
     last_failure_age_ms: int | None
 
@@ -50,7 +51,7 @@
     """
 
     number: int
-    ends: tuple[tuple[str, int], ...] = ()
+    ends: tuple[tuple[str, Position], ...] = ()
 
 
 class RelayedRecords(
@@ -60,7 +61,7 @@
 
     Attributes:
         topic: The topic.
-        first: Offset of the first record.
+        first: Position of the first record.
         last_failure_age_ms: Time in milliseconds since the store last failed
             to answer; None for never.
         records: Keys and values; the value is None where the record removes
@@ -68,7 +69,7 @@
     """
 
     topic: str
-    first: int
+    first: Position
     last_failure_age_ms: int | None
     records: tuple[tuple[str, bytes | None], ...]
 
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from lovagestage.decisions.positions import get_offset
 from lovagestage.exceptions import (
     CodecError,
     StoreConflictError,
@@ -45,7 +46,7 @@
 )
 from lovagestage.platform.records import Page
 from lovagestage.platform.store import OUTCOME_TOPIC, StoreClient
-from lovagestage.types import ServiceId, VmId
+from lovagestage.types import Position, ServiceId, VmId
 
 _log = logging.getLogger(__name__)
 
@@ -99,7 +100,9 @@
         self._rng = rng
         self._peer_messenger: PeerMessenger | None = None
         self._unresolved: dict[ServiceId, Rollout] = {}
-        self._recorded_orders: dict[ServiceId, int] = {}
+        self._stored_outcomes: dict[
+            ServiceId, tuple[Position, RolloutOutcome]
+        ] = {}
         self._write_at_s: dict[ServiceId, float] = {}
 
     def set_peer_messenger(self, peer_messenger: PeerMessenger) -> None:
@@ -115,7 +118,7 @@
         """Whether the outcome of each known order has been looked up."""
         return not self._unresolved
 
-    def on_order(self, order: RolloutOrder, offset: int) -> None:
+    def on_order(self, order: RolloutOrder, position: Position) -> None:
         """Starts to follow an order; its stored outcome is looked up later.
 
         The roll-out may already be complete or reverted when a gateway
@@ -123,7 +126,7 @@
         """
         warmup = self._deployment.get_warmup(order.service)
         warmup_s = 0.0 if warmup is None else warmup.duration_s
-        rollout = Rollout(order, offset, get_elapsed_s(), warmup_s)
+        rollout = Rollout(order, position, get_elapsed_s(), warmup_s)
         self._deployment.rollouts[order.service] = rollout
         self._unresolved[order.service] = rollout
         self._progress[order.service] = _Progress()
@@ -210,7 +213,7 @@
             return
         message = FailureMessage(
             service,
-            rollout.offset,
+            rollout.position,
             route,
             upstream.id,
             progress.unreported.pop(route),
@@ -263,15 +266,15 @@
             return
         rollout.set_first_share(message.first_share, get_elapsed_s())
         outcome = RolloutOutcome(message.outcome)
-        self._recorded_orders[message.service] = message.order
+        self._record_stored(rollout, outcome)
         if outcome is not RolloutOutcome.RUNNING:
             self._conclude(rollout, outcome, "peer")
 
     def _find_rollout(
-        self, service: ServiceId, order: int, age_s: float
+        self, service: ServiceId, order: Position, age_s: float
     ) -> Rollout | None:
         rollout = self._deployment.rollouts.get(service)
-        if rollout is None or rollout.offset != order:
+        if rollout is None or not rollout.is_at(order):
             return None
         rollout.apply_age(age_s, get_elapsed_s())
         return rollout
@@ -299,7 +302,13 @@
     def _conclude(
         self, rollout: Rollout, outcome: RolloutOutcome, source: str
     ) -> None:
-        if rollout.outcome is not RolloutOutcome.RUNNING:
+        """Records a final outcome.
+
+        A second one is followed only if the store holds it: operators act on
+        what they read there.
+        """
+        is_known = rollout.outcome is not RolloutOutcome.RUNNING
+        if rollout.outcome is outcome or (is_known and source != "store"):
             return
         rollout.outcome = outcome
         _log.info(
@@ -348,7 +357,7 @@
             self._post(
                 AnswerCountMessage(
                     service,
-                    rollout.offset,
+                    rollout.position,
                     self._vm,
                     progress.answers,
                     age_s,
@@ -378,7 +387,9 @@
             rollout.held_sessions.update(sessions)
             age_s = rollout.get_age_s(now_s)
             self._post(
-                ActiveSessionsMessage(service, rollout.offset, sessions, age_s)
+                ActiveSessionsMessage(
+                    service, rollout.position, sessions, age_s
+                )
             )
 
     async def _look_up_outcomes(self) -> None:
@@ -400,30 +411,55 @@
             except CodecError as error:
                 _log.error("outcome_refused", extra={"error": error.message})
                 continue
-            if found.order != rollout.offset:
+            if not self._is_outcome_of(found, rollout):
                 continue
-            self._recorded_orders[rollout.order.service] = rollout.offset
+            self._record_stored(rollout, found.outcome)
             rollout.set_first_share(found.first_share, get_elapsed_s())
             if found.outcome is not RolloutOutcome.RUNNING:
                 self._conclude(rollout, found.outcome, "store")
 
+    @staticmethod
+    def _is_outcome_of(found: OutcomeRecord, rollout: Rollout) -> bool:
+        if rollout.is_at(found.order):
+            return True
+        # Written in an earlier era of an order that the copy kept at its place.
+        return (
+            get_offset(found.order) == get_offset(rollout.position)
+            and found.version == rollout.order.version
+        )
+
+    def _record_stored(self, rollout: Rollout, outcome: RolloutOutcome) -> None:
+        stored = (rollout.position, outcome)
+        self._stored_outcomes[rollout.order.service] = stored
+
     async def _write_due(self) -> None:
+        """Writes outcomes that are due, and those that the store has lost."""
         now_s = get_elapsed_s()
         for service, rollout in list(self._deployment.rollouts.items()):
-            if rollout.outcome is not RolloutOutcome.RUNNING:
-                continue
-            due = rollout.get_due_outcome(now_s)
-            is_recorded = self._recorded_orders.get(service) == rollout.offset
-            if due is RolloutOutcome.RUNNING and is_recorded:
+            due = rollout.outcome
+            if due is RolloutOutcome.RUNNING:
+                due = rollout.get_due_outcome(now_s)
+            if self._is_stored(rollout, due):
                 self._write_at_s.pop(service, None)
-                continue
-            if service not in self._write_at_s:
+            elif service not in self._write_at_s:
                 delay_s = WRITE_STAGGER_S * self._rng.random()
                 self._write_at_s[service] = now_s + delay_s
             elif now_s >= self._write_at_s[service]:
                 await self._write(rollout, due)
                 self._write_at_s.pop(service, None)
 
+    def _is_stored(self, rollout: Rollout, outcome: RolloutOutcome) -> bool:
+        """Returns whether the store holds an outcome, or a final one.
+
+        What it held at another position of the order was written before it came
+        back from a copy, and may be lost.
+        """
+        stored = self._stored_outcomes.get(rollout.order.service)
+        if stored is None or stored[0] != rollout.position:
+            return False
+        is_final = stored[1] is not RolloutOutcome.RUNNING
+        return is_final or outcome is RolloutOutcome.RUNNING
+
     async def _write(self, rollout: Rollout, outcome: RolloutOutcome) -> None:
         """Writes an outcome, unless a final one has been written already.
 
@@ -435,25 +471,23 @@
         page = await self._store.read_newest(OUTCOME_TOPIC, CALL_TIMEOUT_S)
         self._apply_stored_outcome(rollout, page)
         if rollout.outcome is not RolloutOutcome.RUNNING:
+            outcome = rollout.outcome
+        if self._is_stored(rollout, outcome):
             return
-        is_recorded = self._recorded_orders.get(service) == rollout.offset
-        if outcome is RolloutOutcome.RUNNING and is_recorded:
-            return
+        position = rollout.position
         share = rollout.first_share or self._get_first_share(rollout.order)
-        record = OutcomeRecord(
-            rollout.order.version, outcome, rollout.offset, share
-        )
+        record = OutcomeRecord(rollout.order.version, outcome, position, share)
         await self._store.append(
             OUTCOME_TOPIC,
             [(make_outcome_key(service), encode_outcome(record))],
             CALL_TIMEOUT_S,
             expected_end=page.end,
         )
-        self._recorded_orders[service] = rollout.offset
+        self._stored_outcomes[service] = (position, outcome)
         rollout.set_first_share(share, get_elapsed_s())
         if outcome is not RolloutOutcome.RUNNING:
             self._conclude(rollout, outcome, "own")
         age_s = rollout.get_age_s(get_elapsed_s())
         self._post(
-            OutcomeMessage(service, rollout.offset, outcome.value, share, age_s)
+            OutcomeMessage(service, position, outcome.value, share, age_s)
         )
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -13,8 +13,9 @@
 import math
 from collections.abc import Sequence
 
+from lovagestage.decisions.positions import get_era, get_offset
 from lovagestage.gateway.configuration import hash_to_share
-from lovagestage.types import InstanceId, ServiceId, VersionId
+from lovagestage.types import InstanceId, Position, ServiceId, VersionId
 
 STOP_EVIDENCE = 5.0
 """Log-likelihood ratio at which a new version is stopped. The ratio compares a
@@ -90,14 +91,14 @@
     Attributes:
         version: The new version.
         outcome: State of the roll-out.
-        order: Offset of the order.
+        order: Position of the order.
         first_share: Share of the sessions on the new version before the load
             step; all gateways follow the first record that sets it.
     """
 
     version: VersionId
     outcome: RolloutOutcome
-    order: int
+    order: Position
     first_share: float
 
 
@@ -148,6 +149,12 @@
 version."""
 
 
+LOST_S = 60.0
+"""Age in seconds, beyond its duration, up to which an order that is read again
+in a new era is taken for one that the store had lost: several times the age of
+the copies that a store comes back from."""
+
+
 def get_first_share(
     exposure_ratio: float, exposure_slack: float, expected_requests: float
 ) -> float:
@@ -223,7 +230,7 @@
 
     Args:
         order: The order.
-        offset: Offset of the order in the store; identifies the order.
+        position: Position of the order in the store; identifies the order.
         received_s: Elapsed time in seconds at which this gateway received the
             order.
         warmup_s: Time in seconds for which upstreams warm up after their
@@ -231,7 +238,7 @@
 
     Attributes:
         order: The order.
-        offset: Offset of the order.
+        position: Position of the order.
         outcome: State of the roll-out; final once it is not RUNNING.
         is_stopped: Whether the evidence speaks against the new version.
         new_failures: Number of failures of the new version.
@@ -246,12 +253,13 @@
     def __init__(
         self,
         order: RolloutOrder,
-        offset: int,
+        position: Position,
         received_s: float,
         warmup_s: float = 0.0,
     ) -> None:
         self.order = order
-        self.offset = offset
+        self.position = position
+        self._earlier_positions: set[Position] = set()
         self.outcome = RolloutOutcome.RUNNING
         self.is_stopped = False
         self.new_failures = 0
@@ -269,6 +277,42 @@
         self._failed_upstreams: set[str] = set()
         self._answers: dict[str, int] = {}
 
+    def move(self, position: Position) -> None:
+        """Records that the store holds the order at another position now."""
+        self._earlier_positions.add(self.position)
+        self.position = position
+
+    def is_at(self, position: Position) -> bool:
+        """Returns whether the order stands, or has stood, at a position.
+
+        Gateways of earlier releases name the offset alone.
+        """
+        own = {self.position, *self._earlier_positions}
+        return position in own or (
+            not get_era(position)
+            and get_offset(position) in {get_offset(each) for each in own}
+        )
+
+    def is_repeated_by(
+        self, order: RolloutOrder, position: Position, now_s: float
+    ) -> bool:
+        """Returns whether an order is this one, written again or kept.
+
+        That is so only after the store has come back from a copy. An order that
+        the copy holds stands at its old offset; one that the store had lost is
+        written again within seconds.
+
+        Args:
+            order: The order.
+            position: Its position.
+            now_s: Elapsed time in seconds.
+        """
+        if order != self.order or get_era(position) == get_era(self.position):
+            return False
+        is_kept = get_offset(position) == get_offset(self.position)
+        is_recent = self.get_age_s(now_s) < self.order.duration_s + LOST_S
+        return is_kept or is_recent
+
     def set_first_share(self, first_share: float, now_s: float) -> None:
         """Sets the first share that all gateways follow."""
         if self._share_set_s is None:
--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -5,12 +5,13 @@
 import logging
 from collections.abc import Iterable
 
+from lovagestage.decisions.positions import format_position
 from lovagestage.gateway.upstream import (
     Upstream,
     UpstreamEntry,
     UpstreamState,
 )
-from lovagestage.types import InstanceId, ServiceId
+from lovagestage.types import InstanceId, Position, ServiceId
 
 _log = logging.getLogger(__name__)
 
@@ -58,7 +59,7 @@
         self,
         name: InstanceId,
         entry: UpstreamEntry | None,
-        offset: int,
+        position: Position,
         now_s: float,
         was_store_unavailable: bool,
     ) -> None:
@@ -67,30 +68,37 @@
         Args:
             name: Id of the upstream.
             entry: The entry; None where it was removed.
-            offset: Offset of the record; a record that is older than the known
-                one is ignored, since a read may be stale.
+            position: Position of the record; a record that is older than the
+                known one is ignored, since a read may be stale.
             now_s: Elapsed time in seconds.
             was_store_unavailable: Whether the store was recently unavailable,
                 so that a removal may only mean that the upstream could not
                 write.
         """
         known = self._upstreams.get(name)
-        if known is not None and offset < known.offset:
+        if known is not None and position < known.position:
+            return
+        if (
+            known is not None
+            and entry is not None
+            and known.outdates(entry, position)
+        ):
             return
         self._ready.clear()
         if entry is None:
             if known is not None:
-                known.offset = offset
+                known.position = position
                 self._remove(known, now_s, was_store_unavailable)
             return
         if known is not None and entry.start_ms in known.past_start_ms:
-            _log_late_entry(known, entry, offset)
+            _log_late_entry(known, entry, position)
             return
-        upstream = self._get_process(name, entry, offset, now_s)
+        upstream = self._get_process(name, entry, position, now_s)
         if upstream.entry.start_ms != entry.start_ms:
             self.revision += 1
         upstream.entry = entry
-        upstream.offset = offset
+        upstream.was_removed = False
+        upstream.position = position
         upstream.has_left = upstream.has_left or entry.is_draining
         self.record_warmup(upstream, entry.warmup_left_s, now_s)
         is_draining = upstream.has_left
@@ -111,25 +119,25 @@
 
     def replace_all(
         self,
-        entries: Iterable[tuple[InstanceId, UpstreamEntry, int]],
-        end: int,
+        entries: Iterable[tuple[InstanceId, UpstreamEntry, Position]],
+        end: Position,
         now_s: float,
         was_store_unavailable: bool,
     ) -> None:
         """Applies a full list; upstreams that it does not name were removed.
 
         Args:
-            entries: Id, entry and offset of each upstream.
-            end: Offset up to which the list is complete; newer records stay.
+            entries: Id, entry and position of each upstream.
+            end: Position up to which the list is complete; newer records stay.
             now_s: Elapsed time in seconds.
             was_store_unavailable: Whether the store was recently unavailable.
         """
         listed = set()
-        for name, entry, offset in entries:
+        for name, entry, position in entries:
             listed.add(name)
-            self.apply(name, entry, offset, now_s, was_store_unavailable)
+            self.apply(name, entry, position, now_s, was_store_unavailable)
         for upstream in self._upstreams.values():
-            if upstream.id not in listed and upstream.offset < end:
+            if upstream.id not in listed and upstream.position < end:
                 self._remove(upstream, now_s, was_store_unavailable)
         self._ready.clear()
 
@@ -188,7 +196,11 @@
         return self._by_process_hash.get(process_hash)
 
     def _get_process(
-        self, name: InstanceId, entry: UpstreamEntry, offset: int, now_s: float
+        self,
+        name: InstanceId,
+        entry: UpstreamEntry,
+        position: Position,
+        now_s: float,
     ) -> Upstream:
         """Returns the upstream process that an entry belongs to.
 
@@ -196,9 +208,9 @@
         """
         known = self._upstreams.get(name)
         if known is None:
-            return self._add(name, entry, offset, now_s)
+            return self._add(name, entry, position, now_s)
         if self._is_restart(known, entry):
-            return self._restart(known, entry, offset, now_s)
+            return self._restart(known, entry, position, now_s)
         if entry.service != known.entry.service:
             self._drop(known)
             known.entry = entry
@@ -213,10 +225,14 @@
         return None not in starts and starts[0] != starts[1]
 
     def _restart(
-        self, known: Upstream, entry: UpstreamEntry, offset: int, now_s: float
+        self,
+        known: Upstream,
+        entry: UpstreamEntry,
+        position: Position,
+        now_s: float,
     ) -> Upstream:
         self._drop(known)
-        successor = known.make_successor(entry, offset, now_s)
+        successor = known.make_successor(entry, position, now_s)
         self._insert(successor)
         _log.info(
             "upstream_restarted",
@@ -225,7 +241,7 @@
                 "service": entry.service,
                 "born": entry.start_ms,
                 "before": known.entry.start_ms,
-                "offset": offset,
+                "position": format_position(position),
             },
         )
         known.set_state(UpstreamState.GONE, now_s)
@@ -243,9 +259,13 @@
         self._by_service[upstream.entry.service].remove(upstream)
 
     def _add(
-        self, name: InstanceId, entry: UpstreamEntry, offset: int, now_s: float
+        self,
+        name: InstanceId,
+        entry: UpstreamEntry,
+        position: Position,
+        now_s: float,
     ) -> Upstream:
-        upstream = Upstream(name, entry, offset, now_s)
+        upstream = Upstream(name, entry, position, now_s)
         self._insert(upstream)
         _log.info(
             "upstream_added",
@@ -254,7 +274,7 @@
                 "service": entry.service,
                 "version": entry.version,
                 "address": entry.address,
-                "offset": offset,
+                "position": format_position(position),
             },
         )
         return upstream
@@ -268,18 +288,21 @@
             UpstreamState.READY,
             UpstreamState.EXPIRED,
         )
+        upstream.was_removed = not is_expiry
         upstream.set_state(
             UpstreamState.EXPIRED if is_expiry else UpstreamState.GONE, now_s
         )
 
 
-def _log_late_entry(known: Upstream, entry: UpstreamEntry, offset: int) -> None:
+def _log_late_entry(
+    known: Upstream, entry: UpstreamEntry, position: Position
+) -> None:
     _log.info(
         "upstream_entry_late",
         extra={
             "upstream": known.id,
             "born": entry.start_ms,
             "known": known.entry.start_ms,
-            "offset": offset,
+            "position": format_position(position),
         },
     )
--- a/src/lovagestage/gateway/state_view.py
+++ b/src/lovagestage/gateway/state_view.py
@@ -6,6 +6,11 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from lovagestage.decisions.positions import (
+    START,
+    format_position,
+    is_overtaken,
+)
 from lovagestage.exceptions import CodecError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
@@ -20,7 +25,7 @@
     parse_order_key,
 )
 from lovagestage.platform.records import Page, Record
-from lovagestage.types import InstanceId, Offset, ZoneId
+from lovagestage.types import InstanceId, Position, ZoneId
 
 _log = logging.getLogger(__name__)
 
@@ -39,7 +44,7 @@
 
     Args:
         deployment: The state that the records are applied to.
-        on_order: Called with each new roll-out order and its offset.
+        on_order: Called with each new roll-out order and its position.
         on_configuration: Called with the version and the bytes of each
             configuration.
     """
@@ -47,7 +52,7 @@
     def __init__(
         self,
         deployment: Deployment,
-        on_order: Callable[[RolloutOrder, int], None],
+        on_order: Callable[[RolloutOrder, Position], None],
         on_configuration: Callable[[int, bytes], None] = lambda *_: None,
     ) -> None:
         self._deployment = deployment
@@ -61,16 +66,30 @@
         """
         self.on_records(page)
         evacuated = {
-            zone: Offset(record.offset)
+            zone: record.position
             for record in page.records
             if (zone := parse_evacuation_key(record.key)) is not None
         }
-        changes = self._deployment.evacuations.replace_all(
-            evacuated, Offset(page.end)
-        )
+        changes = self._deployment.evacuations.replace_all(evacuated, page.end)
         for zone, is_evacuated in changes.items():
             self._on_evacuation_changed(zone, is_evacuated, page.end)
 
+    def on_copy(self, page: Page) -> None:
+        """Applies what the store lists after it came back from a copy.
+
+        An evacuation that it does not list stays in force, and a record that
+        may be the predecessor of a known one is not applied.
+        """
+        self.on_records(
+            Page(
+                tuple(r for r in page.records if not self._is_overtaken(r)),
+                page.end,
+            )
+        )
+
+    def on_era_changed(self) -> None:
+        """Does nothing: the store's list follows."""
+
     def on_records(self, page: Page) -> None:
         """Applies records in order; logs a record that cannot be decoded."""
         for record in page.records:
@@ -102,6 +121,15 @@
         """
         self._deployment.freshness.record_update_notification(at_s)
 
+    def _is_overtaken(self, record: Record) -> bool:
+        known = START
+        if (zone := parse_evacuation_key(record.key)) is not None:
+            known = self._deployment.evacuations.get_position(zone)
+        elif (service := parse_order_key(record.key)) is not None:
+            rollout = self._deployment.rollouts.get(service)
+            known = START if rollout is None else rollout.position
+        return is_overtaken(record.position, known)
+
     def _apply(self, record: Record) -> None:
         zone = parse_evacuation_key(record.key)
         if zone is not None:
@@ -119,24 +147,35 @@
     def _apply_evacuation(self, zone: ZoneId, record: Record) -> None:
         is_evacuated = record.value is not None
         if self._deployment.evacuations.apply_record(
-            zone, Offset(record.offset), is_evacuated
+            zone, record.position, is_evacuated
         ):
-            self._on_evacuation_changed(zone, is_evacuated, record.offset)
+            self._on_evacuation_changed(zone, is_evacuated, record.position)
 
     def _on_evacuation_changed(
-        self, zone: ZoneId, is_evacuated: bool, offset: int
+        self, zone: ZoneId, is_evacuated: bool, position: Position
     ) -> None:
         if is_evacuated:
-            _log.info("zone_evacuated", extra={"zone": zone, "offset": offset})
+            _log.info(
+                "zone_evacuated",
+                extra={"zone": zone, "position": format_position(position)},
+            )
             return
-        _log.info("zone_given_back", extra={"zone": zone, "offset": offset})
+        _log.info(
+            "zone_given_back",
+            extra={"zone": zone, "position": format_position(position)},
+        )
         self._deployment.mark_zone_restored(zone, get_elapsed_s())
 
     def _apply_order(self, record: Record) -> None:
         assert record.value is not None
         order = decode_order(record.value)
         known = self._deployment.rollouts.get(order.service)
-        if known is not None and known.offset >= record.offset:
+        if known is not None and known.position >= record.position:
+            return
+        if known is not None and known.is_repeated_by(
+            order, record.position, get_elapsed_s()
+        ):
+            known.move(record.position)
             return
         _log.info(
             "rollout_ordered",
@@ -144,10 +183,10 @@
                 "service": order.service,
                 "version": order.version,
                 "duration_s": order.duration_s,
-                "offset": record.offset,
+                "position": format_position(record.position),
             },
         )
-        self._on_order(order, record.offset)
+        self._on_order(order, record.position)
 
 
 class EntrySource(Protocol):
@@ -180,14 +219,25 @@
         """Applies the newest entry of each upstream; others were removed."""
         now_s = get_elapsed_s()
         entries = [
-            (name, entry, offset)
-            for name, entry, offset in self._decode(page.records)
+            (name, entry, position)
+            for name, entry, position in self._decode(page.records)
             if entry is not None
         ]
         self._deployment.rotation.replace_all(
             entries, page.end, now_s, self._was_store_unavailable(now_s)
         )
 
+    def on_copy(self, page: Page) -> None:
+        """Applies the entries that the store lists after it came back.
+
+        Upstreams that it does not list are used until they have had time to
+        write their entries again.
+        """
+        self.on_records(page)
+
+    def on_era_changed(self) -> None:
+        """Does nothing: the store's list follows."""
+
     def on_records(self, page: Page) -> None:
         """Applies entries and removals in order."""
         now_s = get_elapsed_s()
@@ -195,8 +245,8 @@
             self._deployment.rotation,
             self._was_store_unavailable(now_s),
         )
-        for name, entry, offset in self._decode(page.records):
-            rotation.apply(name, entry, offset, now_s, was_store_unavailable)
+        for name, entry, position in self._decode(page.records):
+            rotation.apply(name, entry, position, now_s, was_store_unavailable)
 
     def on_freshness_confirmed(self, at_s: float) -> None:
         """Ignores freshness checks, which matter only to configurations."""
@@ -211,7 +261,7 @@
 
     def _decode(
         self, records: Iterable[Record]
-    ) -> Iterable[tuple[InstanceId, UpstreamEntry | None, int]]:
+    ) -> Iterable[tuple[InstanceId, UpstreamEntry | None, Position]]:
         for record in records:
             name = InstanceId(record.key)
             entry = None
@@ -219,11 +269,13 @@
                 try:
                     entry = decode_upstream(record.value)
                 except CodecError as error:
-                    self._log_refused_entry(name, error.message, record.offset)
-            yield name, entry, record.offset
+                    self._log_refused_entry(
+                        name, error.message, record.position
+                    )
+            yield name, entry, record.position
 
     def _log_refused_entry(
-        self, name: InstanceId, reason: str, offset: int
+        self, name: InstanceId, reason: str, position: Position
     ) -> None:
         """Logs an entry that cannot be decoded, once for each key and reason.
 
@@ -238,5 +290,9 @@
         self._refused[name] = reason
         _log.error(
             "upstream_record_refused",
-            extra={"upstream": name, "error": reason, "offset": offset},
+            extra={
+                "upstream": name,
+                "error": reason,
+                "position": format_position(position),
+            },
         )
--- a/src/lovagestage/gateway/topic_lag.py
+++ b/src/lovagestage/gateway/topic_lag.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lovagestage.decisions.positions import START
+from lovagestage.types import Position
+
 FIRST_REPORT_S = 1.0
 """Age in seconds at which a lag is reported first. It is reported again
 whenever its age has doubled. New records normally take a fraction of a second
@@ -16,15 +19,18 @@
     """
 
     def __init__(self) -> None:
-        self.end = 0
+        self.end = START
         self._behind_since_s: float | None = None
         self._next_report_s = FIRST_REPORT_S
 
-    def record_end(self, end: int, known_end: int | None, now_s: float) -> None:
+    def record_end(
+        self, end: Position, known_end: Position | None, now_s: float
+    ) -> None:
         """Records that the topic extends at least up to an offset.
 
         Args:
-            end: Reported end of the topic.
+            end: Reported end of the topic; one of a later era replaces those
+                of earlier eras.
             known_end: End of the records that are read; None before the first
                 read.
             now_s: Elapsed time in seconds.
@@ -34,7 +40,7 @@
             self._behind_since_s = now_s
 
     def record_known_end(
-        self, known_end: int | None, now_s: float
+        self, known_end: Position | None, now_s: float
     ) -> float | None:
         """Records how far the topic has been read.
 
@@ -54,9 +60,9 @@
         self._behind_since_s, self._next_report_s = None, FIRST_REPORT_S
         return age_s if was_reported else None
 
-    def is_behind(self, known_end: int | None) -> bool:
+    def is_behind(self, known_end: Position | None) -> bool:
         """Whether the topic extends beyond the records that are read."""
-        return (known_end or 0) < self.end
+        return (known_end or START) < self.end
 
     def get_age_s(self, now_s: float) -> float:
         """Returns the age of the lag in seconds; 0 where there is none."""
--- a/src/lovagestage/gateway/topic_log.py
+++ b/src/lovagestage/gateway/topic_log.py
@@ -2,6 +2,7 @@
 
 Records arrive from the store and from watchers, some of them from both, and
 datagrams may arrive out of order. Each record is processed once and in order.
+Records of another era than the known end are ignored.
 """
 
 from __future__ import annotations
@@ -9,7 +10,9 @@
 import collections
 from collections.abc import Sequence
 
+from lovagestage.decisions.positions import advance
 from lovagestage.platform.records import Record
+from lovagestage.types import Position
 
 MAX_RECENT_RECORDS = 256
 """Number of recent records that are retained for followers. A release replaces
@@ -20,28 +23,28 @@
     """The known end and the recent records of a topic at one gateway.
 
     Args:
-        end: Offset up to which the topic is known; None if nothing is known.
+        end: Position up to which the topic is known; None if nothing is known.
 
     Attributes:
-        end: Offset up to which the topic is known now; None if nothing
+        end: Position up to which the topic is known now; None if nothing
             is known.
     """
 
-    def __init__(self, end: int | None) -> None:
+    def __init__(self, end: Position | None) -> None:
         self.end = end
         self._recent: collections.deque[Record] = collections.deque(
             maxlen=MAX_RECENT_RECORDS
         )
-        self._out_of_order: dict[int, Record] = {}
+        self._out_of_order: dict[Position, Record] = {}
 
-    def restart(self, end: int | None) -> None:
-        """Discards all records and sets the offset up to which it is known."""
+    def restart(self, end: Position | None) -> None:
+        """Discards all records and sets the known end."""
         self.end = end
         self._recent.clear()
         self._out_of_order.clear()
 
     def add(self, records: Sequence[Record]) -> tuple[Record, ...]:
-        """Adds records with consecutive offsets.
+        """Adds records with consecutive positions.
 
         Args:
             records: The records; the first one is at the known end or before
@@ -53,10 +56,10 @@
         end = self.end
         assert end is not None
         new_records = tuple(
-            record for record in records if record.offset >= end
+            record for record in records if record.position >= end
         )
         if new_records:
-            self.end = new_records[-1].offset + 1
+            self.end = advance(new_records[-1].position, 1)
             self._recent.extend(new_records)
         return new_records
 
@@ -70,19 +73,23 @@
         """
         if self.end is None:
             return ()
-        self._out_of_order.update((record.offset, record) for record in records)
+        self._out_of_order.update(
+            (record.position, record) for record in records
+        )
         new_records: list[Record] = []
         while (record := self._out_of_order.pop(self.end, None)) is not None:
             new_records += self.add((record,))
         self._out_of_order = {
-            offset: later
-            for offset, later in self._out_of_order.items()
-            if offset > self.end
+            position: later
+            for position, later in self._out_of_order.items()
+            if position > self.end
         }
         return tuple(new_records)
 
-    def get_recent(self, first: int) -> Sequence[Record]:
-        """Returns the records from an offset on; empty if one is missing."""
-        records = [record for record in self._recent if record.offset >= first]
-        is_complete = bool(records) and records[0].offset == first
+    def get_recent(self, first: Position) -> Sequence[Record]:
+        """Returns the records from a position on; empty if one is missing."""
+        records = [
+            record for record in self._recent if record.position >= first
+        ]
+        is_complete = bool(records) and records[0].position == first
         return records if is_complete else ()
--- a/src/lovagestage/gateway/upstream.py
+++ b/src/lovagestage/gateway/upstream.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from lovagestage.decisions.positions import format_position, get_era
 from lovagestage.decisions.send_rates import SendLog
 from lovagestage.decisions.upstream_notices import (
     AnswerNotices,
@@ -17,7 +18,13 @@
 )
 from lovagestage.decisions.warmup import WarmupTracker
 from lovagestage.gateway.performance import Performance
-from lovagestage.types import InstanceId, ServiceId, VersionId, ZoneId
+from lovagestage.types import (
+    InstanceId,
+    Position,
+    ServiceId,
+    VersionId,
+    ZoneId,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -47,6 +54,8 @@
             another process.
         warmup_left_s: Time in seconds for which the upstream still warms up,
             as the entry reports it.
+        sequence: Number of the entry, which grows with each one that the
+            process writes.
     """
 
     service: ServiceId
@@ -57,6 +66,7 @@
     is_draining: bool
     start_ms: int | None = None
     warmup_left_s: float = 0.0
+    sequence: int = 0
 
 
 class UpstreamState(enum.Enum):
@@ -76,8 +86,10 @@
     Attributes:
         id: Id of the upstream.
         entry: The newest entry.
-        offset: Offset of the newest entry, or of its removal, in the store.
+        position: Position of the newest entry, or of its removal, in the store.
         state: Whether the upstream takes requests.
+        was_removed: Whether the store has removed the entry although the
+            upstream could have renewed it.
         has_left: Whether any entry or answer of this process said that it is
             leaving. Such a process gets no more requests, whatever its later
             entries say.
@@ -90,12 +102,17 @@
     """
 
     def __init__(
-        self, name: InstanceId, entry: UpstreamEntry, offset: int, now_s: float
+        self,
+        name: InstanceId,
+        entry: UpstreamEntry,
+        position: Position,
+        now_s: float,
     ) -> None:
         self.id = name
         self.entry = entry
-        self.offset = offset
+        self.position = position
         self.state = UpstreamState.READY
+        self.was_removed = False
         self.has_left = False
         self.changed_s = now_s
         self.performance = Performance()
@@ -111,6 +128,19 @@
         """Name of this process, distinct from others under the same id."""
         return f"{self.id}/{self.entry.start_ms}"
 
+    def outdates(self, entry: UpstreamEntry, position: Position) -> bool:
+        """Returns whether an entry was written before this was removed.
+
+        A store that has come back from an earlier copy lists such entries, and
+        the upstream is gone all the same. One that runs has written another.
+        """
+        return (
+            self.was_removed
+            and get_era(position) > get_era(self.position)
+            and entry.start_ms == self.entry.start_ms
+            and entry.sequence <= self.entry.sequence
+        )
+
     def get_process_hash(self) -> int:
         """Returns a short name of this process, the same at all gateways."""
         return int(xxhash.xxh32_intdigest(self.incarnation.encode()))
@@ -120,7 +150,7 @@
         return int(xxhash.xxh3_64_intdigest(self._name, seed))
 
     def make_successor(
-        self, entry: UpstreamEntry, offset: int, now_s: float
+        self, entry: UpstreamEntry, position: Position, now_s: float
     ) -> Upstream:
         """Makes the process that has started under the same id.
 
@@ -130,10 +160,10 @@
 
         Args:
             entry: The new process's entry.
-            offset: Offset of that entry in the store.
+            position: Position of that entry in the store.
             now_s: Elapsed time in seconds.
         """
-        successor = Upstream(self.id, entry, offset, now_s)
+        successor = Upstream(self.id, entry, position, now_s)
         past = (*self.past_start_ms, self.entry.start_ms)
         successor.past_start_ms = past[-MAX_PAST_STARTS:]
         successor._sent_prefixes = set()
@@ -242,7 +272,7 @@
                 "service": self.entry.service,
                 "from": self.state.value,
                 "to": state.value,
-                "offset": self.offset,
+                "position": format_position(self.position),
             },
         )
         self.state = state
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -11,6 +11,7 @@
 import mode
 
 from lovagestage.decisions.limit_sharing import RankedLimitPolicy, get_rank
+from lovagestage.decisions.positions import StoreEras
 from lovagestage.decisions.upstream_notices import NoticeKind
 from lovagestage.decisions.warmup import Warmup, ZoneWarmupPolicy
 from lovagestage.gateway.clocks import get_elapsed_s
@@ -104,7 +105,9 @@
     """Creates all components without starting any."""
     rng = random.Random()
     bounds = settings.bounds
-    make_store = functools.partial(_make_store, settings, exposition)
+    make_store = functools.partial(
+        _make_store, settings, exposition, StoreEras()
+    )
     socket = _make_peer_socket(settings, exposition)
     rotation = Rotation()
     gossip = _make_gossip(settings, rotation, socket)
@@ -210,7 +213,7 @@
 
 
 def _make_store(
-    settings: GatewaySettings, exposition: Exposition
+    settings: GatewaySettings, exposition: Exposition, eras: StoreEras
 ) -> StoreClient:
     """Creates a store client for one component.
 
@@ -228,7 +231,7 @@
         if call.outcome is CallOutcome.ANSWERED and not is_long_poll:
             exposition.observe(Series.STORE_CALL_S, labels, call.duration_s)
 
-    return StoreClient(settings.store_address, record_call)
+    return StoreClient(settings.store_address, record_call, eras)
 
 
 def _add_gauges(
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -25,6 +25,7 @@
         "settings_reloaded",
         "store_lost",
         "store_regained",
+        "store_era_changed",
         "topic_behind",
         "topic_caught_up",
         "drain_started",
--- a/src/lovagestage/platform/configuration.py
+++ b/src/lovagestage/platform/configuration.py
@@ -25,6 +25,7 @@
 )
 from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.types import (
+    Position,
     RegionId,
     ServiceId,
     VersionId,
@@ -202,6 +203,7 @@
         is_draining=fields.State == "draining",
         start_ms=None if start_ms is msgspec.UNSET else start_ms,
         warmup_left_s=max(0.0, fields.WarmupLeftMs / 1000),
+        sequence=fields.Sequence,
     )
 
 
@@ -264,7 +266,7 @@
         {
             "State": _OUTCOME_STATES[record.outcome],
             "Target": str(record.version),
-            # The next two fields belong to this project. The order's offset
+            # The next two fields belong to this project. The order's position
             # distinguishes two orders of the same version; the share is the
             # first share that all gateways have agreed on.
             "Order": record.order,
@@ -287,7 +289,7 @@
         return OutcomeRecord(
             VersionId(fields["Target"]),
             _OUTCOMES_BY_STATE[fields["State"]],
-            int(fields.get("Order", -1)),
+            Position(int(fields.get("Order", -1))),
             float(fields.get("Share", 0.0)),
         )
     except (KeyError, TypeError, ValueError) as error:
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -15,10 +15,18 @@
 import msgspec
 
 from lovagestage.adapters.http1 import ClientConnection, open_channel
+from lovagestage.decisions.positions import (
+    EraChange,
+    StoreEras,
+    get_era,
+    get_offset,
+    make_position,
+)
 from lovagestage.exceptions import (
     ConnectionLostError,
     StoreAnswerLostError,
     StoreConflictError,
+    StoreEraChangedError,
     StoreHistoryLostError,
     StoreUnavailableError,
     TransferProgress,
@@ -30,10 +38,12 @@
     Record,
     encode_record,
 )
+from lovagestage.types import Era, Position
 
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
 OUTCOME_TOPIC = "keyed.status"
+_ERA_HEADER = b"store-era"
 _BODY_LIMIT_BYTES = 8 * 1024 * 1024
 
 
@@ -75,6 +85,8 @@
 
 CallListener = Callable[[CallResult], None]
 """Callback that receives each call that has ended."""
+EraListener = Callable[[Era], None]
+"""Callback that receives the era that the head of an answer states."""
 PartListener = Callable[[bytes], None]
 """Callback that receives one part of an answer's body."""
 
@@ -85,12 +97,18 @@
     Args:
         address: Address of the store as `IP:PORT`.
         on_call: Called with each call that has ended.
+        eras: The store's era, shared by all clients of a process; None for a
+            client that shares it with no other.
     """
 
     def __init__(
-        self, address: str, on_call: CallListener = lambda *_: None
+        self,
+        address: str,
+        on_call: CallListener = lambda *_: None,
+        eras: StoreEras | None = None,
     ) -> None:
         self._address = address
+        self._eras = eras or StoreEras()
         self._on_call = on_call
         self._connection: ClientConnection | None = None
         self._transfer = TransferProgress()
@@ -112,16 +130,17 @@
     async def read(
         self,
         topic: str,
-        offset: int,
+        start: Position,
         wait_s: float,
         inactivity_timeout_s: float,
         on_page: Callable[[Page], None] = lambda _: None,
     ) -> Page:
-        """Reads records from an offset on, waiting up to `wait_s` for one.
+        """Reads records from a position on, waiting up to `wait_s` for one.
 
         Args:
             topic: The topic.
-            offset: Offset of the first record to read.
+            start: Position of the first record to read; `START` for the first
+                offset in whichever era the store is.
             wait_s: Time in seconds for which the store may hold the call
                 while there is no record (long polling).
             inactivity_timeout_s: Time in seconds without a received byte
@@ -132,21 +151,24 @@
                 records remain valid if the rest of the answer is lost.
 
         Raises:
+            StoreEraChangedError: The store is in another era than the
+                position.
             StoreHistoryLostError: The store has dropped the records.
             StoreUnavailableError: The store refused the call or did not
                 answer.
         """
-        query = f"Topic={topic}&part=0&Source={offset}"
+        query = f"Topic={topic}&part=0&Source={get_offset(start)}"
         if wait_s:
             query += f"&WaitMs={int(wait_s * 1000)}"
         kind = CallKind.WAITING_READ if wait_s else CallKind.READ
         path = f"/v1/log-read?{query}"
-        page_reader = PageReader(topic, offset, on_page)
+        page_reader = PageReader(topic, start, on_page)
         await self._get(
             kind,
             path,
             wait_s + inactivity_timeout_s,
             inactivity_timeout_s,
+            page_reader.set_era,
             page_reader.add_part,
         )
         return page_reader.get_page()
@@ -161,12 +183,14 @@
             inactivity_timeout_s: As for `read`.
 
         Raises:
+            StoreEraChangedError: The store came back from a copy meanwhile.
             StoreHistoryLostError: The store has dropped the records.
             StoreUnavailableError: The store refused the call or did not
                 answer.
         """
         records: list[Record] = []
-        end: int | None = None
+        end: Position | None = None
+        eras: list[Era] = []
         query = f"Topic={topic}&part=0"
         after_query = ""
         while True:
@@ -176,16 +200,20 @@
                 path,
                 inactivity_timeout_s,
                 inactivity_timeout_s,
+                eras.append,
             )
+            if eras[-1] != eras[0]:
+                raise StoreEraChangedError(eras[-1])
             fields = _decode(body)
             # The pages together are not a snapshot. A key of a later page may
             # get a newer record, beyond the end that the first page states.
             # With the first page's end as the result's end, the next read
             # begins there and includes that record.
-            end = fields["EndOffset"] if end is None else end
+            if end is None:
+                end = make_position(eras[0], fields["EndOffset"])
             records += [
                 Record(
-                    item["Offset"],
+                    make_position(eras[0], item["Offset"]),
                     item["Key"],
                     base64.b64decode(item["Data"]),
                 )
@@ -202,8 +230,8 @@
         topic: str,
         records: Sequence[tuple[str, bytes]],
         timeout_s: float,
-        expected_end: int | None = None,
-    ) -> int:
+        expected_end: Position | None = None,
+    ) -> Position:
         """Appends records to a topic, either all of them or none.
 
         Args:
@@ -211,31 +239,44 @@
             records: Pairs of key and value; the key is empty in topics
                 without keys.
             timeout_s: Time limit for the call in seconds.
-            expected_end: Offset at which the topic must end for the append to
-                take place; None to append in any case.
+            expected_end: Position at which the topic must end for the append
+                to take place; None to append in any case.
 
         Returns:
-            The offset of the first appended record.
+            The position of the first appended record.
 
         Raises:
             StoreConflictError: The topic does not end at `expected_end`.
+            StoreEraChangedError: The store is in another era than
+                `expected_end`; the records may have been appended.
             StoreUnavailableError: Nothing was appended.
             StoreAnswerLostError: The records may have been appended.
         """
         path = f"/v1/log-append?Topic={topic}&part=0"
         if expected_end is not None:
-            path += f"&At={expected_end}"
+            self._check_era(expected_end, self._eras.current)
+            path += f"&At={get_offset(expected_end)}"
         body = b"".join(
             encode_record(topic, key, value) for key, value in records
         )
+        eras: list[Era] = []
         status, answer = await self._call(
-            CallKind.APPEND, path, body, timeout_s
+            CallKind.APPEND, path, body, timeout_s, on_era=eras.append
         )
+        (era,) = eras
+        if expected_end is not None:
+            self._check_era(expected_end, era)
         if status == 412:
-            raise StoreConflictError(_decode(answer)["EndOffset"])
+            end_offset = _decode(answer)["EndOffset"]
+            raise StoreConflictError(make_position(era, end_offset))
         if status != 200:
             raise StoreUnavailableError(f"Append: status {status}.")
-        return int(_decode(answer)["Offset"])
+        return make_position(era, _decode(answer)["Offset"])
+
+    @staticmethod
+    def _check_era(position: Position, era: Era | None) -> None:
+        if era is not None and get_era(position) != era:
+            raise StoreEraChangedError(era)
 
     async def _get(
         self,
@@ -243,11 +284,24 @@
         path: str,
         head_timeout_s: float,
         inactivity_timeout_s: float,
+        on_era: EraListener,
         on_part: PartListener = lambda _: None,
     ) -> bytes:
+        eras: list[Era] = []
+
+        def add_era(era: Era) -> None:
+            eras.append(era)
+            on_era(era)
+
         try:
             status, body = await self._call(
-                kind, path, b"", head_timeout_s, inactivity_timeout_s, on_part
+                kind,
+                path,
+                b"",
+                head_timeout_s,
+                inactivity_timeout_s,
+                add_era,
+                on_part,
             )
         except StoreAnswerLostError as error:
             raise StoreUnavailableError(
@@ -255,7 +309,8 @@
             ) from error
         if status == 410:
             first_offset = int(_decode(body).get("StartOffset", 0))
-            raise StoreHistoryLostError(path, first_offset)
+            first = make_position(eras[-1], first_offset)
+            raise StoreHistoryLostError(path, first)
         if status != 200:
             raise StoreUnavailableError(f"Read: status {status}.")
         return body
@@ -267,6 +322,7 @@
         body: bytes,
         timeout_s: float,
         inactivity_timeout_s: float | None = None,
+        on_era: EraListener = lambda _: None,
         on_part: PartListener = lambda _: None,
     ) -> tuple[int, bytes]:
         """Makes one call to the store.
@@ -280,6 +336,8 @@
             inactivity_timeout_s: Time limit in seconds from one part of the
                 answer's body to the next; None where `timeout_s` limits the
                 complete call.
+            on_era: Called with the era that the answer states; an error that
+                it raises ends the call.
             on_part: Called with each part of the body as it arrives; with
                 empty bytes in place of a part if the status is not 200.
         """
@@ -296,7 +354,7 @@
                     on_part(part)
 
                 status, answer = await self._exchange(
-                    method, path, body, apply_part
+                    method, path, body, on_era, apply_part
                 )
             is_ok = status == 200
             outcome = CallOutcome.ANSWERED if is_ok else CallOutcome.REFUSED
@@ -310,7 +368,7 @@
             raise error_type(
                 f"{path}: {type(error).__name__}.", self._transfer
             ) from error
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, StoreEraChangedError):
             self.close()
             raise
         finally:
@@ -324,6 +382,7 @@
         method: bytes,
         path: str,
         body: bytes,
+        on_era: EraListener,
         on_part: PartListener,
     ) -> tuple[int, bytes]:
         if self._connection is None or not self._connection.channel.is_open:
@@ -336,6 +395,10 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         connection.send(method, path.encode(), headers, body)
         head: h11.Response = await connection.receive_head()
+        era = _get_era(head)
+        if self._eras.observe(era) is EraChange.OUTDATED:
+            raise WrongMessageError(f"Answer of the earlier era {era}.")
+        on_era(era)
         answer = await self._receive_body(connection, head, on_part)
         if not connection.make_reusable():
             self.close()
@@ -362,6 +425,13 @@
         return b"".join(parts)
 
 
+def _get_era(head: h11.Response) -> Era:
+    for name, value in head.headers:
+        if name == _ERA_HEADER and value.isdigit():
+            return Era(int(value))
+    return Era(0)
+
+
 def _get_length(head: h11.Response) -> int | None:
     for name, value in head.headers:
         if name == b"content-length":
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -27,6 +27,11 @@
 LeaseId = NewType("LeaseId", str)
 Offset = NewType("Offset", int)
 """Position of a record in one stream of the log, starting at 0."""
+Era = NewType("Era", int)
+"""Number of times that the metadata store has come back from a copy."""
+Position = NewType("Position", int)
+"""Place of a record in a topic of the metadata store: its era and offset, see
+`decisions.positions`."""
 FencingNumber = NewType("FencingNumber", int)
 """Offset of the record that granted a lease; each later grant has a higher
 one."""
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -10,6 +10,7 @@
 
 from lab.metadata_store import MetadataStore
 from lab.server import start_app
+from lovagestage.decisions.positions import make_position
 from lovagestage.exceptions import (
     StoreAnswerLostError,
     StoreConflictError,
@@ -23,6 +24,11 @@
 TOPIC = "keyed.op"
 
 
+def at(offset):
+    """Returns a position in the era in which the stand-in store begins."""
+    return make_position(1, offset)
+
+
 class Recorder:
     def __init__(self):
         self.records = []
@@ -34,6 +40,12 @@
     def on_records(self, page):
         self.records += [(r.key, r.value) for r in page.records]
 
+    def on_copy(self, page):
+        self.on_records(page)
+
+    def on_era_changed(self):
+        """Does nothing: the tests do not record these calls."""
+
     def on_freshness_confirmed(self, at_s):
         self.confirmations.append(at_s)
 
@@ -156,7 +168,7 @@
     # the error states the end for a retry.
     async with run_store() as (store, client):
         record = [("a", b"1")]
-        assert await client.append("keyed.status", record, 1.0) == 0
+        assert await client.append("keyed.status", record, 1.0) == at(0)
         store.faults.outage = "503"
         with pytest.raises(StoreUnavailableError):
             await client.append("keyed.status", record, 1.0)
@@ -165,8 +177,8 @@
         with pytest.raises(StoreAnswerLostError):
             await client.append("keyed.status", record, 1.0)
         with pytest.raises(StoreConflictError) as raised:
-            await client.append("keyed.status", record, 1.0, expected_end=1)
-        assert raised.value.end_offset == 2
+            await client.append("keyed.status", record, 1.0, expected_end=at(1))
+        assert raised.value.end == at(2)
 
 
 async def test_client_reads_all_pages_and_removals():
@@ -175,8 +187,8 @@
             store.append_keyed("keyed.status", f"k{number:03}", b"%d" % number)
         store.append_keyed("keyed.status", "k000", b"")
         page = await client.read_newest("keyed.status", 1.0)
-        assert (len(page.records), page.end) == (119, 121)
-        tail = await client.read("keyed.status", 119, 0.0, 1.0)
+        assert (len(page.records), page.end) == (119, at(121))
+        tail = await client.read("keyed.status", at(119), 0.0, 1.0)
         assert [(r.key, r.value) for r in tail.records] == [
             ("k119", b"119"),
             ("k000", None),
@@ -189,8 +201,8 @@
             store.append_keyed("keyed.status", "k", b"x")
         store.get_topic("keyed.status").delete_records()
         with pytest.raises(StoreHistoryLostError) as raised:
-            await client.read("keyed.status", 1, 0.0, 1.0)
-        assert raised.value.first_offset == 4
+            await client.read("keyed.status", at(1), 0.0, 1.0)
+        assert raised.value.first == at(4)
 
 
 async def test_client_aborts_an_inactive_connection_and_opens_another():
@@ -200,7 +212,7 @@
             await client.read("keyed.status", 0, 0.0, 0.2)
         store.faults.outage = ""
         page = await client.read("keyed.status", 0, 0.0, 0.5)
-        assert page.end == 0
+        assert page.end == at(0)
 
 
 async def test_first_read_after_a_failure_does_not_wait():
--- a/tests/test_gateway_narrow_links.py
+++ b/tests/test_gateway_narrow_links.py
@@ -13,7 +13,7 @@
 from lovagestage.gateway.relay import RelayedState, RelayMode
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
 from tests.gateway_harness import run_gateway_harness
-from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
+from tests.test_gateway_feeds import TOPIC, at, run_feed, run_store, wait_until
 from tests.test_gateway_relay import one_watcher, run_gateways
 
 __all__ = ["one_watcher"]
@@ -152,12 +152,12 @@
     # answers from an outdated copy.
     async with run_store() as (store, client):
         store.append_keyed(TOPIC, "config", b"old")
-        relay = FakeRelay(1)
+        relay = FakeRelay(at(1))
         async with run_feed(client, relay=relay) as (_, listener):
             await wait_until(lambda: listener.confirmations)
             store.faults.stale_by = 1
             store.append_keyed(TOPIC, "config", b"new")
-            relay.end = 2
+            relay.end = at(2)
             await asyncio.sleep(0.2)
             confirmation_count = len(listener.confirmations)
             await asyncio.sleep(0.3)
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -5,8 +5,31 @@
 import asyncio
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from lovagestage.decisions.positions import (
+    SETTLE_S,
+    EraChange,
+    StoreEras,
+    advance,
+    get_era,
+    get_offset,
+    is_overtaken,
+    make_position,
+)
 from lovagestage.exceptions import StoreAnswerLostError, StoreUnavailableError
+from lovagestage.gateway.peer_messages import HelloMessage
+from lovagestage.gateway.peer_messenger import PeerMessenger
+from lovagestage.gateway.rollouts import (
+    LOST_S,
+    Rollout,
+    RolloutOrder,
+    RolloutOutcome,
+)
+from lovagestage.gateway.rotation import Rotation
+from lovagestage.gateway.upstream import UpstreamEntry
+from lovagestage.platform.records import Page, Record
 from tests.gateway_harness import KEY, run_gateway_harness
 from tests.test_gateway_feeds import TOPIC, run_store
 from tests.test_gateway_rollouts import call_until, put_order
@@ -202,3 +225,166 @@
             await client.read_newest(TOPIC, 1.0)
         with pytest.raises(StoreAnswerLostError):
             await client.append("lovagestage", [("", b"x")], 1.0)
+
+
+async def test_gateway_started_in_the_new_era_knows_what_the_others_know():
+    # Guards against a process that starts from the copy and takes up a roll-out
+    # that was decided, or a configuration that was replaced.
+    async with run_gateway_harness(gateways=2) as harness:
+        await harness.add_worker("n1", Version="v2")
+        await put_order(harness, duration_s=2.0)
+        copy = harness.store.take_copy()
+        await call_until(harness, "completed")
+        await come_back(
+            harness, copy, lambda: harness.put_configuration(version=4)
+        )
+        await asyncio.sleep(SETTLE_S + 1.0)
+        harness.start_another()
+        gateway = harness.gateways[-1]
+        await harness.wait_until(gateway.is_ready)
+        (rollout,) = gateway.deployment.rollouts.values()
+        assert rollout.outcome is RolloutOutcome.COMPLETED
+        assert gateway.deployment.configuration.version == 4
+
+
+class FakeStore:
+    """Appends batches to a list, or loses them."""
+
+    def __init__(self):
+        self.batches = []
+        self.loses_answers = 0
+
+    async def append(self, topic, records, timeout_s):
+        self.batches += [data for _, data in records]
+        if self.loses_answers:
+            self.loses_answers -= 1
+            raise StoreAnswerLostError("lost")
+
+
+def read_topic(messenger, batches, era=1):
+    records = tuple(
+        Record(make_position(era, number), "", data)
+        for number, data in enumerate(batches)
+    )
+    messenger.on_records(Page(records, make_position(era, len(records))))
+
+
+async def test_lost_messages_are_written_again_once_by_their_sender():
+    # Guards against evidence that only the lost part of the topic held, and
+    # against senders that write again what the copy has kept.
+    store = FakeStore()
+    messenger = PeerMessenger(store, "vm", 1, HelloMessage("a"))
+    await messenger._send_all()
+    messenger.enqueue(HelloMessage("b"))
+    await messenger._send_all()
+    messenger.on_era_changed()
+    read_topic(messenger, store.batches[:1], era=2)
+    messenger.on_freshness_confirmed(0.0)
+    await messenger._send_all()
+    assert store.batches[2:] == store.batches[1:2]
+    messenger.on_freshness_confirmed(1.0)
+    await messenger._send_all()
+    assert len(store.batches) == 3
+
+
+async def test_messages_that_are_read_again_count_once():
+    # Guards against a good version that is reverted because its failures are
+    # read twice: after the store came back, or after a lost answer.
+    store = FakeStore()
+    sender = PeerMessenger(store, "sender", 1, HelloMessage("a"))
+    store.loses_answers = 1
+    with pytest.raises(StoreAnswerLostError):
+        await sender._send_all()
+    sender.enqueue(HelloMessage("b"))
+    await sender._send_all()
+    received = []
+    receiver = PeerMessenger(store, "receiver", 1, HelloMessage("c"))
+    receiver.subscribe(HelloMessage, received.append)
+    read_topic(receiver, store.batches)
+    receiver.on_era_changed()
+    read_topic(receiver, store.batches, era=2)
+    assert received == [HelloMessage("a"), HelloMessage("b")]
+
+
+@given(
+    st.integers(0, 50),
+    st.integers(0, 2**39),
+    st.integers(0, 50),
+    st.integers(0, 2**39),
+)
+def test_positions_order_by_era_and_then_by_offset(
+    era, offset, other_era, other
+):
+    # Guards against an offset of one era that is compared with one of another.
+    first = make_position(era, offset)
+    second = make_position(other_era, other)
+    assert (get_era(first), get_offset(first)) == (era, offset)
+    assert (first < second) == ((era, offset) < (other_era, other))
+    assert get_era(advance(first, 7)) == era
+    assert float(first) == first
+
+
+def test_an_era_that_goes_down_is_an_old_answer():
+    eras = StoreEras()
+    changes = [eras.observe(era) for era in (4, 4, 5, 4, 5, 7)]
+    assert changes == [
+        EraChange.NONE,
+        EraChange.NONE,
+        EraChange.NEW,
+        EraChange.OUTDATED,
+        EraChange.NONE,
+        EraChange.NEW,
+    ]
+    assert eras.current == 7
+
+
+def test_an_order_that_was_written_again_is_the_same_one():
+    # Guards against a decided roll-out that begins anew because the store holds
+    # its order at another place, and against a new order of the same version
+    # that passes for the old one.
+    order = RolloutOrder("pool", "v2", 20.0)
+    rollout = Rollout(order, make_position(1, 9), 100.0)
+    moved, kept = make_position(2, 7), make_position(2, 9)
+    assert not rollout.is_repeated_by(order, make_position(1, 12), 110.0)
+    assert rollout.is_repeated_by(order, moved, 130.0)
+    assert not rollout.is_repeated_by(order, moved, 100.0 + 20.0 + 2 * LOST_S)
+    assert rollout.is_repeated_by(order, kept, 900.0)
+    other = RolloutOrder("pool", "v3", 20.0)
+    assert not rollout.is_repeated_by(other, kept, 110.0)
+    rollout.move(moved)
+    assert rollout.is_at(make_position(1, 9))
+    assert rollout.is_at(moved)
+    assert rollout.is_at(7)
+    assert not rollout.is_at(kept)
+
+
+def test_a_removed_upstream_returns_with_a_newer_entry_only():
+    # Guards against requests to an upstream that the copy lists although it is
+    # gone, and against one that is never used again although it runs.
+    def make_entry(sequence):
+        return UpstreamEntry(
+            "pool", "h:1", "a", "v", 4, False, None, 0.0, sequence
+        )
+
+    rotation = Rotation()
+    rotation.apply("w1", make_entry(5), make_position(1, 3), 0.0, False)
+    rotation.apply("w1", None, make_position(1, 4), 1.0, False)
+    rotation.apply("w1", make_entry(5), make_position(2, 3), 2.0, False)
+    assert not rotation.get_ready("pool")
+    rotation.apply("w1", make_entry(6), make_position(2, 4), 3.0, False)
+    assert rotation.get_ready("pool")
+    # Where the store was away, a removal says only that it could not write.
+    rotation.apply("w1", None, make_position(2, 5), 4.0, True)
+    rotation.expire(9.0)
+    rotation.apply("w1", make_entry(6), make_position(3, 2), 10.0, False)
+    assert rotation.get_ready("pool")
+
+
+def test_copies_take_back_no_newer_evacuation():
+    # Guards against a zone that is evacuated or restored by an order's
+    # predecessor, which the copy still holds.
+    known = make_position(1, 9)
+    assert is_overtaken(make_position(2, 4), known)
+    assert not is_overtaken(make_position(2, 9), known)
+    assert not is_overtaken(make_position(2, 11), known)
+    assert not is_overtaken(make_position(1, 4), known)
