Let soaks send requests that crash workers and bring the store back from a copy

Requests that crash each worker go to all gateways in waves of copies; the store comes back from a copy that is up to 3 s old, loses what was appended since, and what operators and workers wrote is written again.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -5,7 +5,9 @@
 import collections
 from collections.abc import Iterator
 
+from lab.soak.crash_checks import find_crash_breaches
 from lab.soak.notice_checks import NoticeChecker
+from lab.soak.spans import overlaps_fault
 from lab.soak.traffic import DEADLINE_S, SentRequest
 from lab.soak.world import DRAIN_S, EVENTS, REVOKE_S, SoakEnvironment
 from lab.worker import SIGNATURE
@@ -39,6 +41,7 @@
         for text in _check_request(environment, request)
     ]
     breaches += _check_workers(environment)
+    breaches += find_crash_breaches(environment)
     breaches += NoticeChecker(environment, sent, TIMING_SLACK_S).find_breaches()
     recovery = [s for s in sent if s.sent_s > recovery_from_s and s.ended_s]
     recovery = [s for s in recovery if environment.keys[s.key] is None]
@@ -91,7 +94,7 @@
     if (
         is_late
         and reply
-        and not _overlaps_fault(environment, *span, ("freeze_gateway",))
+        and not overlaps_fault(environment, *span, ("freeze_gateway",))
     ):
         yield f"answered late: {request.id}"
     if reply is not None and reply.status < 300:
@@ -150,19 +153,5 @@
     and suspended gateways excuse a request sent to the worker after the drain
     time.
     """
-    names = ("spoil_store", "spoil_link", "freeze_gateway")
-    return _overlaps_fault(environment, start_s - DRAIN_S, end_s, names)
-
-
-def _overlaps_fault(
-    environment: SoakEnvironment,
-    start_s: float,
-    end_s: float,
-    names: tuple[str, ...],
-) -> bool:
-    """Whether one of the named faults was active between two times."""
-    return any(
-        began_s < end_s and ended_s > start_s
-        for name, began_s, ended_s in environment.injected_faults
-        if name in names
-    )
+    names = ("spoil_store", "restore_store", "spoil_link", "freeze_gateway")
+    return overlaps_fault(environment, start_s - DRAIN_S, end_s, names)
--- a/lab/soak/command.py
+++ b/lab/soak/command.py
@@ -7,6 +7,7 @@
 import pathlib
 import tempfile
 import time
+from collections.abc import Sequence
 
 from lab.soak.checks import find_breaches
 from lab.soak.traffic import Callers
@@ -31,17 +32,37 @@
     )
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--gateways", type=int, default=GATEWAYS)
+    parser.add_argument(
+        "--faults",
+        type=parse_faults,
+        default=FAULTS,
+        help="names of the faults to choose from, separated by commas",
+    )
     parser.add_argument(
         "--logs", type=pathlib.Path, help="folder to keep the gateways' logs in"
     )
 
 
+def parse_faults(text: str) -> tuple[Fault, ...]:
+    """Returns the faults with the given names.
+
+    Raises:
+        argparse.ArgumentTypeError: There is no fault of one of the names.
+    """
+    by_name = {fault.__name__: fault for fault in FAULTS}
+    names = text.split(",")
+    if unknown := [name for name in names if name not in by_name]:
+        known = ", ".join(sorted(by_name))
+        raise argparse.ArgumentTypeError(f"no fault {unknown}; known: {known}")
+    return tuple(by_name[name] for name in names)
+
+
 def run(args: argparse.Namespace) -> int:
     """Runs all seeds; returns exit status 1 if a guarantee was broken."""
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
         breaches, summary = run_seed(
-            seed, args.seconds, args.logs, args.gateways
+            seed, args.seconds, args.logs, args.gateways, args.faults
         )
         failed += bool(breaches)
         print(f"seed {seed}: {summary}", flush=True)
@@ -56,6 +77,7 @@
     seconds: float,
     logs: pathlib.Path | None = None,
     gateways: int = GATEWAYS,
+    faults: Sequence[Fault] = FAULTS,
 ) -> tuple[list[str], str]:
     """Runs one seed.
 
@@ -65,6 +87,7 @@
         logs: Folder for the gateways' settings and logs, in one subfolder
             for each seed. None uses a temporary folder.
         gateways: Number of gateway processes.
+        faults: Faults to choose from.
 
     Returns:
         Descriptions of the broken guarantees, and a summary of the run.
@@ -73,12 +96,12 @@
         folder = logs / str(seed) if logs else pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         return asyncio.run(
-            _run_seed(SoakEnvironment(seed, folder, gateways), seconds)
+            _run_seed(SoakEnvironment(seed, folder, gateways), seconds, faults)
         )
 
 
 async def _run_seed(
-    environment: SoakEnvironment, seconds: float
+    environment: SoakEnvironment, seconds: float, faults: Sequence[Fault]
 ) -> tuple[list[str], str]:
     await environment.start()
     callers = Callers(environment)
@@ -89,7 +112,7 @@
             asyncio.ensure_future(callers.send_requests())
             for _ in range(CALLERS)
         ]
-        await _inject_faults(environment, seconds)
+        await _inject_faults(environment, seconds, faults)
         await asyncio.sleep(FAULT_SETTLE_S)
         recovery_from_s = time.monotonic()
         await asyncio.sleep(RECOVERY_S)
@@ -116,12 +139,14 @@
                 await asyncio.sleep(0.1)
 
 
-async def _inject_faults(environment: SoakEnvironment, seconds: float) -> None:
+async def _inject_faults(
+    environment: SoakEnvironment, seconds: float, faults: Sequence[Fault]
+) -> None:
     """Starts faults at random intervals; their durations may overlap."""
     end_s = time.monotonic() + seconds
     running = []
     while time.monotonic() < end_s:
-        fault = environment.rng.choice(FAULTS)
+        fault = environment.rng.choice(faults)
         running.append(asyncio.ensure_future(_inject_fault(environment, fault)))
         await asyncio.sleep(environment.rng.uniform(0.1, 1.2))
     await asyncio.gather(*running)
--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -12,8 +12,17 @@
 import time
 from collections.abc import Awaitable, Callable, Iterator
 
+from lab.caller import make_request, read_reply
+from lab.metadata_store import OPERATOR_ONLY
 from lab.soak.proxy import LinkState
-from lab.soak.world import SCRIPTS, SoakEnvironment, StatedLimit
+from lab.soak.traffic import DEADLINE_S
+from lab.soak.world import (
+    CRASHING_BODY,
+    SCRIPTS,
+    GatewayProcess,
+    SoakEnvironment,
+    StatedLimit,
+)
 
 Fault = Callable[[SoakEnvironment], Awaitable[None]]
 
@@ -106,15 +115,78 @@
     """
     live = environment.get_live_workers()
     if len(live) > 2:
-        name = environment.rng.choice(live)
-        environment.departure_s[name] = time.monotonic()
-        await environment.workers[name].stop()
-        environment.links[name].stop()
-        await asyncio.sleep(environment.rng.uniform(0.1, 1.0))
-        environment.store.append_keyed("keyed.servers", name, b"")
+        await environment.crash_worker(environment.rng.choice(live))
+        return
     await environment.add_worker()
 
 
+async def send_crashing_request(environment: SoakEnvironment) -> None:
+    """Sends one request that crashes each worker, to all gateways, repeatedly.
+
+    Copies go out at one moment, in several waves under new ids.
+    """
+    body = CRASHING_BODY + b"%d" % len(environment.crashing_runs)
+    environment.crashing_runs[body] = []
+    for wave in range(environment.rng.randint(3, 6)):
+        copies = [
+            _send_copy(environment, gateway, body, f"{wave}-{copy}")
+            for gateway in environment.gateways
+            for copy in range(environment.rng.randint(0, 2))
+        ]
+        await asyncio.gather(*copies, return_exceptions=True)
+        await asyncio.sleep(environment.rng.uniform(0.2, 2.0))
+
+
+async def _send_copy(
+    environment: SoakEnvironment,
+    gateway: GatewayProcess,
+    body: bytes,
+    copy: str,
+) -> None:
+    request_id = f"{body.decode()}-{gateway.name}-{copy}"
+    environment.crashing_senders[request_id] = gateway.name
+    key = next(k for k, ended in environment.keys.items() if ended is None)
+    request = make_request(
+        f"/safe/{body.decode()}", key=key, request_id=request_id, body=body
+    )
+    async with asyncio.timeout(DEADLINE_S):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", gateway.client_port
+        )
+        try:
+            writer.write(request)
+            await read_reply(reader)
+        finally:
+            writer.close()
+
+
+async def restore_store(environment: SoakEnvironment) -> None:
+    """Brings the store back from a copy that is 0.3 to 3 s old.
+
+    It is away for up to 1 s. What the operators and the workers wrote since the
+    copy is then written again.
+    """
+    store, rng = environment.store, environment.rng
+    copy = store.take_copy()
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    store.faults.update({"outage": rng.choice(("503", "reset", "silent"))})
+    await asyncio.sleep(rng.uniform(0.05, 1.0))
+    newest = {
+        name: dict(store.get_topic(name).newest) for name in OPERATOR_ONLY
+    }
+    store.restore_copy(copy)
+    for name, records in newest.items():
+        topic = store.get_topic(name)
+        for key in topic.newest.keys() - records.keys():
+            store.append_keyed(name, key, b"")
+        for key, (offset, value) in sorted(
+            records.items(), key=lambda item: item[1][0]
+        ):
+            if topic.newest.get(key) != (offset, value):
+                store.append_keyed(name, key, value)
+    store.faults.update({"outage": None})
+
+
 async def drain_worker(environment: SoakEnvironment) -> None:
     """Marks a worker as draining or removes its entry, then adds a worker.
 
@@ -222,4 +294,6 @@
     state_departure,
     ask_for_rest,
     state_nonsense,
+    send_crashing_request,
+    restore_store,
 )
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -32,6 +32,8 @@
 DRAIN_S = 2.0
 STOP_S = 6.0
 RESTART_S = 0.3
+CRASHING_BODY = b"crash-"
+"""First bytes of the body of a request that crashes each worker."""
 POLICIES = {
     "safe": {"RouteType": "safe", "MaxAttempts": 3},
     "unsafe": {"RouteType": "unsafe", "MaxAttempts": 1},
@@ -105,6 +107,21 @@
     rest_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashingRun:
+    """A run of a request that crashes the worker which runs it.
+
+    Attributes:
+        worker: Instance name of the worker.
+        request_id: Id of the request.
+        arrived_s: Monotonic time in seconds of its arrival, and of the crash.
+    """
+
+    worker: str
+    request_id: str
+    arrived_s: float
+
+
 class GatewayProcess:
     """One gateway, whose process is restarted after each fault that ends it.
 
@@ -223,6 +240,9 @@
         rests: Rests that workers have asked for.
         rest_s: Time in seconds for which a worker that refuses all requests
             asks for a rest, by the worker's instance name.
+        crashing_runs: Runs of each request that crashes workers, by its body.
+        crashing_senders: Gateway that each copy of such a request was sent to,
+            by request id.
     """
 
     def __init__(
@@ -242,6 +262,9 @@
         self.limits: list[StatedLimit] = []
         self.rests: list[StatedRest] = []
         self.rest_s: dict[str, float] = {}
+        self.crashing_runs: dict[bytes, list[CrashingRun]] = {}
+        self.crashing_senders: dict[str, str] = {}
+        self._tasks: set[asyncio.Future[None]] = set()
         self._folder = folder
         self._gateway_count = gateways
         self._version = 0
@@ -353,6 +376,9 @@
         if instance in self.rest_s:
             await self._ask_for_rest(arrival, writer, instance)
             return
+        if arrival.body.startswith(CRASHING_BODY):
+            await self._run_crashing_request(arrival, instance)
+            return
         script = self._draw_script()
         if script is lab.refuse:
             await script(arrival, writer)
@@ -367,6 +393,23 @@
         else:
             await lab.send(writer, 200, arrival, make_body(arrival))
 
+    async def crash_worker(self, name: str) -> None:
+        """Ends a worker abruptly; its entry and another worker follow."""
+        self.departure_s[name] = time.monotonic()
+        await self.workers[name].stop()
+        self.links[name].stop()
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        self.store.append_keyed("keyed.servers", name, b"")
+        await self.add_worker()
+
+    async def _run_crashing_request(self, arrival: Arrival, name: str) -> None:
+        runs = self.crashing_runs.setdefault(arrival.body, [])
+        runs.append(CrashingRun(name, arrival.request_id, time.monotonic()))
+        await asyncio.sleep(self.rng.uniform(0.0, 0.05))
+        if name not in self.departure_s:
+            self._tasks.add(asyncio.ensure_future(self.crash_worker(name)))
+        await asyncio.sleep(1.0)
+
     async def _ask_for_rest(
         self, arrival: Arrival, writer: asyncio.StreamWriter, worker: str
     ) -> None:
