Explain a refused copy by the crashes under the others

A copy that is refused names no crash: these happened at other gateways, under other ids. request_ended states the fingerprint for such outcomes, and explain lists crashes, reports, probes and waits with the same fingerprint of all processes, and that the store came back from a copy.

--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -21,6 +21,8 @@
 _log = logging.getLogger(__name__)
 
 _DEFAULT_LIMITS = ClientLimits()
+_SUSPECT_OUTCOMES = ("crashes_upstreams", "suspect_waiting")
+"""Outcomes that the crashes under other copies of a request explain."""
 
 
 class GatewayService:
@@ -167,6 +169,11 @@
                 "head_s": _round(attempts.head_s),
                 "first_s": _round(attempts.first_event_s),
                 "time_s": _round(time_s),
+                "fingerprint": (
+                    attempts.fingerprint
+                    if outcome in _SUSPECT_OUTCOMES
+                    else None
+                ),
                 "config": admitted.config_version,
                 "config_age_s": self._get_configuration_age_s(),
             },
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -47,6 +47,17 @@
         "upstream_notice_malformed",
     )
 )
+_CRASH_EVENTS = frozenset(
+    (
+        "upstream_crashed",
+        "upstream_not_crashed",
+        "crash_report_applied",
+        "suspect_probed",
+        "suspect_held",
+    )
+)
+"""Events of all copies of a request that was in flight at a crash. They share
+its fingerprint, and any gateway may have written them."""
 _SERVICE_EVENTS = frozenset(
     ("rollout_ordered", "rollout_stopped", "rollout_settled")
 )
@@ -89,7 +100,8 @@
     " this gateway for a rest; nothing was run.",
     "crashes_upstreams": "The request has crashed upstreams; it will not be"
     " run again for some time.",
-    "suspect_waiting": "A copy of the request was being run alone.",
+    "suspect_waiting": "Copies of the request were in flight at crashes, and"
+    " another copy was being run alone or checked; nothing more was run.",
     "deadline": "The deadline of the request passed before it could be sent.",
     "stream_broken": "The stream ended early, and no upstream could continue"
     " it.",
@@ -175,6 +187,7 @@
         *_select_process_lines(own, earlier),
         *_select_upstream_lines(own, earlier),
         *_select_service_lines(own, earlier),
+        *_select_crash_lines(own, earlier),
     ]
     unique = {id(line): line for line in context if line not in own}
     return Explanation(
@@ -261,6 +274,25 @@
     return list(last.values())
 
 
+def _select_crash_lines(
+    own: Sequence[LogLine], earlier: Sequence[LogLine]
+) -> list[LogLine]:
+    """Selects the crashes under all copies of the request.
+
+    Returns:
+        For each process, event and upstream the last line with the request's
+        fingerprint.
+    """
+    fingerprints = {line.get("fingerprint") for line in own} - {""}
+    last = {
+        (line.vm, line.event, line.get("upstream")): line
+        for line in earlier
+        if line.event in _CRASH_EVENTS
+        and line.get("fingerprint") in fingerprints
+    }
+    return list(last.values())
+
+
 def _explain_missing_lines(left_out: int) -> str:
     if left_out:
         return (
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -205,3 +205,40 @@
     notices = [line for line in explanation.context if line.get("notice")]
     assert [line.get("value") for line in notices] == ["2.0"]
     assert "states a request limit" in explanation.conclusion
+
+
+def test_explanation_of_a_refused_copy_lists_the_crashes_under_the_others():
+    # Guards against a refusal without a visible reason: the crashes happened
+    # at other gateways, under other ids.
+    log = """\
+time=01.0 event=upstream_crashed vm=a run=r1/1 upstream=u1 fingerprint=f
+time=01.1 event=upstream_crashed vm=a run=r1/2 upstream=u2 fingerprint=f
+time=01.2 event=upstream_crashed vm=a run=r9/1 upstream=u2 fingerprint=g
+time=01.3 event=crash_report_applied vm=b run=r1/2 upstream=u2 fingerprint=f
+time=02.0 event=request_ended vm=b request=r2 outcome=crashes_upstreams \
+status=503 upstreams="" fingerprint=f
+"""
+    explanation = explain_log("r2", log)
+    assert "has crashed upstreams" in explanation.conclusion
+    assert [
+        (line.vm, line.get("upstream")) for line in explanation.context
+    ] == [
+        ("a", "u1"),
+        ("a", "u2"),
+        ("b", "u2"),
+    ]
+
+
+def test_explanation_tells_that_the_store_came_back_from_a_copy():
+    # Guards against a request that was handled by an old configuration, or
+    # refused, for a reason that stands in no line.
+    log = """\
+time=01.0 event=store_era_changed vm=a topic=keyed.op era=2 known=1:21
+time=01.1 event=store_era_changed vm=b topic=keyed.op era=2 known=1:21
+time=02.0 event=request_refused vm=a request=r1 reason=configuration_too_old \
+status=503
+"""
+    context = explain_log("r1", log).context
+    assert [(line.vm, line.event) for line in context] == [
+        ("a", "store_era_changed")
+    ]
