End held reads of all topics when one of them tells a new era

In a soak a gateway heard of a new era from one topic while the read of the operators' topic hung for a second more on a connection that the store had forgotten, and trusted no key meanwhile. Feeds now end such reads together, as they do when the store recovers. A feed counts as synced in the step that applies its first list, as before the read was a task.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -24,9 +24,9 @@
     StoreEraChangedError,
     StoreError,
     StoreHistoryLostError,
-    StoreUnavailableError,
 )
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.feed_outage import FeedOutage
 from lovagestage.gateway.feed_protocols import FeedListener, RelayClient
 from lovagestage.gateway.relay import (
     CONFIRMATION_AGE_SLACK_S,
@@ -49,25 +49,10 @@
 over ten times the response time of a slow store, and short enough for two
 attempts within the shortest time limit for applying a configuration. The
 complete answer may take longer: a large configuration over a slow link does."""
-BACKOFF_BASE_S = 0.1
-"""Backoff in seconds after the first failed read; doubled with each failure."""
-BACKOFF_LIMIT_S = 0.8
-"""Longest backoff in seconds between reads of a store that fails. With this
-limit, changes made during an outage are in force within a second after the
-store recovers."""
-STARTUP_BACKOFF_LIMIT_S = 0.3
-"""Longest backoff in seconds before the store's first answer. It is shorter
-because the gateway refuses every caller until then."""
 IDLE_LIMIT_S = 2.0
 """Idle time in seconds after which a connection to the store is closed before
 the next call. A broken connection that was used more recently is detected by a
 call that times out."""
-RECOVERY_GRACE_S = 0.1
-"""Time limit in seconds for the answer to a read that is in progress when
-another feed finds that the store has recovered. A read that was sent before the
-recovery usually hangs until its timeout."""
-
-
 WATCHER_PAUSE_S = 0.15
 """Pause of a watcher in seconds after a read that returned records. It is
 shorter than the slack that followers allow for the age of the watcher's
@@ -164,16 +149,12 @@
         self._has_notified_early = False
         self._relayed_records_added = asyncio.Event()
         self._listener = listener
-        self._rng = rng
         self._store_recovery = store_recovery
         self._relay = relay
-        self._store_recovered = store_recovery.make_event()
+        self._outage = FeedOutage(options.topic, rng, store_recovery)
         self._topic_log = TopicLog(None if options.is_keyed else START)
         self._lag = TopicLag()
         self._settling = EraSettling(options.trust_delay_s)
-        self._failures = 0
-        self._last_failure_s: float | None = None
-        self._own_failure_s: float | None = None
         self._confirmed_s: float | None = None
         self._last_read_s = get_elapsed_s()
         self.is_synced = False
@@ -192,11 +173,8 @@
         Returns:
             The time; None if the store has never failed.
         """
-        return (
-            None
-            if self._last_failure_s is None
-            else now_s - self._last_failure_s
-        )
+        failed_s = self._outage.last_failure_s
+        return None if failed_s is None else now_s - failed_s
 
     def get_lag_s(self, now_s: float) -> float:
         """Returns how long the feed has been behind the topic, in seconds.
@@ -319,7 +297,8 @@
                 self._on_history_lost(error)
                 has_records = False
             except StoreError as error:
-                await self._on_failure(error)
+                self._store.close()
+                await self._outage.wait_after_failure(error, self.is_synced)
                 continue
             if has_records:
                 await asyncio.sleep(self._get_pause_s())
@@ -395,7 +374,7 @@
         end = self._topic_log.end
         if not state.is_fresh or end is None or self._lag.is_behind(end):
             return False
-        self._record_recovery("watcher")
+        self._outage.record_recovery("watcher")
         if self._settling.is_trusted(state.confirmed_s):
             self._listener.on_freshness_confirmed(state.confirmed_s)
         return True
@@ -411,12 +390,12 @@
         if (
             state.is_fresh
             or state.last_failure_s is None
-            or self._own_failure_s is None
+            or self._outage.own_failure_s is None
         ):
             return False
         now_s = get_elapsed_s()
         return (
-            now_s - min(state.last_failure_s, self._own_failure_s)
+            now_s - min(state.last_failure_s, self._outage.own_failure_s)
             < SHARED_OUTAGE_READ_INTERVAL_S
         )
 
@@ -439,9 +418,7 @@
                 answer the watcher; None for never.
         """
         if last_failure_s is not None:
-            self._last_failure_s = max(
-                last_failure_s, self._last_failure_s or last_failure_s
-            )
+            self._outage.record_failure_elsewhere(last_failure_s)
 
     async def _read(self, wait_s: float) -> bool:
         """Reads the store and returns whether there were records.
@@ -452,35 +429,13 @@
         """
         if get_elapsed_s() - self._last_read_s > IDLE_LIMIT_S:
             self._store.close()
-        has_records = await self._read_until_recovery(wait_s)
+        has_records = await self._outage.run_read(
+            self._read_once, wait_s, self._store
+        )
         self._last_read_s = get_elapsed_s()
         self._on_success()
         return has_records
 
-    async def _read_until_recovery(self, wait_s: float) -> bool:
-        """Reads, and aborts a read that hangs once the store has recovered."""
-        if not self._failures:
-            return await self._read_once(wait_s)
-        self._store_recovered.clear()
-        read_task = asyncio.ensure_future(self._read_once(0.0))
-        recovery_task = asyncio.ensure_future(self._store_recovered.wait())
-        try:
-            await asyncio.wait(
-                (read_task, recovery_task), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not read_task.done():
-                await asyncio.wait((read_task,), timeout=RECOVERY_GRACE_S)
-            if not (read_task.done() or self._store.is_receiving):
-                raise StoreUnavailableError(
-                    "Read aborted: another feed has reached the store."
-                )
-            return await read_task
-        finally:
-            recovery_task.cancel()
-            read_task.cancel()
-            # An aborted read must close its connection before the next call.
-            await asyncio.wait((read_task, recovery_task))
-
     async def _read_once(self, wait_s: float) -> bool:
         """Reads once and returns whether there were records.
 
@@ -532,6 +487,7 @@
             self._listener.on_copy(page)
         else:
             self._listener.on_newest(page)
+        self.is_synced = True
         self._record_known_end()
         if not self._lag.is_behind(page.end):
             self._confirm_freshness(sent_s)
@@ -590,7 +546,8 @@
                 "known": format_position(known_end),
             },
         )
-        self._last_failure_s = now_s
+        self._outage.record_failure_elsewhere(now_s)
+        self._store_recovery.notify_era_changed()
         self._settling.start(now_s)
         self._topic_log.restart(
             None if self._options.is_keyed else make_position(error.era, 0)
@@ -599,53 +556,16 @@
             self._settling.finish()
         self._listener.on_era_changed()
 
-    async def _on_failure(self, error: StoreError) -> None:
-        self._store.close()
-        self._last_failure_s = self._own_failure_s = get_elapsed_s()
-        self._failures += 1
-        if _is_power_of_two(self._failures):
-            _log.warning(
-                "store_lost",
-                extra={
-                    "topic": self.topic,
-                    "reason": error.message,
-                    "failures": self._failures,
-                    "received_bytes": error.transfer.received_bytes,
-                    "expected_bytes": error.transfer.expected_bytes,
-                },
-            )
-        max_delay_s = (
-            BACKOFF_LIMIT_S if self.is_synced else STARTUP_BACKOFF_LIMIT_S
-        )
-        delay_s = min(max_delay_s, BACKOFF_BASE_S * 2.0 ** (self._failures - 1))
-        with contextlib.suppress(TimeoutError):
-            delay_s *= 0.5 + 0.5 * self._rng.random()
-            async with asyncio.timeout(delay_s):
-                await self._store_recovered.wait()
-
     def _on_success(self) -> None:
-        if self._failures:
+        if self._outage.is_lost:
             self._store_recovery.notify_feeds()
             if self._relay is not None:
                 # Followers that wait for the store query this watcher
                 # immediately.
                 self._relay.notify_followers()
-        self._record_recovery("store")
+        self._outage.record_recovery("store")
         self.is_synced = True
 
-    def _record_recovery(self, source: str) -> None:
-        if self._failures:
-            _log.info(
-                "store_regained",
-                extra={
-                    "topic": self.topic,
-                    "failures": self._failures,
-                    "source": source,
-                },
-            )
-        self._failures = 0
-        self._own_failure_s = None
-
 
 def _get_watch_wait_s(
     options: TopicReadOptions, relay: RelayClient | None
@@ -653,12 +573,3 @@
     if options.watch_wait_s is not None:
         return options.watch_wait_s
     return options.wait_s if relay is None else relay.watch_wait_s
-
-
-def _is_power_of_two(number: int) -> bool:
-    """Whether a number is a power of two.
-
-    Used to log only the first, second, fourth, eighth and so on of a series of
-    equal events.
-    """
-    return number & (number - 1) == 0
--- a/src/lovagestage/gateway/store_recovery.py
+++ b/src/lovagestage/gateway/store_recovery.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self._events: list[asyncio.Event] = []
+        self._era_events: list[asyncio.Event] = []
 
     def make_event(self) -> asyncio.Event:
         """Returns an event that is set at each recovery; its user clears it."""
@@ -27,3 +28,17 @@
         """Sets the events of all feeds."""
         for event in self._events:
             event.set()
+
+    def make_era_event(self) -> asyncio.Event:
+        """Returns an event that is set when the store comes back from a copy.
+
+        Its user clears it.
+        """
+        event = asyncio.Event()
+        self._era_events.append(event)
+        return event
+
+    def notify_era_changed(self) -> None:
+        """Sets the events of all feeds that hold reads of an earlier era."""
+        for event in self._era_events:
+            event.set()
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -550,7 +550,7 @@
     # the followers.
     async with run_gateways() as (store, watcher, follower):
         store.faults.outage = "503"
-        await wait_until(lambda: follower.feed._failures, 3.0)
+        await wait_until(lambda: follower.feed._outage.is_lost, 3.0)
         calls, own_calls = watcher.calls, follower.calls
         await asyncio.sleep(2.5)
         assert watcher.calls >= calls + 3
