Take a message about an outcome for proof of the store only at its place

After the store has come back, a gateway may still receive the message that an outcome was written in the era before. It took the outcome for stored and would not have written it again had the writer been gone. An older test of crashing requests uses the harness that the new ones share; its assertions are the same.

--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -266,7 +266,8 @@
             return
         rollout.set_first_share(message.first_share, get_elapsed_s())
         outcome = RolloutOutcome(message.outcome)
-        self._record_stored(rollout, outcome)
+        if message.order == rollout.position:
+            self._record_stored(rollout, outcome)
         if outcome is not RolloutOutcome.RUNNING:
             self._conclude(rollout, outcome, "peer")
 
