--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -8,9 +8,7 @@
 
 import mode
 
-from lovagestage.decisions.positions import get_offset
 from lovagestage.exceptions import (
-    CodecError,
     StoreConflictError,
     StoreError,
 )
@@ -24,13 +22,13 @@
     OutcomeMessage,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
+from lovagestage.gateway.rollout_outcomes import OutcomeStore
 from lovagestage.gateway.rollouts import (
     COUNT_REPORT_RATIOS,
     EVIDENCE_FLOOR,
     SLOW_ANSWER_RATE,
     AnswerQuality,
     Assignment,
-    OutcomeRecord,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
@@ -39,25 +37,13 @@
 )
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.upstream import Upstream
-from lovagestage.platform.configuration import (
-    decode_outcome,
-    encode_outcome,
-    make_outcome_key,
-)
-from lovagestage.platform.records import Page
-from lovagestage.platform.store import OUTCOME_TOPIC, StoreClient
+from lovagestage.platform.store import StoreClient
 from lovagestage.types import Position, ServiceId, VmId
 
 _log = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S = 0.25
 """Interval in seconds between checks for reports and outcomes that are due."""
-WRITE_STAGGER_S = 0.4
-"""Time in seconds over which the gateways that see the same due outcome spread
-their writes, so that most of them learn that it has been written before they
-try."""
-CALL_TIMEOUT_S = 1.0
-"""Time limit in seconds of a call to the store."""
 RETRY_S = 0.5
 """Pause in seconds after a call to the store has failed."""
 
@@ -95,15 +81,10 @@
         self._bounds = bounds
         self._failure_rates = FailureRateTable()
         self._progress: dict[ServiceId, _Progress] = {}
-        self._store = store
         self._deployment = deployment
         self._rng = rng
         self._peer_messenger: PeerMessenger | None = None
-        self._unresolved: dict[ServiceId, Rollout] = {}
-        self._stored_outcomes: dict[
-            ServiceId, tuple[Position, RolloutOutcome]
-        ] = {}
-        self._write_at_s: dict[ServiceId, float] = {}
+        self._outcomes = OutcomeStore(store, rng)
 
     def set_peer_messenger(self, peer_messenger: PeerMessenger) -> None:
         """Sets the messenger to the other gateways; called once."""
@@ -116,7 +97,7 @@
     @property
     def is_resolved(self) -> bool:
         """Whether the outcome of each known order has been looked up."""
-        return not self._unresolved
+        return self._outcomes.is_resolved
 
     def on_order(self, order: RolloutOrder, position: Position) -> None:
         """Starts to follow an order; its stored outcome is looked up later.
@@ -128,7 +109,7 @@
         warmup_s = 0.0 if warmup is None else warmup.duration_s
         rollout = Rollout(order, position, get_elapsed_s(), warmup_s)
         self._deployment.rollouts[order.service] = rollout
-        self._unresolved[order.service] = rollout
+        self._outcomes.add_order(rollout)
         self._progress[order.service] = _Progress()
 
     def _get_first_share(self, order: RolloutOrder) -> float:
@@ -266,10 +247,7 @@
             return
         rollout.set_first_share(message.first_share, get_elapsed_s())
         outcome = RolloutOutcome(message.outcome)
-        if message.order == rollout.position:
-            self._record_stored(rollout, outcome)
-        if outcome is not RolloutOutcome.RUNNING:
-            self._conclude(rollout, outcome, "peer")
+        self._outcomes.record_written_elsewhere(rollout, message.order, outcome)
 
     def _find_rollout(
         self, service: ServiceId, order: Position, age_s: float
@@ -300,34 +278,11 @@
                 },
             )
 
-    def _conclude(
-        self, rollout: Rollout, outcome: RolloutOutcome, source: str
-    ) -> None:
-        """Records a final outcome.
-
-        A second one is followed only if the store holds it: operators act on
-        what they read there.
-        """
-        is_known = rollout.outcome is not RolloutOutcome.RUNNING
-        if rollout.outcome is outcome or (is_known and source != "store"):
-            return
-        rollout.outcome = outcome
-        _log.info(
-            "rollout_settled",
-            extra={
-                "service": rollout.order.service,
-                "version": rollout.order.version,
-                "outcome": outcome.value,
-                "source": source,
-                "age_s": round(rollout.get_age_s(get_elapsed_s()), 2),
-            },
-        )
-
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
             try:
-                await self._look_up_outcomes()
+                await self._outcomes.look_up()
                 self._report_counts()
                 self._report_sessions()
                 await self._write_due()
@@ -393,102 +348,25 @@
                 )
             )
 
-    async def _look_up_outcomes(self) -> None:
-        if not self._unresolved:
-            return
-        page = await self._store.read_newest(OUTCOME_TOPIC, CALL_TIMEOUT_S)
-        for service, rollout in list(self._unresolved.items()):
-            self._apply_stored_outcome(rollout, page)
-            del self._unresolved[service]
-
-    def _apply_stored_outcome(self, rollout: Rollout, page: Page) -> None:
-        """Applies the outcome that the store holds for an order."""
-        key = make_outcome_key(rollout.order.service)
-        for record in page.records:
-            if record.key != key or record.value is None:
-                continue
-            try:
-                found = decode_outcome(record.value)
-            except CodecError as error:
-                _log.error("outcome_refused", extra={"error": error.message})
-                continue
-            if not self._is_outcome_of(found, rollout):
-                continue
-            self._record_stored(rollout, found.outcome)
-            rollout.set_first_share(found.first_share, get_elapsed_s())
-            if found.outcome is not RolloutOutcome.RUNNING:
-                self._conclude(rollout, found.outcome, "store")
-
-    @staticmethod
-    def _is_outcome_of(found: OutcomeRecord, rollout: Rollout) -> bool:
-        if rollout.is_at(found.order):
-            return True
-        # Written in an earlier era of an order that the copy kept at its place.
-        return (
-            get_offset(found.order) == get_offset(rollout.position)
-            and found.version == rollout.order.version
-        )
-
-    def _record_stored(self, rollout: Rollout, outcome: RolloutOutcome) -> None:
-        stored = (rollout.position, outcome)
-        self._stored_outcomes[rollout.order.service] = stored
-
     async def _write_due(self) -> None:
         """Writes outcomes that are due, and those that the store has lost."""
-        now_s = get_elapsed_s()
-        for service, rollout in list(self._deployment.rollouts.items()):
+        for rollout in list(self._deployment.rollouts.values()):
             due = rollout.outcome
             if due is RolloutOutcome.RUNNING:
-                due = rollout.get_due_outcome(now_s)
-            if self._is_stored(rollout, due):
-                self._write_at_s.pop(service, None)
-            elif service not in self._write_at_s:
-                delay_s = WRITE_STAGGER_S * self._rng.random()
-                self._write_at_s[service] = now_s + delay_s
-            elif now_s >= self._write_at_s[service]:
-                await self._write(rollout, due)
-                self._write_at_s.pop(service, None)
-
-    def _is_stored(self, rollout: Rollout, outcome: RolloutOutcome) -> bool:
-        """Returns whether the store holds an outcome, or a final one.
-
-        What it held at another position of the order was written before it came
-        back from a copy, and may be lost.
-        """
-        stored = self._stored_outcomes.get(rollout.order.service)
-        if stored is None or stored[0] != rollout.position:
-            return False
-        is_final = stored[1] is not RolloutOutcome.RUNNING
-        return is_final or outcome is RolloutOutcome.RUNNING
-
-    async def _write(self, rollout: Rollout, outcome: RolloutOutcome) -> None:
-        """Writes an outcome, unless a final one has been written already.
-
-        Two gateways may reach different verdicts; the condition on the topic's
-        end accepts one of the two appends, and the other gateway follows that
-        verdict.
-        """
-        service = rollout.order.service
-        page = await self._store.read_newest(OUTCOME_TOPIC, CALL_TIMEOUT_S)
-        self._apply_stored_outcome(rollout, page)
-        if rollout.outcome is not RolloutOutcome.RUNNING:
-            outcome = rollout.outcome
-        if self._is_stored(rollout, outcome):
-            return
-        position = rollout.position
-        share = rollout.first_share or self._get_first_share(rollout.order)
-        record = OutcomeRecord(rollout.order.version, outcome, position, share)
-        await self._store.append(
-            OUTCOME_TOPIC,
-            [(make_outcome_key(service), encode_outcome(record))],
-            CALL_TIMEOUT_S,
-            expected_end=page.end,
-        )
-        self._stored_outcomes[service] = (position, outcome)
-        rollout.set_first_share(share, get_elapsed_s())
-        if outcome is not RolloutOutcome.RUNNING:
-            self._conclude(rollout, outcome, "own")
-        age_s = rollout.get_age_s(get_elapsed_s())
-        self._post(
-            OutcomeMessage(service, position, outcome.value, share, age_s)
-        )
+                due = rollout.get_due_outcome(get_elapsed_s())
+            if not self._outcomes.is_write_due(rollout, due):
+                continue
+            written = await self._outcomes.write(
+                rollout, due, self._get_first_share
+            )
+            if written is None:
+                continue
+            self._post(
+                OutcomeMessage(
+                    rollout.order.service,
+                    written.order,
+                    written.outcome.value,
+                    written.first_share,
+                    rollout.get_age_s(get_elapsed_s()),
+                )
+            )
