Convict a probe that crashes late, and keep an exonerated request free

Read in the diff: a run that had been the request's probe, had given way to another one after 30 s and then crashed its upstream got a strike only, so a request that crashes late was probed without end. And an innocent request whose conviction another one explains was convicted again by its next answer, which took the strike back and left the mark of the probe. Both have a test that fails without the change.

--- a/src/lovagestage/decisions/crash_suspects.py
+++ b/src/lovagestage/decisions/crash_suspects.py
@@ -75,6 +75,7 @@
         checks: Upstream process by run, for runs that were lost at this entry
             and of which it is not known yet whether the upstream has crashed.
         ended: Runs that have ended.
+        probes: Runs that were the request's probe.
         probe: The run that probes the request; empty without one.
         probe_from_s: Monotonic time in seconds of the probe's claim.
         expires_s: Monotonic time in seconds until which this is retained.
@@ -85,6 +86,7 @@
     taken_back: dict[str, None] = dataclasses.field(default_factory=dict)
     checks: dict[str, str] = dataclasses.field(default_factory=dict)
     ended: dict[str, None] = dataclasses.field(default_factory=dict)
+    probes: dict[str, None] = dataclasses.field(default_factory=dict)
     probe: str = ""
     probe_from_s: float = 0.0
     expires_s: float = 0.0
@@ -101,6 +103,8 @@
             is_settled = now_s - self.probe_from_s >= CLAIM_SETTLE_S
             if is_settled or self.probe < run:
                 return
+            self.probes.pop(self.probe, None)
+        _remember(self.probes, run)
         self.probe, self.probe_from_s = run, now_s
 
     def end_run(self, run: str) -> None:
@@ -126,6 +130,7 @@
         names = list(self.strikes)
         for upstream in names[:-1] or names:
             del self.strikes[upstream]
+            self.probe_strikes.discard(upstream)
             _remember(self.taken_back, upstream)
 
 
@@ -236,7 +241,8 @@
         Returns:
             The report for the other entries.
         """
-        is_probe = self.get_probe(fingerprint, now_s) == run
+        suspect = self._get(fingerprint, now_s)
+        is_probe = suspect is not None and run in suspect.probes
         return self._apply_own_report(
             CrashReport(
                 CrashReportKind.CONVICTED
@@ -289,7 +295,7 @@
             case CrashReportKind.PROBE_ENDED if suspect is not None:
                 suspect.end_run(report.run)
             case CrashReportKind.CLEARED if suspect is not None:
-                self._add_answer(suspect, report.run)
+                self._add_answer(fingerprint, suspect, report.run)
 
     def get_reports(self, now_s: float) -> Iterator[CrashReport]:
         """Yields the reports from which a new entry learns of all strikes.
@@ -336,12 +342,17 @@
             retention_s = CONVICTION_RETENTION_S
         suspect.expires_s = max(suspect.expires_s, now_s + retention_s)
 
-    def _add_answer(self, suspect: _Suspect, run: str) -> None:
+    def _add_answer(
+        self, fingerprint: Fingerprint, suspect: _Suspect, run: str
+    ) -> None:
         is_repeat = run in suspect.ended
         suspect.end_run(run)
         is_convicted = suspect.probe_strikes - self._get_explained(suspect)
-        if not (is_repeat or is_convicted):
-            suspect.take_back_strikes()
+        if is_repeat or is_convicted:
+            return
+        suspect.take_back_strikes()
+        if not suspect.probe_strikes:
+            self._probe_crashers.discard(fingerprint)
 
     def _apply_own_report(
         self, report: CrashReport, now_s: float
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -22,6 +22,7 @@
     CLAIM_SETTLE_S,
     CONVICTION_RETENTION_S,
     MAX_UPSTREAMS_LOST,
+    PROBE_TIMEOUT_S,
     Admission,
     SuspectTable,
     get_fingerprint,
@@ -234,6 +235,25 @@
     table = apply_all(reports)
     assert table.admit(innocent, 0.0) is Admission.FREE
     assert table.admit(CRASHING, 0.0) is Admission.REFUSE
+    for run in ("i3", "i4"):
+        table.record_end(innocent, run, True, 0.0)
+        assert table.admit(innocent, 0.0) is Admission.FREE
+    table.record_crash(innocent, "i5", "x", 0.0)
+    assert table.admit(innocent, 0.0) is Admission.FREE
+
+
+def test_a_probe_that_crashes_late_convicts():
+    # Guards against a request that crashes each upstream after half a minute
+    # and is probed without end, since its probe has given way to another one.
+    table = SuspectTable()
+    for name in "ab":
+        table.record_crash(CRASHING, name, name, 0.0)
+    table.start_probe(CRASHING, "p", 1.0)
+    late_s = 2.0 + PROBE_TIMEOUT_S
+    table.start_probe(CRASHING, "q", late_s)
+    assert table.holds_probe(CRASHING, "q", late_s)
+    table.record_crash(CRASHING, "p", "c", late_s)
+    assert table.admit(CRASHING, late_s) is Admission.REFUSE
 
 
 def test_of_probes_claimed_at_one_moment_one_runs():
