--- a/lab/metadata_store.py
+++ b/lab/metadata_store.py
@@ -242,6 +242,13 @@
     ) -> web.StreamResponse:
         response = web.StreamResponse()
         response.content_length = len(body)
+        with contextlib.suppress(ConnectionResetError):
+            await self._write_body(request, response, body)
+        return response
+
+    async def _write_body(
+        self, request: web.Request, response: web.StreamResponse, body: bytes
+    ) -> None:
         await response.prepare(request)
         limit_bytes = self.faults.break_after_bytes or len(body)
         position = 0
@@ -258,7 +265,6 @@
                 await hang(request)
         if position < len(body):
             await self._reset_connection(request)
-        return response
 
     async def _handle_newest(self, request: web.Request) -> web.StreamResponse:
         self.calls.append("newest")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lab.soak import troubles
 from lab.soak.command import run_seed
 
 REGRESSIONS = ()
@@ -23,3 +24,16 @@
     # gateways that each read the store.
     breaches, summary = run_seed(501, 6.0, tmp_path, gateways=9)
     assert not breaches, summary
+
+
+def test_crashing_requests_and_stores_from_a_copy_keep_the_guarantees(tmp_path):
+    # Guards against requests that crash worker after worker, and gateways that
+    # never recover, where the store comes back from copies meanwhile.
+    faults = (
+        troubles.send_crashing_request,
+        troubles.restore_store,
+        troubles.change_configuration,
+        troubles.drain_worker,
+    )
+    breaches, summary = run_seed(720, 6.0, tmp_path, faults=faults)
+    assert not breaches, summary
