Take an answer without an era for one of the era that is known

A refusal of a part in front of the store may state no era; the client took it for an answer of an earlier one, and an append that was refused for one that may have taken effect.

--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -395,7 +395,7 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         connection.send(method, path.encode(), headers, body)
         head: h11.Response = await connection.receive_head()
-        era = _get_era(head)
+        era = _get_era(head, self._eras.current)
         if self._eras.observe(era) is EraChange.OUTDATED:
             raise WrongMessageError(f"Answer of the earlier era {era}.")
         on_era(era)
@@ -425,11 +425,16 @@
         return b"".join(parts)
 
 
-def _get_era(head: h11.Response) -> Era:
+def _get_era(head: h11.Response, current: Era | None) -> Era:
+    """Returns the era that an answer states.
+
+    An answer that states none, as of a part in front of the store, says nothing
+    of it.
+    """
     for name, value in head.headers:
         if name == _ERA_HEADER and value.isdigit():
             return Era(int(value))
-    return Era(0)
+    return Era(0) if current is None else current
 
 
 def _get_length(head: h11.Response) -> int | None:
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -247,6 +247,17 @@
         assert gateway.deployment.configuration.version == 4
 
 
+async def test_an_answer_without_an_era_is_no_old_one():
+    # Guards against a client that takes a refusal of a part in front of the
+    # store for a lost answer.
+    async with run_store() as (store, client):
+        await client.read_newest(TOPIC, 1.0)
+        store.era = ""
+        store.faults.outage = "503"
+        with pytest.raises(StoreUnavailableError):
+            await client.append("lovagestage", [("", b"x")], 1.0)
+
+
 class FakeStore:
     """Appends batches to a list, or loses them."""
 
