Notice a new era also where the topic's history is lost

Read in the diff: a feed that had lost the topic's history reads the newest of each key without a position, so the first list of a new era passed for a complete one, and upstreams that the copy lacked were dropped at once.

--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -39,7 +39,7 @@
 from lovagestage.gateway.topic_log import TopicLog
 from lovagestage.platform.records import Page, Record
 from lovagestage.platform.store import StoreClient
-from lovagestage.types import Position
+from lovagestage.types import Era, Position
 
 _log = logging.getLogger(__name__)
 
@@ -155,6 +155,7 @@
         self._topic_log = TopicLog(None if options.is_keyed else START)
         self._lag = TopicLag()
         self._settling = EraSettling(options.trust_delay_s)
+        self._era: Era | None = None
         self._confirmed_s: float | None = None
         self._last_read_s = get_elapsed_s()
         self.is_synced = False
@@ -459,6 +460,7 @@
             INACTIVITY_TIMEOUT_S,
             self._apply_partial_page,
         )
+        self._era = get_era(page.end)
         if page.end < max(known_end, self._lag.end):
             # The answer comes from an outdated copy of the topic: it confirms
             # nothing about the present.
@@ -480,6 +482,12 @@
 
     async def _read_newest(self, sent_s: float) -> None:
         page = await self._store.read_newest(self.topic, INACTIVITY_TIMEOUT_S)
+        era = get_era(page.end)
+        if self._era not in (None, era):
+            # The store had dropped the history before it came back, so no read
+            # from a position has told the new era.
+            self._start_era(era, None)
+        self._era = era
         self._topic_log.restart(page.end)
         if self._settling.get_left_s(sent_s) == 0.0:
             self._settling.finish()
@@ -531,29 +539,37 @@
     def _on_era_changed(self, error: StoreEraChangedError) -> None:
         """Forgets where the topic stands, but nothing that was read of it.
 
-        The store has lost records, and others stand at their offsets. The
-        newest of each key are read at once. What they lack or contradict stays
-        in force until it has had time to be written again. A topic without keys
-        is read again from its beginning, as nothing tells where the copy ends.
+        A topic without keys is read again from its beginning, as nothing tells
+        where the copy ends.
+        """
+        known_end = self._topic_log.end
+        self._start_era(error.era, known_end)
+        self._topic_log.restart(
+            None if self._options.is_keyed else make_position(error.era, 0)
+        )
+        if not self._options.is_keyed:
+            self._settling.finish()
+
+    def _start_era(self, era: Era, known_end: Position | None) -> None:
+        """Starts an era in which others stand at the offsets of lost records.
+
+        The newest record of each key is read at once. What these lack or
+        contradict stays in force until it has had time to be written again.
         """
-        now_s, known_end = get_elapsed_s(), self._topic_log.end
         _log.warning(
             "store_era_changed",
             extra={
                 "topic": self.topic,
-                "era": error.era,
-                "previous": None if known_end is None else get_era(known_end),
+                "era": era,
+                "previous": self._era,
                 "known": format_position(known_end),
             },
         )
+        self._era = era
+        now_s = get_elapsed_s()
         self._outage.record_failure_elsewhere(now_s)
         self._store_recovery.notify_era_changed()
         self._settling.start(now_s)
-        self._topic_log.restart(
-            None if self._options.is_keyed else make_position(error.era, 0)
-        )
-        if not self._options.is_keyed:
-            self._settling.finish()
         self._listener.on_era_changed()
 
     def _on_success(self) -> None:
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -33,6 +33,7 @@
     def __init__(self):
         self.records = []
         self.confirmations = []
+        self.copies = []
 
     def on_newest(self, page):
         self.on_records(page)
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -31,7 +31,7 @@
 from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.platform.records import Page, Record
 from tests.gateway_harness import KEY, run_gateway_harness
-from tests.test_gateway_feeds import TOPIC, run_store
+from tests.test_gateway_feeds import TOPIC, run_feed, run_store, wait_until
 from tests.test_gateway_rollouts import call_until, put_order
 
 OTHER_KEY = "other"
@@ -247,6 +247,21 @@
         assert gateway.deployment.configuration.version == 4
 
 
+async def test_era_that_begins_while_the_history_is_lost_is_noticed():
+    # Guards against upstreams that are dropped at once, as the first list of a
+    # new era passes for a complete one.
+    async with run_store() as (store, client):
+        copy = store.take_copy()
+        store.append_keyed(TOPIC, "a", b"x")
+        async with run_feed(client) as (feed, listener):
+            await wait_until(lambda: listener.confirmations)
+            listener.on_copy = listener.copies.append
+            store.restore_copy(copy)
+            feed._topic_log.restart(None)
+            await wait_until(lambda: listener.copies)
+            assert get_era(listener.copies[0].end) == 2
+
+
 async def test_an_answer_without_an_era_is_no_old_one():
     # Guards against a client that takes a refusal of a part in front of the
     # store for a lost answer.
