--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -130,6 +130,11 @@
     OPEN_REQUESTS = SeriesSpec(
         "open_requests", SeriesKind.GAUGE, "Requests open now."
     )
+    SUSPECT_REQUESTS = SeriesSpec(
+        "suspect_requests",
+        SeriesKind.GAUGE,
+        "Requests that were in flight where upstreams crashed lately.",
+    )
     EVACUATED_ZONES = SeriesSpec(
         "evacuated_zones",
         SeriesKind.GAUGE,
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -105,9 +105,8 @@
     """Creates all components without starting any."""
     rng = random.Random()
     bounds = settings.bounds
-    make_store = functools.partial(
-        _make_store, settings, exposition, StoreEras()
-    )
+    eras = StoreEras()
+    make_store = functools.partial(_make_store, settings, exposition, eras)
     socket = _make_peer_socket(settings, exposition)
     rotation = Rotation()
     gossip = _make_gossip(settings, rotation, socket)
@@ -175,6 +174,7 @@
         for feed in (operator_feed, upstream_feed, peer_messages_feed):
             relay.add_source(feed)
     _add_gauges(exposition, deployment, socket, operator_feed)
+    exposition.add_gauge(Series.SUSPECT_REQUESTS, lambda: len(suspects))
     timers = TimerService()
     limit_exchange = (
         None if socket is None else LimitExchange(socket, rotation, guard)
