--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -135,6 +135,11 @@
         SeriesKind.GAUGE,
         "Requests that were in flight where upstreams crashed lately.",
     )
+    STORE_ERA = SeriesSpec(
+        "store_era",
+        SeriesKind.GAUGE,
+        "Era that the store states; it rises when it comes back from a copy.",
+    )
     EVACUATED_ZONES = SeriesSpec(
         "evacuated_zones",
         SeriesKind.GAUGE,
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -175,6 +175,7 @@
             relay.add_source(feed)
     _add_gauges(exposition, deployment, socket, operator_feed)
     exposition.add_gauge(Series.SUSPECT_REQUESTS, lambda: len(suspects))
+    exposition.add_gauge(Series.STORE_ERA, lambda: eras.current)
     timers = TimerService()
     limit_exchange = (
         None if socket is None else LimitExchange(socket, rotation, guard)
