--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -27,6 +27,12 @@
 Fault = Callable[[SoakEnvironment], Awaitable[None]]
 
 
+def _choose_live_worker(environment: SoakEnvironment) -> str | None:
+    """Chooses a live worker; None where requests have crashed all of them."""
+    live = environment.get_live_workers()
+    return environment.rng.choice(live) if live else None
+
+
 @contextlib.contextmanager
 def _record_gateway_fault(
     environment: SoakEnvironment, gateway: str
@@ -207,7 +213,9 @@
 
 async def state_limit(environment: SoakEnvironment) -> None:
     """Makes a worker state one or two request limits, for 4 to 9 s each."""
-    name = environment.rng.choice(environment.get_live_workers())
+    name = _choose_live_worker(environment)
+    if name is None:
+        return
     worker = environment.workers[name]
     if worker.notices:
         return
@@ -242,7 +250,9 @@
 
 async def ask_for_rest(environment: SoakEnvironment) -> None:
     """Makes a worker refuse all requests for 0.5 to 3 s and ask for a rest."""
-    name = environment.rng.choice(environment.get_live_workers())
+    name = _choose_live_worker(environment)
+    if name is None:
+        return
     environment.rest_s[name] = environment.rng.uniform(0.8, 3.0)
     await asyncio.sleep(environment.rng.uniform(0.5, 3.0))
     environment.rest_s.pop(name, None)
@@ -250,7 +260,9 @@
 
 async def state_nonsense(environment: SoakEnvironment) -> None:
     """Makes a worker state unusable things of itself for 0.5 to 2 s."""
-    name = environment.rng.choice(environment.get_live_workers())
+    name = _choose_live_worker(environment)
+    if name is None:
+        return
     worker = environment.workers[name]
     if worker.notices:
         return
