Ask who made an answer of the answer itself, in soaks

A stream, q60, had begun at w4, which said that it leaves, and gone on at w3; it keeps the headers of its first worker, as it must, and the check took the last worker of the request for the one that had spoken. Workers of a soak name themselves in their answers now, and the check goes by that. It is as strict: what was said counts for the worker that said it, answers of requests that did not run included.

--- a/lab/soak/notice_checks.py
+++ b/lab/soak/notice_checks.py
@@ -7,6 +7,7 @@
 
 from lab.soak.traffic import SentRequest
 from lab.soak.world import (
+    ANSWERED_BY,
     DRAIN_S,
     SoakEnvironment,
     StatedLimit,
@@ -133,8 +134,9 @@
         told_s: dict[str, float] = {}
         for request in self._sent.values():
             reply = request.reply
-            runs = self._environment.runs.get(request.id, [])
-            if reply is None or not runs or runs[-1][1] != worker:
+            if reply is None:
+                continue
+            if reply.headers.get(ANSWERED_BY.lower()) != worker:
                 continue
             stated = reply.headers.get(header)
             if stated is None or request.ended_s < from_s:
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -32,6 +32,9 @@
 DRAIN_S = 2.0
 STOP_S = 6.0
 RESTART_S = 0.3
+ANSWERED_BY = "Answered-By"
+"""Header in which a worker names itself. A stream that goes on at another
+worker keeps the headers of its first one."""
 CRASHING_BODY = b"crash-"
 """First bytes of the body of a request that crashes each worker."""
 POLICIES = {
@@ -373,6 +376,8 @@
         self, arrival: Arrival, writer: asyncio.StreamWriter
     ) -> None:
         instance = arrival.headers.get("expected-instance", "")
+        notices = {**arrival.notices, ANSWERED_BY: instance}
+        arrival = dataclasses.replace(arrival, notices=notices)
         if instance in self.rest_s:
             await self._ask_for_rest(arrival, writer, instance)
             return
