Hold copies for no probe that never runs, and probe what is exonerated

Three ways in which the count of a request's crashes still went wrong or cost innocent callers: - A claim that lost against another one stayed in its second copy and in the store: once the winner had ended, the copy passed for a new probe, and all copies waited and got 503 for 30 s. A claim that loses is withdrawn, and the next one has another name. - A caller that left while its claim settled left the claim behind, in both front ends. It is withdrawn. - An innocent request with more strikes, convicted first, explained all strikes of the guilty one, which then ran freely at all gateways at one moment. What another request explains is no longer refused, but runs as a probe until an answer, so the guilty one crashes one upstream more.

--- a/src/lovagestage/decisions/crash_suspects.py
+++ b/src/lovagestage/decisions/crash_suspects.py
@@ -13,8 +13,10 @@
 twice or out of order lead to the same verdict, and several copies of a request
 at one upstream get a single strike.
 
-A crash that a convicted request explains counts against no other request that
-was there, unless that one was in flight at as many crashes.
+A crash that a convicted request explains convicts no other request that was
+there, unless that one was in flight at as many crashes. The other one still
+runs as a probe until it is answered: the convicted request may be the innocent
+one.
 
 The decisions are pure: they read no clock and open no socket.
 """
@@ -162,21 +164,18 @@
         return len(self._suspects)
 
     def get_strikes(self, fingerprint: Fingerprint, now_s: float) -> int:
-        """Returns the number of crashes that count against a request."""
+        """Returns the number of crashes at which the request was in flight."""
         suspect = self._get(fingerprint, now_s)
-        if suspect is None:
-            return 0
-        return len(suspect.strikes.keys() - self._get_explained(suspect))
+        return 0 if suspect is None else len(suspect.strikes)
 
     def admit(self, fingerprint: Fingerprint, now_s: float) -> Admission:
         """Returns how the request may run now."""
         suspect = self._get(fingerprint, now_s)
         if suspect is None:
             return Admission.FREE
-        explained = self._get_explained(suspect)
-        if suspect.probe_strikes - explained:
+        if suspect.probe_strikes - self._get_explained(suspect):
             return Admission.REFUSE
-        strikes = len(suspect.strikes.keys() - explained)
+        strikes = len(suspect.strikes)
         unchecked = set(suspect.checks.values()) - suspect.strikes.keys()
         if unchecked and strikes + len(unchecked) >= STRIKES_TO_PROBE:
             return Admission.WAIT
@@ -206,6 +205,18 @@
             and suspect.has_probe(now_s)
         )
 
+    def withdraw_probe(
+        self, fingerprint: Fingerprint, run: str, now_s: float
+    ) -> CrashReport:
+        """Withdraws the claim of a probe; returns the report for the others.
+
+        A copy of the claim that arrives later then holds no probe. The run may
+        not claim one again under this name.
+        """
+        return self._apply_own_report(
+            CrashReport(CrashReportKind.PROBE_ENDED, fingerprint, run), now_s
+        )
+
     def get_probe(self, fingerprint: Fingerprint, now_s: float) -> str:
         """Returns the run that probes a request; empty without one."""
         suspect = self._get(fingerprint, now_s)
--- a/src/lovagestage/entry/crash_watch.py
+++ b/src/lovagestage/entry/crash_watch.py
@@ -116,8 +116,12 @@
         self._publish(
             self._table.start_probe(fingerprint, label, time.monotonic())
         )
-        if self._peers.get_permanent():
-            await asyncio.sleep(CLAIM_SETTLE_S)
+        try:
+            if self._peers.get_permanent():
+                await asyncio.sleep(CLAIM_SETTLE_S)
+        except asyncio.CancelledError:
+            self._record_end(fingerprint, label, False)
+            raise
         return self._table.holds_probe(fingerprint, label, time.monotonic())
 
     @contextlib.contextmanager
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -53,6 +53,8 @@
         noticed: Number of attempts at upstreams that had said something of
             themselves, by its kind.
         runs: Number of attempts that may have run at an upstream.
+        lost_claims: Number of times that another copy of the request was
+            probed in place of this one.
         tried: Upstreams in the order of the attempts.
         waits_s: Expected queue time in seconds at each tried upstream when it
             was chosen.
@@ -88,6 +90,7 @@
         self.sent = 0
         self.noticed: collections.Counter[NoticeKind] = collections.Counter()
         self.runs = 0
+        self.lost_claims = 0
         self.tried: list[InstanceId] = []
         self.waits_s: list[float] = []
         self.work_s = 0.0
@@ -114,12 +117,16 @@
     @property
     def run_name(self) -> str:
         """Name of the last attempt: the request's id and attempt number."""
-        return f"{self.admitted.request.id}/{self.sent}"
+        return self._make_run_name(self.sent)
 
     @property
     def next_run_name(self) -> str:
         """Name of the attempt that is made next."""
-        return f"{self.admitted.request.id}/{self.sent + 1}"
+        return self._make_run_name(self.sent + 1)
+
+    def _make_run_name(self, number: int) -> str:
+        claim = f".{self.lost_claims}" if self.lost_claims else ""
+        return f"{self.admitted.request.id}/{number}{claim}"
 
     @property
     def remaining_s(self) -> float:
--- a/src/lovagestage/gateway/crash_detection.py
+++ b/src/lovagestage/gateway/crash_detection.py
@@ -64,17 +64,22 @@
         at one moment would each be run as a probe.
 
         Returns:
-            Whether the run may start; otherwise another one is the probe.
+            Whether the run may start; otherwise another one is the probe, and
+            the next claim needs another name.
         """
         report = self._table.start_probe(fingerprint, run, get_elapsed_s())
         self._own_probes.add(run)
         self._post(report)
-        if self._has_peers():
-            await asyncio.sleep(CLAIM_SETTLE_S)
+        try:
+            if self._has_peers():
+                await asyncio.sleep(CLAIM_SETTLE_S)
+        except asyncio.CancelledError:
+            self._withdraw_probe(fingerprint, run)
+            raise
         now_s = get_elapsed_s()
         has_won = self._table.holds_probe(fingerprint, run, now_s)
         if not has_won:
-            self._own_probes.discard(run)
+            self._withdraw_probe(fingerprint, run)
         _log.info(
             "suspect_probed" if has_won else "suspect_held",
             extra={
@@ -142,6 +147,11 @@
         """Yields the reports that tell a new gateway of all strikes."""
         return self._table.get_reports(get_elapsed_s())
 
+    def _withdraw_probe(self, fingerprint: Fingerprint, run: str) -> None:
+        self._own_probes.discard(run)
+        now_s = get_elapsed_s()
+        self._post(self._table.withdraw_probe(fingerprint, run, now_s))
+
     def _defend_probe(self, claim: CrashReport, probe: str) -> None:
         """Repeats a claim to a gateway that has not heard of it."""
         now_s = get_elapsed_s()
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -140,6 +140,7 @@
                     fingerprint, attempts.next_run_name
                 ):
                     return
+                attempts.lost_claims += 1
         if get_elapsed_s() >= end_s:
             raise attempts.make_refusal("suspect_waiting")
         await asyncio.sleep(SUSPECT_POLL_S)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import threading
 
 import openai
@@ -27,6 +28,7 @@
     SuspectTable,
     get_fingerprint,
 )
+from lovagestage.gateway.crash_detection import SuspectWatch
 from lovagestage.messages.crashes import CrashReport, CrashReportKind
 from tests.test_thin_path import MESSAGES, get_expected_text
 
@@ -221,9 +223,9 @@
         assert copy.admit(name, 0.0) is table.admit(name, 0.0)
 
 
-def test_an_innocent_beside_a_convicted_request_runs_freely():
-    # Guards against requests that are held up, or refused for an hour, because
-    # they were in flight where another request crashed the upstream.
+def test_an_innocent_beside_a_convicted_request_is_not_refused():
+    # Guards against requests that are refused for an hour because they were in
+    # flight where another request crashed the upstream.
     innocent = HARMLESS[0]
     reports = [
         CrashReport(STRIKE, innocent, "i1", "b"),
@@ -233,7 +235,7 @@
     assert apply_all(reports).admit(innocent, 0.0) is Admission.REFUSE
     reports.append(CrashReport(CONVICTED, CRASHING, "rc", "c"))
     table = apply_all(reports)
-    assert table.admit(innocent, 0.0) is Admission.FREE
+    assert table.admit(innocent, 0.0) is Admission.PROBE
     assert table.admit(CRASHING, 0.0) is Admission.REFUSE
     for run in ("i3", "i4"):
         table.record_end(innocent, run, True, 0.0)
@@ -242,6 +244,23 @@
     assert table.admit(innocent, 0.0) is Admission.FREE
 
 
+def test_a_guilty_request_that_another_one_explains_crashes_one_more():
+    # Guards against the guilty request running freely, at all entries at one
+    # moment, because an innocent one with more strikes was convicted first.
+    innocent = HARMLESS[0]
+    reports = [
+        *(CrashReport(STRIKE, innocent, f"i{name}", name) for name in "abcd"),
+        CrashReport(CONVICTED, innocent, "ie", "e"),
+        *(CrashReport(STRIKE, CRASHING, f"r{name}", name) for name in "abe"),
+    ]
+    table = apply_all(reports)
+    assert table.admit(CRASHING, 0.0) is Admission.PROBE
+    table.start_probe(CRASHING, "p", 0.0)
+    assert table.admit(CRASHING, 0.0) is Admission.WAIT
+    table.record_crash(CRASHING, "p", "f", 0.0)
+    assert table.admit(CRASHING, 0.0) is Admission.REFUSE
+
+
 def test_a_probe_that_crashes_late_convicts():
     # Guards against a request that crashes each upstream after half a minute
     # and is probed without end, since its probe has given way to another one.
@@ -320,3 +339,38 @@
     table.record_crash(CRASHING, "r/1", "a", 0.0)
     table.record_crash(CRASHING, "r/3", "b", 0.0)
     assert table.admit(CRASHING, 0.0) is Admission.PROBE
+
+
+def make_watch():
+    posted = []
+    watch = SuspectWatch(posted.append, lambda: True)
+    for name in "ab":
+        watch.on_report(CrashReport(STRIKE, CRASHING, f"r{name}", name))
+    return watch, posted
+
+
+async def test_claim_of_a_caller_that_has_left_holds_no_copies():
+    # Guards against copies that wait for a probe which never starts, since its
+    # caller has left while the claim settled.
+    watch, posted = make_watch()
+    task = asyncio.ensure_future(watch.claim_probe(CRASHING, "p"))
+    await asyncio.sleep(0)
+    assert watch.admit(CRASHING) is Admission.WAIT
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert watch.admit(CRASHING) is Admission.PROBE
+    assert posted[-1].kind is CrashReportKind.PROBE_ENDED
+
+
+async def test_lost_claim_that_arrives_late_holds_no_copies():
+    # Guards against a claim that lost, and whose second copy passes for a new
+    # probe once the winner has ended.
+    watch, posted = make_watch()
+    other, _ = make_watch()
+    task = asyncio.ensure_future(watch.claim_probe(CRASHING, "q"))
+    await asyncio.sleep(0)
+    watch.on_report(CrashReport(CrashReportKind.PROBE, CRASHING, "p"))
+    assert not await task
+    for report in (*posted, posted[0]):
+        other.on_report(report)
+    assert other.admit(CRASHING) is Admission.PROBE
