--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,19 +25,18 @@
 
 PAUSES_S = [0.2, 0.2, 0.2, 0.2, 0.2, 0.2]
 LONG_PAUSE_S = 1.6
-"""Over the route's `TargetGapMs` of 1.2 s, and far under the 12 s after which a
-client abandons a stream: the longest of 2 s, four times the objective of 3 s and
-eight times the pause."""
+"""Over the route's `TargetGapMs` of 1.2 s, and far under the time
+after which a client abandons a stream: the longest of 2 s, four times the
+objective of 1.5 s and eight times that pause."""
 LONG_PAUSE_BEFORE = 3
 STREAMS = 4
 """Streams on each route, half of them sent before the SIGTERM."""
-LAST_BYTE_S = 0.2
-"""Bound `LossSlackMs`."""
 
 
 async def run(
     record: Record, folder: pathlib.Path, trouble: bool, gateways: list[Gateway]
 ) -> int:
+    """Sends streams around a SIGTERM; returns the exit code."""
     store = Store()
     await store.start()
     pauses_s = list(PAUSES_S)
--- a/review/standins.py
+++ b/review/standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the review's scripts: store, workers, clients, gateway processes.
+"""Stand-ins of the review's scripts: store, workers, clients, gateways.
 
 They need the standard library alone, speak what the platform's pages say, and
 listen on loopback addresses only. Whatever they see goes into a `Record`.
@@ -113,6 +113,12 @@
     return {name.lower(): value.strip() for name, _, value in pairs}
 
 
+def get_address(server: asyncio.Server) -> str:
+    """Returns the `IP:PORT` on which a server listens."""
+    host, port = server.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
+
+
 class Topic:
     """A topic of the store with one partition."""
 
@@ -144,7 +150,7 @@
     async def start(self) -> None:
         """Starts to listen."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.address = get_address(server)
 
     def get_topic(self, name: str) -> Topic:
         """Returns a topic, which is created on first use."""
@@ -319,7 +325,7 @@
     async def start(self) -> None:
         """Starts to listen."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.address = get_address(server)
 
     def make_entry(self, service: str, state: str = "ready") -> dict:
         """Returns the worker's entry in the store."""
@@ -448,7 +454,9 @@
 
     def __str__(self) -> str:
         how = "complete" if self.is_complete else "the connection ended"
-        signed = "signed" if "response-signature" in self.headers else "unsigned"
+        signed = (
+            "signed" if "response-signature" in self.headers else "unsigned"
+        )
         return f"{self.status} {signed}, {len(self.body)} bytes, {how}"
 
 
@@ -548,7 +556,7 @@
         self._log = folder / f"{name}.log"
         self._path = folder / f"{name}.conf"
         ip = _get_free_ip()
-        ports = [_get_free_port(ip) for _ in range(3)]
+        ports = _get_free_ports(ip, 3)
         self.address = f"{ip}:{ports[0]}"
         self._ready = (ip, ports[1])
         self._path.write_text(
@@ -626,17 +634,19 @@
 
 def _get_free_ip() -> str:
     for _ in range(100):
-        ip = "127.%d.%d.%d" % tuple(random.randint(2, 250) for _ in range(3))
+        ip = ".".join(("127", *(str(random.randint(2, 250)) for _ in range(3))))
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind((ip, METRICS_PORT))
             return ip
     raise OSError("no free loopback address")
 
 
-def _get_free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
+def _get_free_ports(ip: str, count: int) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 def make_route(name: str, kind: str, service: str, **fields: object) -> dict:
@@ -701,6 +711,9 @@
                     )
             except Exception as error:
                 record.add(f"could not run: {error!r}")
+                for gateway in gateways:
+                    for line in gateway.get_log().splitlines()[-8:]:
+                        record.add(f"{gateway.name} logged: {line}")
                 code = NOT_RUN
             finally:
                 for gateway in gateways:
