Part the options, the lag's lines and shared outages from the feeds

No behaviour changes: the lag of a topic and its two lines stand in lag_report, the options in topic_options, the decision on a shared outage in feed_outage.

--- a/src/lovagestage/gateway/feed_outage.py
+++ b/src/lovagestage/gateway/feed_outage.py
@@ -29,6 +29,10 @@
 another feed finds that the store has recovered. A read that was sent before the
 recovery usually hangs until its timeout."""
 
+SHARED_OUTAGE_READ_INTERVAL_S = 3.0
+"""Minimum interval in seconds between a follower's reads of the store while
+both it and its watcher have lost the store."""
+
 
 class FeedOutage:
     """The failures of one feed's reads, and its waits after them.
@@ -72,6 +76,24 @@
         """
         self.last_failure_s = max(failed_s, self.last_failure_s or failed_s)
 
+    def is_shared(self, watcher_failure_s: float | None, now_s: float) -> bool:
+        """Returns whether the watcher and this gateway have lost the store.
+
+        This limits the load on a store that is down: without it, every
+        gateway would read every topic each second or two. The watchers go on
+        reading and notify the followers when the store recovers. This gateway
+        reads rarely, in case the store is unavailable to some gateways only.
+
+        Args:
+            watcher_failure_s: Elapsed time at which the store last failed to
+                answer the watcher; None for never.
+            now_s: Elapsed time in seconds.
+        """
+        if watcher_failure_s is None or self.own_failure_s is None:
+            return False
+        failed_s = min(watcher_failure_s, self.own_failure_s)
+        return now_s - failed_s < SHARED_OUTAGE_READ_INTERVAL_S
+
     async def run_read(
         self,
         read: Callable[[float], Awaitable[bool]],
--- a/src/lovagestage/gateway/feed_wiring.py
+++ b/src/lovagestage/gateway/feed_wiring.py
@@ -5,7 +5,7 @@
 import random
 
 from lovagestage.gateway.deployment import Deployment
-from lovagestage.gateway.feeds import TopicFeed, TopicReadOptions
+from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.freshness import FRESHNESS_MARGIN_S
 from lovagestage.gateway.peer_messages import PEER_MESSAGES_TOPIC
 from lovagestage.gateway.peer_messenger import PeerMessenger
@@ -18,6 +18,7 @@
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.state_view import OperatorStateView, UpstreamStateView
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
+from lovagestage.gateway.topic_options import TopicReadOptions
 from lovagestage.platform.store import (
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import logging
 import math
 import random
@@ -28,6 +27,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.feed_outage import FeedOutage
 from lovagestage.gateway.feed_protocols import FeedListener, RelayClient
+from lovagestage.gateway.lag_report import LagReport
 from lovagestage.gateway.relay import (
     CONFIRMATION_AGE_SLACK_S,
     RelayedState,
@@ -35,8 +35,8 @@
 )
 from lovagestage.gateway.relay_messages import TopicState
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
-from lovagestage.gateway.topic_lag import TopicLag
 from lovagestage.gateway.topic_log import TopicLog
+from lovagestage.gateway.topic_options import TopicReadOptions
 from lovagestage.platform.records import Page, Record
 from lovagestage.platform.store import StoreClient
 from lovagestage.types import Era, Position
@@ -58,9 +58,6 @@
 shorter than the slack that followers allow for the age of the watcher's
 freshness confirmation; the additional reads cost the store little, as there
 are few watchers."""
-SHARED_OUTAGE_READ_INTERVAL_S = 3.0
-"""Minimum interval in seconds between a follower's reads of the store while
-both it and its watcher have lost the store."""
 RELAYED_RECORDS_TIMEOUT_S = 0.05
 """Time limit in seconds for records that arrive after the response that they
 belong to: several times the transit time of a datagram between zones. Records
@@ -68,40 +65,6 @@
 followers themselves."""
 
 
-@dataclasses.dataclass(frozen=True)
-class TopicReadOptions:
-    """Options for reading a topic.
-
-    Attributes:
-        topic: The topic.
-        wait_s: Time in seconds for which the store holds a read while there
-            is no record (long polling).
-        pause_s: Time in seconds from a read that returned records to the next
-            read, so that records appended in bursts share a read.
-        is_keyed: Whether to begin with the newest record of each key.
-        watch_wait_s: Time in seconds for which the store holds a watcher's
-            read; None for the time that the relay computes from the time
-            limit for applying a change.
-        is_relayed: Whether a watcher sends the topic's records to its
-            followers. Callers' keys are never sent: each gateway reads them
-            from the store.
-        requires_freshness: Whether a change must be in force within a time
-            limit, so that followers rely on recent freshness confirmations
-            only.
-        trust_delay_s: Time in seconds after the store has come back from a
-            copy for which no read confirms that the records are current.
-    """
-
-    topic: str
-    wait_s: float
-    pause_s: float
-    is_keyed: bool = True
-    watch_wait_s: float | None = None
-    is_relayed: bool = False
-    requires_freshness: bool = True
-    trust_delay_s: float = 0.0
-
-
 class TopicFeed(mode.Service):
     """Reads a topic, from its newest records on, until the feed is stopped.
 
@@ -153,7 +116,7 @@
         self._relay = relay
         self._outage = FeedOutage(options.topic, rng, store_recovery)
         self._topic_log = TopicLog(None if options.is_keyed else START)
-        self._lag = TopicLag()
+        self._lag = LagReport(options.topic)
         self._settling = EraSettling(options.trust_delay_s)
         self._era: Era | None = None
         self._confirmed_s: float | None = None
@@ -250,41 +213,17 @@
     def _deliver_records(self, records: tuple[Record, ...]) -> None:
         end = advance(records[-1].position, 1)
         self._listener.on_records(Page(records, end))
-        self._record_known_end()
+        self._lag.record_known_end(self._topic_log.end)
 
     def _record_end(self, end: Position) -> None:
         """Records the end of the topic, whether or not it is read so far.
 
-        Notifies the listener that there are records beyond the known ones, and
-        logs the lag where that is due.
+        Notifies the listener that there are records beyond the known ones.
         """
-        now_s, known_end = get_elapsed_s(), self._topic_log.end
-        self._lag.record_end(end, known_end, now_s)
-        if self._lag.is_behind(known_end):
-            self._listener.on_update_available(now_s)
-        if (age_s := self._lag.check_report_due(now_s)) is not None:
-            _log.warning(
-                "topic_behind",
-                extra={
-                    "topic": self.topic,
-                    "known": format_position(known_end),
-                    "end": format_position(self._lag.end),
-                    "age_s": round(age_s, 2),
-                },
-            )
-
-    def _record_known_end(self) -> None:
         known_end = self._topic_log.end
-        age_s = self._lag.record_known_end(known_end, get_elapsed_s())
-        if age_s is not None:
-            _log.info(
-                "topic_caught_up",
-                extra={
-                    "topic": self.topic,
-                    "known": format_position(known_end),
-                    "age_s": round(age_s, 2),
-                },
-            )
+        self._lag.record_end(end, known_end)
+        if self._lag.is_behind(known_end):
+            self._listener.on_update_available(get_elapsed_s())
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -328,7 +267,13 @@
             state = await self._relay.wait_for_state(self.topic)
             if state is not None and await self._apply_watcher_state(state):
                 return False
-            if state is not None and self._is_shared_outage(state):
+            if (
+                state is not None
+                and not state.is_fresh
+                and self._outage.is_shared(
+                    state.last_failure_s, get_elapsed_s()
+                )
+            ):
                 return False
             return await self._read(0.0)
         self._was_watching = relay_mode is RelayMode.WATCHER
@@ -380,26 +325,6 @@
             self._listener.on_freshness_confirmed(state.confirmed_s)
         return True
 
-    def _is_shared_outage(self, state: RelayedState) -> bool:
-        """Whether the watcher and this gateway have both lost the store.
-
-        This limits the load on a store that is down: without it, every
-        gateway would read every topic each second or two. The watchers go on
-        reading and notify the followers when the store recovers. This gateway
-        reads rarely, in case the store is unavailable to some gateways only.
-        """
-        if (
-            state.is_fresh
-            or state.last_failure_s is None
-            or self._outage.own_failure_s is None
-        ):
-            return False
-        now_s = get_elapsed_s()
-        return (
-            now_s - min(state.last_failure_s, self._outage.own_failure_s)
-            < SHARED_OUTAGE_READ_INTERVAL_S
-        )
-
     async def _wait_for_relayed_records(self, end: Position) -> None:
         """Waits for records whose datagrams arrive after the response."""
         with contextlib.suppress(TimeoutError):
@@ -496,7 +421,7 @@
         else:
             self._listener.on_newest(page)
         self.is_synced = True
-        self._record_known_end()
+        self._lag.record_known_end(self._topic_log.end)
         if not self._lag.is_behind(page.end):
             self._confirm_freshness(sent_s)
 
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -17,8 +17,9 @@
     StoreHistoryLostError,
     StoreUnavailableError,
 )
-from lovagestage.gateway.feeds import TopicFeed, TopicReadOptions
+from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
+from lovagestage.gateway.topic_options import TopicReadOptions
 from lovagestage.platform.store import StoreClient
 
 TOPIC = "keyed.op"
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -18,7 +18,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.exposition import Exposition
 from lovagestage.gateway.feed_wiring import get_relay_bound_s
-from lovagestage.gateway.feeds import TopicFeed, TopicReadOptions
+from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.freshness import ConfigurationFreshness
 from lovagestage.gateway.gossip import KEEPALIVE_INTERVAL_S
 from lovagestage.gateway.peers import PEER_EXPIRY_S, PeerSocket
@@ -32,6 +32,7 @@
 )
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
+from lovagestage.gateway.topic_options import TopicReadOptions
 from lovagestage.platform.records import Record
 from lovagestage.platform.store import StoreClient
 from tests.test_gateway_feeds import TOPIC, Recorder, wait_until
