Give a silent run up only where another one may follow

Callers' streams were cut in the middle, and others got 502, after a pause of their upstream, though it was at work, time was left, and nothing followed: the stream may run once, no other upstream was there, MaxAttempts were used, no retry was left, or the request was suspected of crashes. After the first event the limit between events held always; before it, other upstreams, the retry budget and the admission of suspects were looked at only after the run had ended.

gateway/silence now decides it alone. A run is given up once its time is over only if the request may be sent again, the next attempt would get a healthy upstream, admission is free, and a retry has been reserved; otherwise the wait goes on to the deadline, and the decision is made again every 0.2 s. A reserved retry that is not used goes back. silence_waited_through tells how long, and why.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -11,12 +11,13 @@
 
 from lovagestage.decisions.upstream_notices import NoticeKind
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
-from lovagestage.gateway import upstream_choice
+from lovagestage.gateway import missing_upstreams, upstream_choice
 from lovagestage.gateway.admission import RETRY_AFTER_S, AdmittedRequest
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.crash_detection import make_fingerprint
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.retry_budget import ServiceRetryBudget
+from lovagestage.gateway.retry_permit import Obstacle, RetryPermit
 from lovagestage.gateway.rollouts import Assignment
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import Fingerprint, InstanceId, RunState, ZoneId
@@ -27,10 +28,6 @@
 """Number of upstreams that may refuse a request before its caller is asked to
 retry later: where three upstreams are full, the next one most likely is, too.
 """
-MAX_SAMPLED_UPSTREAMS = 100
-"""Maximum number of upstreams among which the shortest queue is searched: a
-load gauge needs no more of them, and the search is made for the head of each
-answer."""
 MIN_REMAINING_S = 0.05
 """Time in seconds that must be left until the deadline for another attempt to
 be of use."""
@@ -75,6 +72,7 @@
             took to open.
         head_s: Time in seconds from sending the request to the head of the
             last answer.
+        permit: Access to the retry budget.
     """
 
     def __init__(
@@ -102,7 +100,7 @@
         self.connect_s: float | None = None
         self.head_s: float | None = None
         self._deployment = deployment
-        self._budget = budget
+        self.permit = RetryPermit(budget)
         self._zone = zone
         self._rng = rng
         self._excluded: set[InstanceId] = set()
@@ -156,7 +154,7 @@
         """
         placement = self._choose_placement(work)
         if placement is None:
-            raise self._make_missing_refusal()
+            raise missing_upstreams.make_refusal(self, self._deployment)
         upstream = placement.upstream
         if self.first_attempt_s is None:
             now_s = asyncio.get_running_loop().time()
@@ -174,28 +172,6 @@
         self.excess_s = wait_s + placement.work_s - work.cached_s
         return upstream
 
-    def _make_missing_refusal(self) -> GatewayRefusalError:
-        """Makes the error of a request for which no upstream is left.
-
-        Where all upstreams accept requests later, the caller is told when.
-        """
-        admitted, deployment = self.admitted, self._deployment
-        allowed = deployment.get_ready(
-            admitted.service, admitted.allowed_regions
-        )
-        if not allowed and deployment.get_ready(admitted.service, None):
-            return self.make_refusal("no_upstream_at_home")
-        now_s = get_elapsed_s()
-        denial = deployment.get_denial(allowed, now_s)
-        if denial is None or denial.denial is None:
-            return self.make_refusal("no_upstream")
-        retry_after_s = deployment.assign_turn(
-            admitted.service, denial, self.remaining_s, now_s
-        )
-        return self.make_refusal(
-            denial.denial.value, retry_after_s=retry_after_s
-        )
-
     def _choose_placement(
         self, work: upstream_choice.AttemptCost
     ) -> upstream_choice.Placement | None:
@@ -251,16 +227,10 @@
         return deployment.filter_available(fallback, get_elapsed_s())
 
     def get_shortest_wait_s(self) -> float:
-        """Returns the shortest queue time among the version's upstreams.
-
-        Where the version has many upstreams, a random sample of them is
-        searched. The time is the expected one in seconds, and 0 where the
-        version has no upstream.
-        """
-        assigned = self._get_assigned_upstreams()
-        if len(assigned) > MAX_SAMPLED_UPSTREAMS:
-            assigned = self._rng.sample(assigned, MAX_SAMPLED_UPSTREAMS)
-        return min((u.performance.get_wait_s() for u in assigned), default=0.0)
+        """Returns the shortest queue time among the version's upstreams."""
+        return upstream_choice.get_shortest_wait_s(
+            self._get_assigned_upstreams(), self._rng
+        )
 
     def _get_assigned_upstreams(self) -> Sequence[Upstream]:
         now_s = get_elapsed_s()
@@ -294,7 +264,7 @@
             if error.may_have_arrived:
                 self._refusals += 1
         if not error.may_have_arrived:
-            self._budget.release()
+            self.permit.return_used()
 
     def record_head(self, connect_s: float, head_s: float) -> None:
         """Records how long the last attempt took until its answer began.
@@ -330,27 +300,56 @@
             for upstream in upstreams
         )
 
-    def may_retry(self) -> bool:
-        """Returns whether a retry is allowed, and takes it from the budget.
+    def has_healthy_upstream(self, besides: Upstream | None = None) -> bool:
+        """Returns whether the next attempt would get a healthy upstream.
+
+        Args:
+            besides: Upstream of an attempt under way, which is not counted.
+        """
+        now_s = get_elapsed_s()
+        excluded = self._excluded | ({besides.id} if besides else set())
+        for upstreams in self._get_upstream_groups():
+            left = [u for u in upstreams if u.id not in excluded]
+            if left:
+                return any(
+                    upstream_choice.is_usable(u, (), now_s) for u in left
+                )
+        return False
+
+    def forget_exclusions(self) -> None:
+        """Lets upstreams that failed or refused the request have it again."""
+        self._excluded.clear()
+
+    def get_obstacle(self, outlasts_refusals: bool = False) -> Obstacle | None:
+        """Returns why the request may not be sent again; None if it may.
 
-        After an attempt that may have run, only a request that may run more
-        than once is sent again, and no more often than its route allows.
+        Args:
+            outlasts_refusals: Whether it may be sent on to any number of
+                upstreams that refuse it.
         """
         route = self.admitted.route
-        if self.remaining_s < MIN_REMAINING_S or self._refusals >= MAX_REFUSALS:
-            return False
+        if self.remaining_s < MIN_REMAINING_S:
+            return Obstacle.NO_TIME_LEFT
+        if self._refusals >= MAX_REFUSALS and not outlasts_refusals:
+            return Obstacle.REFUSED
         if self.runs >= route.max_attempts:
-            return False
+            return Obstacle.ATTEMPTS_USED
         if self.runs and not route.may_run_again:
+            return Obstacle.MAY_RUN_ONCE
+        return None
+
+    def may_retry(self) -> bool:
+        """Returns whether a retry is allowed, and takes it from the budget."""
+        if self.get_obstacle() is not None:
             return False
-        if self._budget.try_acquire(get_elapsed_s()):
+        if self.permit.take(get_elapsed_s()):
             return True
         _log.warning(
             "repeat_denied",
             extra={
                 "request": self.admitted.request.id,
                 "attempts": self.sent,
-                "tokens": round(self._budget.tokens, 2),
+                "tokens": round(self.permit.tokens, 2),
             },
         )
         return False
@@ -367,7 +366,7 @@
         # The answer that is ready is dropped for the larger model's.
         if not self.has_other_upstream():
             return False
-        return self._budget.try_acquire_escalation(get_elapsed_s())
+        return self.permit.take_for_escalation(get_elapsed_s())
 
     def make_refusal(
         self,
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -84,10 +84,13 @@
                 forwarded.
             AttemptFailedError: A stream broke off after it had started.
         """
-        if attempts.admitted.route.kind is RouteKind.STREAM:
-            await forward_stream(self._context, attempts, sink)
-        else:
-            await forward_plain(self._context, attempts, sink)
+        try:
+            if attempts.admitted.route.kind is RouteKind.STREAM:
+                await forward_stream(self._context, attempts, sink)
+            else:
+                await forward_plain(self._context, attempts, sink)
+        finally:
+            attempts.permit.cancel_reservation()
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Applies new limits; all retry budgets start again."""
--- a/src/lovagestage/gateway/plain_runs.py
+++ b/src/lovagestage/gateway/plain_runs.py
@@ -19,6 +19,7 @@
     should_retry_answer,
     wait_with_timeout,
 )
+from lovagestage.gateway.silence import wait_for_data
 from lovagestage.gateway.sinks import AnswerSink
 from lovagestage.gateway.upstream import Upstream
 
@@ -80,7 +81,9 @@
         context, attempts, upstream, model, None
     ) as exchange:
         started_s = asyncio.get_running_loop().time()
-        head = await wait_with_timeout(attempts, exchange.fetch_head(), limit_s)
+        head = await wait_for_data(
+            context.suspects, attempts, upstream, exchange.fetch_head(), limit_s
+        )
         attempts.record_head(exchange.connect_s, exchange.head_s)
         exchange.record_answer_start(
             asyncio.get_running_loop().time() - started_s
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -233,11 +233,12 @@
 def get_answer_timeout_s(
     context: RunContext, attempts: Attempts, model: str | None
 ) -> float:
-    """Returns the time in seconds within which an answer must start.
+    """Returns the time in seconds within which an answer is to start.
 
-    If the request must not be sent again after this attempt, it is the time
-    until the request's deadline. Otherwise a timeout derived from the route's
-    target latency and the mean latency of such answers applies as well.
+    After it, the attempt is given up where another one may follow. If the
+    request must not be sent again after this attempt, it is the time until the
+    request's deadline. Otherwise a timeout derived from the route's target
+    latency and the mean latency of such answers applies as well.
     """
     route = attempts.admitted.route
     left_s = max(0.0, attempts.remaining_s)
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -5,6 +5,8 @@
 import asyncio
 import dataclasses
 import logging
+from collections.abc import Awaitable
+from typing import TypeVar
 
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
@@ -24,6 +26,7 @@
     should_retry_answer,
     wait_with_timeout,
 )
+from lovagestage.gateway.silence import wait_for_data
 from lovagestage.gateway.sinks import AnswerSink
 from lovagestage.gateway.streams import EventSplitter
 from lovagestage.gateway.upstream import Upstream
@@ -31,6 +34,7 @@
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
+_Result = TypeVar("_Result")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -145,9 +149,7 @@
             self._model,
             self.progress.last_id,
         ) as exchange:
-            head = await wait_with_timeout(
-                attempts, exchange.fetch_head(), limit_s
-            )
+            head = await self._wait_for_data(exchange.fetch_head(), limit_s)
             attempts.record_head(exchange.connect_s, exchange.head_s)
             if head.status >= 300:
                 return await self._forward_failure(exchange, head)
@@ -215,10 +217,7 @@
         attempts = self._attempts
         event_timeout_s = attempts.admitted.route.max_event_interval_s
         while True:
-            limit_s = min(limit_s, attempts.remaining_s)
-            chunk = await wait_with_timeout(
-                attempts, exchange.fetch_chunk(), limit_s
-            )
+            chunk = await self._wait_for_data(exchange.fetch_chunk(), limit_s)
             if chunk is None:
                 break
             for event in self._splitter.split(chunk):
@@ -247,6 +246,17 @@
         last_id = decode_event_id(event) or self.progress.last_id
         self.progress = _Progress(last_id, True)
 
+    async def _wait_for_data(
+        self, awaitable: Awaitable[_Result], patience_s: float
+    ) -> _Result:
+        return await wait_for_data(
+            self._context.suspects,
+            self._attempts,
+            self._upstream,
+            awaitable,
+            patience_s,
+        )
+
     def _get_run_time_s(self) -> float:
         return asyncio.get_running_loop().time() - self._started_s
 
--- a/src/lovagestage/gateway/upstream_choice.py
+++ b/src/lovagestage/gateway/upstream_choice.py
@@ -17,6 +17,10 @@
 upstream of all, they would all choose the same one (Mitzenmacher 2000, "How
 Useful Is Old Information?")."""
 
+MAX_SAMPLED_UPSTREAMS = 100
+"""Maximum number of upstreams among which the shortest queue is searched: a
+load gauge needs no more of them, and the search is made for the head of each
+answer."""
 PREFILL_WEIGHT = 3.0
 """Weight of the prefill time that a cached prompt prefix saves, relative to
 queue time. A repeated prefill takes the upstream's time from all requests that
@@ -101,7 +105,7 @@
     if prefix_upstream is None:
         return None
     if not all(
-        _is_usable(u, excluded, now_s) for u in (prefix_upstream, *sample)
+        is_usable(u, excluded, now_s) for u in (prefix_upstream, *sample)
     ):
         # This path is rare, so that the gateway does not go through thousands
         # of upstreams for each request.
@@ -113,7 +117,7 @@
     # Few gateways may send requests to an upstream that is warming up, and a
     # random sample would rarely contain it, so such upstreams are always
     # compared.
-    candidates = (u for u in cold if _is_usable(u, excluded, now_s))
+    candidates = (u for u in cold if is_usable(u, excluded, now_s))
     sample += [u for u in (prefix_upstream, *candidates) if u not in sample]
     best = min(
         sample,
@@ -129,9 +133,23 @@
     )
 
 
-def _is_usable(
+def get_shortest_wait_s(
+    upstreams: Sequence[Upstream], rng: random.Random
+) -> float:
+    """Returns the shortest expected queue time in seconds.
+
+    Of many upstreams, a random sample is searched. The time is 0 where there
+    is no upstream.
+    """
+    if len(upstreams) > MAX_SAMPLED_UPSTREAMS:
+        upstreams = rng.sample(upstreams, MAX_SAMPLED_UPSTREAMS)
+    return min((u.performance.get_wait_s() for u in upstreams), default=0.0)
+
+
+def is_usable(
     upstream: Upstream, excluded: Collection[InstanceId], now_s: float
 ) -> bool:
+    """Returns whether an upstream is not excluded and shows no fault."""
     performance = upstream.performance
     return not (
         upstream.id in excluded
--- a/tests/test_gateway_silent_runs.py
+++ b/tests/test_gateway_silent_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 
 import pytest
@@ -79,6 +80,7 @@
     is_first_paused, caplog
 ):
     # The run is given up before the retry is taken, and none is left.
+    caplog.set_level(logging.INFO)
     script = make_pausing_stream(is_first_paused)
     async with run_gateway_harness(
         3, script, NO_RETRIES_EARNED, routes=[make_stream_route()]
