Let a stream that was given up outlast refusals and missing upstreams

A stream whose run the gateway had given up for its silence was cut where the next upstream refused it and none was left at that moment; one whose upstream broke off was cut although another upstream appeared, or could be sent requests again, within the time for which it may pause.

gateway/continuation: a started stream waits for an upstream as long as a stream that is on time may pause (TargetGapMs); its caller then does better to resume it at another gateway. Where the gateway gave up a run that might have gone on, it waits until the deadline, also for a retry, over any number of refusals, and upstreams that refused get it again. A refusal after a stream's head is no longer sent into the stream but ends it (stream_broken with its reason).

A test of resting upstreams stated a rest of 2 s, which ended while its five streams now wait for 0.3 s each; it states 30 s, so that any arrival breaks it.

--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -8,8 +8,12 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from lovagestage.exceptions import AttemptFailedError
+from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
+from lovagestage.gateway.continuation import (
+    wait_for_retry,
+    wait_for_upstream,
+)
 from lovagestage.gateway.escalation import get_first_model, get_larger_model
 from lovagestage.gateway.exchange import Exchange
 from lovagestage.gateway.messages import AnswerHead
@@ -80,28 +84,73 @@
         AttemptFailedError: The stream broke off after it had started and may
             not be continued.
     """
-    admitted = attempts.admitted
-    model = get_first_model(admitted.route, admitted.request)
-    progress = _Progress(admitted.request.resume_after, False)
-    while True:
+    await _Stream(context, attempts, sink).run()
+
+
+class _Stream:
+    """A caller's stream, over all of its runs."""
+
+    def __init__(
+        self, context: RunContext, attempts: Attempts, sink: AnswerSink
+    ) -> None:
+        request = attempts.admitted.request
+        self._context = context
+        self._attempts = attempts
+        self._sink = sink
+        self._progress = _Progress(request.resume_after, False)
+        # Whether a run was given up while its upstream might still have gone
+        # on, so that the caller is owed the rest.
+        self._is_owed = False
+
+    async def run(self) -> None:
+        """Sends the request to upstreams until its stream is complete."""
+        attempts = self._attempts
+        model = get_first_model(
+            attempts.admitted.route, attempts.admitted.request
+        )
+        try:
+            next_run: _NextRun | None = _NextRun(model)
+            while next_run is not None:
+                next_run = await self._run_once(next_run.model)
+        except GatewayRefusalError as refusal:
+            if not self._progress.is_started:
+                raise
+            raise AttemptFailedError(
+                refusal.reason, RunState.UNKNOWN, is_upstream_at_fault=False
+            ) from refusal
+
+    async def _run_once(self, model: str | None) -> _NextRun | None:
+        context, attempts = self._context, self._attempts
         upstream = await begin_attempt(context, attempts, model)
         name = attempts.run_name
-        run = _StreamRun(context, attempts, upstream, model, progress, sink)
+        run = _StreamRun(
+            context, attempts, upstream, model, self._progress, self._sink
+        )
         try:
-            next_run = await run.run()
+            return await run.run()
         except AttemptFailedError as error:
-            progress = run.progress
-            record_failed_attempt(context, attempts, upstream, error)
-            if attempts.may_retry():
-                continue
-            if progress.is_started:
-                raise
-            raise attempts.make_refusal(error.reason) from error
+            failure = error
         finally:
+            self._progress = run.progress
             context.suspects.record_ended(attempts.fingerprint, name)
-        if next_run is None:
-            return
-        model = next_run.model
+        record_failed_attempt(context, attempts, upstream, failure)
+        await self._prepare_next_run(failure)
+        return _NextRun(model)
+
+    async def _prepare_next_run(self, failure: AttemptFailedError) -> None:
+        attempts = self._attempts
+        is_started = self._progress.is_started
+        self._is_owed |= is_started and attempts.permit.is_reserved
+        if self._is_owed:
+            may_go_on = await wait_for_retry(attempts)
+        else:
+            may_go_on = attempts.may_retry()
+        if not may_go_on:
+            if is_started:
+                raise failure
+            raise attempts.make_refusal(failure.reason) from failure
+        if is_started:
+            await wait_for_upstream(attempts, self._is_owed)
 
 
 class _StreamRun:
--- a/tests/test_gateway_resting_upstreams.py
+++ b/tests/test_gateway_resting_upstreams.py
@@ -16,6 +16,8 @@
 from tests.gateway_harness import run_gateway_harness
 
 REST_S = 2.0
+LONG_REST_S = 30.0
+"""Longer than any test lasts."""
 MAX_ARRIVALS = 2
 """Number of requests that may reach an upstream between half a second after it
 has asked for a rest and the end of that rest."""
@@ -88,7 +90,8 @@
     # Guards against the next run of a broken stream, which is no new request.
     breaking = make_stream(events=4, break_after=2, pause_s=0.05)
     async with run_gateway_harness(1, breaking) as harness:
-        resting = await harness.add_worker("w2", ask_for_rest)
+        long_rest = make_refusal_with_rest(LONG_REST_S)
+        resting = await harness.add_worker("w2", long_rest)
         rotation = harness.gateway.deployment.rotation
         await harness.wait_until(lambda: len(rotation) == 2)
         while not resting.arrivals:
--- a/tests/test_gateway_silent_runs.py
+++ b/tests/test_gateway_silent_runs.py
@@ -17,6 +17,8 @@
 EVENTS = 4
 LONG_PAUSE_S = 0.8
 """Over `TargetGapMs` and `TargetLatencyMs` of 300 ms, far under `TimeoutMs`."""
+MANY_REFUSALS = 4
+"""More than a request that is not owed an answer outlasts."""
 TIMEOUT_MS = 1200
 NO_RETRIES_EARNED = "Bounds.RetryBudgetRatio=0\nBounds.RetrySlack=0"
 """The budget holds the one retry that every gateway starts with."""
@@ -119,15 +121,16 @@
         assert 0.8 < time.monotonic() - started_s < TIMEOUT_MS / 1000 + 0.25
 
 
-@pytest.mark.parametrize("breaks_off", [False, True])
-async def test_stream_goes_on_at_an_upstream_that_appears(breaks_off):
+@pytest.mark.parametrize(("breaks_off", "gap_ms"), [(False, 300), (True, 1500)])
+async def test_stream_goes_on_at_an_upstream_that_appears(breaks_off, gap_ms):
     # The stream's upstream is silent or breaks off while no other is there,
     # and the caller's stream is cut although one appears in time.
     script = make_pausing_stream(False, pause_s=60.0)
     if breaks_off:
         script = lab.make_stream(EVENTS, break_after=2)
-    async with run_gateway_harness(1, script) as harness:
-        call = asyncio.ensure_future(harness.call("/stream/x", body=b"p"))
+    routes = [make_stream_route(TargetGapMs=gap_ms)]
+    async with run_gateway_harness(1, script, routes=routes) as harness:
+        call = asyncio.ensure_future(harness.call("/again/x", body=b"p"))
         await asyncio.sleep(LONG_PAUSE_S)
         await harness.add_worker("w2", lab.make_stream(EVENTS))
         assert_complete(await call)
@@ -136,7 +139,7 @@
 async def test_stream_that_was_given_up_outlasts_refusals():
     # The run is given up while another upstream is ready; that one refuses the
     # request, none else is left, and the caller's stream is cut.
-    refusals = [lab.refuse, lab.refuse]
+    refusals = [lab.refuse] * MANY_REFUSALS
 
     async def pause_or_refuse(arrival, writer):
         script = make_pausing_stream(False, pause_s=60.0)
