Keep a small model's answer where the larger run would not be admitted

A caller got 502 instead of the small model's answer: it was dropped for a larger model, and the run was then refused since copies of the request had been in flight at crashes. The answer is dropped now only if admission is free. The test failed before (502) and passes.

--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
+from lovagestage.decisions.crash_suspects import Admission
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.continuation import (
@@ -247,7 +248,14 @@
             load,
             attempts.remaining_ratio,
         )
-        if larger_model is None or not attempts.may_escalate():
+        if larger_model is None:
+            return None
+        # The answer that is ready is dropped for a run that must be admitted.
+        if self._context.suspects.admit(attempts.fingerprint) is not (
+            Admission.FREE
+        ):
+            return None
+        if not attempts.may_escalate():
             return None
         _log.info(
             "request_escalated",
