Let an engine pause until the deadline once its caller has a part

A caller's stream through an entry ended with an error when the engine was silent on four connections in a row (12 s at the defaults), though the engine took each resumption and nothing is sent again of which the caller has a part. Such silent connections no longer count as failed ones; the run ends at its deadline. Failed connections, and runs of which the caller has nothing yet, count as before. The test failed before (EngineError) and passes.

--- a/src/lovagestage/execution/engine_stream.py
+++ b/src/lovagestage/execution/engine_stream.py
@@ -51,6 +51,7 @@
         self._progress_timeout_s = progress_timeout_s
         self._next_seq = 0
         self._failures = 0
+        self._is_silent = False
         self._keep_usage = _is_usage_requested(dispatch.body)
 
     async def read(self) -> AsyncIterator[Block]:
@@ -68,6 +69,7 @@
         )
         resumed = False
         while True:
+            self._is_silent = False
             try:
                 async for block in self._read_connection(blocks):
                     yield block
@@ -114,6 +116,7 @@
             async with asyncio.timeout(timeout_s):
                 return await anext(blocks, None)
         except TimeoutError:
+            self._is_silent = True
             raise EngineError(
                 f"The engine said nothing for {timeout_s} s.", RunState.UNKNOWN
             ) from None
@@ -121,7 +124,10 @@
     def _check_resumable(self, error: EngineError, resumed: bool) -> None:
         if not resumed and error.run is not RunState.UNKNOWN:
             raise error
-        self._failures += 1
+        # Once the caller has a part of the answer, no other run can follow, and
+        # a pause of the engine may last until the deadline.
+        if not (self._is_silent and self._dispatch.stream and self._next_seq):
+            self._failures += 1
         if error.run is RunState.NOT_RUN:
             # An engine refuses a resumption if it has stopped, or has
             # restarted and has no record of the run. That proves nothing about
