--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -5,9 +5,16 @@
 import asyncio
 import dataclasses
 import logging
+from collections.abc import Awaitable
+from typing import TypeVar
 
-from lovagestage.exceptions import AttemptFailedError
+from lovagestage.decisions.crash_suspects import Admission
+from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
+from lovagestage.gateway.continuation import (
+    wait_for_retry,
+    wait_for_upstream,
+)
 from lovagestage.gateway.escalation import get_first_model, get_larger_model
 from lovagestage.gateway.exchange import Exchange
 from lovagestage.gateway.messages import AnswerHead
@@ -24,6 +31,7 @@
     should_retry_answer,
     wait_with_timeout,
 )
+from lovagestage.gateway.silence import wait_for_data
 from lovagestage.gateway.sinks import AnswerSink
 from lovagestage.gateway.streams import EventSplitter
 from lovagestage.gateway.upstream import Upstream
@@ -31,6 +39,7 @@
 from lovagestage.types import RunState
 
 _log = logging.getLogger(__name__)
+_Result = TypeVar("_Result")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,28 +85,73 @@
         AttemptFailedError: The stream broke off after it had started and may
             not be continued.
     """
-    admitted = attempts.admitted
-    model = get_first_model(admitted.route, admitted.request)
-    progress = _Progress(admitted.request.resume_after, False)
-    while True:
+    await _Stream(context, attempts, sink).run()
+
+
+class _Stream:
+    """A caller's stream, over all of its runs."""
+
+    def __init__(
+        self, context: RunContext, attempts: Attempts, sink: AnswerSink
+    ) -> None:
+        request = attempts.admitted.request
+        self._context = context
+        self._attempts = attempts
+        self._sink = sink
+        self._progress = _Progress(request.resume_after, False)
+        # Whether a run was given up while its upstream might still have gone
+        # on, so that the caller is owed the rest.
+        self._is_owed = False
+
+    async def run(self) -> None:
+        """Sends the request to upstreams until its stream is complete."""
+        attempts = self._attempts
+        model = get_first_model(
+            attempts.admitted.route, attempts.admitted.request
+        )
+        try:
+            next_run: _NextRun | None = _NextRun(model)
+            while next_run is not None:
+                next_run = await self._run_once(next_run.model)
+        except GatewayRefusalError as refusal:
+            if not self._progress.is_started:
+                raise
+            raise AttemptFailedError(
+                refusal.reason, RunState.UNKNOWN, is_upstream_at_fault=False
+            ) from refusal
+
+    async def _run_once(self, model: str | None) -> _NextRun | None:
+        context, attempts = self._context, self._attempts
         upstream = await begin_attempt(context, attempts, model)
         name = attempts.run_name
-        run = _StreamRun(context, attempts, upstream, model, progress, sink)
+        run = _StreamRun(
+            context, attempts, upstream, model, self._progress, self._sink
+        )
         try:
-            next_run = await run.run()
+            return await run.run()
         except AttemptFailedError as error:
-            progress = run.progress
-            record_failed_attempt(context, attempts, upstream, error)
-            if attempts.may_retry():
-                continue
-            if progress.is_started:
-                raise
-            raise attempts.make_refusal(error.reason) from error
+            failure = error
         finally:
+            self._progress = run.progress
             context.suspects.record_ended(attempts.fingerprint, name)
-        if next_run is None:
-            return
-        model = next_run.model
+        record_failed_attempt(context, attempts, upstream, failure)
+        await self._prepare_next_run(failure)
+        return _NextRun(model)
+
+    async def _prepare_next_run(self, failure: AttemptFailedError) -> None:
+        attempts = self._attempts
+        is_started = self._progress.is_started
+        self._is_owed |= is_started and attempts.permit.is_reserved
+        if self._is_owed:
+            may_go_on = await wait_for_retry(attempts)
+        else:
+            may_go_on = attempts.may_retry()
+        if not may_go_on:
+            if is_started:
+                raise failure
+            raise attempts.make_refusal(failure.reason) from failure
+        if is_started:
+            await wait_for_upstream(attempts, self._is_owed)
 
 
 class _StreamRun:
@@ -145,9 +199,7 @@
             self._model,
             self.progress.last_id,
         ) as exchange:
-            head = await wait_with_timeout(
-                attempts, exchange.fetch_head(), limit_s
-            )
+            head = await self._wait_for_data(exchange.fetch_head(), limit_s)
             attempts.record_head(exchange.connect_s, exchange.head_s)
             if head.status >= 300:
                 return await self._forward_failure(exchange, head)
@@ -196,7 +248,14 @@
             load,
             attempts.remaining_ratio,
         )
-        if larger_model is None or not attempts.may_escalate():
+        if larger_model is None:
+            return None
+        # The answer that is ready is dropped for a run that must be admitted.
+        if self._context.suspects.admit(attempts.fingerprint) is not (
+            Admission.FREE
+        ):
+            return None
+        if not attempts.may_escalate():
             return None
         _log.info(
             "request_escalated",
@@ -215,10 +274,7 @@
         attempts = self._attempts
         event_timeout_s = attempts.admitted.route.max_event_interval_s
         while True:
-            limit_s = min(limit_s, attempts.remaining_s)
-            chunk = await wait_with_timeout(
-                attempts, exchange.fetch_chunk(), limit_s
-            )
+            chunk = await self._wait_for_data(exchange.fetch_chunk(), limit_s)
             if chunk is None:
                 break
             for event in self._splitter.split(chunk):
@@ -247,6 +303,17 @@
         last_id = decode_event_id(event) or self.progress.last_id
         self.progress = _Progress(last_id, True)
 
+    async def _wait_for_data(
+        self, awaitable: Awaitable[_Result], patience_s: float
+    ) -> _Result:
+        return await wait_for_data(
+            self._context.suspects,
+            self._attempts,
+            self._upstream,
+            awaitable,
+            patience_s,
+        )
+
     def _get_run_time_s(self) -> float:
         return asyncio.get_running_loop().time() - self._started_s
 
