--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -9,13 +9,14 @@
 import socket
 
 from lovagestage.exceptions import SettingsError
+from lovagestage.gateway.caller_connection import CallerConnection
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.listeners import open_listener
 from lovagestage.gateway.log_output import start_logging
 from lovagestage.gateway.messages import CallerRequest
-from lovagestage.gateway.server import CallerConnection, CallerServer
+from lovagestage.gateway.server import CallerServer
 from lovagestage.gateway.settings import GatewaySettings
 from lovagestage.gateway.wiring import make_components
 from lovagestage.platform.settings import read_settings
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -9,13 +9,13 @@
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.admission import RETRY_AFTER_S, AdmittedRequest, admit
 from lovagestage.gateway.attempts import Attempts
+from lovagestage.gateway.caller_connection import CallerConnection
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.configuration import ClientLimits, RouteKind
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.forwarder import Forwarder
 from lovagestage.gateway.messages import CallerRequest
-from lovagestage.gateway.server import CallerConnection
 from lovagestage.gateway.startup_gate import StartupGate
 
 _log = logging.getLogger(__name__)
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lovagestage.gateway import server
+from lovagestage.gateway import caller_connection
 from tests.gateway_harness import (
     HOST,
     KEY,
@@ -154,12 +154,12 @@
     # Guards against a caller on a narrow link whose body is refused again and
     # again because it takes long, although the caller's deadline has not
     # passed.
-    monkeypatch.setattr(server, "BODY_INACTIVITY_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(caller_connection, "BODY_INACTIVITY_TIMEOUT_S", 0.3)
     async with run_gateway_harness() as harness:
         assert await send_slowly(harness, 8, 0.1) == 200
 
 
 async def test_caller_that_stalls_within_its_body_is_refused(monkeypatch):
-    monkeypatch.setattr(server, "BODY_INACTIVITY_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(caller_connection, "BODY_INACTIVITY_TIMEOUT_S", 0.3)
     async with run_gateway_harness() as harness:
         assert await send_slowly(harness, 2, 0.6) == 408
