--- a/src/lovagestage/adapters/http1.py
+++ b/src/lovagestage/adapters/http1.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Sequence
 from typing import cast
@@ -123,6 +124,14 @@
         """Whether written bytes have not been sent to the peer yet."""
         return bool(self._transport and self._transport.get_write_buffer_size())
 
+    def has_arrived_input(self) -> bool:
+        """Returns whether unread input is here or in the kernel's buffer."""
+        if self._buffer or self._transport is None or not self.is_open:
+            return bool(self._buffer)
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
     def get_peer_address(self) -> str:
         """Returns the `IP:PORT` of the peer."""
         assert self._transport is not None
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -688,3 +688,9 @@
         self.status = status
         self.reason = reason
         self.retry_after_s = retry_after_s
+
+
+class ProcessEndingError(GatewayRefusalError):
+    """The process ends before the work on a request is complete."""
+
+    code = "process_ending"
--- a/src/lovagestage/gateway/caller_connection.py
+++ b/src/lovagestage/gateway/caller_connection.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 
 import h11
@@ -15,8 +16,10 @@
 from lovagestage.exceptions import (
     ConnectionLostError,
     GatewayRefusalError,
+    ProcessEndingError,
     WrongMessageError,
 )
+from lovagestage.gateway.admission import RETRY_AFTER_S
 from lovagestage.gateway.configuration import ClientLimits
 from lovagestage.gateway.messages import AnswerHead, CallerRequest
 
@@ -36,22 +39,32 @@
     Args:
         channel: The connection.
         limits: Returns the current limits for requests.
+        is_draining: Returns whether callers are to leave this process.
 
     Attributes:
         channel: The connection.
         is_busy: Whether a request is being read or answered.
-        status: Status of the last answer.
-        closes: Whether the connection is closed after the next answer.
+        status: Status of the current request's answer; 0 until its head is
+            sent.
+        closes: Whether the connection is closed after the current answer.
+        idle_since_s: Loop time since which no request has been read or
+            answered.
     """
 
     def __init__(
-        self, channel: Channel, limits: Callable[[], ClientLimits]
+        self,
+        channel: Channel,
+        limits: Callable[[], ClientLimits],
+        is_draining: Callable[[], bool],
     ) -> None:
         self.channel = channel
         self.is_busy = False
         self.status = 0
         self.closes = False
+        self.idle_since_s = asyncio.get_running_loop().time()
+        self._scope: asyncio.Timeout | None = None
         self._limits = limits
+        self._is_draining = is_draining
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().head_bytes
         )
@@ -66,19 +79,33 @@
         Raises:
             WrongMessageError: The request must not be forwarded.
             ConnectionLostError: The caller reset the connection.
+            ProcessEndingError: The process ends before the request was read.
         """
         limits = self._limits()
         if (
             not self._parser.trailing_data[0]
             and not self.channel.has_unread_input
         ):
-            try:
-                async with asyncio.timeout(limits.idle_timeout_s):
-                    data = await self.channel.receive()
-            except TimeoutError:
+            data = await self._wait_for_input(limits.idle_timeout_s)
+            if data is None:
                 return None
             self._parser.receive_data(data)
         self.is_busy = True
+        self.status = 0
+        async with self.open_scope():
+            return await self._read_request(limits)
+
+    async def _wait_for_input(self, timeout_s: float) -> bytes | None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.channel.receive()
+        except TimeoutError:
+            # Bytes that arrived in this turn of the loop are not dropped.
+            if not self.channel.has_arrived_input():
+                return None
+            return await self.channel.receive()
+
+    async def _read_request(self, limits: ClientLimits) -> CallerRequest | None:
         try:
             async with asyncio.timeout(limits.head_timeout_s):
                 event = await self._receive()
@@ -98,6 +125,31 @@
             ) from None
         return dataclasses.replace(request, body=body, arrived_s=arrived_s)
 
+    @contextlib.asynccontextmanager
+    async def open_scope(self) -> AsyncIterator[None]:
+        """Opens a scope for work on the current request that `end` ends.
+
+        Raises:
+            ProcessEndingError: The work was ended.
+        """
+        scope = asyncio.timeout(None)
+        try:
+            async with scope:
+                self._scope = scope
+                try:
+                    yield
+                finally:
+                    self._scope = None
+        except TimeoutError as error:
+            if not scope.expired():
+                raise
+            raise ProcessEndingError(503, "stopping", RETRY_AFTER_S) from error
+
+    def end(self) -> None:
+        """Ends the work on the current request, as the process ends."""
+        if self._scope is not None:
+            self._scope.reschedule(asyncio.get_running_loop().time())
+
     def prepare_next_request(self) -> bool:
         """Prepares the connection for another request.
 
@@ -105,6 +157,7 @@
             Whether another request may follow on the connection.
         """
         self.is_busy = False
+        self.idle_since_s = asyncio.get_running_loop().time()
         states = (self._parser.our_state, self._parser.their_state)
         if self.closes or states != (h11.DONE, h11.DONE):
             return False
@@ -133,9 +186,7 @@
         body = msgspec.json.encode(
             {"error": refusal.reason, "status": refusal.status}
         )
-        headers = wire.encode_answer(
-            request_id, refusal.retry_after_s, body, self.closes
-        )
+        headers = wire.encode_answer(request_id, refusal.retry_after_s, body)
         await self._send_all(refusal.status, headers, body)
 
     async def send_text(self, status: int, text: str) -> None:
@@ -168,6 +219,7 @@
         await self.channel.drain()
 
     def _make_response(self, status: int, headers: Headers) -> h11.Response:
+        self.closes = self.closes or self._is_draining()
         if self.closes:
             headers = [
                 *(h for h in headers if h[0].lower() != b"connection"),
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -16,6 +16,7 @@
 from lovagestage.gateway.listeners import open_listener
 from lovagestage.gateway.log_output import start_logging
 from lovagestage.gateway.messages import CallerRequest
+from lovagestage.gateway.planned_stop import DRAIN_NOTICE_S
 from lovagestage.gateway.server import CallerServer
 from lovagestage.gateway.settings import GatewaySettings
 from lovagestage.gateway.wiring import make_components
@@ -35,13 +36,10 @@
 STARTUP_POLL_INTERVAL_S = 0.005
 """Interval in seconds between checks whether a starting gateway is ready; a
 call to the store takes about as long."""
-DRAIN_NOTICE_S = 2.6
-"""Time in seconds for the load balancer to detect that the gateway is draining:
-two probes, one second apart, and the time for the answer."""
-STOP_MARGIN_S = 0.6
-"""Time in seconds before the end of the allowed stop time at which a stopping
-process exits by itself, so that it is not killed."""
 STOP_POLL_INTERVAL_S = 0.05
+LAST_ANSWERS_S = 0.2
+"""Longest time in seconds for which a stopping process sends the last answers
+to callers whose requests it has ended."""
 
 
 def run_gateway(
@@ -164,26 +162,31 @@
             await asyncio.sleep(STARTUP_POLL_INTERVAL_S)
 
     async def _drain(self) -> None:
-        """Reports not ready to the balancer, then completes open requests."""
+        """Reports not ready to the balancer, then completes open requests.
+
+        A connection that may bring another request stays open for a moment,
+        so that the request is answered or refused.
+        """
         loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        end_s = started_s + self._settings.bounds.stop_s - STOP_MARGIN_S
+        stop, server = self._components.planned_stop, self._caller_server
+        stop.begin(loop.time(), self._settings.bounds.stop_s)
         self._is_draining = True
-        self._caller_server.is_draining = True
-        _log.info(
-            "drain_started", extra={"open": self._caller_server.open_requests}
-        )
+        server.is_draining = True
+        _log.info("drain_started", extra={"open": server.open_requests})
         await asyncio.sleep(DRAIN_NOTICE_S)
-        self._caller_server.close()
-        self._components.service.refuse_streams()
-        while self._caller_server.open_requests and loop.time() < end_s:
+        server.close()
+        await self._wait_until_closed(stop.end_s)
+        if server.open_requests:
+            _log.warning("drain_timeout", extra={"open": server.open_requests})
+            server.end_requests()
+            await self._wait_until_closed(loop.time() + LAST_ANSWERS_S)
+
+    async def _wait_until_closed(self, end_s: float) -> None:
+        """Closes idle connections until none is open or the time is over."""
+        loop = asyncio.get_running_loop()
+        while self._caller_server.open_connections and loop.time() < end_s:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._caller_server.close_idle()
-        if self._caller_server.open_requests:
-            _log.warning(
-                "drain_timeout",
-                extra={"open": self._caller_server.open_requests},
-            )
 
     def is_ready(self) -> bool:
         """Returns whether the balancer should send callers to this gateway."""
--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -14,6 +14,7 @@
     AttemptFailedError,
     ConnectionLostError,
     GatewayRefusalError,
+    ProcessEndingError,
     WrongMessageError,
 )
 from lovagestage.gateway.caller_connection import CallerConnection
@@ -23,6 +24,12 @@
 
 _log = logging.getLogger(__name__)
 
+IDLE_LINGER_S = 0.25
+"""Time in seconds for which a connection stays open after an answer that did
+not tell its caller to leave, and after it was accepted: a request that follows
+is read and answered or refused. A caller that has more to send does so within
+a round trip and a short stall of its process."""
+
 Handler = Callable[[CallerRequest, CallerConnection], Awaitable[None]]
 
 
@@ -32,6 +39,9 @@
     Args:
         handler: Answers one request.
         limits: Returns the current limits for requests.
+
+    Attributes:
+        is_draining: Whether answers tell their callers to leave.
     """
 
     def __init__(
@@ -39,14 +49,27 @@
     ) -> None:
         self._handler = handler
         self._limits = limits
-        self._server: asyncio.Server | None = None
-        self._tasks: dict[asyncio.Task[None], CallerConnection] = {}
         self.is_draining = False
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._connections: dict[Channel, CallerConnection] = {}
 
     @property
     def open_requests(self) -> int:
-        """Number of requests that are being read or answered."""
-        return sum(connection.is_busy for connection in self._tasks.values())
+        """Number of requests that are being read or answered.
+
+        A request is open until the last byte of its answer has left the
+        process.
+        """
+        return sum(
+            connection.is_busy or channel.has_unsent_output
+            for channel, connection in self._connections.items()
+        )
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are not closed."""
+        return len(self._connections)
 
     async def open(self, listener: socket.socket) -> None:
         """Starts accepting the connections of a listening socket."""
@@ -56,10 +79,24 @@
         )
 
     def close_idle(self) -> None:
-        """Closes connections on which no request is being read or answered."""
-        for connection in self._tasks.values():
-            if not connection.is_busy:
-                connection.channel.close()
+        """Closes connections on which no request is being read or answered.
+
+        One on which bytes have arrived, or may follow its last answer, stays
+        open.
+        """
+        latest_s = asyncio.get_running_loop().time() - IDLE_LINGER_S
+        for channel, connection in self._connections.items():
+            if (
+                not connection.is_busy
+                and connection.idle_since_s <= latest_s
+                and not channel.has_arrived_input()
+            ):
+                channel.close()
+
+    def end_requests(self) -> None:
+        """Ends the work on all open requests, as the process ends."""
+        for connection in self._connections.values():
+            connection.end()
 
     def close(self) -> None:
         """Stops accepting connections and closes idle ones."""
@@ -68,17 +105,22 @@
         self.close_idle()
 
     def _make_channel(self) -> Channel:
-        channel = _AcceptedChannel(self._accept)
-        return channel
+        return _AcceptedChannel(self._accept, self._forget)
 
     def _accept(self, channel: Channel) -> None:
-        connection = CallerConnection(channel, self._limits)
+        connection = CallerConnection(
+            channel, self._limits, lambda: self.is_draining
+        )
+        self._connections[channel] = connection
         task = asyncio.get_running_loop().create_task(self._serve(connection))
-        self._tasks[task] = connection
-        task.add_done_callback(self._tasks.pop)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         # When a caller disconnects, the work on its request ends immediately.
         channel.closed_by_peer.add_done_callback(lambda _: task.cancel())
 
+    def _forget(self, channel: Channel) -> None:
+        self._connections.pop(channel, None)
+
     async def _serve(self, connection: CallerConnection) -> None:
         try:
             while await self._serve_request(connection):
@@ -94,39 +136,79 @@
             connection.channel.abort()
 
     async def _serve_request(self, connection: CallerConnection) -> bool:
+        """Serves one request; returns whether another one may follow."""
         try:
             request = await connection.read_request()
         except WrongMessageError as error:
-            _log.warning(
-                "message_refused",
-                extra={
-                    "caller": connection.channel.get_peer_address(),
-                    "reason": error.message,
-                    "status": error.status,
-                },
-            )
-            connection.closes = True
             refusal = GatewayRefusalError(error.status, "wrong_message")
-            await connection.send_refusal("", refusal)
+            await self._refuse_unread(connection, refusal, error.message)
+            return False
+        except ProcessEndingError as refusal:
+            await self._refuse_unread(connection, refusal, refusal.reason)
             return False
         if request is None:
             return False
-        connection.closes = self.is_draining
         try:
             await self._handler(request, connection)
-        except AttemptFailedError:
+        except (AttemptFailedError, ProcessEndingError):
             # The connection is aborted so that the stream does not look
             # complete.
             connection.channel.abort()
             return False
+        except (ConnectionLostError, h11.LocalProtocolError):
+            raise
+        except Exception:
+            _log.exception(
+                "caller_connection_failed", extra={"request": request.id}
+            )
+            await self._answer_failure(request, connection)
+            return False
         return connection.prepare_next_request()
 
+    async def _refuse_unread(
+        self,
+        connection: CallerConnection,
+        refusal: GatewayRefusalError,
+        reason: str,
+    ) -> None:
+        """Refuses a request that was not read completely."""
+        _log.warning(
+            "message_refused",
+            extra={
+                "caller": connection.channel.get_peer_address(),
+                "reason": reason,
+                "status": refusal.status,
+            },
+        )
+        connection.closes = True
+        await connection.send_refusal("", refusal)
+
+    async def _answer_failure(
+        self, request: CallerRequest, connection: CallerConnection
+    ) -> None:
+        """Answers a request whose handler failed; it may have run."""
+        if connection.status:
+            connection.channel.abort()
+            return
+        connection.closes = True
+        refusal = GatewayRefusalError(502, "internal_error")
+        await connection.send_refusal(request.id, refusal)
+
 
 class _AcceptedChannel(Channel):
-    def __init__(self, accept: Callable[[Channel], None]) -> None:
+    def __init__(
+        self,
+        on_made: Callable[[Channel], None],
+        on_lost: Callable[[Channel], None],
+    ) -> None:
         super().__init__()
-        self._accept = accept
+        self._on_made = on_made
+        self._on_lost = on_lost
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self._accept(self)
+        self._on_made(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
+        self._on_lost(self)
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -6,16 +6,21 @@
 import logging
 from http import HTTPStatus
 
-from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
+from lovagestage.exceptions import (
+    AttemptFailedError,
+    GatewayRefusalError,
+    ProcessEndingError,
+)
 from lovagestage.gateway.admission import RETRY_AFTER_S, AdmittedRequest, admit
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.caller_connection import CallerConnection
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.configuration import ClientLimits, RouteKind
+from lovagestage.gateway.configuration import ClientLimits
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.forwarder import Forwarder
 from lovagestage.gateway.messages import CallerRequest
+from lovagestage.gateway.planned_stop import PlannedStop
 from lovagestage.gateway.startup_gate import StartupGate
 
 _log = logging.getLogger(__name__)
@@ -33,6 +38,7 @@
         forwarder: Runs requests on upstreams.
         exposition: Collects the metrics.
         startup_gate: Makes the first callers wait for a configuration.
+        planned_stop: Says which requests are accepted during a stop.
     """
 
     def __init__(
@@ -41,22 +47,13 @@
         forwarder: Forwarder,
         exposition: Exposition,
         startup_gate: StartupGate,
+        planned_stop: PlannedStop,
     ) -> None:
         self._deployment = deployment
         self._forwarder = forwarder
         self._exposition = exposition
         self._startup_gate = startup_gate
-        self._accepts_streams = True
-
-    def refuse_streams(self) -> None:
-        """Makes the service refuse requests for streams from now on.
-
-        A caller whose stream started before the stop may send its next request
-        on the same connection when that stream ends, seconds later. A stream
-        started then would be cut off by the end of the process; a refused one
-        runs at another gateway.
-        """
-        self._accepts_streams = False
+        self._planned_stop = planned_stop
 
     def get_limits(self) -> ClientLimits:
         """Returns the current limits for callers' requests."""
@@ -74,17 +71,26 @@
 
         Raises:
             AttemptFailedError: A stream broke off after it had started.
+            ProcessEndingError: The process ends within the answer.
         """
-        await self._startup_gate.wait_for_configuration(request.budget_s)
         try:
-            admitted = self._admit(request)
+            async with connection.open_scope():
+                admitted = await self._admit(request)
         except GatewayRefusalError as refusal:
             self._log_refusal(request, refusal)
             await connection.send_refusal(request.id, refusal)
             return
         attempts = self._forwarder.make_attempts(admitted)
         try:
-            await self._forwarder.forward(attempts, connection)
+            async with connection.open_scope():
+                await self._forwarder.forward(attempts, connection)
+        except ProcessEndingError:
+            if connection.status:
+                self._log_end(attempts, "stopped", 0)
+                raise
+            answer = attempts.make_refusal("stopping")
+            self._log_end(attempts, "stopped", answer.status)
+            await connection.send_refusal(request.id, answer)
         except GatewayRefusalError as refusal:
             self._log_end(attempts, refusal.reason, refusal.status)
             await connection.send_refusal(request.id, refusal)
@@ -100,17 +106,16 @@
         else:
             self._log_end(attempts, "answered", connection.status)
 
-    def _admit(self, request: CallerRequest) -> AdmittedRequest:
+    async def _admit(self, request: CallerRequest) -> AdmittedRequest:
+        await self._startup_gate.wait_for_configuration(request.budget_s)
         admitted = admit(
             request,
             self._deployment.configuration,
             self._deployment.freshness,
             get_elapsed_s(),
         )
-        if (
-            admitted.route.kind is RouteKind.STREAM
-            and not self._accepts_streams
-        ):
+        now_s = asyncio.get_running_loop().time()
+        if not self._planned_stop.accepts(admitted.deadline_s, now_s):
             raise GatewayRefusalError(503, "stopping", RETRY_AFTER_S)
         return admitted
 
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -50,6 +50,7 @@
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
 from lovagestage.gateway.peers import PeerAddress, PeerSocket, format_peer
+from lovagestage.gateway.planned_stop import PlannedStop
 from lovagestage.gateway.relay import (
     Relay,
 )
@@ -83,6 +84,7 @@
         rollouts: Tracks the roll-outs.
         forwarder: Runs requests on upstreams.
         upstream_feed: Reads the upstreams' entries from the store.
+        planned_stop: Says which requests are accepted during a stop.
         service: Handles callers' requests.
         timers: Calls subscribers periodically.
         services: Background services in the order in which they are started,
@@ -94,6 +96,7 @@
     rollouts: RolloutService
     forwarder: Forwarder
     upstream_feed: TopicFeed
+    planned_stop: PlannedStop
     service: GatewayService
     timers: TimerService
     services: tuple[mode.Service, ...]
@@ -154,6 +157,7 @@
         rng,
         lambda: None if socket is None else len(socket.peers) + 1,
     )
+    planned_stop = PlannedStop()
     startup_gate = StartupGate(lambda: operator_feed.is_receiving_first_answer)
     store_recovery = StoreRecoverySignal()
     operator_state = OperatorStateView(
@@ -196,7 +200,10 @@
         rollouts,
         forwarder,
         upstream_feed,
-        GatewayService(deployment, forwarder, exposition, startup_gate),
+        planned_stop,
+        GatewayService(
+            deployment, forwarder, exposition, startup_gate, planned_stop
+        ),
         timers,
         services,
     )
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -201,7 +201,7 @@
 
 
 def encode_answer(
-    request_id: str, retry_after_s: float | None, body: bytes, closes: bool
+    request_id: str, retry_after_s: float | None, body: bytes
 ) -> Headers:
     """Returns the headers of an answer that the gateway makes itself.
 
@@ -210,7 +210,6 @@
         retry_after_s: Time in seconds after which the caller may retry; None
             to omit the header.
         body: The answer's body.
-        closes: Whether the connection is closed after the answer.
     """
     headers = [
         (b"Content-Type", b"application/json"),
@@ -220,8 +219,6 @@
         headers.append((b"Attempt-Id", request_id.encode("latin-1")))
     if retry_after_s is not None:
         headers.append((b"Retry-After", b"%.3f" % retry_after_s))
-    if closes:
-        headers.append((b"Connection", b"close"))
     return headers
 
 
