--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -107,8 +107,10 @@
     " it.",
     "caller_gone": "The caller closed its connection before the answer was"
     " complete.",
+    "stopping": "The gateway was stopping, and the deadline of the request lay"
+    " beyond its end; nothing was run.",
     "stopped": "The gateway's time to stop ended before the whole answer"
-    " was sent; the gateway closed the connection.",
+    " was sent.",
     "answered": "The upstream's whole answer was forwarded to the caller.",
 }
 
