--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -17,7 +17,7 @@
 from lovagestage.gateway.crash_detection import make_fingerprint
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.retry_budget import ServiceRetryBudget
-from lovagestage.gateway.rollouts import Assignment
+from lovagestage.gateway.rollout_assignment import Assignment
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import Fingerprint, InstanceId, RunState, ZoneId
 
--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -15,13 +15,9 @@
 from lovagestage.gateway.admission import RETRY_AFTER_S
 from lovagestage.gateway.configuration import Configuration
 from lovagestage.gateway.freshness import ConfigurationFreshness
-from lovagestage.gateway.rollouts import (
-    Assignment,
-    Rollout,
-    RolloutOutcome,
-    choose_trial_upstreams,
-    choose_version,
-)
+from lovagestage.gateway.rollout_assignment import Assignment, choose_version
+from lovagestage.gateway.rollout_shares import choose_trial_upstreams
+from lovagestage.gateway.rollouts import Rollout, RolloutOutcome
 from lovagestage.gateway.rotation import Rotation
 from lovagestage.gateway.session_pins import SessionPins
 from lovagestage.gateway.upstream import Upstream
--- a/src/lovagestage/gateway/plain_runs.py
+++ b/src/lovagestage/gateway/plain_runs.py
@@ -7,7 +7,7 @@
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.messages import AnswerHead
-from lovagestage.gateway.rollouts import AnswerQuality
+from lovagestage.gateway.rollout_evidence import AnswerQuality
 from lovagestage.gateway.runs import (
     MAX_BODY_BYTES,
     RunContext,
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -22,18 +22,20 @@
     OutcomeMessage,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
-from lovagestage.gateway.rollout_outcomes import OutcomeStore
-from lovagestage.gateway.rollouts import (
-    COUNT_REPORT_RATIOS,
+from lovagestage.gateway.rollout_assignment import Assignment
+from lovagestage.gateway.rollout_evidence import (
     EVIDENCE_FLOOR,
     SLOW_ANSWER_RATE,
     AnswerQuality,
-    Assignment,
+    get_log_likelihood_ratio,
+)
+from lovagestage.gateway.rollout_outcomes import OutcomeStore
+from lovagestage.gateway.rollout_shares import get_first_share
+from lovagestage.gateway.rollouts import (
+    COUNT_REPORT_RATIOS,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
-    get_first_share,
-    get_log_likelihood_ratio,
 )
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.upstream import Upstream
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -27,7 +27,7 @@
 )
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.prefill import PrefillTimes, count_prefill_tokens
-from lovagestage.gateway.rollouts import AnswerQuality
+from lovagestage.gateway.rollout_evidence import AnswerQuality
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.gateway.upstream_choice import AttemptCost
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -5,7 +5,8 @@
 from typing import Protocol
 
 from lovagestage.gateway.messages import AnswerHead
-from lovagestage.gateway.rollouts import AnswerQuality, Assignment
+from lovagestage.gateway.rollout_assignment import Assignment
+from lovagestage.gateway.rollout_evidence import AnswerQuality
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import ServiceId
 
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -11,7 +11,7 @@
 from lovagestage.gateway.escalation import get_first_model, get_larger_model
 from lovagestage.gateway.exchange import Exchange
 from lovagestage.gateway.messages import AnswerHead
-from lovagestage.gateway.rollouts import AnswerQuality
+from lovagestage.gateway.rollout_evidence import AnswerQuality
 from lovagestage.gateway.runs import (
     MAX_BODY_BYTES,
     RunContext,
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -20,26 +20,29 @@
     decode_batch,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
+from lovagestage.gateway.rollout_assignment import Assignment, choose_version
+from lovagestage.gateway.rollout_evidence import (
+    AnswerQuality,
+    get_log_likelihood_ratio,
+)
 from lovagestage.gateway.rollout_service import RolloutService
-from lovagestage.gateway.rollouts import (
-    COMPLETE_ANSWERS,
+from lovagestage.gateway.rollout_shares import (
     COMPLETE_RATIO,
     DEFAULT_SHARE,
     FIRST_SHARES,
+    LOAD_STEP,
+    TRIAL_LOAD_FACTOR,
+    choose_trial_upstreams,
+    get_first_share,
+)
+from lovagestage.gateway.rollouts import (
+    COMPLETE_ANSWERS,
     LATE_ANSWERS,
     LATE_RATIO,
-    LOAD_STEP,
     SESSION_COLLECTION_S,
-    TRIAL_LOAD_FACTOR,
-    AnswerQuality,
-    Assignment,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
-    choose_trial_upstreams,
-    choose_version,
-    get_first_share,
-    get_log_likelihood_ratio,
 )
 from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.platform.settings import decode_settings
