--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -207,6 +207,17 @@
     assert suspected.get_due_outcome(late_s + 0.01) is RolloutOutcome.RUNNING
 
 
+def test_a_suspected_version_is_not_completed_by_time():
+    # Each of three routes has some slow answers, none of them enough to stop
+    # the version: it was completed because 20 answers were known.
+    rollout = make_rollout()
+    for route in "abc":
+        add_answers(rollout, ".x..x..x", failure_rate=0.1, route=route)
+    rollout.record_answers("edge-2", COMPLETE_ANSWERS)
+    due = rollout.get_due_outcome(100.0 + LATE_RATIO * ORDER.duration_s + 0.01)
+    assert due is not RolloutOutcome.COMPLETED
+
+
 def test_a_restarted_gateway_learns_the_orders_age():
     # The process was killed in the middle of the roll-out. The new process
     # counts time from its own start, and another gateway's message reports how
