Complete a new version only on evidence for it

Change: the answers of all gateways have to speak for the version (PROOF_EVIDENCE over their sum, which AnswerCountMessage carries; a report outlives its gateway and is repeated); one that is suspect when it is due is reverted; the ratio of all routes together counts beside that of each; what is reported while the outcome is being written counts.

Two older tests recorded a number of answers without what these said, and had that number complete the version; they now state the evidence too, and the first one asks that the number alone does not suffice.

--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -66,6 +66,7 @@
         gateway: The gateway that received the answers.
         answers: Number of answers so far.
         age_s: Age of the order in seconds.
+        evidence: Sum of the log-likelihood ratios of these answers.
     """
 
     service: ServiceId
@@ -73,6 +74,7 @@
     gateway: VmId
     answers: int
     age_s: float
+    evidence: float = 0.0
 
 
 class ActiveSessionsMessage(
--- a/src/lovagestage/gateway/rollout_evidence.py
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import math
 
@@ -17,6 +18,17 @@
 BAD_FAILURE_RISE = 0.25
 """Rise of the failure rate that counts as bad; faulty versions fail a third of
 their answers and more."""
+PROOF_EVIDENCE = -3.0
+"""Log-likelihood ratio, over all routes and gateways, up to which a version is
+completed: ten good answers without a bad one. A version that fails three in ten
+reaches it in about one of 40 roll-outs of 25 answers; a good one of which three
+in 100 answers are slow reaches it in 95 of 100."""
+LATE_PROOF_EVIDENCE = -1.0
+"""The same for a service with little traffic, whose few answers have to be
+good."""
+SUSPICION_EVIDENCE = 2.0
+"""Log-likelihood ratio from which a version is reverted when it is due to be
+completed; below that it waits for further answers."""
 MIN_FAILURE_RATE, MAX_FAILURE_RATE = 0.02, 0.5
 """Lower and upper limit of the old version's failure rate in the
 log-likelihood ratio."""
@@ -69,3 +81,54 @@
     if failed:
         return math.log(bad_rate / failure_rate)
     return math.log((1.0 - bad_rate) / (1.0 - failure_rate))
+
+
+class TrialEvidence:
+    """What one gateway knows of a new version by its own answers.
+
+    Attributes:
+        answers: Number of judged answers, runs without an answer included.
+        total: Sum of their log-likelihood ratios.
+        qualities: Number of answers by quality.
+    """
+
+    def __init__(self) -> None:
+        self.answers = 0
+        self.total = 0.0
+        self.qualities: collections.Counter[AnswerQuality] = (
+            collections.Counter()
+        )
+        self._unreported: dict[str, float] = {}
+
+    def add(
+        self,
+        route: str,
+        quality: AnswerQuality,
+        failure_rate: float,
+        is_loaded: bool,
+    ) -> float:
+        """Adds an answer and returns its log-likelihood ratio.
+
+        Args:
+            route: Name of the route.
+            quality: Quality of the answer.
+            failure_rate: Rate at which the old version fails such requests.
+            is_loaded: Whether the new version is in its load step.
+        """
+        self.qualities[quality] += 1
+        if quality is AnswerQuality.UNJUDGED:
+            return 0.0
+        if quality in SLOW_QUALITIES:
+            slow_rate = LOADED_SLOW_RATE if is_loaded else SLOW_ANSWER_RATE
+            failure_rate = max(slow_rate, failure_rate)
+        failed = quality is not AnswerQuality.GOOD
+        evidence = get_log_likelihood_ratio(failure_rate, failed)
+        self.answers += 1
+        self.total += evidence
+        unreported = self._unreported.get(route, 0.0) + evidence
+        self._unreported[route] = max(EVIDENCE_FLOOR, unreported)
+        return evidence
+
+    def take_unreported(self, route: str) -> float:
+        """Returns a route's evidence since the last call, for the others."""
+        return self._unreported.pop(route, 0.0)
--- a/src/lovagestage/gateway/rollout_outcomes.py
+++ b/src/lovagestage/gateway/rollout_outcomes.py
@@ -4,11 +4,12 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from lovagestage.decisions.positions import get_offset
 from lovagestage.exceptions import CodecError
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.rollout_evidence import AnswerQuality
 from lovagestage.gateway.rollouts import (
     OutcomeRecord,
     Rollout,
@@ -177,6 +178,11 @@
         self._apply_stored(rollout, page)
         if rollout.outcome is not RolloutOutcome.RUNNING:
             outcome = rollout.outcome
+        elif outcome is not RolloutOutcome.RUNNING:
+            # What was reported during the read counts.
+            outcome = rollout.get_due_outcome(get_elapsed_s())
+            if outcome is RolloutOutcome.RUNNING:
+                return None
         if self._is_stored(rollout, outcome):
             self._write_at_s.pop(service, None)
             return None
@@ -220,3 +226,32 @@
             "age_s": round(rollout.get_age_s(get_elapsed_s()), 2),
         },
     )
+
+
+def log_verdict(
+    rollout: Rollout,
+    outcome: RolloutOutcome,
+    own: Mapping[AnswerQuality, int],
+) -> None:
+    """Logs what this gateway knows when it writes a final outcome.
+
+    Args:
+        rollout: The roll-out.
+        outcome: The outcome.
+        own: Number of this gateway's answers of the new version by quality.
+    """
+    evidence = sorted(rollout.get_evidence_by_route().items())
+    _log.info(
+        "rollout_judged",
+        extra={
+            "service": rollout.order.service,
+            "version": rollout.order.version,
+            "outcome": outcome.value,
+            "answers": rollout.get_answer_count(),
+            "total": round(rollout.get_total_evidence(), 2),
+            "failures": rollout.new_failures,
+            "evidence": ",".join(f"{r or 'all'}:{e:.2f}" for r, e in evidence),
+            "own": ",".join(f"{q.value}:{own[q]}" for q in AnswerQuality),
+            "age_s": round(rollout.get_age_s(get_elapsed_s()), 2),
+        },
+    )
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import logging
 import random
 
@@ -25,15 +24,11 @@
 from lovagestage.gateway.peer_messenger import PeerMessenger
 from lovagestage.gateway.rollout_assignment import Assignment
 from lovagestage.gateway.rollout_evidence import (
-    EVIDENCE_FLOOR,
-    LOADED_SLOW_RATE,
     OUTAGE_QUALITIES,
-    SLOW_ANSWER_RATE,
-    SLOW_QUALITIES,
     AnswerQuality,
-    get_log_likelihood_ratio,
+    TrialEvidence,
 )
-from lovagestage.gateway.rollout_outcomes import OutcomeStore
+from lovagestage.gateway.rollout_outcomes import OutcomeStore, log_verdict
 from lovagestage.gateway.rollout_shares import get_first_share
 from lovagestage.gateway.rollouts import (
     COUNT_REPORT_RATIOS,
@@ -61,12 +56,8 @@
     """Answers and evidence of one roll-out at this gateway, and its reports."""
 
     def __init__(self) -> None:
-        self.qualities: collections.Counter[AnswerQuality] = (
-            collections.Counter()
-        )
-        self.answers = 0
+        self.evidence = TrialEvidence()
         self.reported_counts = 0
-        self.unreported: dict[str, float] = {}
 
 
 class RolloutService(mode.Service):
@@ -180,9 +171,7 @@
             upstream.id
         ):
             return False
-        self._progress[service].qualities[quality] += 1
-        if quality is not AnswerQuality.UNJUDGED:
-            self._add_new_answer(rollout, route, upstream, quality)
+        self._add_new_answer(rollout, route, upstream, quality)
         return True
 
     def _add_old_answer(
@@ -203,27 +192,25 @@
         quality: AnswerQuality,
     ) -> None:
         service = rollout.order.service
-        progress = self._progress[service]
-        progress.answers += 1
-        rollout.record_answers(self._vm, progress.answers)
-        failure_rate = self._failure_rates.get_failure_rate(service, route)
-        if quality in SLOW_QUALITIES:
-            is_loaded = rollout.is_loaded(get_elapsed_s())
-            slow_rate = LOADED_SLOW_RATE if is_loaded else SLOW_ANSWER_RATE
-            failure_rate = max(slow_rate, failure_rate)
-        failed = quality is not AnswerQuality.GOOD
-        evidence = get_log_likelihood_ratio(failure_rate, failed)
+        own = self._progress[service].evidence
+        evidence = own.add(
+            route,
+            quality,
+            self._failure_rates.get_failure_rate(service, route),
+            rollout.is_loaded(get_elapsed_s()),
+        )
+        if quality is AnswerQuality.UNJUDGED:
+            return
+        rollout.record_answers(self._vm, own.answers, own.total)
         rollout.add_evidence(route, evidence)
-        unreported = progress.unreported.get(route, 0.0) + evidence
-        progress.unreported[route] = max(EVIDENCE_FLOOR, unreported)
-        if not failed:
+        if quality is AnswerQuality.GOOD:
             return
         message = FailureMessage(
             service,
             rollout.position,
             route,
             upstream.id,
-            progress.unreported.pop(route),
+            own.take_unreported(route),
             rollout.get_age_s(get_elapsed_s()),
             quality.value,
         )
@@ -254,34 +241,15 @@
         rollout.add_evidence(message.route, message.evidence)
         self._count_failure(rollout, message)
 
-    def _log_verdict(self, rollout: Rollout, outcome: RolloutOutcome) -> None:
-        """Logs what this gateway knows when it writes a final outcome."""
-        own = self._progress[rollout.order.service].qualities
-        by_route = rollout.get_evidence_by_route()
-        _log.info(
-            "rollout_judged",
-            extra={
-                "service": rollout.order.service,
-                "version": rollout.order.version,
-                "outcome": outcome.value,
-                "answers": rollout.get_answer_count(),
-                "failures": rollout.new_failures,
-                "evidence": ",".join(
-                    f"{route}:{evidence:.2f}"
-                    for route, evidence in sorted(by_route.items())
-                ),
-                "own": ",".join(f"{q.value}:{own[q]}" for q in AnswerQuality),
-                "age_s": round(rollout.get_age_s(get_elapsed_s()), 2),
-            },
-        )
-
     def on_count_message(self, message: AnswerCountMessage) -> None:
         """Applies another gateway's number of answers from a new version."""
         rollout = self._find_rollout(
             message.service, message.order, message.age_s
         )
         if rollout is not None:
-            rollout.record_answers(message.gateway, message.answers)
+            rollout.record_answers(
+                message.gateway, message.answers, message.evidence
+            )
 
     def on_sessions_message(self, message: ActiveSessionsMessage) -> None:
         """Applies the active sessions that another gateway has reported."""
@@ -360,7 +328,7 @@
             if rollout.get_elapsed_ratio(now_s) < due:
                 continue
             progress.reported_counts += 1
-            if not progress.answers:
+            if not progress.evidence.answers:
                 continue
             age_s = rollout.get_age_s(now_s)
             self._post(
@@ -368,8 +336,9 @@
                     service,
                     rollout.position,
                     self._vm,
-                    progress.answers,
+                    progress.evidence.answers,
                     age_s,
+                    progress.evidence.total,
                 )
             )
 
@@ -415,7 +384,8 @@
             if written is None:
                 continue
             if written.outcome is not RolloutOutcome.RUNNING:
-                self._log_verdict(rollout, written.outcome)
+                own = self._progress[rollout.order.service].evidence
+                log_verdict(rollout, written.outcome, own.qualities)
             self._post(
                 OutcomeMessage(
                     rollout.order.service,
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -15,8 +15,11 @@
 from lovagestage.gateway.configuration import hash_to_share
 from lovagestage.gateway.rollout_evidence import (
     EVIDENCE_FLOOR,
+    LATE_PROOF_EVIDENCE,
     MIN_NEW_FAILURES,
+    PROOF_EVIDENCE,
     STOP_EVIDENCE,
+    SUSPICION_EVIDENCE,
 )
 from lovagestage.gateway.rollout_shares import COMPLETE_RATIO, LOAD_STEP
 from lovagestage.types import Position, ServiceId, VersionId
@@ -64,10 +67,13 @@
     first_share: float
 
 
-COUNT_REPORT_RATIOS = (0.77, 0.9)
+ALL_ROUTES = ""
+"""Key of the evidence of all routes together."""
+COUNT_REPORT_RATIOS = (0.5, 0.77, 0.88, 0.92)
 """Shares of the order's duration after which gateways report to each other how
-many answers of the new version they have received: before the load step and
-before the completion, which both depend on that number."""
+many answers of the new version they have received and what these say: before
+the load step and before the completion, which both depend on that. There are
+several, so that a gateway that starts late hears of it too."""
 COMPLETE_ANSWERS = 20
 """Answers of the new version that are needed for its completion at
 `COMPLETE_RATIO`."""
@@ -147,7 +153,8 @@
         self._evidence: dict[str, float] = {}
         self._failed_upstreams: set[str] = set()
         self._lost_upstreams: set[str] = set()
-        self._answers: dict[str, int] = {}
+        self._is_version_suspect = False
+        self._reports: dict[str, tuple[int, float]] = {}
 
     def move(self, position: Position) -> None:
         """Records that the store holds the order at another position now."""
@@ -213,14 +220,27 @@
         """
         self._received_s = min(self._received_s, now_s - age_s)
 
-    def record_answers(self, gateway: str, count: int) -> None:
-        """Records how many answers of the new version a gateway received."""
-        known = self._answers.get(gateway, 0)
-        self._answers[gateway] = max(known, count)
+    def record_answers(
+        self, gateway: str, count: int, evidence: float = 0.0
+    ) -> None:
+        """Records the answers of the new version that a gateway received.
+
+        Args:
+            gateway: The gateway. What is known of it outlives it.
+            count: Number of its answers.
+            evidence: Sum of their log-likelihood ratios.
+        """
+        known = self._reports.get(gateway, (0, 0.0))
+        if count >= known[0]:
+            self._reports[gateway] = (count, evidence)
 
     def get_answer_count(self) -> int:
         """Returns how many answers the new version gave, over all gateways."""
-        return sum(self._answers.values())
+        return sum(count for count, _ in self._reports.values())
+
+    def get_total_evidence(self) -> float:
+        """Returns the log-likelihood ratio of all gateways' answers."""
+        return sum(evidence for _, evidence in self._reports.values())
 
     def get_age_s(self, now_s: float) -> float:
         """Returns the seconds since any gateway first received the order."""
@@ -257,15 +277,17 @@
     def add_evidence(self, route: str, evidence: float) -> None:
         """Adds evidence from answers of one route.
 
-        The evidence of each route is summed separately: a version may be
-        faulty on a single route.
+        The evidence of each route is summed separately, as a version may be
+        faulty on a single route, and that of all routes together, as a slow
+        version is a little slow on each.
 
         Args:
             route: Name of the route.
             evidence: Log-likelihood ratio of the answers.
         """
-        known = self._evidence.get(route, 0.0)
-        self._evidence[route] = max(EVIDENCE_FLOOR, known + evidence)
+        for key in (route, ALL_ROUTES):
+            known = self._evidence.get(key, 0.0)
+            self._evidence[key] = max(EVIDENCE_FLOOR, known + evidence)
 
     def get_evidence_by_route(self) -> dict[str, float]:
         """Returns the log-likelihood ratio of each route's answers."""
@@ -293,28 +315,47 @@
         """
         self.new_failures += 1
         self._failed_upstreams.add(upstream)
-        if self.new_failures < MIN_NEW_FAILURES:
-            return
-        if len(self._failed_upstreams) < min(2, peers):
-            # If only one upstream of several fails, the fault is that
-            # upstream's and not the version's.
-            return
-        if max(self._evidence.values(), default=0.0) >= STOP_EVIDENCE:
+        # If only one upstream of several fails, the fault is that upstream's
+        # and not the version's.
+        self._is_version_suspect = (
+            self.new_failures >= MIN_NEW_FAILURES
+            and len(self._failed_upstreams) >= min(2, peers)
+        )
+        if self._is_version_suspect and self._get_suspicion() >= STOP_EVIDENCE:
             self.is_stopped = True
 
+    def _get_suspicion(self) -> float:
+        return max(self._evidence.values(), default=0.0)
+
     def get_due_outcome(self, now_s: float) -> RolloutOutcome:
         """Returns the outcome that should be written now; RUNNING for none."""
         if self.outcome is not RolloutOutcome.RUNNING:
             return RolloutOutcome.RUNNING
         if self.is_stopped:
             return RolloutOutcome.REVERTED
-        ratio, answers = self.get_elapsed_ratio(now_s), self.get_answer_count()
-        if ratio >= COMPLETE_RATIO and answers >= COMPLETE_ANSWERS:
-            return RolloutOutcome.COMPLETED
-        is_clean = max(self._evidence.values(), default=0.0) <= 0.0
-        if ratio >= LATE_RATIO and answers >= LATE_ANSWERS and is_clean:
+        ratio = self.get_elapsed_ratio(now_s)
+        if ratio < COMPLETE_RATIO:
+            return RolloutOutcome.RUNNING
+        suspicion = self._get_suspicion()
+        if self._is_version_suspect and suspicion >= SUSPICION_EVIDENCE:
+            return RolloutOutcome.REVERTED
+        is_late = ratio >= LATE_RATIO
+        if suspicion <= 0.0 and self._is_proved(is_late):
             return RolloutOutcome.COMPLETED
         return RolloutOutcome.RUNNING
 
+    def _is_proved(self, is_late: bool) -> bool:
+        """Returns whether enough answers speak for the version.
+
+        Args:
+            is_late: Whether fewer answers suffice.
+        """
+        answers, total = self.get_answer_count(), self.get_total_evidence()
+        if answers >= COMPLETE_ANSWERS:
+            return total <= PROOF_EVIDENCE
+        return (
+            is_late and answers >= LATE_ANSWERS and total <= LATE_PROOF_EVIDENCE
+        )
+
     def _make_seed(self, seed: str) -> str:
         return f"{self.order.service}/{self.order.version}/{seed}"
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -22,6 +22,7 @@
 from lovagestage.gateway.peer_messenger import PeerMessenger
 from lovagestage.gateway.rollout_assignment import Assignment, choose_version
 from lovagestage.gateway.rollout_evidence import (
+    PROOF_EVIDENCE,
     AnswerQuality,
     get_log_likelihood_ratio,
 )
@@ -98,10 +99,10 @@
     """Records answers of the new version: `x` failed, `.` did not."""
     for number, letter in enumerate(pattern):
         failed = letter == "x"
-        rollout.add_evidence(
-            route, get_log_likelihood_ratio(failure_rate, failed)
-        )
-        rollout.record_answers("edge-1", number + 1)
+        evidence = get_log_likelihood_ratio(failure_rate, failed)
+        rollout.add_evidence(route, evidence)
+        total = rollout.get_total_evidence() + evidence
+        rollout.record_answers("edge-1", number + 1, total)
         if failed:
             rollout.add_failure(f"n{number % upstreams}", 2)
 
@@ -192,6 +193,8 @@
     due_s = 100.0 + COMPLETE_RATIO * ORDER.duration_s
     assert rollout.get_due_outcome(due_s + 5.0) is RolloutOutcome.RUNNING
     rollout.record_answers("edge-1", COMPLETE_ANSWERS)
+    assert rollout.get_due_outcome(due_s + 5.0) is RolloutOutcome.RUNNING
+    rollout.record_answers("edge-1", COMPLETE_ANSWERS, PROOF_EVIDENCE)
     assert rollout.get_due_outcome(due_s - 0.1) is RolloutOutcome.RUNNING
     assert rollout.get_due_outcome(due_s + 0.01) is RolloutOutcome.COMPLETED
 
@@ -502,8 +505,10 @@
         active = [end_s for end_s in ends.get(name, ()) if end_s > now_s]
         ends[name] = [*active, now_s + 0.3]
         failed = len(active) >= fails_from
-        rollout.record_answers("edge", rollout.get_answer_count() + 1)
-        rollout.add_evidence("r", get_log_likelihood_ratio(0.02, failed))
+        evidence = get_log_likelihood_ratio(0.02, failed)
+        total = rollout.get_total_evidence() + evidence
+        rollout.record_answers("edge", rollout.get_answer_count() + 1, total)
+        rollout.add_evidence("r", evidence)
         if failed:
             rollout.add_failure(name, 47)
         if rollout.is_stopped:
