Tell the other gateways of good answers of a new version too

What callers saw: good versions were reverted, or not completed in time, the more gateways there are.

Cause: each gateway heard of every failure and only of its own good answers (and of those that its peers had on a route before a failure of theirs). The usual slow answers of a large fleet added up against a good version.

Change: each gateway tells the others, in 24 reports spread over the order's duration, what its answers since the last message say by route. Failures are told at once as before.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -23,6 +23,7 @@
     "naive_proxy": "lab.naive_proxy",
     "bench": "lab.bench",
     "demo": "lab.demo",
+    "rollout_replay": "lab.rollout_replay",
     "soak": "lab.soak.command",
     "up": "lab.up",
     "stages": "lab.stages",
--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -67,6 +67,8 @@
         answers: Number of answers so far.
         age_s: Age of the order in seconds.
         evidence: Sum of the log-likelihood ratios of these answers.
+        routes: Log-likelihood ratio of the answers since the gateway's last
+            message, by route.
     """
 
     service: ServiceId
@@ -75,6 +77,7 @@
     answers: int
     age_s: float
     evidence: float = 0.0
+    routes: dict[str, float] = {}
 
 
 class ActiveSessionsMessage(
--- a/src/lovagestage/gateway/rollout_evidence.py
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -132,3 +132,8 @@
     def take_unreported(self, route: str) -> float:
         """Returns a route's evidence since the last call, for the others."""
         return self._unreported.pop(route, 0.0)
+
+    def take_all_unreported(self) -> dict[str, float]:
+        """Returns the evidence of all routes since the last call."""
+        unreported, self._unreported = self._unreported, {}
+        return unreported
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -31,7 +31,6 @@
 from lovagestage.gateway.rollout_outcomes import OutcomeStore, log_verdict
 from lovagestage.gateway.rollout_shares import get_first_share
 from lovagestage.gateway.rollouts import (
-    COUNT_REPORT_RATIOS,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
@@ -57,7 +56,7 @@
 
     def __init__(self) -> None:
         self.evidence = TrialEvidence()
-        self.reported_counts = 0
+        self.report_due_s = 0.0
 
 
 class RolloutService(mode.Service):
@@ -250,6 +249,8 @@
             rollout.record_answers(
                 message.gateway, message.answers, message.evidence
             )
+            for route, evidence in message.routes.items():
+                rollout.add_evidence(route, evidence)
 
     def on_sessions_message(self, message: ActiveSessionsMessage) -> None:
         """Applies the active sessions that another gateway has reported."""
@@ -320,25 +321,23 @@
         now_s = get_elapsed_s()
         for service, rollout in self._deployment.rollouts.items():
             progress = self._progress[service]
-            if rollout.outcome is not RolloutOutcome.RUNNING:
+            own = progress.evidence
+            is_due = now_s >= progress.report_due_s
+            if rollout.outcome is not RolloutOutcome.RUNNING or not is_due:
                 continue
-            if progress.reported_counts >= len(COUNT_REPORT_RATIOS):
+            progress.report_due_s = now_s + rollout.get_report_interval_s()
+            unreported = own.take_all_unreported()
+            if not unreported:
                 continue
-            due = COUNT_REPORT_RATIOS[progress.reported_counts]
-            if rollout.get_elapsed_ratio(now_s) < due:
-                continue
-            progress.reported_counts += 1
-            if not progress.evidence.answers:
-                continue
-            age_s = rollout.get_age_s(now_s)
             self._post(
                 AnswerCountMessage(
                     service,
                     rollout.position,
                     self._vm,
-                    progress.evidence.answers,
-                    age_s,
-                    progress.evidence.total,
+                    own.answers,
+                    rollout.get_age_s(now_s),
+                    own.total,
+                    unreported,
                 )
             )
 
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -69,11 +69,13 @@
 
 ALL_ROUTES = ""
 """Key of the evidence of all routes together."""
-COUNT_REPORT_RATIOS = (0.5, 0.77, 0.88, 0.92)
-"""Shares of the order's duration after which gateways report to each other how
-many answers of the new version they have received and what these say: before
-the load step and before the completion, which both depend on that. There are
-several, so that a gateway that starts late hears of it too."""
+REPORTS = 24
+"""Number of reports, spread over the duration of an order, in which a gateway
+tells the others how many answers of the new version it has received and what
+these say. Failures are told at once; without the good answers of the others,
+the failures of a large fleet would add up against a good version."""
+MIN_REPORT_INTERVAL_S = 0.5
+"""Shortest interval in seconds between two reports."""
 COMPLETE_ANSWERS = 20
 """Answers of the new version that are needed for its completion at
 `COMPLETE_RATIO`."""
@@ -255,6 +257,10 @@
         """Returns the share of the order's duration that has passed."""
         return self.get_age_s(now_s) / max(1.0, self.order.duration_s)
 
+    def get_report_interval_s(self) -> float:
+        """Returns the interval in seconds between two reports of a gateway."""
+        return max(MIN_REPORT_INTERVAL_S, self.order.duration_s / REPORTS)
+
     def get_share(self, now_s: float) -> float:
         """Returns the share of the sessions that go to the new version."""
         if self.outcome is RolloutOutcome.COMPLETED:
