Ask for good answers on average and leave time to write the verdict

Change: the mean over all answers is bounded too; the verdict on an order shorter than 20 s is due 1 s before its end.

--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -16,6 +16,7 @@
 from lovagestage.gateway.rollout_evidence import (
     EVIDENCE_FLOOR,
     LATE_PROOF_EVIDENCE,
+    MEAN_PROOF_EVIDENCE,
     MIN_NEW_FAILURES,
     PROOF_EVIDENCE,
     STOP_EVIDENCE,
@@ -79,6 +80,11 @@
 COMPLETE_ANSWERS = 20
 """Answers of the new version that are needed for its completion at
 `COMPLETE_RATIO`."""
+VERDICT_MARGIN_S = 1.0
+"""Time in seconds that a verdict needs to be reached, written and followed
+everywhere; a short order is due earlier than `COMPLETE_RATIO` for it."""
+MIN_DUE_RATIO = 0.9
+"""Smallest share of the order's duration after which a verdict is due."""
 LATE_RATIO = 0.97
 """Share of the order's duration after which fewer answers suffice."""
 LATE_ANSWERS = 5
@@ -340,16 +346,22 @@
         if self.is_stopped:
             return RolloutOutcome.REVERTED
         ratio = self.get_elapsed_ratio(now_s)
-        if ratio < COMPLETE_RATIO:
+        due_ratio = self._get_due_ratio()
+        if ratio < due_ratio:
             return RolloutOutcome.RUNNING
         suspicion = self._get_suspicion()
         if self._is_version_suspect and suspicion >= SUSPICION_EVIDENCE:
             return RolloutOutcome.REVERTED
-        is_late = ratio >= LATE_RATIO
+        is_late = ratio >= due_ratio + LATE_RATIO - COMPLETE_RATIO
         if suspicion <= 0.0 and self._is_proved(is_late):
             return RolloutOutcome.COMPLETED
         return RolloutOutcome.RUNNING
 
+    def _get_due_ratio(self) -> float:
+        """Returns the share of the duration after which a verdict is due."""
+        margin_ratio = VERDICT_MARGIN_S / max(1.0, self.order.duration_s)
+        return max(MIN_DUE_RATIO, min(COMPLETE_RATIO, 1.0 - margin_ratio))
+
     def _is_proved(self, is_late: bool) -> bool:
         """Returns whether enough answers speak for the version.
 
@@ -357,6 +369,8 @@
             is_late: Whether fewer answers suffice.
         """
         answers, total = self.get_answer_count(), self.get_total_evidence()
+        if total > MEAN_PROOF_EVIDENCE * answers:
+            return False
         if answers >= COMPLETE_ANSWERS:
             return total <= PROOF_EVIDENCE
         return (
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import random
 
@@ -41,6 +42,7 @@
     LATE_ANSWERS,
     LATE_RATIO,
     SESSION_COLLECTION_S,
+    VERDICT_MARGIN_S,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
@@ -221,6 +223,24 @@
     assert due is not RolloutOutcome.COMPLETED
 
 
+def test_many_answers_do_not_hide_that_some_are_bad():
+    # One answer in five is bad: over 100 answers the sum alone was proof.
+    rollout = make_rollout()
+    rollout.record_answers("edge-1", 100, PROOF_EVIDENCE - 1.0)
+    due_s = 100.0 + COMPLETE_RATIO * ORDER.duration_s + 0.01
+    assert rollout.get_due_outcome(due_s) is RolloutOutcome.RUNNING
+
+
+def test_the_verdict_on_a_short_order_leaves_time_to_write_it():
+    # The verdict was due 0.6 s before the end of an order of 12 s, was written
+    # 0.4 s later and not yet followed by all when the time was over.
+    rollout = Rollout(dataclasses.replace(ORDER, duration_s=12.0), 7, 100.0)
+    rollout.record_answers("edge-1", COMPLETE_ANSWERS, 2.0 * PROOF_EVIDENCE)
+    due_s = 112.0 - VERDICT_MARGIN_S
+    assert rollout.get_due_outcome(due_s - 0.01) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(due_s + 0.01) is RolloutOutcome.COMPLETED
+
+
 def test_a_restarted_gateway_learns_the_orders_age():
     # The process was killed in the middle of the roll-out. The new process
     # counts time from its own start, and another gateway's message reports how
