Weigh the pace of a new version's streams

What callers saw: a version whose streams begin in time and go on several times as slowly was completed.

Change: the mean interval between the events of a stream is compared with that of the old version's streams, also where a stream breaks off or its caller leaves; it is evidence under a key of its own. Where little is known, a few more answers are needed (eight instead of five, and their evidence as good), and the load step waits for 12 answers instead of 20, as it is what brings the evidence.

test_version_that_is_slow_within_its_streams_is_reverted failed before (completed).

--- a/src/lovagestage/gateway/failure_rates.py
+++ b/src/lovagestage/gateway/failure_rates.py
@@ -56,15 +56,26 @@
             failed: Whether the answer failed or was slow.
             now_s: Elapsed time in seconds.
         """
-        key = (service, route)
-        previous = self._failure_rates.get(key, 0.0)
-        self._failure_rates[key] = previous + FAILURE_RATE_GAIN * (
+        self.record_quality(service, route, failed)
+        self.record_request(service, now_s)
+
+    def record_quality(
+        self, service: ServiceId, key: str, failed: bool
+    ) -> None:
+        """Records the quality of an answer, which counts as no request.
+
+        Args:
+            service: The service.
+            key: Route of the request, or the key of its pace.
+            failed: Whether the answer failed or was slow.
+        """
+        previous = self._failure_rates.get((service, key), 0.0)
+        self._failure_rates[(service, key)] = previous + FAILURE_RATE_GAIN * (
             failed - previous
         )
-        self.record_request(service, now_s)
 
     def record_request(self, service: ServiceId, now_s: float) -> None:
-        """Records an answer that says nothing about the failure rate.
+        """Records a request, for the rate of requests.
 
         Args:
             service: The service.
--- a/src/lovagestage/gateway/latency.py
+++ b/src/lovagestage/gateway/latency.py
@@ -21,6 +21,9 @@
 QUEUE_MEANS = 2.0
 """Longest queue time that excuses a late answer, as a multiple of the mean
 time: a good version on trial is loaded about as the others are in a burst."""
+SLOW_PACE_EXTRA_S = 0.02
+"""Time in seconds by which the mean interval between a stream's events must
+also exceed the usual one to be slow."""
 IDLE_TARGET_RATIO = 0.1
 """Share of the target latency that first events take where no request waits."""
 FULL_TARGET_RATIO = 0.65
@@ -108,6 +111,20 @@
         # A slow upstream has a long queue: its own slowness excuses nothing.
         return limit_s + min(queue_s, max(QUEUE_MEANS * mean_s, SLOW_EXTRA_S))
 
+    def get_slow_pace_s(self, kind: Hashable) -> float | None:
+        """Returns the mean interval in seconds above which a stream is slow.
+
+        Args:
+            kind: Kind of the stream.
+
+        Returns:
+            The limit; None while too few streams of the kind are known.
+        """
+        mean_s = self.get(kind)
+        if mean_s is None:
+            return None
+        return max(SLOW_RATIO * mean_s, mean_s + SLOW_PACE_EXTRA_S)
+
 
 def judge_unknown_kind(time_s: float, target_s: float) -> AnswerQuality:
     """Judges an answer of a kind of which too few answers are known.
--- a/src/lovagestage/gateway/rollout_evidence.py
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -27,7 +27,7 @@
 """Mean log-likelihood ratio of an answer up to which a version is completed: up
 to about one answer in eight may be slow. A sum alone says less, the more
 answers there are."""
-LATE_PROOF_EVIDENCE = -1.0
+LATE_PROOF_EVIDENCE = -2.0
 """The same for a service with little traffic, whose few answers have to be
 good."""
 SUSPICION_EVIDENCE = 2.0
@@ -63,6 +63,19 @@
     """Too few answers of the kind are known to tell whether it was slow."""
 
 
+class EvidenceAspect(enum.Enum):
+    """What of an answer was judged; each aspect is a test of its own."""
+
+    ANSWER = ""
+    """Whether it came, in time and without a failure."""
+    PACE = "/pace"
+    """How fast the events of a stream followed each other."""
+
+    def make_key(self, route: str) -> str:
+        """Returns the key under which a route's evidence is summed."""
+        return route + self.value
+
+
 SLOW_QUALITIES = frozenset(
     (AnswerQuality.SLOW, AnswerQuality.SILENT, AnswerQuality.LOST)
 )
@@ -87,6 +100,11 @@
     return math.log((1.0 - bad_rate) / (1.0 - failure_rate))
 
 
+def is_pace_key(key: str) -> bool:
+    """Returns whether evidence under a key is of the pace of streams."""
+    return key.endswith(EvidenceAspect.PACE.value)
+
+
 class TrialEvidence:
     """What one gateway knows of a new version by its own answers.
 
@@ -94,11 +112,13 @@
         answers: Number of judged answers, runs without an answer included.
         total: Sum of their log-likelihood ratios.
         qualities: Number of answers by quality.
+        report_due_s: Elapsed time in seconds at which the others are told next.
     """
 
     def __init__(self) -> None:
         self.answers = 0
         self.total = 0.0
+        self.report_due_s = 0.0
         self.qualities: collections.Counter[AnswerQuality] = (
             collections.Counter()
         )
@@ -114,12 +134,13 @@
         """Adds an answer and returns its log-likelihood ratio.
 
         Args:
-            route: Name of the route.
+            route: Name of the route, or the key of its pace.
             quality: Quality of the answer.
             failure_rate: Rate at which the old version fails such requests.
             is_loaded: Whether the new version is in its load step.
         """
-        self.qualities[quality] += 1
+        if not is_pace_key(route):
+            self.qualities[quality] += 1
         if quality is AnswerQuality.UNJUDGED:
             return 0.0
         if quality in SLOW_QUALITIES:
@@ -127,8 +148,9 @@
             failure_rate = max(slow_rate, failure_rate)
         failed = quality is not AnswerQuality.GOOD
         evidence = get_log_likelihood_ratio(failure_rate, failed)
-        self.answers += 1
         self.total += evidence
+        if not is_pace_key(route):
+            self.answers += 1
         unreported = self._unreported.get(route, 0.0) + evidence
         self._unreported[route] = max(EVIDENCE_FLOOR, unreported)
         return evidence
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -26,6 +26,7 @@
 from lovagestage.gateway.rollout_evidence import (
     OUTAGE_QUALITIES,
     AnswerQuality,
+    EvidenceAspect,
     TrialEvidence,
 )
 from lovagestage.gateway.rollout_outcomes import OutcomeStore, log_verdict
@@ -48,17 +49,12 @@
 """Pause in seconds after a call to the store has failed."""
 
 
+_RolloutMessage = (
+    FailureMessage | AnswerCountMessage | ActiveSessionsMessage | OutcomeMessage
+)
 _OUTAGES = frozenset(quality.value for quality in OUTAGE_QUALITIES)
 
 
-class _Progress:
-    """Answers and evidence of one roll-out at this gateway, and its reports."""
-
-    def __init__(self) -> None:
-        self.evidence = TrialEvidence()
-        self.report_due_s = 0.0
-
-
 class RolloutService(mode.Service):
     """Follows the roll-outs of all services.
 
@@ -82,7 +78,7 @@
         self._vm = vm
         self._bounds = bounds
         self._failure_rates = FailureRateTable()
-        self._progress: dict[ServiceId, _Progress] = {}
+        self._own_evidence: dict[ServiceId, TrialEvidence] = {}
         self._deployment = deployment
         self._rng = rng
         self._peer_messenger: PeerMessenger | None = None
@@ -112,7 +108,7 @@
         rollout = Rollout(order, position, get_elapsed_s(), warmup_s)
         self._deployment.rollouts[order.service] = rollout
         self._outcomes.add_order(rollout)
-        self._progress[order.service] = _Progress()
+        self._own_evidence[order.service] = TrialEvidence()
 
     def _get_first_share(self, order: RolloutOrder) -> float:
         assert self._peer_messenger is not None
@@ -145,6 +141,7 @@
         assignment: Assignment,
         upstream: Upstream,
         quality: AnswerQuality,
+        aspect: EvidenceAspect = EvidenceAspect.ANSWER,
     ) -> bool:
         """Records an answer of an upstream, or a run without one.
 
@@ -154,6 +151,7 @@
             assignment: Version to which the request was assigned.
             upstream: The upstream that answered.
             quality: Quality of the answer.
+            aspect: What was judged.
 
         Returns:
             Whether it counts; as in `EvidenceSink`.
@@ -161,7 +159,7 @@
         rollout = self._deployment.rollouts.get(service)
         is_new = rollout is not None and assignment.is_new
         if not is_new:
-            self._add_old_answer(service, route, quality)
+            self._add_old_answer(service, route, quality, aspect)
             return True
         assert rollout is not None
         if rollout.outcome is not RolloutOutcome.RUNNING:
@@ -170,18 +168,26 @@
             upstream.id
         ):
             return False
-        self._add_new_answer(rollout, route, upstream, quality)
+        key = aspect.make_key(route)
+        self._add_new_answer(rollout, key, upstream, quality)
         return True
 
     def _add_old_answer(
-        self, service: ServiceId, route: str, quality: AnswerQuality
+        self,
+        service: ServiceId,
+        route: str,
+        quality: AnswerQuality,
+        aspect: EvidenceAspect,
     ) -> None:
         now_s = get_elapsed_s()
         if quality is AnswerQuality.UNJUDGED:
             self._failure_rates.record_request(service, now_s)
             return
         failed = quality is not AnswerQuality.GOOD
-        self._failure_rates.record_answer(service, route, failed, now_s)
+        key = aspect.make_key(route)
+        self._failure_rates.record_quality(service, key, failed)
+        if aspect is EvidenceAspect.ANSWER:
+            self._failure_rates.record_request(service, now_s)
 
     def _add_new_answer(
         self,
@@ -191,7 +197,7 @@
         quality: AnswerQuality,
     ) -> None:
         service = rollout.order.service
-        own = self._progress[service].evidence
+        own = self._own_evidence[service]
         evidence = own.add(
             route,
             quality,
@@ -216,13 +222,7 @@
         self._count_failure(rollout, message)
         self._post(message)
 
-    def _post(
-        self,
-        message: FailureMessage
-        | AnswerCountMessage
-        | ActiveSessionsMessage
-        | OutcomeMessage,
-    ) -> None:
+    def _post(self, message: _RolloutMessage) -> None:
         assert self._peer_messenger is not None
         self._peer_messenger.enqueue(message)
 
@@ -320,12 +320,11 @@
     def _report_counts(self) -> None:
         now_s = get_elapsed_s()
         for service, rollout in self._deployment.rollouts.items():
-            progress = self._progress[service]
-            own = progress.evidence
-            is_due = now_s >= progress.report_due_s
+            own = self._own_evidence[service]
+            is_due = now_s >= own.report_due_s
             if rollout.outcome is not RolloutOutcome.RUNNING or not is_due:
                 continue
-            progress.report_due_s = now_s + rollout.get_report_interval_s()
+            own.report_due_s = now_s + rollout.get_report_interval_s()
             unreported = own.take_all_unreported()
             if not unreported:
                 continue
@@ -383,7 +382,7 @@
             if written is None:
                 continue
             if written.outcome is not RolloutOutcome.RUNNING:
-                own = self._progress[rollout.order.service].evidence
+                own = self._own_evidence[rollout.order.service]
                 log_verdict(rollout, written.outcome, own.qualities)
             self._post(
                 OutcomeMessage(
--- a/src/lovagestage/gateway/rollout_shares.py
+++ b/src/lovagestage/gateway/rollout_shares.py
@@ -35,7 +35,7 @@
     min_answers: int
 
 
-LOAD_STEP = RolloutStep(0.8, 0.25, 20)
+LOAD_STEP = RolloutStep(0.8, 0.25, 12)
 """Step that raises the load before the end of a roll-out: the new version gets
 more traffic for several times as long as failures take to occur and to be
 reported. Until then the share stays constant, so that no session changes its
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -87,7 +87,7 @@
 """Smallest share of the order's duration after which a verdict is due."""
 LATE_RATIO = 0.97
 """Share of the order's duration after which fewer answers suffice."""
-LATE_ANSWERS = 5
+LATE_ANSWERS = 8
 """Answers that complete the roll-out of a service with little traffic after
 `LATE_RATIO` of the duration, if the evidence does not speak against the
 version."""
@@ -294,7 +294,7 @@
         version is a little slow on each.
 
         Args:
-            route: Name of the route.
+            route: Name of the route, or the key of its pace.
             evidence: Log-likelihood ratio of the answers.
         """
         for key in (route, ALL_ROUTES):
--- a/src/lovagestage/gateway/run_weighing.py
+++ b/src/lovagestage/gateway/run_weighing.py
@@ -16,7 +16,7 @@
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.latency import judge_unknown_kind
-from lovagestage.gateway.rollout_evidence import AnswerQuality
+from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.runs import (
     CRASH_LIKE_REASONS,
     RunContext,
@@ -25,6 +25,8 @@
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import RunState
 
+MIN_INTERVALS = 3
+"""Intervals between events that a stream's pace is judged by."""
 STALL_S = 0.05
 """Delay in seconds from which a timer shows that this process itself stood
 still: what upstreams have sent meanwhile has not been read yet."""
@@ -65,6 +67,9 @@
         self._limit_s = self._target_s if limit_s is None else limit_s
         self._started_s = get_elapsed_s()
         self._is_weighed = False
+        self._pace_kind = ("pace", route.name, model)
+        self._events = 0
+        self._first_event_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> Self:
@@ -80,6 +85,7 @@
     ) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        self._weigh_pace(error is None)
         if self._is_weighed:
             return
         if get_elapsed_s() - self._started_s > self._limit_s:
@@ -97,6 +103,12 @@
         else:
             self._weigh(judge_unknown_kind(time_s, self._target_s))
 
+    def record_event(self) -> None:
+        """Records that an event of a stream was received."""
+        if not self._events:
+            self._first_event_s = get_elapsed_s()
+        self._events += 1
+
     def record_failed(self) -> None:
         """Records that the upstream has answered with a failure."""
         self._weigh(AnswerQuality.FAILED)
@@ -124,6 +136,33 @@
         is_working = detector.last_data_s > self._started_s
         self._weigh(AnswerQuality.SLOW if is_working else AnswerQuality.SILENT)
 
+    def _weigh_pace(self, is_complete: bool) -> None:
+        """Weighs the pace of a stream after its first event.
+
+        A version may begin its answers in time and be slow from then on.
+
+        Args:
+            is_complete: Whether the stream has ended; otherwise the time since
+                its last event counts too, and only against the version.
+        """
+        intervals = self._events - is_complete
+        if intervals < MIN_INTERVALS:
+            return
+        latency = self._context.latency
+        pace_s = (get_elapsed_s() - self._first_event_s) / intervals
+        limit_s = latency.get_slow_pace_s(self._pace_kind)
+        is_slow = limit_s is not None and pace_s > limit_s
+        if limit_s is not None and (is_slow or is_complete):
+            record_evidence(
+                self._context,
+                self._attempts,
+                self._upstream,
+                AnswerQuality.SLOW if is_slow else AnswerQuality.GOOD,
+                EvidenceAspect.PACE,
+            )
+        if is_complete and not self._attempts.assignment.is_new:
+            latency.record(self._pace_kind, pace_s)
+
     def _weigh(self, quality: AnswerQuality) -> None:
         if not self._is_weighed:
             self._is_weighed = record_evidence(
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -27,7 +27,7 @@
 )
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.prefill import PrefillTimes, count_prefill_tokens
-from lovagestage.gateway.rollout_evidence import AnswerQuality
+from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.gateway.upstream_choice import AttemptCost
@@ -346,6 +346,7 @@
     attempts: Attempts,
     upstream: Upstream,
     quality: AnswerQuality,
+    aspect: EvidenceAspect = EvidenceAspect.ANSWER,
 ) -> bool:
     """Records an answer as evidence for or against its version.
 
@@ -367,4 +368,5 @@
         attempts.assignment,
         upstream,
         quality,
+        aspect,
     )
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -6,7 +6,7 @@
 
 from lovagestage.gateway.messages import AnswerHead
 from lovagestage.gateway.rollout_assignment import Assignment
-from lovagestage.gateway.rollout_evidence import AnswerQuality
+from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import ServiceId
 
@@ -37,6 +37,7 @@
         assignment: Assignment,
         upstream: Upstream,
         quality: AnswerQuality,
+        aspect: EvidenceAspect = EvidenceAspect.ANSWER,
     ) -> bool:
         """Records the quality of an answer, or of a run without one.
 
@@ -46,6 +47,7 @@
             assignment: Version to which the request was assigned.
             upstream: The upstream that answered.
             quality: Quality of the answer.
+            aspect: What was judged.
 
         Returns:
             Whether it counts. Only the first sign that an upstream may have
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -244,6 +244,7 @@
     async def _forward_event(
         self, exchange: Exchange, head: AnswerHead, event: bytes
     ) -> None:
+        self._weighing.record_event()
         if self._awaits_first_event:
             self._awaits_first_event = False
             exchange.record_answer_start(self._get_run_time_s())
--- a/tests/test_rollout_evidence.py
+++ b/tests/test_rollout_evidence.py
@@ -83,6 +83,18 @@
         assert state == "reverted"
 
 
+async def test_version_that_is_slow_within_its_streams_is_reverted():
+    # Its answers begin in time, and their events come at a fraction of the
+    # usual pace: it was judged by their first events alone.
+    async with run_gateway_harness(
+        script=lab.make_stream(pause_s=0.01)
+    ) as harness:
+        for name in ("n1", "n2", "n3"):
+            script = lab.make_stream(pause_s=0.12)
+            await harness.add_worker(name, script, Version="v2")
+        assert await run_rollout(harness, "/stream/x", 3.0) == "reverted"
+
+
 async def test_good_version_whose_upstreams_crash_is_completed():
     # All requests at an upstream end with it: weighed one by one, the crash of
     # two upstreams would end the roll-out of a good version.
