Compare the pace of streams by model, and ask for clearer proof

The pace of a stream depends on its model more than on its route: few kinds had the eight streams that a comparison needs, and most streams of one route are shorter than four events.

--- a/src/lovagestage/gateway/rollout_evidence.py
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -23,9 +23,9 @@
 completed: ten good answers without a bad one. A version that fails three in ten
 reaches it in about one of 40 roll-outs of 25 answers; a good one of which three
 in 100 answers are slow reaches it in 95 of 100."""
-MEAN_PROOF_EVIDENCE = -0.1
+MEAN_PROOF_EVIDENCE = -0.15
 """Mean log-likelihood ratio of an answer up to which a version is completed: up
-to about one answer in eight may be slow. A sum alone says less, the more
+to about one answer in eleven may be slow. A sum alone says less, the more
 answers there are."""
 LATE_PROOF_EVIDENCE = -2.0
 """The same for a service with little traffic, whose few answers have to be
--- a/src/lovagestage/gateway/run_weighing.py
+++ b/src/lovagestage/gateway/run_weighing.py
@@ -25,7 +25,7 @@
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import RunState
 
-MIN_INTERVALS = 3
+MIN_INTERVALS = 2
 """Intervals between events that a stream's pace is judged by."""
 STALL_S = 0.05
 """Delay in seconds from which a timer shows that this process itself stood
@@ -67,7 +67,7 @@
         self._limit_s = self._target_s if limit_s is None else limit_s
         self._started_s = get_elapsed_s()
         self._is_weighed = False
-        self._pace_kind = ("pace", route.name, model)
+        self._pace_kind = ("pace", attempts.admitted.service, model)
         self._events = 0
         self._first_event_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
