Let the roll-outs' model know that a suspect version is reverted

The state machine took a share of 0 for a fall of the share where the verdict was REVERTED without a stop before, which is a new way to that verdict. It now asks for a share of 0 after every reverted roll-out, as it did after a stop.

--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -430,8 +430,9 @@
 class RolloutMachine(RuleBasedStateMachine):
     """Records failures, time and other gateways' messages in any order.
 
-    The model expects that an outcome is final, that a stopped version gets no
-    requests and is never completed, and that otherwise the share never falls.
+    The model expects that an outcome is final, that a stopped or reverted
+    version gets no requests and is never completed, and that otherwise the
+    share never falls.
     """
 
     def __init__(self):
@@ -481,7 +482,7 @@
         self.was_stopped |= self.rollout.is_stopped
         if self.final is RolloutOutcome.COMPLETED:
             assert share == 1.0
-        elif self.was_stopped:
+        elif self.was_stopped or self.final is RolloutOutcome.REVERTED:
             assert share == 0.0
         else:
             assert share >= self.share
