--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -31,7 +31,9 @@
 class FailureMessage(
     msgspec.Struct, frozen=True, array_like=True, tag="failure"
 ):
-    """Reports a failed or far too slow answer of a roll-out's new version.
+    """Reports an answer that speaks against a roll-out's new version.
+
+    It failed, was far too slow or did not come.
 
     Attributes:
         service: The service.
@@ -41,6 +43,7 @@
         evidence: Log-likelihood ratio of this answer and of the good answers
             on the route since the gateway's last message.
         age_s: Age of the order in seconds.
+        quality: Value of the answer's quality.
     """
 
     service: ServiceId
@@ -49,6 +52,7 @@
     upstream: InstanceId
     evidence: float
     age_s: float
+    quality: str = "failed"
 
 
 class AnswerCountMessage(
@@ -62,6 +66,9 @@
         gateway: The gateway that received the answers.
         answers: Number of answers so far.
         age_s: Age of the order in seconds.
+        evidence: Sum of the log-likelihood ratios of these answers.
+        routes: Log-likelihood ratio of the answers since the gateway's last
+            message, by route.
     """
 
     service: ServiceId
@@ -69,6 +76,8 @@
     gateway: VmId
     answers: int
     age_s: float
+    evidence: float = 0.0
+    routes: dict[str, float] = {}
 
 
 class ActiveSessionsMessage(
--- /dev/null
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -0,0 +1,165 @@
+"""Weighs answers as evidence for or against a new version (no I/O)."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import math
+
+STOP_EVIDENCE = 5.0
+"""Log-likelihood ratio at which a new version is stopped. The ratio compares a
+version whose failure rate is higher by `BAD_FAILURE_RISE` with one that is as
+good as the old version. A good version reaches the limit in about one of 150
+roll-outs (Wald's bound)."""
+EVIDENCE_FLOOR = -1.0
+"""Lower limit of the log-likelihood ratio: good answers lower it no further
+(Page's CUSUM), so that a version that becomes faulty late is found as fast as
+one that is faulty from the start."""
+BAD_FAILURE_RISE = 0.25
+"""Rise of the failure rate that counts as bad; faulty versions fail a third of
+their answers and more."""
+PROOF_EVIDENCE = -3.0
+"""Log-likelihood ratio, over all routes and gateways, up to which a version is
+completed: ten good answers without a bad one. A version that fails three in ten
+reaches it in about one of 40 roll-outs of 25 answers; a good one of which three
+in 100 answers are slow reaches it in 95 of 100."""
+MEAN_PROOF_EVIDENCE = -0.15
+"""Mean log-likelihood ratio of an answer up to which a version is completed: up
+to about one answer in eleven may be slow. A sum alone says less, the more
+answers there are."""
+LATE_PROOF_EVIDENCE = -2.0
+"""The same for a service with little traffic, whose few answers have to be
+good."""
+SUSPICION_EVIDENCE = 2.0
+"""Log-likelihood ratio from which a version is reverted when it is due to be
+completed; below that it waits for further answers."""
+MIN_FAILURE_RATE, MAX_FAILURE_RATE = 0.02, 0.5
+"""Lower and upper limit of the old version's failure rate in the
+log-likelihood ratio."""
+MIN_NEW_FAILURES = 3
+"""Failures of the new version that are needed to stop it, whatever their
+likelihood: two failures can come from the crash of one upstream."""
+SLOW_ANSWER_RATE = 0.1
+"""Minimum rate at which answers of a good version are assumed to be slow.
+Answer times vary with the queues, so a slow answer is weaker evidence than a
+failed one."""
+LOADED_SLOW_RATE = 0.2
+"""The same in the load step, where the few upstreams of the new version are
+meant to have queues."""
+
+
+class AnswerQuality(enum.Enum):
+    """Quality of an answer, as evidence on the version that gave it."""
+
+    GOOD = "good"
+    SLOW = "slow"
+    """The answer took several times as long as the mean."""
+    FAILED = "failed"
+    SILENT = "silent"
+    """The answer was as late, and its upstream sent nothing meanwhile."""
+    LOST = "lost"
+    """The upstream crashed, or the link to it broke."""
+    UNJUDGED = "unjudged"
+    """Too few answers of the kind are known to tell whether it was slow."""
+
+
+class EvidenceAspect(enum.Enum):
+    """What of an answer was judged; each aspect is a test of its own."""
+
+    ANSWER = ""
+    """Whether it came, in time and without a failure."""
+    PACE = "/pace"
+    """How fast the events of a stream followed each other."""
+
+    def make_key(self, route: str) -> str:
+        """Returns the key under which a route's evidence is summed."""
+        return route + self.value
+
+
+SLOW_QUALITIES = frozenset(
+    (AnswerQuality.SLOW, AnswerQuality.SILENT, AnswerQuality.LOST)
+)
+"""Qualities that are weaker evidence than a failed answer."""
+OUTAGE_QUALITIES = frozenset((AnswerQuality.SILENT, AnswerQuality.LOST))
+"""Qualities that count once for each upstream of a new version: a crash or a
+cut link ends all requests at an upstream at the same time, and two such
+upstreams must not end the roll-out of a good version."""
+
+
+def get_log_likelihood_ratio(failure_rate: float, failed: bool) -> float:
+    """Returns the log-likelihood ratio of one answer of the new version.
+
+    Args:
+        failure_rate: Rate at which the old version fails such requests.
+        failed: Whether the answer failed or was far too slow.
+    """
+    failure_rate = min(MAX_FAILURE_RATE, max(MIN_FAILURE_RATE, failure_rate))
+    bad_rate = min(0.95, failure_rate + BAD_FAILURE_RISE)
+    if failed:
+        return math.log(bad_rate / failure_rate)
+    return math.log((1.0 - bad_rate) / (1.0 - failure_rate))
+
+
+def is_pace_key(key: str) -> bool:
+    """Returns whether evidence under a key is of the pace of streams."""
+    return key.endswith(EvidenceAspect.PACE.value)
+
+
+class TrialEvidence:
+    """What one gateway knows of a new version by its own answers.
+
+    Attributes:
+        answers: Number of judged answers, runs without an answer included.
+        total: Sum of their log-likelihood ratios.
+        qualities: Number of answers by quality.
+        report_due_s: Elapsed time in seconds at which the others are told next.
+    """
+
+    def __init__(self) -> None:
+        self.answers = 0
+        self.total = 0.0
+        self.report_due_s = 0.0
+        self.qualities: collections.Counter[AnswerQuality] = (
+            collections.Counter()
+        )
+        self._unreported: dict[str, float] = {}
+
+    def add(
+        self,
+        route: str,
+        quality: AnswerQuality,
+        failure_rate: float,
+        is_loaded: bool,
+    ) -> float:
+        """Adds an answer and returns its log-likelihood ratio.
+
+        Args:
+            route: Name of the route, or the key of its pace.
+            quality: Quality of the answer.
+            failure_rate: Rate at which the old version fails such requests.
+            is_loaded: Whether the new version is in its load step.
+        """
+        if not is_pace_key(route):
+            self.qualities[quality] += 1
+        if quality is AnswerQuality.UNJUDGED:
+            return 0.0
+        if quality in SLOW_QUALITIES:
+            slow_rate = LOADED_SLOW_RATE if is_loaded else SLOW_ANSWER_RATE
+            failure_rate = max(slow_rate, failure_rate)
+        failed = quality is not AnswerQuality.GOOD
+        evidence = get_log_likelihood_ratio(failure_rate, failed)
+        self.total += evidence
+        if not is_pace_key(route):
+            self.answers += 1
+        unreported = self._unreported.get(route, 0.0) + evidence
+        self._unreported[route] = max(EVIDENCE_FLOOR, unreported)
+        return evidence
+
+    def take_unreported(self, route: str) -> float:
+        """Returns a route's evidence since the last call, for the others."""
+        return self._unreported.pop(route, 0.0)
+
+    def take_all_unreported(self) -> dict[str, float]:
+        """Returns the evidence of all routes since the last call."""
+        unreported, self._unreported = self._unreported, {}
+        return unreported
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -22,18 +22,19 @@
     OutcomeMessage,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
-from lovagestage.gateway.rollout_outcomes import OutcomeStore
-from lovagestage.gateway.rollouts import (
-    COUNT_REPORT_RATIOS,
-    EVIDENCE_FLOOR,
-    SLOW_ANSWER_RATE,
+from lovagestage.gateway.rollout_assignment import Assignment
+from lovagestage.gateway.rollout_evidence import (
+    OUTAGE_QUALITIES,
     AnswerQuality,
-    Assignment,
+    EvidenceAspect,
+    TrialEvidence,
+)
+from lovagestage.gateway.rollout_outcomes import OutcomeStore, log_verdict
+from lovagestage.gateway.rollout_shares import get_first_share
+from lovagestage.gateway.rollouts import (
     Rollout,
     RolloutOrder,
     RolloutOutcome,
-    get_first_share,
-    get_log_likelihood_ratio,
 )
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.upstream import Upstream
@@ -48,13 +49,10 @@
 """Pause in seconds after a call to the store has failed."""
 
 
-class _Progress:
-    """Answers and evidence of one roll-out at this gateway, and its reports."""
-
-    def __init__(self) -> None:
-        self.answers = 0
-        self.reported_counts = 0
-        self.unreported: dict[str, float] = {}
+_RolloutMessage = (
+    FailureMessage | AnswerCountMessage | ActiveSessionsMessage | OutcomeMessage
+)
+_OUTAGES = frozenset(quality.value for quality in OUTAGE_QUALITIES)
 
 
 class RolloutService(mode.Service):
@@ -80,7 +78,7 @@
         self._vm = vm
         self._bounds = bounds
         self._failure_rates = FailureRateTable()
-        self._progress: dict[ServiceId, _Progress] = {}
+        self._own_evidence: dict[ServiceId, TrialEvidence] = {}
         self._deployment = deployment
         self._rng = rng
         self._peer_messenger: PeerMessenger | None = None
@@ -110,7 +108,7 @@
         rollout = Rollout(order, position, get_elapsed_s(), warmup_s)
         self._deployment.rollouts[order.service] = rollout
         self._outcomes.add_order(rollout)
-        self._progress[order.service] = _Progress()
+        self._own_evidence[order.service] = TrialEvidence()
 
     def _get_first_share(self, order: RolloutOrder) -> float:
         assert self._peer_messenger is not None
@@ -143,28 +141,53 @@
         assignment: Assignment,
         upstream: Upstream,
         quality: AnswerQuality,
-    ) -> None:
-        """Records an answer that this gateway has received from an upstream.
+        aspect: EvidenceAspect = EvidenceAspect.ANSWER,
+    ) -> bool:
+        """Records an answer of an upstream, or a run without one.
 
         Args:
             service: The service.
             route: Name of the request's route.
             assignment: Version to which the request was assigned.
             upstream: The upstream that answered.
-            quality: Whether the answer was good, slow or failed.
+            quality: Quality of the answer.
+            aspect: What was judged.
+
+        Returns:
+            Whether it counts; as in `EvidenceSink`.
         """
         rollout = self._deployment.rollouts.get(service)
         is_new = rollout is not None and assignment.is_new
         if not is_new:
-            failed = quality is not AnswerQuality.GOOD
-            self._failure_rates.record_answer(
-                service, route, failed, get_elapsed_s()
-            )
-            return
+            self._add_old_answer(service, route, quality, aspect)
+            return True
         assert rollout is not None
         if rollout.outcome is not RolloutOutcome.RUNNING:
+            return True
+        if quality in OUTAGE_QUALITIES and not rollout.record_outage(
+            upstream.id
+        ):
+            return False
+        key = aspect.make_key(route)
+        self._add_new_answer(rollout, key, upstream, quality)
+        return True
+
+    def _add_old_answer(
+        self,
+        service: ServiceId,
+        route: str,
+        quality: AnswerQuality,
+        aspect: EvidenceAspect,
+    ) -> None:
+        now_s = get_elapsed_s()
+        if quality is AnswerQuality.UNJUDGED:
+            self._failure_rates.record_request(service, now_s)
             return
-        self._add_new_answer(rollout, route, upstream, quality)
+        failed = quality is not AnswerQuality.GOOD
+        key = aspect.make_key(route)
+        self._failure_rates.record_quality(service, key, failed)
+        if aspect is EvidenceAspect.ANSWER:
+            self._failure_rates.record_request(service, now_s)
 
     def _add_new_answer(
         self,
@@ -174,42 +197,32 @@
         quality: AnswerQuality,
     ) -> None:
         service = rollout.order.service
-        progress = self._progress[service]
-        progress.answers += 1
-        rollout.record_answers(self._vm, progress.answers)
-        failure_rate = self._failure_rates.get_failure_rate(service, route)
-        if quality is AnswerQuality.SLOW:
-            if rollout.is_loaded(get_elapsed_s()):
-                # In the load step, a good version would be reverted for the
-                # queues that its few upstreams are meant to have; a slow
-                # version shows before that step.
-                return
-            failure_rate = max(SLOW_ANSWER_RATE, failure_rate)
-        failed = quality is not AnswerQuality.GOOD
-        evidence = get_log_likelihood_ratio(failure_rate, failed)
+        own = self._own_evidence[service]
+        evidence = own.add(
+            route,
+            quality,
+            self._failure_rates.get_failure_rate(service, route),
+            rollout.is_loaded(get_elapsed_s()),
+        )
+        if quality is AnswerQuality.UNJUDGED:
+            return
+        rollout.record_answers(self._vm, own.answers, own.total)
         rollout.add_evidence(route, evidence)
-        unreported = progress.unreported.get(route, 0.0) + evidence
-        progress.unreported[route] = max(EVIDENCE_FLOOR, unreported)
-        if not failed:
+        if quality is AnswerQuality.GOOD:
             return
         message = FailureMessage(
             service,
             rollout.position,
             route,
             upstream.id,
-            progress.unreported.pop(route),
+            own.take_unreported(route),
             rollout.get_age_s(get_elapsed_s()),
+            quality.value,
         )
         self._count_failure(rollout, message)
         self._post(message)
 
-    def _post(
-        self,
-        message: FailureMessage
-        | AnswerCountMessage
-        | ActiveSessionsMessage
-        | OutcomeMessage,
-    ) -> None:
+    def _post(self, message: _RolloutMessage) -> None:
         assert self._peer_messenger is not None
         self._peer_messenger.enqueue(message)
 
@@ -218,9 +231,14 @@
         rollout = self._find_rollout(
             message.service, message.order, message.age_s
         )
-        if rollout is not None:
-            rollout.add_evidence(message.route, message.evidence)
-            self._count_failure(rollout, message)
+        if rollout is None:
+            return
+        if message.quality in _OUTAGES and not rollout.record_outage(
+            message.upstream
+        ):
+            return
+        rollout.add_evidence(message.route, message.evidence)
+        self._count_failure(rollout, message)
 
     def on_count_message(self, message: AnswerCountMessage) -> None:
         """Applies another gateway's number of answers from a new version."""
@@ -228,7 +246,11 @@
             message.service, message.order, message.age_s
         )
         if rollout is not None:
-            rollout.record_answers(message.gateway, message.answers)
+            rollout.record_answers(
+                message.gateway, message.answers, message.evidence
+            )
+            for route, evidence in message.routes.items():
+                rollout.add_evidence(route, evidence)
 
     def on_sessions_message(self, message: ActiveSessionsMessage) -> None:
         """Applies the active sessions that another gateway has reported."""
@@ -298,25 +320,23 @@
     def _report_counts(self) -> None:
         now_s = get_elapsed_s()
         for service, rollout in self._deployment.rollouts.items():
-            progress = self._progress[service]
-            if rollout.outcome is not RolloutOutcome.RUNNING:
+            own = self._own_evidence[service]
+            is_due = now_s >= own.report_due_s
+            if rollout.outcome is not RolloutOutcome.RUNNING or not is_due:
                 continue
-            if progress.reported_counts >= len(COUNT_REPORT_RATIOS):
+            own.report_due_s = now_s + rollout.get_report_interval_s()
+            unreported = own.take_all_unreported()
+            if not unreported:
                 continue
-            due = COUNT_REPORT_RATIOS[progress.reported_counts]
-            if rollout.get_elapsed_ratio(now_s) < due:
-                continue
-            progress.reported_counts += 1
-            if not progress.answers:
-                continue
-            age_s = rollout.get_age_s(now_s)
             self._post(
                 AnswerCountMessage(
                     service,
                     rollout.position,
                     self._vm,
-                    progress.answers,
-                    age_s,
+                    own.answers,
+                    rollout.get_age_s(now_s),
+                    own.total,
+                    unreported,
                 )
             )
 
@@ -361,6 +381,9 @@
             )
             if written is None:
                 continue
+            if written.outcome is not RolloutOutcome.RUNNING:
+                own = self._own_evidence[rollout.order.service]
+                log_verdict(rollout, written.outcome, own.qualities)
             self._post(
                 OutcomeMessage(
                     rollout.order.service,
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -27,7 +27,7 @@
 )
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.prefill import PrefillTimes, count_prefill_tokens
-from lovagestage.gateway.rollouts import AnswerQuality
+from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.gateway.upstream_choice import AttemptCost
@@ -285,9 +285,7 @@
 ) -> None:
     """Records an attempt that gave no answer.
 
-    It is no evidence against a version: a crash or a cut link ends all requests
-    at an upstream at the same time, and two such upstreams of the new version
-    would end the roll-out of a good version.
+    What it says of the upstream's version is weighed apart from that.
     """
     attempts.record_failure(upstream, error)
     performance, now_s = upstream.performance, get_elapsed_s()
@@ -349,22 +347,27 @@
     attempts: Attempts,
     upstream: Upstream,
     quality: AnswerQuality,
-) -> None:
+    aspect: EvidenceAspect = EvidenceAspect.ANSWER,
+) -> bool:
     """Records an answer as evidence for or against its version.
 
     An answer is not counted if the upstream has another version than the one to
     which the request was assigned. Such a request came there only because its
     own version could not answer it, so it is not a random sample and says
     nothing about the version's share of failures.
+
+    Returns:
+        Whether nothing else needs to be recorded of the run.
     """
     version = attempts.assignment.version
     if version is not None and upstream.entry.version != version:
-        return
+        return True
     admitted = attempts.admitted
-    context.evidence.record_answer(
+    return context.evidence.record_answer(
         admitted.service,
         admitted.route.name,
         attempts.assignment,
         upstream,
         quality,
+        aspect,
     )
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -5,7 +5,8 @@
 from typing import Protocol
 
 from lovagestage.gateway.messages import AnswerHead
-from lovagestage.gateway.rollouts import AnswerQuality, Assignment
+from lovagestage.gateway.rollout_assignment import Assignment
+from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import ServiceId
 
@@ -36,8 +37,9 @@
         assignment: Assignment,
         upstream: Upstream,
         quality: AnswerQuality,
-    ) -> None:
-        """Records the quality of an answer.
+        aspect: EvidenceAspect = EvidenceAspect.ANSWER,
+    ) -> bool:
+        """Records the quality of an answer, or of a run without one.
 
         Args:
             service: The service that answered.
@@ -45,4 +47,9 @@
             assignment: Version to which the request was assigned.
             upstream: The upstream that answered.
             quality: Quality of the answer.
+            aspect: What was judged.
+
+        Returns:
+            Whether it counts. Only the first sign that an upstream may have
+            crashed does.
         """
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import random
 
@@ -20,26 +21,31 @@
     decode_batch,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
+from lovagestage.gateway.rollout_assignment import Assignment, choose_version
+from lovagestage.gateway.rollout_evidence import (
+    PROOF_EVIDENCE,
+    AnswerQuality,
+    get_log_likelihood_ratio,
+)
 from lovagestage.gateway.rollout_service import RolloutService
-from lovagestage.gateway.rollouts import (
-    COMPLETE_ANSWERS,
+from lovagestage.gateway.rollout_shares import (
     COMPLETE_RATIO,
     DEFAULT_SHARE,
     FIRST_SHARES,
+    LOAD_STEP,
+    TRIAL_LOAD_FACTOR,
+    choose_trial_upstreams,
+    get_first_share,
+)
+from lovagestage.gateway.rollouts import (
+    COMPLETE_ANSWERS,
     LATE_ANSWERS,
     LATE_RATIO,
-    LOAD_STEP,
     SESSION_COLLECTION_S,
-    TRIAL_LOAD_FACTOR,
-    AnswerQuality,
-    Assignment,
+    VERDICT_MARGIN_S,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
-    choose_trial_upstreams,
-    choose_version,
-    get_first_share,
-    get_log_likelihood_ratio,
 )
 from lovagestage.gateway.upstream import UpstreamEntry
 from lovagestage.platform.settings import decode_settings
@@ -95,10 +101,10 @@
     """Records answers of the new version: `x` failed, `.` did not."""
     for number, letter in enumerate(pattern):
         failed = letter == "x"
-        rollout.add_evidence(
-            route, get_log_likelihood_ratio(failure_rate, failed)
-        )
-        rollout.record_answers("edge-1", number + 1)
+        evidence = get_log_likelihood_ratio(failure_rate, failed)
+        rollout.add_evidence(route, evidence)
+        total = rollout.get_total_evidence() + evidence
+        rollout.record_answers("edge-1", number + 1, total)
         if failed:
             rollout.add_failure(f"n{number % upstreams}", 2)
 
@@ -189,6 +195,8 @@
     due_s = 100.0 + COMPLETE_RATIO * ORDER.duration_s
     assert rollout.get_due_outcome(due_s + 5.0) is RolloutOutcome.RUNNING
     rollout.record_answers("edge-1", COMPLETE_ANSWERS)
+    assert rollout.get_due_outcome(due_s + 5.0) is RolloutOutcome.RUNNING
+    rollout.record_answers("edge-1", COMPLETE_ANSWERS, PROOF_EVIDENCE)
     assert rollout.get_due_outcome(due_s - 0.1) is RolloutOutcome.RUNNING
     assert rollout.get_due_outcome(due_s + 0.01) is RolloutOutcome.COMPLETED
 
@@ -204,6 +212,35 @@
     assert suspected.get_due_outcome(late_s + 0.01) is RolloutOutcome.RUNNING
 
 
+def test_a_suspected_version_is_not_completed_by_time():
+    # Each of three routes has some slow answers, none of them enough to stop
+    # the version: it was completed because 20 answers were known.
+    rollout = make_rollout()
+    for route in "abc":
+        add_answers(rollout, ".x..x..x", failure_rate=0.1, route=route)
+    rollout.record_answers("edge-2", COMPLETE_ANSWERS)
+    due = rollout.get_due_outcome(100.0 + LATE_RATIO * ORDER.duration_s + 0.01)
+    assert due is not RolloutOutcome.COMPLETED
+
+
+def test_many_answers_do_not_hide_that_some_are_bad():
+    # One answer in five is bad: over 100 answers the sum alone was proof.
+    rollout = make_rollout()
+    rollout.record_answers("edge-1", 100, PROOF_EVIDENCE - 1.0)
+    due_s = 100.0 + COMPLETE_RATIO * ORDER.duration_s + 0.01
+    assert rollout.get_due_outcome(due_s) is RolloutOutcome.RUNNING
+
+
+def test_the_verdict_on_a_short_order_leaves_time_to_write_it():
+    # The verdict was due 0.6 s before the end of an order of 12 s, was written
+    # 0.4 s later and not yet followed by all when the time was over.
+    rollout = Rollout(dataclasses.replace(ORDER, duration_s=12.0), 7, 100.0)
+    rollout.record_answers("edge-1", COMPLETE_ANSWERS, 2.0 * PROOF_EVIDENCE)
+    due_s = 112.0 - VERDICT_MARGIN_S
+    assert rollout.get_due_outcome(due_s - 0.01) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(due_s + 0.01) is RolloutOutcome.COMPLETED
+
+
 def test_a_restarted_gateway_learns_the_orders_age():
     # The process was killed in the middle of the roll-out. The new process
     # counts time from its own start, and another gateway's message reports how
@@ -393,8 +430,9 @@
 class RolloutMachine(RuleBasedStateMachine):
     """Records failures, time and other gateways' messages in any order.
 
-    The model expects that an outcome is final, that a stopped version gets no
-    requests and is never completed, and that otherwise the share never falls.
+    The model expects that an outcome is final, that a stopped or reverted
+    version gets no requests and is never completed, and that otherwise the
+    share never falls.
     """
 
     def __init__(self):
@@ -444,7 +482,7 @@
         self.was_stopped |= self.rollout.is_stopped
         if self.final is RolloutOutcome.COMPLETED:
             assert share == 1.0
-        elif self.was_stopped:
+        elif self.was_stopped or self.final is RolloutOutcome.REVERTED:
             assert share == 0.0
         else:
             assert share >= self.share
@@ -488,8 +526,10 @@
         active = [end_s for end_s in ends.get(name, ()) if end_s > now_s]
         ends[name] = [*active, now_s + 0.3]
         failed = len(active) >= fails_from
-        rollout.record_answers("edge", rollout.get_answer_count() + 1)
-        rollout.add_evidence("r", get_log_likelihood_ratio(0.02, failed))
+        evidence = get_log_likelihood_ratio(0.02, failed)
+        total = rollout.get_total_evidence() + evidence
+        rollout.record_answers("edge", rollout.get_answer_count() + 1, total)
+        rollout.add_evidence("r", evidence)
         if failed:
             rollout.add_failure(name, 47)
         if rollout.is_stopped:
@@ -545,8 +585,17 @@
     for _ in range(20):
         times.record("stream", 0.15)
     assert times.is_slow("stream", 0.55)
-    assert not times.is_slow("stream", 0.55, extra_s=0.4)
-    assert times.is_slow("stream", 8 * 0.15, extra_s=0.05)
+    assert not times.is_slow("stream", 0.55, queue_s=0.2, prefill_s=0.2)
+    assert times.is_slow("stream", 8 * 0.15, queue_s=0.05)
+
+
+def test_the_queue_of_a_slow_version_does_not_excuse_it():
+    # What waits at a slow upstream waits for its slowness: the longer the queue
+    # there, the later an answer was still taken for a good one.
+    times = LatencyTable()
+    for _ in range(20):
+        times.record("stream", 0.15)
+    assert times.is_slow("stream", 8 * 0.15, queue_s=2.0)
 
 
 GOOD, SLOW = AnswerQuality.GOOD, AnswerQuality.SLOW
@@ -597,17 +646,49 @@
     assert failing.rollout.is_stopped
 
 
-def test_queues_at_the_load_step_do_not_stop_a_version():
-    # The few upstreams of the new version are loaded as in a burst, and the
-    # requests that other gateways send there are known with a delay. Failures
-    # count nevertheless.
+def make_loaded():
     loaded = RolloutServiceHarness()
     loaded.rollout.set_first_share(0.05, get_elapsed_s() - SESSION_COLLECTION_S)
     loaded.rollout.record_answers("other", LOAD_STEP.min_answers)
     loaded.rollout.apply_age(0.9 * ORDER.duration_s, get_elapsed_s())
-    for _ in range(30):
-        loaded.answer(SLOW)
+    return loaded
+
+
+def test_queues_at_the_load_step_do_not_stop_a_version():
+    # The few upstreams of the new version are loaded as in a burst, and the
+    # requests that other gateways send there are known with a delay: one answer
+    # in five is slow. Failures count nevertheless.
+    loaded = make_loaded()
+    for quality in (SLOW, SLOW, SLOW, *[GOOD] * 12) * 20:
+        loaded.answer(quality)
     assert not loaded.rollout.is_stopped
     for _ in range(3):
         loaded.answer(AnswerQuality.FAILED)
     assert loaded.rollout.is_stopped
+
+
+def test_a_version_that_is_slow_in_the_load_step_is_stopped():
+    # Slow answers were dropped there, and from the start of a roll-out whose
+    # first share was as large as that of the load step.
+    loaded = make_loaded()
+    for _ in range(10):
+        loaded.answer(SLOW)
+    assert loaded.rollout.is_stopped
+    large = RolloutServiceHarness()
+    large.rollout.set_first_share(
+        max(FIRST_SHARES), get_elapsed_s() - SESSION_COLLECTION_S
+    )
+    for _ in range(5):
+        large.answer(SLOW)
+    assert large.rollout.is_stopped
+
+
+def test_a_crash_counts_once_for_each_upstream():
+    # All requests at an upstream end with it; the crash of two upstreams would
+    # end the roll-out of a good version.
+    crashed = RolloutServiceHarness()
+    for _ in range(30):
+        crashed.answer(AnswerQuality.LOST)
+        crashed.answer(AnswerQuality.SILENT)
+    assert crashed.rollout.new_failures == len(crashed.upstreams)
+    assert not crashed.rollout.is_stopped
