Blame parts of prompts for the crashes of upstreams

What callers saw: a part of a prompt that crashed each upstream which began to answer it ended one upstream after the other, and sound requests got 503 no_upstream meanwhile.

Cause: strikes were counted on requests, and no two of these were alike, so that each began with nothing and crashed up to three.

Change: the table of suspects counts on parts too. A whole answer clears the parts it held. A part with two strikes runs as a probe, one at a time over all gateways; a probe's crash accuses the parts that are not cleared, as a set, and another request that bears witness convicts them. Reports name the parts in a trailing field. An answer that ends with its connection clears nothing unless its upstream still accepts one. Datagrams of reports are split by their length.

The tests of two or three gateways wait a second until these know each other; before that, each one counts for itself.

--- a/src/lovagestage/entry/crash_watch.py
+++ b/src/lovagestage/entry/crash_watch.py
@@ -12,9 +12,9 @@
 from lovagestage.bus.hub import Hub
 from lovagestage.bus.links import LinkTable
 from lovagestage.bus.transport import PeerId
+from lovagestage.decisions.crash_admission import Admission
+from lovagestage.decisions.crash_records import CLAIM_SETTLE_S
 from lovagestage.decisions.crash_suspects import (
-    CLAIM_SETTLE_S,
-    Admission,
     SuspectTable,
 )
 from lovagestage.exceptions import (
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -14,12 +14,18 @@
 from lovagestage.gateway import upstream_choice
 from lovagestage.gateway.admission import RETRY_AFTER_S, AdmittedRequest
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.crash_detection import make_fingerprint
+from lovagestage.gateway.crash_detection import make_fingerprint, make_parts
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.retry_budget import ServiceRetryBudget
 from lovagestage.gateway.rollouts import Assignment
 from lovagestage.gateway.upstream import Upstream
-from lovagestage.types import Fingerprint, InstanceId, RunState, ZoneId
+from lovagestage.types import (
+    Fingerprint,
+    InstanceId,
+    PartId,
+    RunState,
+    ZoneId,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -114,6 +120,11 @@
         """Hash of the request's workspace, path and body, without its id."""
         return make_fingerprint(self.admitted)
 
+    @functools.cached_property
+    def parts(self) -> tuple[PartId, ...]:
+        """Parts of the request's prompt that other requests may share."""
+        return make_parts(self.admitted.request)
+
     @property
     def run_name(self) -> str:
         """Name of the last attempt: the request's id and attempt number."""
--- a/src/lovagestage/gateway/crash_exchange.py
+++ b/src/lovagestage/gateway/crash_exchange.py
@@ -15,7 +15,7 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 import mode
 import msgspec
@@ -30,8 +30,9 @@
 """Time in seconds for which a report waits for others of the same crash."""
 RESEND_DELAY_S = 0.3
 """Time in seconds after which reports are sent once more."""
-MAX_REPORTS = 8
-"""Maximum number of reports in a datagram, which then fits into a packet."""
+MAX_DATAGRAM_BYTES = 1_200
+"""Length in bytes up to which reports share a datagram, so that it fits into a
+packet. A single report is shorter."""
 MAX_NEWCOMER_REPORTS = 160
 """Maximum number of reports that a gateway which has just started gets."""
 INFORMING_GATEWAYS = 3
@@ -101,7 +102,24 @@
     def _send_datagrams(
         self, reports: Sequence[CrashReport], peers: Sequence[PeerAddress]
     ) -> None:
-        for start in range(0, len(reports), MAX_REPORTS):
-            data = _encoder.encode(reports[start : start + MAX_REPORTS])
+        for batch in split_reports(reports):
+            data = _encoder.encode(batch)
             for peer in peers:
                 self._socket.send(DATAGRAM_KIND, data, peer)
+
+
+def split_reports(
+    reports: Sequence[CrashReport],
+) -> Iterator[Sequence[CrashReport]]:
+    """Yields the reports in batches that fit into a datagram each."""
+    batch: list[CrashReport] = []
+    size_bytes = 0
+    for report in reports:
+        report_bytes = len(_encoder.encode(report))
+        if batch and size_bytes + report_bytes > MAX_DATAGRAM_BYTES:
+            yield batch
+            batch, size_bytes = [], 0
+        batch.append(report)
+        size_bytes += report_bytes
+    if batch:
+        yield batch
--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -135,6 +135,22 @@
         SeriesKind.GAUGE,
         "Requests that were in flight where upstreams crashed lately.",
     )
+    SUSPECT_PARTS = SeriesSpec(
+        "suspect_parts",
+        SeriesKind.GAUGE,
+        "Parts of prompts in flight where upstreams crashed lately.",
+    )
+    CONVICTED_PARTS = SeriesSpec(
+        "convicted_parts",
+        SeriesKind.GAUGE,
+        "Parts of prompts, or sets of them, refused as they crash upstreams.",
+    )
+    PART_VERDICTS = SeriesSpec(
+        "part_verdicts_total",
+        SeriesKind.COUNTER,
+        "Changes of what is known of parts of prompts.",
+        ("verdict",),
+    )
     STORE_ERA = SeriesSpec(
         "store_era",
         SeriesKind.GAUGE,
--- a/src/lovagestage/gateway/messages.py
+++ b/src/lovagestage/gateway/messages.py
@@ -125,6 +125,8 @@
         has_encoding: Whether the body has a content encoding, so that it is not
             as the upstream made it.
         notices: What the upstream says of itself.
+        ends_with_connection: Whether the body is neither chunked nor of a
+            stated length, so that the end of the connection ends it.
     """
 
     status: int
@@ -138,3 +140,4 @@
     idle_timeout_s: float | None
     has_encoding: bool
     notices: AnswerNotices
+    ends_with_connection: bool = False
--- a/src/lovagestage/gateway/plain_runs.py
+++ b/src/lovagestage/gateway/plain_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
@@ -16,6 +17,7 @@
     make_exchange,
     record_evidence,
     record_failed_attempt,
+    record_whole_answer,
     should_retry_answer,
     wait_with_timeout,
 )
@@ -62,7 +64,7 @@
     else:
         _record_answer(context, attempts, upstream, head, started_s)
     finally:
-        context.suspects.record_ended(attempts.fingerprint, run)
+        context.suspects.record_ended(attempts.fingerprint, run, attempts.parts)
     if head.status >= 500 and should_retry_answer(
         attempts, upstream, head.status
     ):
@@ -103,10 +105,8 @@
     kind = (admitted.route.name, admitted.request.model)
     failed = head.status >= 500
     upstream.performance.record_answer(failed)
-    if not failed:
-        context.suspects.record_answered(
-            attempts.fingerprint, attempts.run_name
-        )
+    if head.status < HTTPStatus.MULTIPLE_CHOICES:
+        record_whole_answer(context, attempts, upstream, head)
     is_slow = context.latency.is_slow(kind, time_s)
     quality = AnswerQuality.SLOW if is_slow else AnswerQuality.GOOD
     if failed:
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -12,7 +12,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from lovagestage.decisions.crash_suspects import Admission
+from lovagestage.decisions.crash_admission import Admission
 from lovagestage.decisions.retries import PROBE_WAIT_S
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
@@ -25,7 +25,7 @@
     LatencyTable,
     LoadGauge,
 )
-from lovagestage.gateway.messages import OutgoingCall
+from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.prefill import PrefillTimes, count_prefill_tokens
 from lovagestage.gateway.rollouts import AnswerQuality
 from lovagestage.gateway.sinks import EvidenceSink
@@ -112,32 +112,36 @@
     try:
         return attempts.choose_upstream(estimate_work(context, attempts, model))
     except GatewayRefusalError:
-        context.suspects.record_ended(attempts.fingerprint, run)
+        context.suspects.record_ended(attempts.fingerprint, run, attempts.parts)
         raise
 
 
 async def _wait_for_admission(context: RunContext, attempts: Attempts) -> None:
-    """Waits while a copy of a suspect request is probed or checked.
+    """Waits while a request with the same suspect is probed or checked.
 
     Raises:
-        GatewayRefusalError: The request crashes its upstreams, or the wait has
-            become too long.
+        GatewayRefusalError: The request, or a part of its prompt, crashes
+            upstreams, or the wait has become too long.
     """
-    fingerprint = attempts.fingerprint
+    fingerprint, parts = attempts.fingerprint, attempts.parts
     end_s = get_elapsed_s() + min(
         MAX_SUSPECT_WAIT_S, attempts.remaining_s - PROBE_WAIT_S
     )
     while True:
-        match context.suspects.admit(fingerprint):
+        match context.suspects.admit(fingerprint, parts):
             case Admission.FREE:
                 return
             case Admission.REFUSE:
                 raise attempts.make_refusal(
                     "crashes_upstreams", is_retryable=False
                 )
+            case Admission.REFUSE_PARTS:
+                raise attempts.make_refusal(
+                    "part_crashes_upstreams", is_retryable=False
+                )
             case Admission.PROBE:
                 if await context.suspects.claim_probe(
-                    fingerprint, attempts.next_run_name
+                    fingerprint, attempts.next_run_name, parts
                 ):
                     return
                 attempts.lost_claims += 1
@@ -314,10 +318,29 @@
     )
     if is_checked:
         context.suspects.check_for_crash(
-            attempts.fingerprint, attempts.run_name, upstream
+            attempts.fingerprint, attempts.run_name, upstream, attempts.parts
         )
 
 
+def record_whole_answer(
+    context: RunContext,
+    attempts: Attempts,
+    upstream: Upstream,
+    head: AnswerHead,
+) -> None:
+    """Records that the last attempt was answered with success.
+
+    An answer that ends with its connection is whole only if the upstream has
+    not ended as well.
+    """
+    suspects = context.suspects
+    bearer, run, parts = attempts.fingerprint, attempts.run_name, attempts.parts
+    if head.ends_with_connection:
+        suspects.check_for_crash(bearer, run, upstream, parts, is_answered=True)
+    else:
+        suspects.record_answered(bearer, run, parts)
+
+
 def should_retry_answer(
     attempts: Attempts, upstream: Upstream, status: int
 ) -> bool:
--- a/src/lovagestage/gateway/service.py
+++ b/src/lovagestage/gateway/service.py
@@ -21,8 +21,12 @@
 _log = logging.getLogger(__name__)
 
 _DEFAULT_LIMITS = ClientLimits()
-_SUSPECT_OUTCOMES = ("crashes_upstreams", "suspect_waiting")
-"""Outcomes that the crashes under other copies of a request explain."""
+_SUSPECT_OUTCOMES = (
+    "crashes_upstreams",
+    "part_crashes_upstreams",
+    "suspect_waiting",
+)
+"""Outcomes that earlier crashes explain."""
 
 
 class GatewayService:
@@ -174,6 +178,11 @@
                     if outcome in _SUSPECT_OUTCOMES
                     else None
                 ),
+                "parts": (
+                    ",".join(attempts.parts)
+                    if outcome in _SUSPECT_OUTCOMES
+                    else None
+                ),
                 "config": admitted.config_version,
                 "config_age_s": self._get_configuration_age_s(),
             },
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -21,6 +21,7 @@
     record_evidence,
     record_failed_attempt,
     record_prefill_time,
+    record_whole_answer,
     should_retry_answer,
     wait_with_timeout,
 )
@@ -94,7 +95,9 @@
                 raise
             raise attempts.make_refusal(error.reason) from error
         finally:
-            context.suspects.record_ended(attempts.fingerprint, name)
+            context.suspects.record_ended(
+                attempts.fingerprint, name, attempts.parts
+            )
         if next_run is None:
             return
         model = next_run.model
@@ -227,9 +230,7 @@
         if self._splitter.has_incomplete_event:
             raise AttemptFailedError("event_broken", RunState.RAN)
         self._upstream.performance.record_answer(False)
-        self._context.suspects.record_answered(
-            attempts.fingerprint, attempts.run_name
-        )
+        record_whole_answer(self._context, attempts, self._upstream, head)
         if not self.progress.is_started:
             await self._sink.start_stream(head)
         await self._sink.finish_stream()
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -10,17 +10,14 @@
 
 import mode
 
-from lovagestage.decisions.limit_sharing import RankedLimitPolicy, get_rank
+from lovagestage.decisions.limit_sharing import RankedLimitPolicy
 from lovagestage.decisions.positions import StoreEras
 from lovagestage.decisions.upstream_notices import NoticeKind
 from lovagestage.decisions.warmup import Warmup, ZoneWarmupPolicy
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
 from lovagestage.gateway.crash_detection import SuspectWatch
-from lovagestage.gateway.crash_exchange import (
-    INFORMING_GATEWAYS,
-    CrashExchange,
-)
+from lovagestage.gateway.crash_wiring import make_informer, make_suspect_watch
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.feed_wiring import (
@@ -70,7 +67,7 @@
     StoreClient,
 )
 from lovagestage.timers import TimerService
-from lovagestage.types import InstanceId, ServiceId
+from lovagestage.types import ServiceId
 
 
 @dataclasses.dataclass(frozen=True)
@@ -134,12 +131,14 @@
         HelloMessage(settings.peer_address or "", settings.zone),
     )
     rollouts.set_peer_messenger(peer_messenger)
-    suspects, crash_exchange = _make_suspect_watch(peer_messenger, socket)
+    suspects, crash_exchange = make_suspect_watch(
+        peer_messenger, socket, exposition
+    )
     if socket is not None and gossip is not None:
         peer_messenger.subscribe(
             HelloMessage,
             _make_hello_handler(
-                socket, gossip, _make_informer(suspects, crash_exchange, guard)
+                socket, gossip, make_informer(suspects, crash_exchange, guard)
             ),
         )
     relay = _make_relay(settings, socket, exposition)
@@ -174,7 +173,6 @@
         for feed in (operator_feed, upstream_feed, peer_messages_feed):
             relay.add_source(feed)
     _add_gauges(exposition, deployment, socket, operator_feed)
-    exposition.add_gauge(Series.SUSPECT_REQUESTS, lambda: len(suspects))
     exposition.add_gauge(Series.STORE_ERA, lambda: eras.current)
     timers = TimerService()
     limit_exchange = (
@@ -297,40 +295,6 @@
     return PeerSocket(settings.peer_address, exposition)
 
 
-def _make_suspect_watch(
-    peer_messenger: PeerMessenger, socket: PeerSocket | None
-) -> tuple[SuspectWatch, CrashExchange | None]:
-    if socket is None:
-        return SuspectWatch(peer_messenger.enqueue, lambda: False), None
-
-    def post(report: CrashReport) -> None:
-        exchange.send(report)
-        peer_messenger.enqueue(report)
-
-    suspects = SuspectWatch(post, lambda: bool(socket.peers))
-    exchange = CrashExchange(socket, suspects.on_report)
-    return suspects, exchange
-
-
-def _make_informer(
-    suspects: SuspectWatch,
-    exchange: CrashExchange | None,
-    guard: UpstreamGuard,
-) -> Callable[[PeerAddress], None]:
-    """Makes the function that informs gateways which have just started.
-
-    A few gateways, chosen by a hash, inform each of them.
-    """
-
-    def inform(peer: PeerAddress) -> None:
-        gateways = guard.get_gateway_set(get_elapsed_s())
-        rank = get_rank(gateways, InstanceId(format_peer(peer)))
-        if exchange is not None and rank < INFORMING_GATEWAYS:
-            exchange.inform_newcomer(peer, suspects.get_reports())
-
-    return inform
-
-
 def _make_hello_handler(
     socket: PeerSocket,
     gossip: Gossip,
--- a/src/lovagestage/messages/crashes.py
+++ b/src/lovagestage/messages/crashes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lovagestage.types import Fingerprint
+from lovagestage.types import Fingerprint, PartId
 
 
 class CrashReportKind(enum.Enum):
@@ -32,9 +32,13 @@
         run: Identifies the attempt that the event belongs to.
         upstream: Name of the upstream process that crashed; empty for other
             events.
+        parts: Parts of the request's prompt: for a crash those that the entry
+            has not cleared, for a probe those that it claims, and for an answer
+            those that it clears. Entries of earlier releases name none.
     """
 
     kind: CrashReportKind
     fingerprint: Fingerprint
     run: str
     upstream: str = ""
+    parts: tuple[PartId, ...] = ()
--- a/src/lovagestage/operations/explain.py
+++ b/src/lovagestage/operations/explain.py
@@ -54,10 +54,11 @@
         "crash_report_applied",
         "suspect_probed",
         "suspect_held",
+        "part_judged",
     )
 )
-"""Events of all copies of a request that was in flight at a crash. They share
-its fingerprint, and any gateway may have written them."""
+"""Events of all requests that share a suspected fingerprint or part with one
+that was in flight at a crash. Any gateway may have written them."""
 _SERVICE_EVENTS = frozenset(
     ("rollout_ordered", "rollout_stopped", "rollout_settled")
 )
@@ -100,8 +101,12 @@
     " this gateway for a rest; nothing was run.",
     "crashes_upstreams": "The request has crashed upstreams; it will not be"
     " run again for some time.",
-    "suspect_waiting": "Copies of the request were in flight at crashes, and"
-    " another copy was being run alone or checked; nothing more was run.",
+    "part_crashes_upstreams": "A part of the request's prompt has crashed"
+    " upstreams under other requests; none that holds it will be run for some"
+    " time.",
+    "suspect_waiting": "Copies of the request, or others with a part of its"
+    " prompt, were in flight at crashes, and another one was being run alone or"
+    " checked; nothing more was run.",
     "deadline": "The deadline of the request passed before it could be sent.",
     "stream_broken": "The stream ended early, and no upstream could continue"
     " it.",
@@ -277,22 +282,30 @@
 def _select_crash_lines(
     own: Sequence[LogLine], earlier: Sequence[LogLine]
 ) -> list[LogLine]:
-    """Selects the crashes under all copies of the request.
+    """Selects the crashes under all copies of the request, or its parts.
 
     Returns:
         For each process, event and upstream the last line with the request's
-        fingerprint.
+        fingerprint, or with a part of its prompt.
     """
     fingerprints = {line.get("fingerprint") for line in own} - {""}
+    parts = {part for line in own for part in _get_parts(line)}
     last = {
         (line.vm, line.event, line.get("upstream")): line
         for line in earlier
         if line.event in _CRASH_EVENTS
-        and line.get("fingerprint") in fingerprints
+        and (
+            line.get("fingerprint") in fingerprints
+            or not parts.isdisjoint(_get_parts(line))
+        )
     }
     return list(last.values())
 
 
+def _get_parts(line: LogLine) -> set[str]:
+    return set((line.get("parts") or "").split(",")) - {""}
+
+
 def _explain_missing_lines(left_out: int) -> str:
     if left_out:
         return (
--- a/src/lovagestage/types.py
+++ b/src/lovagestage/types.py
@@ -22,6 +22,8 @@
 ChangeId = NewType("ChangeId", str)
 Fingerprint = NewType("Fingerprint", str)
 """Hash of a request's workspace and body."""
+PartId = NewType("PartId", str)
+"""Hash of the text of a part of prompts."""
 WorkspaceHash = NewType("WorkspaceHash", int)
 """64-bit hash of the names of a service and a workspace."""
 LeaseId = NewType("LeaseId", str)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -19,12 +19,14 @@
 from lab.demo import make_client
 from lab.fleet import Fleet
 from lab.shapes import Shape
-from lovagestage.decisions.crash_suspects import (
+from lovagestage.decisions.crash_admission import Admission
+from lovagestage.decisions.crash_records import (
     CLAIM_SETTLE_S,
     CONVICTION_RETENTION_S,
-    MAX_UPSTREAMS_LOST,
     PROBE_TIMEOUT_S,
-    Admission,
+)
+from lovagestage.decisions.crash_suspects import (
+    MAX_UPSTREAMS_LOST,
     SuspectTable,
     get_fingerprint,
 )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -229,6 +229,26 @@
     ]
 
 
+def test_explanation_of_a_refused_part_lists_the_crashes_under_it():
+    # Guards against a refusal without a visible reason, since the crashes
+    # happened under other requests.
+    log = """\
+time=01.0 event=upstream_crashed vm=a run=r1/1 upstream=u1 fingerprint=f \
+parts=aa,dd
+time=01.1 event=upstream_crashed vm=a run=r2/1 upstream=u2 fingerprint=g \
+parts=ee
+time=01.2 event=part_judged vm=a verdict=convicted parts=dd crashes=4
+time=02.0 event=request_ended vm=b request=r3 \
+outcome=part_crashes_upstreams status=503 fingerprint=h parts=bb,dd
+"""
+    explanation = explain_log("r3", log)
+    assert "A part of the request's prompt has" in explanation.conclusion
+    assert [line.event for line in explanation.context] == [
+        "upstream_crashed",
+        "part_judged",
+    ]
+
+
 def test_explanation_tells_that_the_store_came_back_from_a_copy():
     # Guards against a request that was handled by an old configuration, or
     # refused, for a reason that stands in no line.
--- a/tests/test_gateway_part_blame.py
+++ b/tests/test_gateway_part_blame.py
@@ -16,6 +16,8 @@
 """Upstreams that one part may crash, over all gateways."""
 LEARN_S = 3.0
 """Time in seconds within which each gateway must have learned of a crash."""
+PEERS_S = 1.0
+"""Time in seconds within which gateways that have started know each other."""
 _numbers = itertools.count()
 
 
@@ -43,6 +45,8 @@
             await harness.wait_until(
                 lambda g=gateway: len(g.deployment.rotation) == workers
             )
+        if gateways > 1:
+            await asyncio.sleep(PEERS_S)
         yield harness
 
 
@@ -56,14 +60,13 @@
 async def send(harness, middle, gateway=0, path="/safe/x"):
     """Sends a request that is like no other, with the parts named."""
     number = next(_numbers)
-    reply = await harness.call(
+    return await harness.call(
         path,
         gateway,
         body=b"body %d" % number,
         request_id=f"r{number}",
         Prefix_Hash=f"{FIRST}:800,{middle}:100,a{number:07x}:20",
     )
-    return reply
 
 
 async def send_deadly(harness, gateway=0, path="/safe/x"):
