Convict parts only where nothing else was there as often

Their convictions explained the crashes of a guilty request, which ran again.

Cause: two other requests at two crashes bore witness against a part, however many other crashes it was not at; and a gateway that had cleared a part kept that to itself.

Change: the cause is what was in flight at most of the crashes that are left; it has to be there more often than anything else accused, or at five crashes, and it explains only who was at no other crash. Gateways that have cleared an accused part say so, spread over a second, and one is enough.

--- a/src/lovagestage/decisions/crash_history.py
+++ b/src/lovagestage/decisions/crash_history.py
@@ -1,4 +1,4 @@
-"""Makes the reports from which a new entry learns what the others know."""
+"""Makes the reports that tell other entries what this one knows already."""
 
 from __future__ import annotations
 
@@ -47,3 +47,26 @@
                 upstream,
                 blame.filter_uncleared(suspect.parts.get(upstream, ()), now_s),
             )
+
+
+def make_rebuttal(
+    report: CrashReport, blame: PartBlame, now_s: float
+) -> CrashReport | None:
+    """Returns a report of the accused parts that were answered at this entry.
+
+    Args:
+        report: Report of another entry.
+        blame: What is known of parts of prompts.
+        now_s: Monotonic time in seconds.
+
+    Returns:
+        The report; None if the other one accuses no such part.
+    """
+    if report.kind is not CrashReportKind.CONVICTED:
+        return None
+    uncleared = blame.filter_uncleared(report.parts, now_s)
+    cleared = tuple(part for part in report.parts if part not in uncleared)
+    if not cleared:
+        return None
+    kind = CrashReportKind.CLEARED
+    return CrashReport(kind, Fingerprint(""), "", "", cleared)
--- a/src/lovagestage/decisions/crash_suspects.py
+++ b/src/lovagestage/decisions/crash_suspects.py
@@ -31,7 +31,7 @@
 import xxhash
 
 from lovagestage.decisions.crash_admission import Admission
-from lovagestage.decisions.crash_history import make_reports
+from lovagestage.decisions.crash_history import make_rebuttal, make_reports
 from lovagestage.decisions.crash_records import (
     CONVICTION_RETENTION_S,
     STRIKES_TO_PROBE,
@@ -67,7 +67,7 @@
 
     def __init__(self) -> None:
         self._requests = RequestSuspects()
-        self._blame = PartBlame()
+        self._blame = PartBlame(self._requests.get_upstreams)
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -278,6 +278,12 @@
                 self._blame.clear(report.parts, now_s)
                 self._add_answer(fingerprint, report.run, now_s)
 
+    def make_rebuttal(
+        self, report: CrashReport, now_s: float
+    ) -> CrashReport | None:
+        """Returns the report that accused parts were answered here, if any."""
+        return make_rebuttal(report, self._blame, now_s)
+
     def get_reports(self, now_s: float) -> Iterator[CrashReport]:
         """Yields the reports from which a new entry learns of all strikes.
 
--- a/src/lovagestage/decisions/part_blame.py
+++ b/src/lovagestage/decisions/part_blame.py
@@ -7,7 +7,14 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable, Iterator, Mapping, Set
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Set,
+)
 
 from lovagestage.decisions.crash_records import (
     CONVICTION_RETENTION_S,
@@ -18,6 +25,7 @@
 from lovagestage.decisions.part_verdicts import (
     Accusation,
     Conviction,
+    Strikes,
     find_convictions,
 )
 from lovagestage.types import Fingerprint, PartId
@@ -66,9 +74,16 @@
     """Strikes, accusations and convictions of parts, and cleared parts.
 
     All of it is bounded.
+
+    Args:
+        get_upstreams: Returns the upstream processes that crashed with a
+            request in flight.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, get_upstreams: Callable[[Fingerprint], Collection[str]]
+    ) -> None:
+        self._strikes = Strikes(self._get_requests, get_upstreams)
         self._suspects: dict[PartId, Suspect] = {}
         self._cleared: dict[PartId, float] = {}
         self._accusations: dict[tuple[str, Fingerprint], Accusation] = {}
@@ -92,10 +107,7 @@
         if self._is_stale:
             self._is_stale = False
             self._set_convictions(
-                find_convictions(
-                    [a for a in self._accusations.values() if a.parts],
-                    self._get_strikes,
-                )
+                find_convictions(self._accusations.values(), self._strikes)
             )
         return self._convictions
 
@@ -104,22 +116,21 @@
     ) -> set[str]:
         """Returns the strikes of a request or part that convictions explain.
 
-        Convicted parts explain the crashes at which they were in flight, if
-        they were there more often.
+        Convicted parts explain the crashes of who was at theirs only, and less
+        often.
 
         Args:
             bearer: What is known of the request or part.
             held: Parts that the request holds itself; what is convicted of them
                 explains nothing.
         """
-        explained: set[str] = set()
-        for conviction in self._convictions:
-            if (
-                len(conviction.crashes) > len(bearer.strikes)
-                and not conviction.parts <= held
-            ):
-                explained |= conviction.crashes
-        return explained
+        strikes = bearer.strikes.keys()
+        if any(
+            strikes < conviction.crashes and not conviction.parts <= held
+            for conviction in self._convictions
+        ):
+            return set(strikes)
+        return set()
 
     def filter_uncleared(
         self, parts: Iterable[PartId], now_s: float
@@ -216,8 +227,8 @@
             suspect.expires_s = max(
                 suspect.expires_s, now_s + SUSPECT_RETENTION_S
             )
-        self._is_stale |= bool(uncleared and (is_probe or self._accusations))
-        if is_probe and uncleared:
+        self._is_stale |= is_probe or bool(self._accusations)
+        if is_probe:
             self._accuse(Accusation(upstream, request, frozenset(uncleared)))
             self._retain(upstream, request, uncleared, now_s)
 
@@ -234,7 +245,7 @@
         while len(cleared) > MAX_CLEARED:
             del cleared[next(iter(cleared))]
 
-    def _get_strikes(self, part: PartId) -> Mapping[str, Set[Fingerprint]]:
+    def _get_requests(self, part: PartId) -> Mapping[str, Set[Fingerprint]]:
         suspect = self._suspects.get(part)
         return {} if suspect is None else suspect.strikes
 
@@ -244,11 +255,12 @@
             # Entries that have cleared more parts name fewer of them.
             known = self._accusations[key].parts
             accusation = dataclasses.replace(
-                accusation, parts=known & accusation.parts or known
+                accusation, parts=known & accusation.parts
             )
         else:
-            parts = tuple(sorted(accusation.parts))
-            self._note(PartVerdict.ACCUSED, parts, 1)
+            if accusation.parts:
+                parts = tuple(sorted(accusation.parts))
+                self._note(PartVerdict.ACCUSED, parts, 1)
         self._accusations[key] = accusation
 
     def _retain(
--- a/src/lovagestage/decisions/part_verdicts.py
+++ b/src/lovagestage/decisions/part_verdicts.py
@@ -1,9 +1,12 @@
 """Decides which parts of prompts crash upstreams, from accusations.
 
 A probe whose upstream crashes accuses all parts that it held and that no whole
-answer had cleared: one of them may be the cause, or the request as a whole. So
-an accusation convicts a set of parts rather than each of them, and only if
-other requests bear witness against the same set.
+answer had cleared: one of them may be the cause, or the request as a whole, or
+another request beside it. So an accusation convicts a set of parts rather than
+each of them, only if other requests bear witness against the same set, and only
+if nothing else was in flight at as many crashes: the cause of crashes is there
+at each of them. What is convicted explains its crashes, and the others are
+judged by the crashes that are left.
 
 The decisions are pure: they read no clock and open no socket.
 """
@@ -11,19 +14,27 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Iterator, Mapping, Sequence, Set
+from collections.abc import Callable, Collection, Iterator, Mapping, Set
 
 from lovagestage.types import Fingerprint, PartId
 
-MIN_STRIKE_WITNESSES = 2
-"""Number of other requests, each in flight with an accused set at a crash of
-its own, that convict the set as another accusation does."""
-MIN_ACCUSERS = 3
-"""Number of requests whose accusations have nothing but a part, or a few, in
-common, from which these are convicted."""
+MIN_CRASHES = 3
+"""Number of crashes from which parts are convicted that two requests accuse."""
+MIN_WITNESSED_CRASHES = 5
+"""Number of crashes from which parts are convicted that one request accuses, if
+others were in flight at the other crashes."""
+MIN_TIED_CRASHES = 5
+"""Number of crashes from which parts are convicted although something else was
+there as often. Of these the one that fewer requests hold is the cause."""
+MIN_ACCUSERS = 2
+"""Number of requests that have to accuse parts."""
+MIN_REQUESTS = 3
+"""Number of requests that have to hold parts which a single one accuses; also
+the number of accusations that convict what they have in common."""
 
 PartSet = frozenset[PartId]
-GetStrikes = Callable[[PartId], Mapping[str, Set[Fingerprint]]]
+Run = tuple[str, Fingerprint]
+"""A run that was lost by a crash: the upstream process, and the request."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,7 +44,7 @@
     Attributes:
         upstream: The upstream process.
         request: The request that was probed.
-        parts: Its parts that no whole answer has cleared.
+        parts: Its parts that no whole answer has cleared; perhaps none.
     """
 
     upstream: str
@@ -54,87 +65,154 @@
     crashes: frozenset[str]
 
 
-def find_convictions(
-    accusations: Sequence[Accusation], get_strikes: GetStrikes
-) -> tuple[Conviction, ...]:
-    """Finds the sets of parts that crash upstreams.
+@dataclasses.dataclass(frozen=True)
+class Strikes:
+    """Who was in flight at crashes.
 
-    Args:
-        accusations: All accusations of at least one part.
-        get_strikes: Returns the upstream processes that crashed with a part in
+    Attributes:
+        get_requests: Returns the upstream processes that crashed with a part in
             flight, and the requests that held it there.
+        get_upstreams: Returns those that crashed with a request in flight.
+    """
 
-    Returns:
-        The convictions. What one of them explains has convicted no other.
+    get_requests: Callable[[PartId], Mapping[str, Set[Fingerprint]]]
+    get_upstreams: Callable[[Fingerprint], Collection[str]]
+
+    def get_runs(self, parts: PartSet) -> Iterator[Run]:
+        """Yields the lost runs that held all of the parts."""
+        first, *others = (self.get_requests(part) for part in parts)
+        for upstream, requests in first.items():
+            for request in requests:
+                if all(request in each.get(upstream, ()) for each in others):
+                    yield upstream, request
+
+
+@dataclasses.dataclass(frozen=True)
+class _Candidate:
+    """A possible cause of crashes.
+
+    Attributes:
+        parts: The parts; empty for a request that is the cause as a whole.
+        runs: Its lost runs, but for those that are explained.
+        accusers: Its requests whose probes crashed an upstream.
     """
-    first = _convict(accusations, get_strikes)
-    if not first:
-        return ()
-    kept = [
-        accusation
-        for accusation in accusations
-        if not any(
-            _explains(conviction, accusation, get_strikes)
-            for conviction in first
+
+    parts: PartSet
+    runs: frozenset[Run]
+    accusers: int
+
+    @property
+    def crashes(self) -> frozenset[str]:
+        return frozenset(upstream for upstream, _ in self.runs)
+
+    @property
+    def requests(self) -> frozenset[Fingerprint]:
+        return frozenset(request for _, request in self.runs)
+
+    @property
+    def is_proved(self) -> bool:
+        if not self.parts:
+            return True
+        if self.accusers >= MIN_ACCUSERS:
+            return len(self.crashes) >= MIN_CRASHES
+        return (
+            len(self.crashes) >= MIN_WITNESSED_CRASHES
+            and len(self.requests) >= MIN_REQUESTS
         )
-    ]
-    return (
-        first if len(kept) == len(accusations) else _convict(kept, get_strikes)
-    )
 
 
-def _convict(
-    accusations: Sequence[Accusation], get_strikes: GetStrikes
+def find_convictions(
+    accusations: Collection[Accusation], strikes: Strikes
 ) -> tuple[Conviction, ...]:
-    sets = {
-        accusation.parts
-        for accusation in accusations
-        if _has_witnesses(accusation, accusations, get_strikes)
-    }
-    unexplained = [
+    """Finds the sets of parts that crash upstreams.
+
+    Args:
+        accusations: All accusations.
+        strikes: Who was in flight at crashes.
+
+    Returns:
+        The convictions.
+    """
+    convicted: list[PartSet] = []
+    explained: set[str] = set()
+    while True:
+        cause = _find_cause(accusations, strikes, explained)
+        if cause is None:
+            break
+        explained |= cause.crashes
+        if cause.parts:
+            convicted.append(cause.parts)
+    left = [
         accusation
         for accusation in accusations
-        if not any(parts <= accusation.parts for parts in sets)
+        if accusation.upstream not in explained
     ]
-    sets.update(_get_common_parts(unexplained))
+    convicted.extend(_get_common_parts(left))
     return tuple(
         Conviction(
             parts,
-            frozenset(
-                upstream for upstream, _ in _get_runs(parts, get_strikes)
-            ),
+            frozenset(upstream for upstream, _ in strikes.get_runs(parts)),
         )
-        for parts in sorted(sets, key=sorted)
-        # A part of a convicted set that is convicted itself is enough.
-        if not any(other < parts for other in sets)
+        for parts in sorted(set(convicted), key=sorted)
     )
 
 
-def _has_witnesses(
-    accusation: Accusation,
-    accusations: Sequence[Accusation],
-    get_strikes: GetStrikes,
-) -> bool:
-    if any(
-        accusation.parts <= other.parts
-        and other.request != accusation.request
-        and other.upstream != accusation.upstream
-        for other in accusations
-    ):
-        return True
-    runs = [
-        (upstream, request)
-        for upstream, request in _get_runs(accusation.parts, get_strikes)
-        if upstream != accusation.upstream and request != accusation.request
+def _find_cause(
+    accusations: Collection[Accusation], strikes: Strikes, explained: Set[str]
+) -> _Candidate | None:
+    """Finds what was in flight at most of the crashes that are left."""
+    candidates = [
+        candidate
+        for candidate in _get_candidates(accusations, strikes, explained)
+        if len(candidate.crashes) >= MIN_CRASHES
     ]
-    # One request that is sent repeatedly, or several at one crash, are one
-    # witness.
-    upstreams = {upstream for upstream, _ in runs}
-    requests = {request for _, request in runs}
-    return min(len(upstreams), len(requests)) >= MIN_STRIKE_WITNESSES
+    most = max((len(each.crashes) for each in candidates), default=0)
+    first = [each for each in candidates if len(each.crashes) == most]
+    first = [each for each in first if not _is_covered(each, first)]
+    if not first or (len(first) > 1 and most < MIN_TIED_CRASHES):
+        return None
+    cause = min(
+        first, key=lambda each: (len(each.requests), sorted(each.parts))
+    )
+    return cause if cause.is_proved else None
+
+
+def _get_candidates(
+    accusations: Collection[Accusation], strikes: Strikes, explained: Set[str]
+) -> Iterator[_Candidate]:
+    left = [a for a in accusations if a.upstream not in explained]
+    for request in {accusation.request for accusation in left}:
+        upstreams = set(strikes.get_upstreams(request)) - explained
+        runs = frozenset((upstream, request) for upstream in upstreams)
+        yield _Candidate(frozenset(), runs, 1)
+    for parts in {accusation.parts for accusation in left if accusation.parts}:
+        runs = frozenset(
+            run for run in strikes.get_runs(parts) if run[0] not in explained
+        )
+        accusers = {a.request for a in left if parts <= a.parts}
+        candidate = _Candidate(parts, runs, len(accusers))
+        # What a single request holds is told from the request by nothing.
+        if len(candidate.requests) > 1:
+            yield candidate
+
+
+def _is_covered(
+    candidate: _Candidate, candidates: Collection[_Candidate]
+) -> bool:
+    """Returns whether a smaller set of parts stands for a candidate.
+
+    A request is covered by parts that it and others hold.
+    """
+    return any(
+        other is not candidate
+        and other.parts
+        and candidate.runs <= other.runs
+        and (not candidate.parts or other.parts < candidate.parts)
+        for other in candidates
+    )
 
 
-def _get_common_parts(accusations: Sequence[Accusation]) -> Iterator[PartSet]:
+def _get_common_parts(accusations: Collection[Accusation]) -> Iterator[PartSet]:
     """Yields what the accusations of several requests have in common.
 
     It convicts where each deadly request holds another part that is rare.
@@ -142,31 +220,7 @@
     for part in {part for a in accusations for part in a.parts}:
         holders = [a for a in accusations if part in a.parts]
         if (
-            len({a.request for a in holders}) >= MIN_ACCUSERS
-            and len({a.upstream for a in holders}) >= MIN_ACCUSERS
+            len({a.request for a in holders}) >= MIN_REQUESTS
+            and len({a.upstream for a in holders}) >= MIN_REQUESTS
         ):
             yield frozenset.intersection(*(a.parts for a in holders))
-
-
-def _explains(
-    conviction: Conviction, accusation: Accusation, get_strikes: GetStrikes
-) -> bool:
-    """Returns whether another run beside a probe explains its crash."""
-    if (
-        conviction.parts <= accusation.parts
-        or accusation.upstream not in conviction.crashes
-    ):
-        return False
-    runs = _get_runs(accusation.parts, get_strikes)
-    return len(conviction.crashes) > len({upstream for upstream, _ in runs})
-
-
-def _get_runs(
-    parts: PartSet, get_strikes: GetStrikes
-) -> Iterator[tuple[str, Fingerprint]]:
-    """Yields the runs that were lost by a crash and held all of the parts."""
-    first, *others = (get_strikes(part) for part in parts)
-    for upstream, requests in first.items():
-        for request in requests:
-            if all(request in other.get(upstream, ()) for other in others):
-                yield upstream, request
--- a/src/lovagestage/decisions/request_suspects.py
+++ b/src/lovagestage/decisions/request_suspects.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from lovagestage.decisions.crash_records import SUSPECT_RETENTION_S, Suspect
 from lovagestage.types import Fingerprint
@@ -66,6 +66,11 @@
         )
         return self._suspects[fingerprint]
 
+    def get_upstreams(self, fingerprint: Fingerprint) -> Collection[str]:
+        """Returns the upstreams that crashed with a request in flight."""
+        suspect = self._suspects.get(fingerprint)
+        return () if suspect is None else suspect.strikes.keys()
+
     def get_explained(self, suspect: Suspect) -> set[str]:
         """Returns the strikes that other, convicted requests explain."""
         explained: set[str] = set()
--- a/src/lovagestage/gateway/crash_detection.py
+++ b/src/lovagestage/gateway/crash_detection.py
@@ -193,6 +193,9 @@
             self._defend_probes(report, probes)
         elif report.kind is CrashReportKind.CLEARED and self._tasks:
             self._answered_elsewhere.update(report.parts)
+        rebuttal = self._table.make_rebuttal(report, now_s)
+        if rebuttal is not None:
+            self._start(self._post_later(rebuttal))
 
     def get_reports(self) -> Iterable[CrashReport]:
         """Yields the reports that tell a new gateway of all strikes."""
@@ -238,7 +241,6 @@
 
     async def _post_later(self, report: CrashReport) -> None:
         """Reports an answer on suspected parts unless another gateway does."""
-        self._answered_elsewhere.difference_update(report.parts)
         await asyncio.sleep(random.uniform(0.0, CLEAR_SPREAD_S))
         if not self._answered_elsewhere.issuperset(report.parts):
             self._post(report)
