Don't drop probes for a larger model; check dropped runs

Change: a probe's answer is not dropped for a larger model's. While anything is suspected, a run that was dropped is checked 0.2 s later, and its request and parts take a strike if its upstream has crashed.

Of 40 gateways with an answer on a suspected part at one moment one tells it (links without delay).

--- a/src/lovagestage/gateway/crash_detection.py
+++ b/src/lovagestage/gateway/crash_detection.py
@@ -32,6 +32,9 @@
 """Time in seconds within which an upstream must accept a new connection after
 it broke one. An upstream that does not has crashed; one that only reset a
 connection accepts the next one immediately."""
+DROPPED_RUN_CHECK_S = 0.2
+"""Time in seconds after a run was dropped at which it is checked whether its
+upstream has crashed by it. An answer that was begun crashes it at once."""
 CLEAR_SPREAD_S = 1.0
 """Time in seconds over which gateways spread their reports that a suspected
 part was answered. All of them may have such an answer at one moment, and one
@@ -128,6 +131,10 @@
         )
         return has_won
 
+    def is_probe(self, run: str) -> bool:
+        """Returns whether a run of this gateway is a probe."""
+        return run in self._own_probes
+
     def check_for_crash(
         self,
         fingerprint: Fingerprint,
@@ -152,6 +159,28 @@
             self._confirm_crash(fingerprint, run, upstream, parts, is_answered)
         )
 
+    def check_dropped_run(
+        self,
+        fingerprint: Fingerprint,
+        run: str,
+        upstream: Upstream,
+        parts: Parts,
+    ) -> None:
+        """Checks a run that was dropped once its answer had begun.
+
+        While nothing is suspected, this costs no connection.
+        """
+        if not len(self._table):
+            return
+        self._table.start_check(
+            fingerprint, run, upstream.incarnation, get_elapsed_s(), parts
+        )
+        self._start(
+            self._confirm_crash(
+                fingerprint, run, upstream, parts, False, DROPPED_RUN_CHECK_S
+            )
+        )
+
     def record_answered(
         self, fingerprint: Fingerprint, run: str, parts: Parts = ()
     ) -> None:
@@ -275,7 +304,9 @@
         upstream: Upstream,
         parts: Parts,
         is_answered: bool,
+        delay_s: float = 0.0,
     ) -> None:
+        await asyncio.sleep(delay_s)
         try:
             channel = await open_channel(
                 upstream.entry.address, CONFIRM_TIMEOUT_S
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -156,6 +156,12 @@
                 return await self._forward_failure(exchange, head)
             larger_model = self._get_larger_model(head)
             if larger_model is not None:
+                self._context.suspects.check_dropped_run(
+                    attempts.fingerprint,
+                    attempts.run_name,
+                    self._upstream,
+                    attempts.parts,
+                )
                 return _NextRun(larger_model)
             limit_s -= self._get_run_time_s()
             await self._forward_events(exchange, head, limit_s)
@@ -185,7 +191,11 @@
 
     def _get_larger_model(self, head: AnswerHead) -> str | None:
         attempts = self._attempts
-        if self.progress.is_started:
+        # A probe that is dropped proves nothing, and the next one may crash
+        # another upstream.
+        if self.progress.is_started or self._context.suspects.is_probe(
+            attempts.run_name
+        ):
             return None
         route = attempts.admitted.route
         load = self._context.gauge.get_load(
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -30,7 +30,7 @@
     SuspectTable,
     get_fingerprint,
 )
-from lovagestage.gateway.crash_detection import SuspectWatch
+from lovagestage.gateway.crash_detection import CLEAR_SPREAD_S, SuspectWatch
 from lovagestage.messages.crashes import CrashReport, CrashReportKind
 from tests.test_thin_path import MESSAGES, get_expected_text
 
@@ -376,3 +376,29 @@
     for report in (*posted, posted[0]):
         other.on_report(report)
     assert other.admit(CRASHING) is Admission.PROBE
+
+
+async def test_of_gateways_with_an_answer_on_a_part_few_tell_it():
+    # Guards against as many reports as there are gateways, to each of them,
+    # where all of them have an answer on a suspected part at one moment.
+    posted = []
+    watches = []
+    for number in range(40):
+
+        def post(report, sender=number):
+            posted.append(report)
+            for other, watch in enumerate(watches):
+                if other != sender:
+                    watch.on_report(report)
+
+        watches.append(SuspectWatch(post, lambda: True))
+    for watch in watches:
+        for name in "ab":
+            watch.on_report(
+                CrashReport(STRIKE, CRASHING, f"r{name}", name, ("first",))
+            )
+    for number, watch in enumerate(watches):
+        watch.record_answered(HARMLESS[0], f"s{number}", ("first",))
+    await asyncio.sleep(CLEAR_SPREAD_S + 0.2)
+    assert [report.parts for report in posted] == [("first",)]
+    assert watches[0].admit(HARMLESS[1], ("first",)) is Admission.FREE
--- a/tests/test_gateway_part_blame.py
+++ b/tests/test_gateway_part_blame.py
@@ -22,15 +22,25 @@
 
 
 @contextlib.asynccontextmanager
-async def run_part_harness(workers, gateways=1, answer=lab.answer_plain):
-    """Yields a harness whose workers crash once they answer on `DEADLY`."""
+async def run_part_harness(
+    workers, gateways=1, answer=lab.answer_plain, confidence="99"
+):
+    """Yields a harness whose workers crash once they answer on `DEADLY`.
+
+    They crash a moment after the first event, whoever still reads.
+    """
     async with run_gateway_harness(workers=0, gateways=gateways) as harness:
 
         async def run(arrival, writer):
             if DEADLY not in arrival.headers.get("prefix-hash", ""):
                 await answer(arrival, writer)
                 return
-            head = lab.make_head(200, arrival, Transfer_Encoding="chunked")
+            head = lab.make_head(
+                200,
+                arrival,
+                Transfer_Encoding="chunked",
+                Confidence=confidence,
+            )
             event = b"id: 1\ndata: text\n\n"
             writer.write(head + b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
@@ -57,7 +67,7 @@
     )
 
 
-async def send(harness, middle, gateway=0, path="/safe/x"):
+async def send(harness, middle, gateway=0, path="/safe/x", **fields):
     """Sends a request that is like no other, with the parts named."""
     number = next(_numbers)
     return await harness.call(
@@ -66,20 +76,21 @@
         body=b"body %d" % number,
         request_id=f"r{number}",
         Prefix_Hash=f"{FIRST}:800,{middle}:100,a{number:07x}:20",
+        **fields,
     )
 
 
-async def send_deadly(harness, gateway=0, path="/safe/x"):
+async def send_deadly(harness, gateway=0, path="/safe/x", **fields):
     """Sends such a request; returns None where its stream breaks off."""
     with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-        return await send(harness, DEADLY, gateway, path)
+        return await send(harness, DEADLY, gateway, path, **fields)
     return None
 
 
-async def check_served(harness, gateways, path="/safe/x"):
+async def check_served(harness, gateways, path="/safe/x", **fields):
     for gateway in range(gateways):
         for middle in (f"b000{gateway}", "b0009"):
-            reply = await send(harness, middle, gateway, path)
+            reply = await send(harness, middle, gateway, path, **fields)
             assert (reply.status, reply.is_complete) == (200, True)
 
 
@@ -119,6 +130,24 @@
         assert count_crashes(harness) <= MAX_CRASHES
 
 
+async def test_probes_are_not_dropped_for_a_larger_model():
+    # Guards against requests on a suspected part that reach two or three
+    # upstreams each, as the answer of the first one is dropped.
+    stream = lab.make_stream(events=3, confidence={"small": 10})
+    path = "/sized/x"
+    async with run_part_harness(14, 2, stream, "10") as harness:
+        await check_served(harness, 2, path, Model_Name="*")
+        for number in range(8):
+            await send_deadly(harness, number % 2, path, Model_Name="*")
+        arrivals = sum(
+            DEADLY in arrival.headers.get("prefix-hash", "")
+            for worker in harness.workers.values()
+            for arrival in worker.arrivals
+        )
+        assert arrivals <= MAX_CRASHES + 1
+        await check_served(harness, 2, path, Model_Name="*")
+
+
 async def test_parts_at_all_gateways_at_one_moment_are_probed_one_by_one():
     # Guards against gateways that each try the same suspected part.
     async with run_part_harness(workers=14, gateways=3) as harness:
