--- a/tests/test_gateway_part_blame.py
+++ b/tests/test_gateway_part_blame.py
@@ -180,3 +180,21 @@
         assert reply is not None
         assert reply.status == 503
         assert count_crashes(harness) == before <= MAX_CRASHES
+
+
+async def test_gateways_that_all_start_again_learn_the_part_from_the_store():
+    # Guards against verdicts that are lost where no gateway is left to tell.
+    async with run_part_harness(workers=12) as harness:
+        await check_served(harness, 1)
+        for _ in range(4):
+            await send_deadly(harness)
+        await asyncio.sleep(0.5)
+        harness.tasks[0].cancel()
+        harness.start_another()
+        await harness.wait_until(harness.gateways[-1].is_ready)
+        await asyncio.sleep(LEARN_S)
+        before = count_crashes(harness)
+        reply = await send_deadly(harness, 1)
+        assert reply is not None
+        assert reply.status == 503
+        assert count_crashes(harness) == before <= MAX_CRASHES
