Judge parts in bounded time

What was seen: with 80 crashes of 40 runs each, one report took 17 ms to judge, and each copy of it again. Change: sets that can't be a cause are left out at once, the rarest part is looked at first, copies change nothing, convictions are computed when a request is admitted next, 64 accusations are kept, and suspects are dropped by tenths.

--- a/src/lovagestage/decisions/crash_suspects.py
+++ b/src/lovagestage/decisions/crash_suspects.py
@@ -81,9 +81,11 @@
         """Returns the number of sets of parts that are convicted."""
         return len(self._blame.get_convictions(now_s))
 
-    def take_part_changes(self, now_s: float) -> list[PartChange]:
-        """Returns what has become known of parts since the last call."""
-        self._blame.get_convictions(now_s)
+    def take_part_changes(self) -> list[PartChange]:
+        """Returns what has become known of parts since the last call.
+
+        Convictions become known when a request is admitted next.
+        """
         return self._blame.take_changes()
 
     def get_strikes(self, fingerprint: Fingerprint, now_s: float) -> int:
--- a/src/lovagestage/decisions/part_blame.py
+++ b/src/lovagestage/decisions/part_blame.py
@@ -37,7 +37,7 @@
 """Maximum number of cleared parts; the least recently answered are dropped."""
 MAX_SUSPECT_PARTS = 5_000
 """Maximum number of parts with strikes in the table of one entry."""
-MAX_ACCUSATIONS = 128
+MAX_ACCUSATIONS = 64
 """Maximum number of accusations; the oldest are dropped."""
 MAX_REPORTED_PARTS = 48
 """Maximum number of parts in a report, those with the most strikes, so that it
@@ -160,7 +160,7 @@
         for _, suspect in self.get_suspects((part,), now_s):
             return suspect
         if len(self._suspects) >= MAX_SUSPECT_PARTS:
-            self._drop_one()
+            self._drop_some()
         suspect = Suspect(expires_s=now_s + SUSPECT_RETENTION_S)
         self._suspects[part] = suspect
         return suspect
@@ -217,20 +217,23 @@
             now_s: Monotonic time in seconds.
         """
         uncleared = self.filter_uncleared(parts, now_s)
+        is_news = (upstream, request) not in self._accusations
+        if is_probe:
+            self._accuse(Accusation(upstream, request, frozenset(uncleared)))
         for part in uncleared:
             suspect = self.get_or_add(part, now_s)
             if upstream not in suspect.strikes:
                 self._note(
                     PartVerdict.STRUCK, (part,), len(suspect.strikes) + 1
                 )
+            is_news |= request not in suspect.strikes.get(upstream, ())
             suspect.add_strike(upstream, request)
             suspect.expires_s = max(
                 suspect.expires_s, now_s + SUSPECT_RETENTION_S
             )
-        self._is_stale |= is_probe or bool(self._accusations)
         if is_probe:
-            self._accuse(Accusation(upstream, request, frozenset(uncleared)))
             self._retain(upstream, request, uncleared, now_s)
+        self._is_stale |= is_news and bool(self._accusations)
 
     def clear(self, parts: Iterable[PartId], now_s: float) -> None:
         """Records a whole answer on the parts: none of them is to blame."""
@@ -303,17 +306,15 @@
                 )
         self._convictions = convictions
 
-    def _drop_one(self) -> None:
+    def _drop_some(self) -> None:
+        """Drops a tenth of the suspects, those that are not accused first."""
         accused = {p for a in self._accusations.values() for p in a.parts}
-        del self._suspects[
-            min(
-                self._suspects,
-                key=lambda part: (
-                    part in accused,
-                    self._suspects[part].expires_s,
-                ),
-            )
-        ]
+        ranked = sorted(
+            self._suspects,
+            key=lambda part: (part in accused, self._suspects[part].expires_s),
+        )
+        for part in ranked[: MAX_SUSPECT_PARTS // 10]:
+            del self._suspects[part]
 
     def _note(
         self, verdict: PartVerdict, parts: tuple[PartId, ...], crashes: int
--- a/src/lovagestage/decisions/part_verdicts.py
+++ b/src/lovagestage/decisions/part_verdicts.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from collections.abc import Callable, Collection, Iterator, Mapping, Set
 
 from lovagestage.types import Fingerprint, PartId
@@ -80,7 +81,8 @@
 
     def get_runs(self, parts: PartSet) -> Iterator[Run]:
         """Yields the lost runs that held all of the parts."""
-        first, *others = (self.get_requests(part) for part in parts)
+        # The rarest part has the fewest runs to look at.
+        first, *others = sorted(map(self.get_requests, parts), key=len)
         for upstream, requests in first.items():
             for request in requests:
                 if all(request in each.get(upstream, ()) for each in others):
@@ -94,32 +96,53 @@
     Attributes:
         parts: The parts; empty for a request that is the cause as a whole.
         runs: Its lost runs, but for those that are explained.
-        accusers: Its requests whose probes crashed an upstream.
+        accusers: Upstream processes and requests of the probes that accuse it.
     """
 
     parts: PartSet
     runs: frozenset[Run]
-    accusers: int
+    accusers: frozenset[Run]
 
-    @property
+    @functools.cached_property
     def crashes(self) -> frozenset[str]:
+        """Upstream processes that crashed with it in flight."""
         return frozenset(upstream for upstream, _ in self.runs)
 
-    @property
+    @functools.cached_property
     def requests(self) -> frozenset[Fingerprint]:
+        """Requests that held it at a crash."""
         return frozenset(request for _, request in self.runs)
 
+    @property
+    def is_possible(self) -> bool:
+        """Whether it may become the cause of the crashes that are left."""
+        if not self.accusers or len(self.crashes) < MIN_CRASHES:
+            return False
+        # Nothing tells what a single request holds from the request.
+        return not self.parts or len(self.requests) > 1
+
     @property
     def is_proved(self) -> bool:
+        """Whether it is the cause if nothing else was there as often."""
         if not self.parts:
             return True
-        if self.accusers >= MIN_ACCUSERS:
-            return len(self.crashes) >= MIN_CRASHES
+        if len({request for _, request in self.accusers}) >= MIN_ACCUSERS:
+            return True
         return (
             len(self.crashes) >= MIN_WITNESSED_CRASHES
             and len(self.requests) >= MIN_REQUESTS
         )
 
+    def without(self, explained: Set[str]) -> _Candidate:
+        """Returns the candidate without the crashes that are explained."""
+        if explained.isdisjoint(self.crashes):
+            return self
+        return _Candidate(
+            self.parts,
+            frozenset(run for run in self.runs if run[0] not in explained),
+            frozenset(run for run in self.accusers if run[0] not in explained),
+        )
+
 
 def find_convictions(
     accusations: Collection[Accusation], strikes: Strikes
@@ -135,11 +158,10 @@
     """
     convicted: list[PartSet] = []
     explained: set[str] = set()
-    while True:
-        cause = _find_cause(accusations, strikes, explained)
-        if cause is None:
-            break
+    candidates = list(_get_candidates(accusations, strikes))
+    while (cause := _find_cause(candidates)) is not None:
         explained |= cause.crashes
+        candidates = [each.without(explained) for each in candidates]
         if cause.parts:
             convicted.append(cause.parts)
     left = [
@@ -149,50 +171,46 @@
     ]
     convicted.extend(_get_common_parts(left))
     return tuple(
-        Conviction(
-            parts,
-            frozenset(upstream for upstream, _ in strikes.get_runs(parts)),
-        )
+        Conviction(parts, frozenset(run[0] for run in strikes.get_runs(parts)))
         for parts in sorted(set(convicted), key=sorted)
     )
 
 
-def _find_cause(
-    accusations: Collection[Accusation], strikes: Strikes, explained: Set[str]
-) -> _Candidate | None:
+def _find_cause(candidates: Collection[_Candidate]) -> _Candidate | None:
     """Finds what was in flight at most of the crashes that are left."""
-    candidates = [
-        candidate
-        for candidate in _get_candidates(accusations, strikes, explained)
-        if len(candidate.crashes) >= MIN_CRASHES
-    ]
-    most = max((len(each.crashes) for each in candidates), default=0)
-    first = [each for each in candidates if len(each.crashes) == most]
+    possible = [each for each in candidates if each.is_possible]
+    most = max((len(each.crashes) for each in possible), default=0)
+    first = [each for each in possible if len(each.crashes) == most]
     first = [each for each in first if not _is_covered(each, first)]
     if not first or (len(first) > 1 and most < MIN_TIED_CRASHES):
         return None
-    cause = min(
-        first, key=lambda each: (len(each.requests), sorted(each.parts))
-    )
+    cause = min(first, key=lambda c: (len(c.requests), sorted(c.parts)))
     return cause if cause.is_proved else None
 
 
 def _get_candidates(
-    accusations: Collection[Accusation], strikes: Strikes, explained: Set[str]
+    accusations: Collection[Accusation], strikes: Strikes
 ) -> Iterator[_Candidate]:
-    left = [a for a in accusations if a.upstream not in explained]
-    for request in {accusation.request for accusation in left}:
-        upstreams = set(strikes.get_upstreams(request)) - explained
-        runs = frozenset((upstream, request) for upstream in upstreams)
-        yield _Candidate(frozenset(), runs, 1)
-    for parts in {accusation.parts for accusation in left if accusation.parts}:
-        runs = frozenset(
-            run for run in strikes.get_runs(parts) if run[0] not in explained
+    """Yields the requests and the sets of parts that are possible causes."""
+    probes: dict[Fingerprint, set[Run]] = {}
+    for accusation in accusations:
+        run = accusation.upstream, accusation.request
+        probes.setdefault(accusation.request, set()).add(run)
+    for request, accusers in probes.items():
+        runs = ((name, request) for name in strikes.get_upstreams(request))
+        candidate = _Candidate(
+            frozenset(), frozenset(runs), frozenset(accusers)
+        )
+        if candidate.is_possible:
+            yield candidate
+    for parts in {accusation.parts for accusation in accusations} - {PartSet()}:
+        accusers = {
+            (a.upstream, a.request) for a in accusations if parts <= a.parts
+        }
+        candidate = _Candidate(
+            parts, frozenset(strikes.get_runs(parts)), frozenset(accusers)
         )
-        accusers = {a.request for a in left if parts <= a.parts}
-        candidate = _Candidate(parts, runs, len(accusers))
-        # What a single request holds is told from the request by nothing.
-        if len(candidate.requests) > 1:
+        if candidate.is_possible:
             yield candidate
 
 
--- a/src/lovagestage/gateway/crash_detection.py
+++ b/src/lovagestage/gateway/crash_detection.py
@@ -91,7 +91,9 @@
 
     def admit(self, fingerprint: Fingerprint, parts: Parts = ()) -> Admission:
         """Returns whether a request may run now, and whether as a probe."""
-        return self._table.admit(fingerprint, get_elapsed_s(), parts)
+        admission = self._table.admit(fingerprint, get_elapsed_s(), parts)
+        self._tell_part_changes()
+        return admission
 
     async def claim_probe(
         self, fingerprint: Fingerprint, run: str, parts: Parts = ()
@@ -285,7 +287,7 @@
             self._answered_elsewhere.clear()
 
     def _tell_part_changes(self) -> None:
-        for change in self._table.take_part_changes(get_elapsed_s()):
+        for change in self._table.take_part_changes():
             self._on_part_change(change)
             if change.verdict is not PartVerdict.STRUCK:
                 _log.warning(
