--- a/src/lovagestage/gateway/plain_runs.py
+++ b/src/lovagestage/gateway/plain_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
@@ -15,6 +16,7 @@
     get_answer_timeout_s,
     make_exchange,
     record_failed_attempt,
+    record_whole_answer,
     should_retry_answer,
     wait_with_timeout,
 )
@@ -68,7 +70,7 @@
     else:
         _record_answer(context, attempts, upstream, head, started_s)
     finally:
-        context.suspects.record_ended(attempts.fingerprint, run)
+        context.suspects.record_ended(attempts.fingerprint, run, attempts.parts)
     if head.status >= 500 and should_retry_answer(
         attempts, upstream, head.status
     ):
@@ -111,9 +113,7 @@
     kind = (admitted.route.name, admitted.request.model)
     failed = head.status >= 500
     upstream.performance.record_answer(failed)
-    if not failed:
-        context.suspects.record_answered(
-            attempts.fingerprint, attempts.run_name
-        )
+    if head.status < HTTPStatus.MULTIPLE_CHOICES:
+        record_whole_answer(context, attempts, upstream, head)
     if not failed and not attempts.assignment.is_new:
         context.latency.record(kind, time_s)
--- a/src/lovagestage/gateway/silence.py
+++ b/src/lovagestage/gateway/silence.py
@@ -14,7 +14,7 @@
 from types import TracebackType
 from typing import Self, TypeVar
 
-from lovagestage.decisions.crash_suspects import Admission
+from lovagestage.decisions.crash_admission import Admission
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
@@ -84,7 +84,8 @@
         return obstacle
     if not attempts.has_healthy_upstream(besides=upstream):
         return Obstacle.NO_UPSTREAM
-    if suspects.admit(attempts.fingerprint) is not Admission.FREE:
+    admission = suspects.admit(attempts.fingerprint, attempts.parts)
+    if admission is not Admission.FREE:
         return Obstacle.SUSPECT
     if not attempts.permit.reserve(get_elapsed_s()):
         return Obstacle.NO_RETRY_LEFT
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from lovagestage.decisions.crash_suspects import Admission
+from lovagestage.decisions.crash_admission import Admission
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.continuation import (
@@ -27,6 +27,7 @@
     make_exchange,
     record_failed_attempt,
     record_prefill_time,
+    record_whole_answer,
     should_retry_answer,
     wait_with_timeout,
 )
@@ -130,10 +131,12 @@
             return await run.run()
         except AttemptFailedError as error:
             failure = error
+            record_failed_attempt(context, attempts, upstream, error)
         finally:
             self._progress = run.progress
-            context.suspects.record_ended(attempts.fingerprint, name)
-        record_failed_attempt(context, attempts, upstream, failure)
+            context.suspects.record_ended(
+                attempts.fingerprint, name, attempts.parts
+            )
         await self._prepare_next_run(failure)
         return _NextRun(model)
 
@@ -214,6 +217,12 @@
             larger_model = self._get_larger_model(head)
             if larger_model is not None:
                 self._weighing.record_start()
+                self._context.suspects.check_dropped_run(
+                    attempts.fingerprint,
+                    attempts.run_name,
+                    self._upstream,
+                    attempts.parts,
+                )
                 return _NextRun(larger_model)
             limit_s -= self._get_run_time_s()
             await self._forward_events(exchange, head, limit_s)
@@ -241,7 +250,11 @@
 
     def _get_larger_model(self, head: AnswerHead) -> str | None:
         attempts = self._attempts
-        if self.progress.is_started:
+        # A probe that is dropped proves nothing, and the next one may crash
+        # another upstream.
+        if self.progress.is_started or self._context.suspects.is_probe(
+            attempts.run_name
+        ):
             return None
         route = attempts.admitted.route
         load = self._context.gauge.get_load(
@@ -258,9 +271,10 @@
         if larger_model is None:
             return None
         # The answer that is ready is dropped for a run that must be admitted.
-        if self._context.suspects.admit(attempts.fingerprint) is not (
-            Admission.FREE
-        ):
+        admission = self._context.suspects.admit(
+            attempts.fingerprint, attempts.parts
+        )
+        if admission is not Admission.FREE:
             return None
         if not attempts.may_escalate():
             return None
@@ -290,9 +304,7 @@
         if self._splitter.has_incomplete_event:
             raise AttemptFailedError("event_broken", RunState.RAN)
         self._upstream.performance.record_answer(False)
-        self._context.suspects.record_answered(
-            attempts.fingerprint, attempts.run_name
-        )
+        record_whole_answer(self._context, attempts, self._upstream, head)
         if not self.progress.is_started:
             await self._sink.start_stream(head)
         await self._sink.finish_stream()
--- a/tests/test_gateway_silent_runs.py
+++ b/tests/test_gateway_silent_runs.py
@@ -156,7 +156,7 @@
     # the next one is refused admission.
     async with run_gateway_harness(2, make_pausing_stream(False)) as harness:
 
-        def admit(_watch, _fingerprint):
+        def admit(_watch, _fingerprint, _parts):
             return Admission.WAIT if count_runs(harness) else Admission.FREE
 
         monkeypatch.setattr(SuspectWatch, "admit", admit)
@@ -168,7 +168,7 @@
     script = lab.make_stream(3, confidence={"small": 10, "large": 90})
     async with run_gateway_harness(script=script) as harness:
 
-        def admit(_watch, _fingerprint):
+        def admit(_watch, _fingerprint, _parts):
             return Admission.WAIT if count_runs(harness) else Admission.FREE
 
         monkeypatch.setattr(SuspectWatch, "admit", admit)
