--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import json
 import random
 
@@ -42,7 +41,6 @@
     LATE_ANSWERS,
     LATE_RATIO,
     SESSION_COLLECTION_S,
-    VERDICT_MARGIN_S,
     Rollout,
     RolloutOrder,
     RolloutOutcome,
@@ -212,35 +210,6 @@
     assert suspected.get_due_outcome(late_s + 0.01) is RolloutOutcome.RUNNING
 
 
-def test_a_suspected_version_is_not_completed_by_time():
-    # Each of three routes has some slow answers, none of them enough to stop
-    # the version: it was completed because 20 answers were known.
-    rollout = make_rollout()
-    for route in "abc":
-        add_answers(rollout, ".x..x..x", failure_rate=0.1, route=route)
-    rollout.record_answers("edge-2", COMPLETE_ANSWERS)
-    due = rollout.get_due_outcome(100.0 + LATE_RATIO * ORDER.duration_s + 0.01)
-    assert due is not RolloutOutcome.COMPLETED
-
-
-def test_many_answers_do_not_hide_that_some_are_bad():
-    # One answer in five is bad: over 100 answers the sum alone was proof.
-    rollout = make_rollout()
-    rollout.record_answers("edge-1", 100, PROOF_EVIDENCE - 1.0)
-    due_s = 100.0 + COMPLETE_RATIO * ORDER.duration_s + 0.01
-    assert rollout.get_due_outcome(due_s) is RolloutOutcome.RUNNING
-
-
-def test_the_verdict_on_a_short_order_leaves_time_to_write_it():
-    # The verdict was due 0.6 s before the end of an order of 12 s, was written
-    # 0.4 s later and not yet followed by all when the time was over.
-    rollout = Rollout(dataclasses.replace(ORDER, duration_s=12.0), 7, 100.0)
-    rollout.record_answers("edge-1", COMPLETE_ANSWERS, 2.0 * PROOF_EVIDENCE)
-    due_s = 112.0 - VERDICT_MARGIN_S
-    assert rollout.get_due_outcome(due_s - 0.01) is RolloutOutcome.RUNNING
-    assert rollout.get_due_outcome(due_s + 0.01) is RolloutOutcome.COMPLETED
-
-
 def test_a_restarted_gateway_learns_the_orders_age():
     # The process was killed in the middle of the roll-out. The new process
     # counts time from its own start, and another gateway's message reports how
@@ -589,15 +558,6 @@
     assert times.is_slow("stream", 8 * 0.15, queue_s=0.05)
 
 
-def test_the_queue_of_a_slow_version_does_not_excuse_it():
-    # What waits at a slow upstream waits for its slowness: the longer the queue
-    # there, the later an answer was still taken for a good one.
-    times = LatencyTable()
-    for _ in range(20):
-        times.record("stream", 0.15)
-    assert times.is_slow("stream", 8 * 0.15, queue_s=2.0)
-
-
 GOOD, SLOW = AnswerQuality.GOOD, AnswerQuality.SLOW
 
 
@@ -665,30 +625,3 @@
     for _ in range(3):
         loaded.answer(AnswerQuality.FAILED)
     assert loaded.rollout.is_stopped
-
-
-def test_a_version_that_is_slow_in_the_load_step_is_stopped():
-    # Slow answers were dropped there, and from the start of a roll-out whose
-    # first share was as large as that of the load step.
-    loaded = make_loaded()
-    for _ in range(10):
-        loaded.answer(SLOW)
-    assert loaded.rollout.is_stopped
-    large = RolloutServiceHarness()
-    large.rollout.set_first_share(
-        max(FIRST_SHARES), get_elapsed_s() - SESSION_COLLECTION_S
-    )
-    for _ in range(5):
-        large.answer(SLOW)
-    assert large.rollout.is_stopped
-
-
-def test_a_crash_counts_once_for_each_upstream():
-    # All requests at an upstream end with it; the crash of two upstreams would
-    # end the roll-out of a good version.
-    crashed = RolloutServiceHarness()
-    for _ in range(30):
-        crashed.answer(AnswerQuality.LOST)
-        crashed.answer(AnswerQuality.SILENT)
-    assert crashed.rollout.new_failures == len(crashed.upstreams)
-    assert not crashed.rollout.is_stopped
--- /dev/null
+++ b/tests/test_rollout_verdicts.py
@@ -0,0 +1,124 @@
+"""Tests which evidence leads to which verdict on a new version."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.latency import LatencyTable
+from lovagestage.gateway.rollout_evidence import PROOF_EVIDENCE, AnswerQuality
+from lovagestage.gateway.rollout_outcomes import OutcomeStore
+from lovagestage.gateway.rollout_shares import COMPLETE_RATIO, FIRST_SHARES
+from lovagestage.gateway.rollouts import (
+    COMPLETE_ANSWERS,
+    LATE_RATIO,
+    SESSION_COLLECTION_S,
+    VERDICT_MARGIN_S,
+    Rollout,
+    RolloutOutcome,
+)
+from lovagestage.platform.records import Page
+from lovagestage.types import Position
+from tests.test_gateway_rollouts import (
+    ORDER,
+    SLOW,
+    RolloutServiceHarness,
+    add_answers,
+    make_loaded,
+    make_rollout,
+)
+
+
+def test_a_suspected_version_is_not_completed_by_time():
+    # Each of three routes has some slow answers, none of them enough to stop
+    # the version: it was completed because 20 answers were known.
+    rollout = make_rollout()
+    for route in "abc":
+        add_answers(rollout, ".x..x..x", failure_rate=0.1, route=route)
+    rollout.record_answers("edge-2", COMPLETE_ANSWERS)
+    due = rollout.get_due_outcome(100.0 + LATE_RATIO * ORDER.duration_s + 0.01)
+    assert due is not RolloutOutcome.COMPLETED
+
+
+def test_many_answers_do_not_hide_that_some_are_bad():
+    # One answer in five is bad: over 100 answers the sum alone was proof.
+    rollout = make_rollout()
+    rollout.record_answers("edge-1", 100, PROOF_EVIDENCE - 1.0)
+    due_s = 100.0 + COMPLETE_RATIO * ORDER.duration_s + 0.01
+    assert rollout.get_due_outcome(due_s) is RolloutOutcome.RUNNING
+
+
+def test_the_verdict_on_a_short_order_leaves_time_to_write_it():
+    # The verdict was due 0.6 s before the end of an order of 12 s, was written
+    # 0.4 s later and not yet followed by all when the time was over.
+    rollout = Rollout(dataclasses.replace(ORDER, duration_s=12.0), 7, 100.0)
+    rollout.record_answers("edge-1", COMPLETE_ANSWERS, 2.0 * PROOF_EVIDENCE)
+    due_s = 112.0 - VERDICT_MARGIN_S
+    assert rollout.get_due_outcome(due_s - 0.01) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(due_s + 0.01) is RolloutOutcome.COMPLETED
+
+
+def test_a_version_that_is_slow_in_the_load_step_is_stopped():
+    # Slow answers were dropped there, and from the start of a roll-out whose
+    # first share was as large as that of the load step.
+    loaded = make_loaded()
+    for _ in range(10):
+        loaded.answer(SLOW)
+    assert loaded.rollout.is_stopped
+    large = RolloutServiceHarness()
+    large.rollout.set_first_share(
+        max(FIRST_SHARES), get_elapsed_s() - SESSION_COLLECTION_S
+    )
+    for _ in range(5):
+        large.answer(SLOW)
+    assert large.rollout.is_stopped
+
+
+def test_a_crash_counts_once_for_each_upstream():
+    # All requests at an upstream end with it; the crash of two upstreams would
+    # end the roll-out of a good version.
+    crashed = RolloutServiceHarness()
+    for _ in range(30):
+        crashed.answer(AnswerQuality.LOST)
+        crashed.answer(AnswerQuality.SILENT)
+    assert crashed.rollout.new_failures == len(crashed.upstreams)
+    assert not crashed.rollout.is_stopped
+
+
+def test_the_queue_of_a_slow_version_does_not_excuse_it():
+    # What waits at a slow upstream waits for its slowness: the longer the queue
+    # there, the later an answer was still taken for a good one.
+    times = LatencyTable()
+    for _ in range(20):
+        times.record("stream", 0.15)
+    assert times.is_slow("stream", 8 * 0.15, queue_s=2.0)
+
+
+class StoreWithNews:
+    """A store whose read takes so long that a failure is reported meanwhile."""
+
+    def __init__(self, on_read):
+        self.on_read = on_read
+        self.appended = []
+
+    async def read_newest(self, topic, timeout_s):
+        self.on_read()
+        return Page((), Position(0))
+
+    async def append(self, topic, records, timeout_s, expected_end):
+        self.appended.append(records)
+
+
+async def test_evidence_that_comes_while_the_verdict_is_written_counts():
+    # The version is due to be completed; another gateway's failures arrive
+    # between that decision and its record.
+    rollout = make_rollout()
+    rollout.apply_age(ORDER.duration_s, get_elapsed_s())
+    rollout.record_answers("edge-1", COMPLETE_ANSWERS, 2.0 * PROOF_EVIDENCE)
+    due = rollout.get_due_outcome(get_elapsed_s())
+    assert due is RolloutOutcome.COMPLETED
+    store = StoreWithNews(lambda: add_answers(rollout, "xxxx", 0.02))
+    outcomes = OutcomeStore(store, random.Random(1))
+    written = await outcomes.write(rollout, due, lambda order: 0.1)
+    assert written.outcome is RolloutOutcome.REVERTED
