Take an answer of an unknown kind for good only if it is very fast

The new processes know no usual times yet and took an answer within a fifth of the target for a good one, which a slow version reaches on short prompts.

--- a/src/lovagestage/gateway/latency.py
+++ b/src/lovagestage/gateway/latency.py
@@ -33,9 +33,9 @@
 longer escalated to a larger model: by then the slowest answers are late."""
 
 
-FAST_TARGET_RATIO = 0.2
+FAST_TARGET_RATIO = 0.05
 """Share of the target latency within which an answer is fast, whatever its
-kind: twice what first events take where no request waits."""
+kind: half of what first events take where no request waits."""
 DEFAULT_ANSWER_S = 0.1
 """Time in seconds that an answer is expected to take while too few answers are
 known, about the time of an answer at an idle upstream. Without this value the
