Do not take a gateway's own stall for a slow answer (EXPOSURE)

A gateway that stands still for a second reads all answers that came meanwhile late.

Cause: the timer of RunWeighing waits for a moment after a stall, but the answer that is read then was judged by its whole time, each one as slow.

Change: by as much as the timer was late, and the moment, an answer may be late; one that is late only for that is not judged.

test_answer_that_a_stalled_gateway_reads_late_is_not_slow failed before (SLOW, 3 runs of 3). The pace of streams has the same fault and stays known red.

--- a/src/lovagestage/gateway/run_weighing.py
+++ b/src/lovagestage/gateway/run_weighing.py
@@ -71,6 +71,8 @@
         self._events = 0
         self._first_event_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        # Time for which this process stood still while the run was due.
+        self._stalled_s = 0.0
 
     def __enter__(self) -> Self:
         self._started_s = get_elapsed_s()
@@ -88,7 +90,7 @@
         self._weigh_pace(error is None)
         if self._is_weighed:
             return
-        if get_elapsed_s() - self._started_s > self._limit_s:
+        if self._is_late(get_elapsed_s() - self._started_s):
             self._weigh_late()
         elif isinstance(error, AttemptFailedError) and _is_crash_like(error):
             self._weigh(AnswerQuality.LOST)
@@ -96,8 +98,10 @@
     def record_start(self) -> None:
         """Records that the answer has started."""
         time_s = get_elapsed_s() - self._started_s
-        if time_s > self._limit_s:
+        if self._is_late(time_s):
             self._weigh(AnswerQuality.SLOW)
+        elif time_s > self._limit_s:
+            self._weigh(AnswerQuality.UNJUDGED)
         elif self._is_kind_known:
             self._weigh(AnswerQuality.GOOD)
         else:
@@ -119,8 +123,15 @@
             delay_s, self._on_timer, due_s
         )
 
+    def _is_late(self, time_s: float) -> bool:
+        """Returns whether a run is late by more than this process's stalls."""
+        excuse_s = self._stalled_s + STALL_GRACE_S if self._stalled_s else 0.0
+        return time_s > self._limit_s + excuse_s
+
     def _on_timer(self, due_s: float) -> None:
-        if get_elapsed_s() > due_s + STALL_S:
+        delay_s = get_elapsed_s() - due_s
+        if delay_s > STALL_S:
+            self._stalled_s += delay_s
             self._set_timer(STALL_GRACE_S)
             return
         self._weigh_late()
