Keep no retry reserved for a run that goes on

Where data arrives in the turn of the loop in which a run is to be given up, as after a stall of the gateway, the run goes on and kept its reserved retry until the request ended, so that other requests found none left.

Change: the reservation ends with a wait that brought data.

test_run_that_goes_on_keeps_no_retry_reserved failed before (is_reserved).

--- a/src/lovagestage/gateway/silence.py
+++ b/src/lovagestage/gateway/silence.py
@@ -121,6 +121,9 @@
         trace: TracebackType | None,
     ) -> None:
         self._timer.cancel()
+        if kind is None:
+            # The run goes on, also where data came with the decision.
+            self._attempts.permit.cancel_reservation()
         if self._obstacle is None:
             return
         attempts = self._attempts
