Leave outages out of the old version's failure rate (EXPOSURE)

Where an upstream of the old version crashes with 40 requests, a new version that fails six answers of six is not stopped.

Cause: since runs without an answer are weighed, each of those that one outage ends raises the rate at which the old version fails, up to the limit of a half; of the new version they count once for each upstream.

Change: they count for nothing at the old version; a late answer counts as slow when it comes, as at the new one.

test_crash_of_an_old_upstream_does_not_hide_a_failing_version failed before.

--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -159,6 +159,10 @@
         rollout = self._deployment.rollouts.get(service)
         is_new = rollout is not None and assignment.is_new
         if not is_new:
+            if quality in OUTAGE_QUALITIES:
+                # One outage ends many runs and says nothing of later ones; a
+                # late answer is recorded when it comes.
+                return False
             self._add_old_answer(service, route, quality, aspect)
             return True
         assert rollout is not None
