Show requests given up for silence that others refuse: test, known red

A request whose run is given up before its answer begins gets 502 where the next upstream refuses it, although the first one answers in time. A stream that has begun is owed its answer then and goes back; others are not.

--- a/tests/test_gateway_silent_runs.py
+++ b/tests/test_gateway_silent_runs.py
@@ -174,3 +174,24 @@
         monkeypatch.setattr(SuspectWatch, "admit", admit)
         reply = await harness.call("/sized/x", body=b"p", Model_Name="*")
         assert get_texts(reply) == {"small"}
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
+async def test_request_given_up_before_its_answer_outlasts_refusals(path):
+    # The run is given up while another upstream is ready; that one refuses the
+    # request, and the caller gets a 502 although the first one answers in time.
+    async def answer_late(arrival, writer):
+        await asyncio.sleep(LONG_PAUSE_S)
+        answer = lab.answer_plain if path == "/safe/x" else lab.make_stream()
+        await answer(arrival, writer)
+
+    statuses = []
+    async with run_gateway_harness(2, answer_late) as harness:
+        first, *others = harness.workers.values()
+        del first
+        for worker in others:
+            worker.script = lab.refuse
+        for number in range(4):
+            reply = await harness.call(path, body=b"p", request_id=f"r{number}")
+            statuses.append(reply.status)
+    assert statuses == [200] * 4
