Test answers with neither a length nor chunks

Such an answer, a stream too, ends with its connection. The scripted worker can send them, and break them off within an event by an orderly close or a reset. The gateway as it is keeps the rule: a whole one is framed anew, an end inside an event or a reset is a break that is resumed or never looks complete, and the connection carries nothing after it. No fault was found here.

--- a/lab/worker.py
+++ b/lab/worker.py
@@ -5,10 +5,11 @@
 import asyncio
 import contextlib
 import dataclasses
+import enum
 import socket
 import struct
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 """Value of the Response-Signature header of all signed responses."""
@@ -45,6 +46,20 @@
 Script = Callable[[Arrival, asyncio.StreamWriter], Awaitable[None]]
 
 
+class StreamEnding(enum.Enum):
+    """How a stream is framed, and how its connection ends if it breaks off.
+
+    A stream without chunks has no length either: it ends with its connection.
+    """
+
+    CHUNKED = "chunked"
+    """In chunks; a break resets the connection."""
+    CLOSED_ORDERLY = "closed_orderly"
+    """Without chunks; a break closes the connection as the end does."""
+    RESET = "reset"
+    """Without chunks; a break resets the connection."""
+
+
 class Worker:
     """HTTP server that answers each request with a script.
 
@@ -245,22 +260,29 @@
 def make_stream(
     events: int = 5,
     break_after: int | None = None,
-    pause_s: float = 0.0,
+    pause_s: float | Sequence[float] = 0.0,
     confidence: dict[str, int] | None = None,
     first_s: float = 0.0,
+    ending: StreamEnding = StreamEnding.CHUNKED,
 ) -> Script:
     """Makes a script that streams events with ids from 1.
 
-    The stream resumes after the event that the `Last-Event-ID` header names.
+    The stream resumes after the event that the `Last-Event-Id` header names.
 
     Args:
         events: Id of the last event.
-        break_after: Id of the last complete event; the script resets the
-            connection within the next event. None for no reset.
-        pause_s: Pause in seconds before each event.
+        break_after: Id of the last complete event; the script ends the
+            connection within the next event. None for no break.
+        pause_s: Pause in seconds before each event, or one for each of them.
         confidence: Value of the `Confidence` header by model.
         first_s: Time in seconds until the response begins.
+        ending: How the response is framed, and how its connection breaks off.
     """
+    is_chunked = ending is StreamEnding.CHUNKED
+    framing = {"Transfer_Encoding": "chunked"} if is_chunked else {}
+    pauses_s = (
+        [pause_s] * events if isinstance(pause_s, float | int) else pause_s
+    )
 
     async def run(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(first_s)
@@ -268,28 +290,35 @@
         extra_headers = {"Content_Type": "text/event-stream"}
         if confidence and model in confidence:
             extra_headers["Confidence"] = str(confidence[model])
-        head = make_head(
-            200, arrival, True, Transfer_Encoding="chunked", **extra_headers
-        )
-        writer.write(head)
+        writer.write(make_head(200, arrival, True, **framing, **extra_headers))
         await writer.drain()
         first = int(arrival.headers.get("last-event-id", "0")) + 1
         for number in range(first, events + 1):
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(pauses_s[number - 1])
             event = f"id: {number}\ndata: {model or 'text'}\n\n".encode()
             if break_after is not None and number > break_after:
-                writer.write(_chunk(event[:5]))
+                writer.write(_chunk(event[:5]) if is_chunked else event[:5])
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                reset_connection(writer)
+                _end_connection(writer, ending)
                 return
-            writer.write(_chunk(event))
+            writer.write(_chunk(event) if is_chunked else event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+        if is_chunked:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        else:
+            writer.close()
 
     return run
 
 
+def _end_connection(writer: asyncio.StreamWriter, ending: StreamEnding) -> None:
+    if ending is StreamEnding.CLOSED_ORDERLY:
+        writer.close()
+    else:
+        reset_connection(writer)
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
