Soak crashing parts, slow versions, skewed connections and series of stops

Split lab/soak/world.py (467 lines) by job: deployment, gateways, records, answers, serving and the environment itself.

A request that a worker runs and that its gateway cuts off with time left is a breach, in a planned stop too.

--- a/lab/experiments/gateway.py
+++ b/lab/experiments/gateway.py
@@ -13,7 +13,9 @@
 
 from lab.caller import make_request, read_reply
 from lab.experiments import Result
-from lab.soak.world import EVENTS, GatewayProcess, SoakEnvironment
+from lab.soak.deployment import EVENTS
+from lab.soak.gateways import GatewayProcess
+from lab.soak.world import SoakEnvironment
 from lab.usage import get_usage
 
 CALLERS = 4
--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -6,10 +6,15 @@
 from collections.abc import Iterator
 
 from lab.soak.crash_checks import find_crash_breaches
+from lab.soak.cut_checks import find_cut_breaches
+from lab.soak.deployment import DRAIN_S, EVENTS, REVOKE_S, WORKSPACE
 from lab.soak.notice_checks import NoticeChecker
+from lab.soak.part_checks import find_part_breaches
+from lab.soak.rollout_checks import find_rollout_breaches
+from lab.soak.skew_checks import find_skew_breaches
 from lab.soak.spans import overlaps_fault
-from lab.soak.traffic import DEADLINE_S, SentRequest
-from lab.soak.world import DRAIN_S, EVENTS, REVOKE_S, SoakEnvironment
+from lab.soak.traffic import SentRequest
+from lab.soak.world import SoakEnvironment
 from lab.worker import SIGNATURE
 
 TIMING_SLACK_S = 0.5
@@ -18,6 +23,8 @@
 Without this allowance, scheduling delays count as broken guarantees.
 """
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+RUN_ONCE = ("unsafe", "once", "steady", "slow")
+"""Routes of which no request may run more than once."""
 MIN_SERVED_RATIO = 0.5
 """Minimum ratio of requests served successfully after all faults have ended."""
 
@@ -42,10 +49,14 @@
     ]
     breaches += _check_workers(environment)
     breaches += find_crash_breaches(environment)
+    breaches += find_part_breaches(environment, sent, recovery_from_s)
+    breaches += find_rollout_breaches(environment, sent, TIMING_SLACK_S)
+    breaches += find_cut_breaches(environment, sent, TIMING_SLACK_S)
+    breaches += find_skew_breaches(environment, sent)
     breaches += NoticeChecker(environment, sent, TIMING_SLACK_S).find_breaches()
     recovery = [s for s in sent if s.sent_s > recovery_from_s and s.ended_s]
     recovery = [s for s in recovery if environment.keys[s.key] is None]
-    served = sum(_is_served(request) for request in recovery)
+    served = sum(request.is_served for request in recovery)
     if recovery and served < MIN_SERVED_RATIO * len(recovery):
         breaches.append(
             f"not recovered: {served} of {len(recovery)} served,"
@@ -67,17 +78,12 @@
     return dict(outcomes.most_common(8))
 
 
-def _is_served(request: SentRequest) -> bool:
-    reply = request.reply
-    return reply is not None and reply.status == 200 and reply.is_complete
-
-
 def _check_request(
     environment: SoakEnvironment, request: SentRequest
 ) -> Iterator[str]:
-    runs = environment.runs.get(request.id, [])
+    runs = environment.serving.runs.get(request.id, [])
     reply = request.reply
-    if request.kind == "unsafe":
+    if request.kind in RUN_ONCE:
         if len(runs) > 1:
             yield f"run more than once: {request.id} {runs}"
         if runs and reply and reply.status in NOT_EXECUTED_STATUSES:
@@ -87,7 +93,8 @@
         late_s = request.sent_s - revoked_s
         if late_s > REVOKE_S + TIMING_SLACK_S:
             yield f"run {late_s:.2f} s after its key was revoked: {request}"
-    is_late = request.ended_s - request.sent_s > DEADLINE_S + TIMING_SLACK_S
+    time_s = request.ended_s - request.sent_s
+    is_late = time_s > request.deadline_s + TIMING_SLACK_S
     span = (request.sent_s, request.ended_s)
     # A gateway process suspended by SIGSTOP cannot answer in time: with seed
     # 100, three streams were open at a gateway suspended for 3.5 s.
@@ -123,7 +130,7 @@
 
 
 def _check_workers(environment: SoakEnvironment) -> Iterator[str]:
-    for request, runs in environment.runs.items():
+    for request, runs in environment.serving.runs.items():
         for at_s, name in runs:
             departure_s = environment.departure_s.get(name)
             if (
@@ -138,7 +145,7 @@
                 )
     for worker in environment.workers.values():
         for arrival in worker.arrivals:
-            if arrival.headers.get("tenant-id") != "clinic":
+            if arrival.headers.get("tenant-id") != WORKSPACE:
                 yield f"wrong workspace: {arrival.request_id}"
             if "authorization" in arrival.headers:
                 yield f"API key forwarded to the worker: {arrival.request_id}"
--- a/lab/soak/command.py
+++ b/lab/soak/command.py
@@ -10,17 +10,23 @@
 from collections.abc import Sequence
 
 from lab.soak.checks import find_breaches
-from lab.soak.traffic import Callers
-from lab.soak.troubles import FAULTS, Fault
-from lab.soak.world import GATEWAYS, SoakEnvironment
-
-CALLERS = 8
+from lab.soak.deployment import GATEWAYS, WORKERS
+from lab.soak.traffic import BRIEF, LASTING, PATIENT, Callers
+from lab.soak.troubles import ALL_FAULTS, FAULTS, Fault
+from lab.soak.world import SoakEnvironment
+
+CALLERS = (*[BRIEF] * 4, *[LASTING] * 4, *[PATIENT] * 6)
+"""Habits of the callers."""
+CALM_S = 2.0
+"""Seconds without faults at first, with which later ones are compared."""
 FAULT_SETTLE_S = 4.0
 """Seconds from the end of the last fault until recovery is checked.
 
 The after-effects of the faults have to end before the recovery period starts.
 """
 RECOVERY_S = 2.0
+MAX_PRINTED = 20
+"""Number of broken guarantees that are printed for one seed."""
 START_TIMEOUT_S = 15.0
 
 
@@ -32,10 +38,11 @@
     )
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--gateways", type=int, default=GATEWAYS)
+    parser.add_argument("--workers", type=int, default=WORKERS)
     parser.add_argument(
         "--faults",
         type=parse_faults,
-        default=FAULTS,
+        default=ALL_FAULTS,
         help="names of the faults to choose from, separated by commas",
     )
     parser.add_argument(
@@ -49,7 +56,7 @@
     Raises:
         argparse.ArgumentTypeError: There is no fault of one of the names.
     """
-    by_name = {fault.__name__: fault for fault in FAULTS}
+    by_name = {fault.__name__: fault for fault in ALL_FAULTS}
     names = text.split(",")
     if unknown := [name for name in names if name not in by_name]:
         known = ", ".join(sorted(by_name))
@@ -62,11 +69,16 @@
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
         breaches, summary = run_seed(
-            seed, args.seconds, args.logs, args.gateways, args.faults
+            seed,
+            args.seconds,
+            args.logs,
+            args.gateways,
+            args.faults,
+            args.workers,
         )
         failed += bool(breaches)
         print(f"seed {seed}: {summary}", flush=True)
-        for text in breaches[:10]:
+        for text in breaches[:MAX_PRINTED]:
             print(f"  {text}", flush=True)
     print(f"{args.seeds - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
@@ -78,6 +90,7 @@
     logs: pathlib.Path | None = None,
     gateways: int = GATEWAYS,
     faults: Sequence[Fault] = FAULTS,
+    workers: int = WORKERS,
 ) -> tuple[list[str], str]:
     """Runs one seed.
 
@@ -88,6 +101,7 @@
             for each seed. None uses a temporary folder.
         gateways: Number of gateway processes.
         faults: Faults to choose from.
+        workers: Number of workers at the start.
 
     Returns:
         Descriptions of the broken guarantees, and a summary of the run.
@@ -95,9 +109,8 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = logs / str(seed) if logs else pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(
-            _run_seed(SoakEnvironment(seed, folder, gateways), seconds, faults)
-        )
+        environment = SoakEnvironment(seed, folder, gateways, workers)
+        return asyncio.run(_run_seed(environment, seconds, faults))
 
 
 async def _run_seed(
@@ -109,9 +122,10 @@
     try:
         await _wait_until_ready(environment)
         tasks += [
-            asyncio.ensure_future(callers.send_requests())
-            for _ in range(CALLERS)
+            asyncio.ensure_future(callers.send_requests(habits))
+            for habits in CALLERS
         ]
+        await asyncio.sleep(CALM_S)
         await _inject_faults(environment, seconds, faults)
         await asyncio.sleep(FAULT_SETTLE_S)
         recovery_from_s = time.monotonic()
--- /dev/null
+++ b/lab/soak/connection_troubles.py
@@ -0,0 +1,64 @@
+"""Times in which most new connections go to one gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from lab.soak.deployment import CONTACT_S
+from lab.soak.records import SkewedTime, StatedLimit
+from lab.soak.world import SoakEnvironment
+
+LIMIT_LEAD_S = 2 * CONTACT_S
+"""Seconds from the statement of the limits until connections are skewed: time
+to share the limits out, and to count what is served under them."""
+SKEWED_TIMES_S = (CONTACT_S + 3.0, CONTACT_S + 6.0)
+RATE_WINDOW_S = 2.0
+LIMIT_FACTOR = 1.5
+"""All limits together, as a multiple of the requests at that time."""
+
+
+async def skew_connections(environment: SoakEnvironment) -> None:
+    """Makes most new connections go to one gateway, to another once it is out.
+
+    Half of the time all workers state request limits beforehand which allow
+    more than all callers ask for. Nothing happens during another such time.
+    """
+    rng, times = environment.rng, environment.skewed_times
+    if times and times[-1].ended_s > time.monotonic():
+        return
+    limits = []
+    if rng.random() < 0.5:
+        limits = _state_ample_limits(environment)
+        await asyncio.sleep(LIMIT_LEAD_S)
+    if times and times[-1].ended_s > time.monotonic():
+        return
+    skewed = SkewedTime(time.monotonic(), rng.choice(environment.gateways).name)
+    times.append(skewed)
+    await asyncio.sleep(rng.uniform(*SKEWED_TIMES_S))
+    skewed.ended_s = time.monotonic()
+    for limit in limits:
+        limit.ended_s = skewed.ended_s
+        environment.workers[limit.worker].notices = {}
+
+
+def _state_ample_limits(environment: SoakEnvironment) -> list[StatedLimit]:
+    """Makes all live workers state the same limit."""
+    now_s = time.monotonic()
+    count = sum(
+        run.begun_s > now_s - RATE_WINDOW_S
+        for runs in environment.serving.runs.values()
+        for run in runs
+    )
+    names = [
+        name
+        for name in environment.get_live_workers()
+        if not environment.workers[name].notices
+    ]
+    per_s = LIMIT_FACTOR * count / RATE_WINDOW_S / max(1, len(names))
+    limits = [StatedLimit(name, round(per_s, 1), now_s) for name in names]
+    for limit in limits:
+        notices = {"Server-Limit": f"{limit.per_s}"}
+        environment.workers[limit.worker].notices = notices
+    environment.limits += limits
+    return limits
--- a/lab/soak/crash_checks.py
+++ b/lab/soak/crash_checks.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
-from lab.soak.spans import overlaps_fault
-from lab.soak.world import CrashingRun, SoakEnvironment
+from lab.soak.deployment import CONTACT_S
+from lab.soak.records import CrashingRun
+from lab.soak.spans import is_in_touch
+from lab.soak.world import SoakEnvironment
 
-CONTACT_S = 3.0
-"""Seconds within which each gateway must have learned of the third crash, and
-for which a fault excuses a gateway."""
 CRASHES = 3
 MAX_LATE_RUNS = 3
 """Runs that are allowed once gateways must have learned of the third crash."""
@@ -17,19 +16,12 @@
 
 def find_crash_breaches(environment: SoakEnvironment) -> Iterator[str]:
     """Yields a description of each request that went on crashing workers."""
-    for body, runs in environment.crashing_runs.items():
-        crashes_s = sorted(
-            min(run.arrived_s for run in runs if run.worker == name)
-            for name in {run.worker for run in runs}
-        )
+    for body, runs in environment.serving.crashing_runs.items():
+        crashes_s = get_crash_times_s(runs)
         if len(crashes_s) < CRASHES:
             continue
         must_know_s = crashes_s[CRASHES - 1] + CONTACT_S
-        late = [
-            run
-            for run in runs
-            if run.arrived_s > must_know_s and not _is_excused(environment, run)
-        ]
+        late = get_late_runs(environment, runs, must_know_s)
         if len(late) > MAX_LATE_RUNS:
             yield (
                 f"{body.decode()} reached workers {len(late)} times after its"
@@ -38,18 +30,22 @@
             )
 
 
-def _is_excused(environment: SoakEnvironment, run: CrashingRun) -> bool:
-    """Whether the gateway that sent a request was not in touch.
-
-    That is so for some time after a fault of the gateway, or of the store.
-    """
-    since_s = run.arrived_s - CONTACT_S
-    gateway = environment.crashing_senders.get(run.request_id)
-    if overlaps_fault(
-        environment, since_s, run.arrived_s, ("spoil_store", "restore_store")
-    ):
-        return True
-    return any(
-        name == gateway and begun_s < run.arrived_s and ended_s > since_s
-        for name, begun_s, ended_s in environment.gateway_faults
+def get_crash_times_s(runs: Sequence[CrashingRun]) -> list[float]:
+    """Returns when each worker got the first run that it ended under."""
+    return sorted(
+        min(run.arrived_s for run in runs if run.worker == name)
+        for name in {run.worker for run in runs}
     )
+
+
+def get_late_runs(
+    environment: SoakEnvironment, runs: Sequence[CrashingRun], from_s: float
+) -> list[CrashingRun]:
+    """Returns the later runs that gateways in touch have sent to workers."""
+    senders = environment.crashing_senders
+    return [
+        run
+        for run in runs
+        if run.arrived_s > from_s
+        and is_in_touch(environment, senders.get(run.request_id), run.arrived_s)
+    ]
--- a/lab/soak/notice_checks.py
+++ b/lab/soak/notice_checks.py
@@ -5,18 +5,14 @@
 import bisect
 from collections.abc import Iterator, Mapping
 
+from lab.soak.deployment import CONTACT_S, DRAIN_S
+from lab.soak.records import StatedLimit, StatedRest
+from lab.soak.serving import ANSWERED_BY
+from lab.soak.spans import overlaps_process_fault
 from lab.soak.traffic import SentRequest
-from lab.soak.world import (
-    ANSWERED_BY,
-    DRAIN_S,
-    SoakEnvironment,
-    StatedLimit,
-    StatedRest,
-)
+from lab.soak.world import SoakEnvironment
 from lab.worker import Arrival
 
-CONTACT_S = 3.0
-"""Seconds from the first statement of a limit until it must hold."""
 TOLD_S = 0.5
 """Seconds after an answer was passed on, or a rest was asked for, from which
 the gateway must act on it."""
@@ -50,7 +46,7 @@
             yield from self._check_limit(limit)
         for name in self._environment.workers:
             yield from self._check_departure(name)
-        for rest in self._environment.rests:
+        for rest in self._environment.serving.rests:
             yield from self._check_rest(rest)
 
     def _check_limit(self, limit: StatedLimit) -> Iterator[str]:
@@ -147,11 +143,6 @@
         return told_s
 
     def _is_excused(self, gateway: str, begun_s: float, ended_s: float) -> bool:
-        return any(
-            name == gateway
-            and fault_begun_s < ended_s
-            and fault_ended_s > begun_s - CONTACT_S
-            for name, fault_begun_s, fault_ended_s in (
-                self._environment.gateway_faults
-            )
+        return overlaps_process_fault(
+            self._environment, begun_s - CONTACT_S, ended_s, (gateway,)
         )
--- a/lab/soak/traffic.py
+++ b/lab/soak/traffic.py
@@ -6,15 +6,25 @@
 import dataclasses
 import hashlib
 import itertools
+import math
 import time
 
 from lab.caller import Reply, make_request, read_reply
+from lab.soak.deployment import DEADLINE_S, LONG_DEADLINE_S, STREAMS
+from lab.soak.prompts import Prompt, draw_prompt
+from lab.soak.records import SkewedTime
 from lab.soak.world import SoakEnvironment
 
-DEADLINE_S = 3.0
 ABANDON_RATIO = 0.05
 KEEP_ALIVE_RATIO = 0.7
+SKEWED_KEEP_ALIVE_RATIO = 0.2
+"""Ratio of connections that are kept while most new ones go to one gateway."""
+SKEW_RATIO = 0.9
 PAUSE_S = 0.02
+PATIENT_START_S = 3.0
+"""Longest time in seconds until a patient caller sends its first request."""
+SHORT_KINDS = ("safe", "unsafe", "stream", "once")
+LONG_KINDS = ("steady", "slow")
 
 
 @dataclasses.dataclass
@@ -23,15 +33,17 @@
 
     Attributes:
         id: Request id.
-        kind: Name of the route: `safe`, `unsafe` or `stream`.
+        kind: Name of the route, such as `safe`, `unsafe` or `stream`.
         key: API key that the request was sent with.
         sent_s: Monotonic time in seconds at which sending started.
         gateway: Name of the gateway that it was sent to.
         expected: Body of a correct response; None for streams.
+        prompt: Parts of the prompt; None for requests without one.
         ended_s: Monotonic time in seconds at which the request ended; 0.0
-            while it is open.
+            while it is open, also at the end of the soak.
         reply: Response received; None if the connection broke or the caller
             gave up.
+        is_cut: Whether the connection ended before the response did.
     """
 
     id: str
@@ -40,8 +52,48 @@
     sent_s: float
     gateway: str
     expected: bytes | None
+    prompt: Prompt | None = None
     ended_s: float = 0.0
     reply: Reply | None = None
+    is_cut: bool = False
+
+    @property
+    def deadline_s(self) -> float:
+        """Time in seconds that the caller waits."""
+        return LONG_DEADLINE_S if self.kind in LONG_KINDS else DEADLINE_S
+
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller got a complete answer."""
+        reply = self.reply
+        return reply is not None and reply.status == 200 and reply.is_complete
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether an answer to the request has begun."""
+        return self.reply is not None and self.reply.status == 200
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerHabits:
+    """How a caller uses its connections.
+
+    Attributes:
+        kinds: Routes that it chooses from, or takes in turn if it is patient.
+        keep_ratio: Ratio of responses after which it keeps its connection.
+        is_patient: Whether it never gives up a request.
+    """
+
+    kinds: tuple[str, ...]
+    keep_ratio: float
+    is_patient: bool = False
+
+
+BRIEF = CallerHabits(SHORT_KINDS, KEEP_ALIVE_RATIO)
+LASTING = CallerHabits(SHORT_KINDS, 1.0)
+"""Keeps its connection until the gateway closes it."""
+PATIENT = CallerHabits(LONG_KINDS, 1.0, is_patient=True)
+"""Sends requests that last for seconds, and keeps its connection as well."""
 
 
 class Callers:
@@ -56,7 +108,8 @@
         self._environment = environment
         self._rng = environment.rng
         self._request_numbers = itertools.count()
-        self._ready_ports: list[int] = []
+        self._ready: list[str] = []
+        self._ports = {g.name: g.client_port for g in environment.gateways}
 
     async def poll_readiness(self) -> None:
         """Polls the readiness of all gateways, as a load balancer does.
@@ -66,82 +119,124 @@
         while True:
             gateways = self._environment.gateways
             states = await asyncio.gather(*(g.is_ready() for g in gateways))
-            ports = [g.client_port for g in gateways]
-            chosen = [p for p, r in zip(ports, states, strict=True) if r]
-            self._ready_ports = chosen or ports
+            names = [g.name for g in gateways]
+            chosen = [n for n, r in zip(names, states, strict=True) if r]
+            self._ready = chosen or names
             await asyncio.sleep(0.5)
 
-    async def send_requests(self) -> None:
+    async def send_requests(self, habits: CallerHabits = BRIEF) -> None:
         """Sends requests one after the other, over keep-alive connections."""
+        if habits.is_patient:
+            # Otherwise all of them would send at the same moments.
+            await asyncio.sleep(self._rng.uniform(0.0, PATIENT_START_S))
         while True:
             try:
-                await self._use_connection()
+                await self._use_connection(habits)
             except (OSError, EOFError, TimeoutError, ValueError):
                 await asyncio.sleep(PAUSE_S)
 
-    async def _use_connection(self) -> None:
-        if not self._ready_ports:
+    async def _use_connection(self, habits: CallerHabits) -> None:
+        if not self._ready:
             await asyncio.sleep(PAUSE_S)
             return
-        port = self._rng.choice(self._ready_ports)
-        gateway = next(
-            g.name for g in self._environment.gateways if g.client_port == port
-        )
+        gateway = self._choose_gateway()
         async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self._ports[gateway]
+            )
         try:
-            while True:
-                reply = await self._send_request(gateway, reader, writer)
+            for number in itertools.count(self._rng.randrange(2)):
+                kind = (
+                    habits.kinds[number % len(habits.kinds)]
+                    if habits.is_patient
+                    else self._rng.choice(habits.kinds)
+                )
+                sent = self._make_request(kind, gateway)
+                gives_up = not habits.is_patient and self._draw_with_ratio(
+                    ABANDON_RATIO
+                )
+                reply = await self._send(sent, reader, writer, gives_up)
                 await asyncio.sleep(self._rng.uniform(0.0, 2 * PAUSE_S))
                 is_last = reply.headers.get("connection") == "close"
-                if is_last or self._rng.random() > KEEP_ALIVE_RATIO:
+                if is_last or not self._keeps_connection(habits):
                     return
         finally:
             writer.close()
 
-    async def _send_request(
-        self,
-        gateway: str,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> Reply:
-        kind = self._rng.choice(("safe", "unsafe", "stream"))
-        valid = [
-            k
-            for k, revoked_s in self._environment.keys.items()
-            if revoked_s is None
-        ]
-        revoked = [
-            k for k, revoked_s in self._environment.keys.items() if revoked_s
-        ]
-        key = self._rng.choice(
-            revoked or valid if self._draw_with_ratio(0.1) else valid
-        )
-        name = f"q{next(self._request_numbers)}"
-        target, body = f"/{kind}/{name}?a=1", name.encode() * 20
-        digest = hashlib.sha256(body).hexdigest()
-        expected = f"{name} POST {target} {digest}".encode()
+    def _choose_gateway(self) -> str:
+        """Chooses a ready gateway, as the platform does for a connection."""
+        skewed = self._get_skewed_time()
+        if skewed is None or not self._draw_with_ratio(SKEW_RATIO):
+            return self._rng.choice(self._ready)
+        if skewed.gateway not in self._ready:
+            skewed.gateway = self._rng.choice(self._ready)
+        return skewed.gateway
+
+    def _keeps_connection(self, habits: CallerHabits) -> bool:
+        if self._get_skewed_time() is not None and not habits.is_patient:
+            return self._draw_with_ratio(SKEWED_KEEP_ALIVE_RATIO)
+        return self._draw_with_ratio(habits.keep_ratio)
+
+    def _get_skewed_time(self) -> SkewedTime | None:
+        times = self._environment.skewed_times
+        return times[-1] if times and math.isinf(times[-1].ended_s) else None
+
+    def _make_request(self, kind: str, gateway: str) -> SentRequest:
+        environment = self._environment
+        valid = environment.get_valid_keys()
+        revoked = [key for key in environment.keys if key not in valid]
+        uses_revoked = bool(revoked) and self._draw_with_ratio(0.1)
+        number = next(self._request_numbers)
+        name = f"q{number}"
+        digest = hashlib.sha256(_make_body(name)).hexdigest()
+        expected = f"{name} POST {_make_target(kind, name)} {digest}".encode()
+        is_stream = kind in STREAMS
         sent = SentRequest(
             name,
             kind,
-            key,
+            self._rng.choice(revoked if uses_revoked else valid),
             time.monotonic(),
             gateway,
-            None if kind == "stream" else expected,
+            None if is_stream else expected,
+            draw_prompt(self._rng, number) if is_stream else None,
         )
         self.sent.append(sent)
-        headers = {"Deadline_Ms": str(int(DEADLINE_S * 1000))}
-        data = make_request(target, "POST", body, name, key, **headers)
-        writer.write(data)
-        limit_s = (
-            0.05 if self._draw_with_ratio(ABANDON_RATIO) else DEADLINE_S + 1.0
+        return sent
+
+    async def _send(
+        self,
+        sent: SentRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        gives_up: bool,
+    ) -> Reply:
+        headers = {"Deadline_Ms": str(int(sent.deadline_s * 1000))}
+        if sent.prompt is not None:
+            headers |= sent.prompt.make_headers()
+        target = _make_target(sent.kind, sent.id)
+        body = _make_body(sent.id)
+        writer.write(
+            make_request(target, "POST", body, sent.id, sent.key, **headers)
         )
+        limit_s = 0.05 if gives_up else sent.deadline_s + 1.0
         try:
             async with asyncio.timeout(limit_s):
                 sent.reply = await read_reply(reader)
-        finally:
+        except (EOFError, ConnectionError, TimeoutError) as error:
             sent.ended_s = time.monotonic()
+            sent.is_cut = not isinstance(error, TimeoutError)
+            raise
+        sent.ended_s = time.monotonic()
+        sent.is_cut = not sent.reply.is_complete
         return sent.reply
 
     def _draw_with_ratio(self, ratio: float) -> bool:
         return self._rng.random() < ratio
+
+
+def _make_body(name: str) -> bytes:
+    return name.encode() * 20
+
+
+def _make_target(kind: str, name: str) -> str:
+    return f"/{kind}/{name}?a=1"
--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -6,23 +6,24 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import math
-import signal
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
-from lab.caller import make_request, read_reply
 from lab.metadata_store import OPERATOR_ONLY
-from lab.soak.proxy import LinkState
-from lab.soak.traffic import DEADLINE_S
-from lab.soak.world import (
-    CRASHING_BODY,
-    SCRIPTS,
-    GatewayProcess,
-    SoakEnvironment,
-    StatedLimit,
+from lab.soak.answers import SCRIPTS
+from lab.soak.connection_troubles import skew_connections
+from lab.soak.crash_troubles import send_crashing_parts, send_crashing_request
+from lab.soak.gateway_troubles import (
+    end_gateway,
+    freeze_gateway,
+    record_fault,
+    reload_gateway,
+    stop_gateways_in_series,
 )
+from lab.soak.proxy import LinkState
+from lab.soak.records import StatedLimit
+from lab.soak.rollout_troubles import roll_out_slow_version
+from lab.soak.world import SoakEnvironment
 
 Fault = Callable[[SoakEnvironment], Awaitable[None]]
 
@@ -33,44 +34,6 @@
     return environment.rng.choice(live) if live else None
 
 
-@contextlib.contextmanager
-def _record_gateway_fault(
-    environment: SoakEnvironment, gateway: str
-) -> Iterator[None]:
-    """Records the span of a fault of one gateway."""
-    begun_s = time.monotonic()
-    environment.gateway_faults.append((gateway, begun_s, math.inf))
-    index = len(environment.gateway_faults) - 1
-    try:
-        yield
-    finally:
-        ended = (gateway, begun_s, time.monotonic())
-        environment.gateway_faults[index] = ended
-
-
-async def end_gateway(environment: SoakEnvironment) -> None:
-    """Terminates or kills a gateway process and starts a replacement."""
-    gateway = environment.rng.choice(environment.gateways)
-    signal_number = environment.rng.choice((signal.SIGTERM, signal.SIGKILL))
-    if gateway.is_alive and not gateway.is_frozen:
-        with _record_gateway_fault(environment, gateway.name):
-            await gateway.restart(signal_number)
-
-
-async def freeze_gateway(environment: SoakEnvironment) -> None:
-    """Suspends a gateway process with SIGSTOP for 0.3 to 3.5 s."""
-    gateway = environment.rng.choice(environment.gateways)
-    with _record_gateway_fault(environment, gateway.name):
-        gateway.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(environment.rng.uniform(0.3, 3.5))
-        gateway.send_signal(signal.SIGCONT)
-
-
-async def reload_gateway(environment: SoakEnvironment) -> None:
-    """Makes a gateway reload its settings, by SIGHUP."""
-    environment.rng.choice(environment.gateways).send_signal(signal.SIGHUP)
-
-
 async def spoil_store(environment: SoakEnvironment) -> None:
     """Makes the store fail, stall, delay, serve stale data or lose appends.
 
@@ -105,7 +68,7 @@
     }
     name = environment.rng.choice(list(links))
     link = links[name]
-    with _record_gateway_fault(environment, name):
+    with record_fault(environment, name):
         link.state = environment.rng.choice(list(LinkState))
         if link.state is LinkState.REFUSED:
             link.reset_all()
@@ -126,46 +89,6 @@
     await environment.add_worker()
 
 
-async def send_crashing_request(environment: SoakEnvironment) -> None:
-    """Sends one request that crashes each worker, to all gateways, repeatedly.
-
-    Copies go out at one moment, in several waves under new ids.
-    """
-    body = CRASHING_BODY + b"%d" % len(environment.crashing_runs)
-    environment.crashing_runs[body] = []
-    for wave in range(environment.rng.randint(3, 6)):
-        copies = [
-            _send_copy(environment, gateway, body, f"{wave}-{copy}")
-            for gateway in environment.gateways
-            for copy in range(environment.rng.randint(0, 2))
-        ]
-        await asyncio.gather(*copies, return_exceptions=True)
-        await asyncio.sleep(environment.rng.uniform(0.2, 2.0))
-
-
-async def _send_copy(
-    environment: SoakEnvironment,
-    gateway: GatewayProcess,
-    body: bytes,
-    copy: str,
-) -> None:
-    request_id = f"{body.decode()}-{gateway.name}-{copy}"
-    environment.crashing_senders[request_id] = gateway.name
-    key = next(k for k, ended in environment.keys.items() if ended is None)
-    request = make_request(
-        f"/safe/{body.decode()}", key=key, request_id=request_id, body=body
-    )
-    async with asyncio.timeout(DEADLINE_S):
-        reader, writer = await asyncio.open_connection(
-            "127.0.0.1", gateway.client_port
-        )
-        try:
-            writer.write(request)
-            await read_reply(reader)
-        finally:
-            writer.close()
-
-
 async def restore_store(environment: SoakEnvironment) -> None:
     """Brings the store back from a copy that is 0.3 to 3 s old.
 
@@ -253,9 +176,9 @@
     name = _choose_live_worker(environment)
     if name is None:
         return
-    environment.rest_s[name] = environment.rng.uniform(0.8, 3.0)
+    environment.serving.rest_s[name] = environment.rng.uniform(0.8, 3.0)
     await asyncio.sleep(environment.rng.uniform(0.5, 3.0))
-    environment.rest_s.pop(name, None)
+    environment.serving.rest_s.pop(name, None)
 
 
 async def state_nonsense(environment: SoakEnvironment) -> None:
@@ -275,9 +198,9 @@
 async def spoil_answers(environment: SoakEnvironment) -> None:
     """Makes workers answer 5% to 30% of their requests in one faulty way."""
     name = environment.rng.choice((*SCRIPTS, "break"))
-    environment.fault_ratios[name] = environment.rng.uniform(0.05, 0.3)
+    environment.serving.fault_ratios[name] = environment.rng.uniform(0.05, 0.3)
     await asyncio.sleep(environment.rng.uniform(0.5, 3.0))
-    environment.fault_ratios.pop(name, None)
+    environment.serving.fault_ratios.pop(name, None)
 
 
 async def change_configuration(environment: SoakEnvironment) -> None:
@@ -308,4 +231,13 @@
     state_nonsense,
     send_crashing_request,
     restore_store,
+    skew_connections,
+)
+"""Faults that runs choose from when told nothing else."""
+LONG_FAULTS: tuple[Fault, ...] = (
+    send_crashing_parts,
+    roll_out_slow_version,
+    stop_gateways_in_series,
 )
+"""Faults that last for several seconds each."""
+ALL_FAULTS = (*FAULTS, *LONG_FAULTS)
