--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -11,7 +11,10 @@
 
 from lab.metadata_store import OPERATOR_ONLY
 from lab.soak.answers import SCRIPTS
-from lab.soak.connection_troubles import skew_connections
+from lab.soak.connection_troubles import (
+    skew_connections,
+    skew_connections_under_limits,
+)
 from lab.soak.crash_troubles import send_crashing_parts, send_crashing_request
 from lab.soak.gateway_troubles import (
     end_gateway,
@@ -231,13 +234,14 @@
     state_nonsense,
     send_crashing_request,
     restore_store,
-    skew_connections,
 )
 """Faults that runs choose from when told nothing else."""
 LONG_FAULTS: tuple[Fault, ...] = (
     send_crashing_parts,
     roll_out_slow_version,
     stop_gateways_in_series,
+    skew_connections,
+    skew_connections_under_limits,
 )
 """Faults that last for several seconds each."""
 ALL_FAULTS = (*FAULTS, *LONG_FAULTS)
