Soak: a link that lost bytes delivers nothing after them

The gateway had got the first event 2.8 s after the head: the loopback proxy of the worker was in its silent state until then, discarded two events and let the rest through. TCP delivers no byte after one that is missing, so no gateway can see such a gap; nor can it where a connection without length ends after lost bytes. The proxy resets such a connection now when more bytes or its end would follow.

--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -17,9 +17,13 @@
     HEALTHY = "sound"
     DELAYED = "delayed"
     STALLED = "silent"
-    """Discards all bytes without closing the connection."""
+    """Discards all bytes without closing the connection.
+
+    A connection that has lost bytes is reset when more bytes or its end are to
+    follow them: TCP delivers nothing after a byte that is missing.
+    """
     ONE_WAY = "one_way"
-    """Discards the bytes that the target sends."""
+    """Discards the bytes that the target sends, in the same way."""
     REFUSED = "refused"
     """Resets each new connection; open ones are reset by `reset_all`."""
 
@@ -97,13 +101,22 @@
         writer: asyncio.StreamWriter,
         is_from_target: bool,
     ) -> None:
+        has_lost_bytes = False
         while data := await reader.read(READ_BYTES):
-            if self.state is LinkState.STALLED:
-                continue
-            if self.state is LinkState.ONE_WAY and is_from_target:
+            if self._discards(is_from_target):
+                has_lost_bytes = True
                 continue
+            if has_lost_bytes:
+                raise ConnectionResetError
             if self.state is LinkState.DELAYED:
                 await asyncio.sleep(DELAY_S)
             writer.write(data)
             await writer.drain()
+        if has_lost_bytes:
+            raise ConnectionResetError
         writer.close()
+
+    def _discards(self, is_from_target: bool) -> bool:
+        if self.state is LinkState.ONE_WAY:
+            return is_from_target
+        return self.state is LinkState.STALLED
