Show an unframed stream without an event that looks complete

A process that ends after the head of its answer closes the connection orderly. The caller gets 200 and an empty stream that is complete: no event came, so no last whole event completed it.

--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -117,3 +117,28 @@
 
     async with run_gateway_harness(script=respond) as harness:
         assert (await harness.call(path)).status >= 500
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/once/x"])
+async def test_unframed_stream_without_an_event_never_looks_complete(path):
+    # Guards against an upstream whose process ends after the head of its
+    # answer, with an orderly close, and an empty stream that passes for whole.
+    async def respond(arrival, writer):
+        writer.write(HEAD % arrival.request_id.encode())
+        await writer.drain()
+        writer.close()
+
+    stream = make_route("stream", "streaming", Resumable=True)
+    routes = [stream, make_route("once", "streaming")]
+    async with run_gateway_harness(script=respond, routes=routes) as harness:
+        reply = await harness.call(path, body=b"p")
+        assert not (reply.status == 200 and reply.is_complete)
+
+
+async def test_unframed_stream_that_is_resumed_after_its_last_event_is_whole():
+    # Guards against a break that is seen in a stream with nothing left to send.
+    script = lab.make_stream(6, ending=StreamEnding.CLOSED_ORDERLY)
+    async with run_gateway_harness(script=script) as harness:
+        reply = await harness.call("/stream/x", body=b"p", Last_Event_Id="6")
+        assert (get_ids(reply), reply.is_complete) == ([], True)
+        assert count_arrivals(harness) == 1
