Take an unframed stream without an event for broken off

Callers got 200 and an empty stream that looked complete where an upstream's process ended after the head of an answer with neither length nor chunks: the kernel closes its connections orderly, and the gateway took any orderly end outside an event for the end of the stream. An orderly close completes a stream after its last whole event; where none has come, in no run of the request and by no Last-Event-Id, there is none. Such a run is now a break as an end within an event is: it is sent on where that is allowed, and refused with 502 otherwise, as nothing of it was sent.

test_unframed_stream_without_an_event_never_looks_complete failed before on both routes (200, b'', complete) and holds now, as do the other cases of the file.

--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -301,7 +301,12 @@
             for event in self._splitter.split(chunk):
                 await self._forward_event(exchange, head, event)
                 limit_s = event_timeout_s
-        if self._splitter.has_incomplete_event:
+        # A process that ends closes its connections too, which alone does not
+        # complete a stream of which nothing has come.
+        is_empty = self.progress == _Progress(None, False)
+        if self._splitter.has_incomplete_event or (
+            is_empty and head.ends_with_connection
+        ):
             raise AttemptFailedError("event_broken", RunState.RAN)
         self._upstream.performance.record_answer(False)
         record_whole_answer(self._context, attempts, self._upstream, head)
