--- a/lab/soak/deployment.py
+++ b/lab/soak/deployment.py
@@ -19,6 +19,8 @@
 CONTACT_S = 3.0
 """Seconds without a fault after which a gateway is in touch."""
 ROLLBACK_S = 5.0
+BAD_ANSWERS = 50
+"""Bad answers of a version after which it must be stopped in `ROLLBACK_S`."""
 EXPOSURE_RATIO, EXPOSURE_SLACK = 0.15, 30
 DEADLINE_S = 3.0
 LONG_DEADLINE_S = 8.0
--- a/lab/soak/rollout_checks.py
+++ b/lab/soak/rollout_checks.py
@@ -4,13 +4,17 @@
 
 from collections.abc import Iterator, Sequence
 
-from lab.soak.deployment import EXPOSURE_RATIO, EXPOSURE_SLACK, ROLLBACK_S
+from lab.soak.deployment import (
+    BAD_ANSWERS,
+    EXPOSURE_RATIO,
+    EXPOSURE_SLACK,
+    ROLLBACK_S,
+)
 from lab.soak.records import SlowRollout
 from lab.soak.spans import is_in_touch
 from lab.soak.traffic import SentRequest
 from lab.soak.world import SoakEnvironment
 
-BAD_ANSWERS = 50
 COMPLETED = "completed"
 
 
