--- a/src/lovagestage/gateway/messages.py
+++ b/src/lovagestage/gateway/messages.py
@@ -124,7 +124,6 @@
             connection; None if it announces none.
         has_encoding: Whether the body has a content encoding, so that it is not
             as the upstream made it.
-        ends_with_connection: Whether the body has neither a length nor chunks.
         notices: What the upstream says of itself.
         ends_with_connection: Whether the body is neither chunked nor of a
             stated length, so that the end of the connection ends it.
@@ -140,6 +139,5 @@
     closes_connection: bool
     idle_timeout_s: float | None
     has_encoding: bool
-    ends_with_connection: bool
     notices: AnswerNotices
     ends_with_connection: bool = False
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -60,7 +60,6 @@
 _REQUEST_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
-_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 _DEFAULT_DEADLINE_S = 30.0
@@ -177,7 +176,6 @@
         closes_connection=b"close" in fields.get(b"connection", b"").lower(),
         idle_timeout_s=_get_idle_timeout(_get_text(fields, b"keep-alive")),
         has_encoding=b"content-encoding" in fields,
-        ends_with_connection=not _FRAMING_HEADERS & fields.keys(),
         notices=AnswerNotices(
             request_limit=_get_texts(raw, _REQUEST_LIMIT),
             leaving=_get_texts(raw, _LEAVING),
