Soak: measure stalls of the soak's own process

The gateway had answered in 7.27 of 8 s, and no process logged anything for 2.27 s within it: callers, workers and the store, which share one process, stood still.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -13,6 +13,7 @@
 from lab.soak.rollout_checks import find_rollout_breaches
 from lab.soak.skew_checks import find_skew_breaches
 from lab.soak.spans import overlaps_fault
+from lab.soak.stalls import get_stalled_s
 from lab.soak.traffic import SentRequest
 from lab.soak.world import SoakEnvironment
 from lab.worker import SIGNATURE
@@ -93,9 +94,11 @@
         late_s = request.sent_s - revoked_s
         if late_s > REVOKE_S + TIMING_SLACK_S:
             yield f"run {late_s:.2f} s after its key was revoked: {request}"
-    time_s = request.ended_s - request.sent_s
-    is_late = time_s > request.deadline_s + TIMING_SLACK_S
     span = (request.sent_s, request.ended_s)
+    # Callers can't read an answer while their own process stands still.
+    stalled_s = get_stalled_s(environment.stalls, *span)
+    time_s = request.ended_s - request.sent_s - stalled_s
+    is_late = time_s > request.deadline_s + TIMING_SLACK_S
     # A gateway process suspended by SIGSTOP cannot answer in time: with seed
     # 100, three streams were open at a gateway suspended for 3.5 s.
     if (
--- a/lab/soak/command.py
+++ b/lab/soak/command.py
@@ -11,6 +11,7 @@
 
 from lab.soak.checks import find_breaches
 from lab.soak.deployment import GATEWAYS, WORKERS
+from lab.soak.stalls import record_stalls
 from lab.soak.traffic import BRIEF, LASTING, PATIENT, Callers
 from lab.soak.troubles import ALL_FAULTS, FAULTS, Fault
 from lab.soak.world import SoakEnvironment
@@ -118,7 +119,10 @@
 ) -> tuple[list[str], str]:
     await environment.start()
     callers = Callers(environment)
-    tasks = [asyncio.ensure_future(callers.poll_readiness())]
+    tasks = [
+        asyncio.ensure_future(callers.poll_readiness()),
+        asyncio.ensure_future(record_stalls(environment.stalls)),
+    ]
     try:
         await _wait_until_ready(environment)
         tasks += [
@@ -139,10 +143,15 @@
     answered = sum(
         s.reply is not None and s.reply.status == 200 for s in callers.sent
     )
-    names = [name for name, _, _ in environment.injected_faults]
+    stalls = [
+        f"{stall.ended_s - stall.begun_s:.2f} ({stall.cpu_s:.2f})"
+        for stall in environment.stalls
+    ]
     return breaches, (
         f"{len(callers.sent)} requests, {answered} answered,"
-        f" {len(names)} faults, {len(breaches)} broken guarantees"
+        f" {len(environment.injected_faults)} faults,"
+        f" own stalls in seconds (of CPU time): {', '.join(stalls) or 'none'},"
+        f" {len(breaches)} broken guarantees"
     )
 
 
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -27,6 +27,7 @@
     StatedLimit,
 )
 from lab.soak.serving import WorkerBehaviour
+from lab.soak.stalls import Stall
 from lab.worker import Worker
 
 OUTCOME_TOPIC = "keyed.status"
@@ -57,6 +58,7 @@
             sent to, by request id.
         slow_rollouts: Roll-outs of slow versions so far.
         skewed_times: Times in which most new connections went to one gateway.
+        stalls: Times in which the soak's own process did not run.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.crashing_senders: dict[str, str] = {}
         self.slow_rollouts: list[SlowRollout] = []
         self.skewed_times: list[SkewedTime] = []
+        self.stalls: list[Stall] = []
         self._folder = folder
         self._gateway_count = gateways
         self._initial_workers = workers
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -21,6 +21,7 @@
 )
 from lab.soak.rollout_checks import find_rollout_breaches
 from lab.soak.skew_checks import find_skew_breaches
+from lab.soak.stalls import Stall, get_stalled_s
 from lab.soak.traffic import SentRequest
 from lab.soak.world import SoakEnvironment
 
@@ -163,3 +164,9 @@
         assert "dead" in prompt.parts[1:-1]
         header = prompt.make_headers()["Prefix_Hash"]
         assert read_parts(header) == prompt.parts[:-1]
+
+
+def test_only_the_part_of_a_stall_within_a_request_counts():
+    stalls = [Stall(10.0, 12.0, 0.0), Stall(20.0, 21.0, 0.0)]
+    assert get_stalled_s(stalls, 11.5, 15.0) == pytest.approx(0.5)
+    assert get_stalled_s(stalls, 13.0, 15.0) == 0.0
