Soak: take ample limits from the busiest time so far

The trouble had stated limits of 0.0 for all workers: it measured the requests of the last 2 s, in which all gateways were being restarted. The stated limits were kept. They are derived from the busiest 2 s now, so that they allow more than callers ask for.

--- a/lab/soak/connection_troubles.py
+++ b/lab/soak/connection_troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import math
 import time
 
@@ -16,7 +17,7 @@
 SKEWED_TIMES_S = (CONTACT_S + 3.0, CONTACT_S + 6.0)
 RATE_WINDOW_S = 2.0
 LIMIT_FACTOR = 2.0
-"""All limits together, as a multiple of the requests at that time."""
+"""All limits together, as a multiple of the requests at the busiest time."""
 
 
 async def skew_connections(environment: SoakEnvironment) -> None:
@@ -49,20 +50,25 @@
 def _state_ample_limits(environment: SoakEnvironment) -> list[StatedLimit]:
     """Makes all live workers state the same limit."""
     now_s = time.monotonic()
-    count = sum(
-        run.begun_s > now_s - RATE_WINDOW_S
-        for runs in environment.serving.runs.values()
-        for run in runs
-    )
     names = [
         name
         for name in environment.get_live_workers()
         if not environment.workers[name].notices
     ]
-    per_s = LIMIT_FACTOR * count / RATE_WINDOW_S / max(1, len(names))
+    per_s = LIMIT_FACTOR * _get_peak_rate(environment) / max(1, len(names))
     limits = [StatedLimit(name, round(per_s, 1), now_s) for name in names]
     for limit in limits:
         notices = {"Server-Limit": f"{limit.per_s}"}
         environment.workers[limit.worker].notices = notices
     environment.limits += limits
     return limits
+
+
+def _get_peak_rate(environment: SoakEnvironment) -> float:
+    """Returns the requests per second that ran at the busiest time so far."""
+    counts = collections.Counter(
+        int(run.begun_s / RATE_WINDOW_S)
+        for runs in environment.serving.runs.values()
+        for run in runs
+    )
+    return max(counts.values(), default=0) / RATE_WINDOW_S
