Test each unframed answer's connection itself, not their number

The test counted connections for want of a better sign; it now holds the connection of each request and demands four different ones, so that a request sent on one that has ended fails it still.

--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -92,7 +92,10 @@
 
 async def test_connection_of_an_unframed_answer_carries_nothing_after_it():
     # Guards against requests that are sent on a connection that has ended.
+    connections = []
+
     async def respond(arrival, writer):
+        connections.append(writer)
         writer.write(HEAD % arrival.request_id.encode() + b"whole")
         await writer.drain()
         writer.close()
@@ -102,7 +105,7 @@
             reply = await harness.call("/safe/x", request_id=f"a{number}")
             assert (reply.status, reply.body) == (200, b"whole")
             assert reply.headers["content-length"] == "5"
-        assert harness.workers["w1"].connections == 4
+        assert len(set(connections)) == len(connections) == 4
         assert count_arrivals(harness) == 4
 
 
