Answer requests that were given up for silence before their answer (LOST)

What callers saw: 502 where a run was given up for its silence before its answer began and the next upstream refused the request, though the first one would have answered in time (2 of 4 plain requests, 1 of 4 streams). Cause: only a stream that had begun was owed its answer. Change: Continuation prepares the next run of plain requests and streams alike. Where a run was given up, the request outlasts refusals, and its upstream gets it again once no other is left; upstreams that have failed or refused it are no reason to give a run up again.

--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -7,7 +7,7 @@
 import functools
 import logging
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 from lovagestage.decisions.upstream_notices import NoticeKind
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
@@ -110,6 +110,7 @@
         self._zone = zone
         self._rng = rng
         self._excluded: set[InstanceId] = set()
+        self._failed: set[InstanceId] = set()
         self._refusals = 0
         self._has_new_version_failed = False
 
@@ -269,7 +270,7 @@
             error: How the attempt failed, and whether the request may have
                 run.
         """
-        self._excluded.add(upstream.id)
+        self._exclude(upstream)
         if error.run is RunState.NOT_RUN:
             self.runs -= 1
             if error.may_have_arrived:
@@ -300,7 +301,7 @@
         The upstream gets no further attempt of this request. An answer of the
         new version of a roll-out also counts against that version.
         """
-        self._excluded.add(upstream.id)
+        self._exclude(upstream)
         self._has_new_version_failed |= self.assignment.is_new
 
     def has_other_upstream(self) -> bool:
@@ -315,10 +316,13 @@
         """Returns whether the next attempt would get a healthy upstream.
 
         Args:
-            besides: Upstream of an attempt under way, which is not counted.
+            besides: Upstream of an attempt under way. It is not counted, nor
+                is any that has failed or refused the request before.
         """
         now_s = get_elapsed_s()
-        excluded = self._excluded | ({besides.id} if besides else set())
+        excluded = self._excluded
+        if besides is not None:
+            excluded = self._failed | {besides.id}
         for upstreams in self._get_upstream_groups():
             left = [u for u in upstreams if u.id not in excluded]
             if left:
@@ -327,9 +331,18 @@
                 )
         return False
 
-    def forget_exclusions(self) -> None:
-        """Lets upstreams that failed or refused the request have it again."""
-        self._excluded.clear()
+    def _exclude(self, upstream: Upstream) -> None:
+        self._excluded.add(upstream.id)
+        self._failed.add(upstream.id)
+
+    def readmit(self, upstreams: Collection[InstanceId]) -> None:
+        """Lets upstreams have the request again.
+
+        Where none of them is there any more, all others may have it again.
+        """
+        self._excluded -= set(upstreams)
+        if not self.has_other_upstream():
+            self._excluded.clear()
 
     def get_obstacle(self, outlasts_refusals: bool = False) -> Obstacle | None:
         """Returns why the request may not be sent again; None if it may.
--- a/src/lovagestage/gateway/plain_runs.py
+++ b/src/lovagestage/gateway/plain_runs.py
@@ -7,6 +7,7 @@
 
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
+from lovagestage.gateway.continuation import Continuation
 from lovagestage.gateway.messages import AnswerHead
 from lovagestage.gateway.run_weighing import RunWeighing
 from lovagestage.gateway.runs import (
@@ -38,12 +39,16 @@
     Raises:
         GatewayRefusalError: No upstream gave an answer that can be forwarded.
     """
-    while not await _forward_once(context, attempts, sink):
+    continuation = Continuation(attempts)
+    while not await _forward_once(context, attempts, continuation, sink):
         pass
 
 
 async def _forward_once(
-    context: RunContext, attempts: Attempts, sink: AnswerSink
+    context: RunContext,
+    attempts: Attempts,
+    continuation: Continuation,
+    sink: AnswerSink,
 ) -> bool:
     """Makes one attempt; returns whether the caller has its answer.
 
@@ -63,14 +68,16 @@
             else:
                 weighing.record_start()
     except AttemptFailedError as error:
+        failure: AttemptFailedError | None = error
         record_failed_attempt(context, attempts, upstream, error)
-        if not attempts.may_retry():
-            raise attempts.make_refusal(error.reason) from error
-        return False
     else:
+        failure = None
         _record_answer(context, attempts, upstream, head, started_s)
     finally:
         context.suspects.record_ended(attempts.fingerprint, run, attempts.parts)
+    if failure is not None:
+        await continuation.prepare_run(failure, is_started=False)
+        return False
     if head.status >= 500 and should_retry_answer(
         attempts, upstream, head.status
     ):
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -11,10 +11,7 @@
 from lovagestage.decisions.crash_admission import Admission
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
-from lovagestage.gateway.continuation import (
-    wait_for_retry,
-    wait_for_upstream,
-)
+from lovagestage.gateway.continuation import Continuation
 from lovagestage.gateway.escalation import get_first_model, get_larger_model
 from lovagestage.gateway.exchange import Exchange
 from lovagestage.gateway.messages import AnswerHead
@@ -99,9 +96,7 @@
         self._attempts = attempts
         self._sink = sink
         self._progress = _Progress(request.resume_after, False)
-        # Whether a run was given up while its upstream might still have gone
-        # on, so that the caller is owed the rest.
-        self._is_owed = False
+        self._continuation = Continuation(attempts)
 
     async def run(self) -> None:
         """Sends the request to upstreams until its stream is complete."""
@@ -137,24 +132,9 @@
             context.suspects.record_ended(
                 attempts.fingerprint, name, attempts.parts
             )
-        await self._prepare_next_run(failure)
+        await self._continuation.prepare_run(failure, self._progress.is_started)
         return _NextRun(model)
 
-    async def _prepare_next_run(self, failure: AttemptFailedError) -> None:
-        attempts = self._attempts
-        is_started = self._progress.is_started
-        self._is_owed |= is_started and attempts.permit.is_reserved
-        if self._is_owed:
-            may_go_on = await wait_for_retry(attempts)
-        else:
-            may_go_on = attempts.may_retry()
-        if not may_go_on:
-            if is_started:
-                raise failure
-            raise attempts.make_refusal(failure.reason) from failure
-        if is_started:
-            await wait_for_upstream(attempts, self._is_owed)
-
 
 class _StreamRun:
     """One run of a stream at one upstream.
