--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -44,6 +44,8 @@
             on the route since the gateway's last message.
         age_s: Age of the order in seconds.
         quality: Value of the answer's quality.
+        begun_age_s: Age of the order at the begin of the run, in seconds.
+        has_answered: As in `RunSpan`.
     """
 
     service: ServiceId
@@ -53,6 +55,8 @@
     evidence: float
     age_s: float
     quality: str = "failed"
+    begun_age_s: float = 0.0
+    has_answered: bool = False
 
 
 class AnswerCountMessage(
--- a/src/lovagestage/gateway/rollout_evidence.py
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -81,9 +81,9 @@
 )
 """Qualities that are weaker evidence than a failed answer."""
 OUTAGE_QUALITIES = frozenset((AnswerQuality.SILENT, AnswerQuality.LOST))
-"""Qualities that count once for each upstream of a new version: a crash or a
-cut link ends all requests at an upstream at the same time, and two such
-upstreams must not end the roll-out of a good version."""
+"""Qualities that count once for each outage of an upstream: a crash or a cut
+link ends all requests at an upstream at the same time, and two such upstreams
+must not end the roll-out of a good version."""
 
 
 def get_log_likelihood_ratio(failure_rate: float, failed: bool) -> float:
--- a/src/lovagestage/gateway/rollout_outcomes.py
+++ b/src/lovagestage/gateway/rollout_outcomes.py
@@ -228,6 +228,28 @@
     )
 
 
+def log_stop(rollout: Rollout, route: str, upstream: str) -> None:
+    """Logs that the evidence speaks against the new version from now on.
+
+    Args:
+        rollout: The roll-out.
+        route: Route of the last failure.
+        upstream: Upstream of the last failure.
+    """
+    _log.warning(
+        "rollout_stopped",
+        extra={
+            "service": rollout.order.service,
+            "version": rollout.order.version,
+            "failures": rollout.new_failures,
+            "route": route,
+            "upstream": upstream,
+            "answers": rollout.get_answer_count(),
+            "age_s": round(rollout.get_age_s(get_elapsed_s()), 2),
+        },
+    )
+
+
 def log_verdict(
     rollout: Rollout,
     outcome: RolloutOutcome,
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -15,6 +15,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.failure_rates import FailureRateTable
+from lovagestage.gateway.outages import RunSpan
 from lovagestage.gateway.peer_messages import (
     ActiveSessionsMessage,
     AnswerCountMessage,
@@ -29,7 +30,11 @@
     EvidenceAspect,
     TrialEvidence,
 )
-from lovagestage.gateway.rollout_outcomes import OutcomeStore, log_verdict
+from lovagestage.gateway.rollout_outcomes import (
+    OutcomeStore,
+    log_stop,
+    log_verdict,
+)
 from lovagestage.gateway.rollout_shares import get_first_share
 from lovagestage.gateway.rollouts import (
     Rollout,
@@ -52,7 +57,6 @@
 _RolloutMessage = (
     FailureMessage | AnswerCountMessage | ActiveSessionsMessage | OutcomeMessage
 )
-_OUTAGES = frozenset(quality.value for quality in OUTAGE_QUALITIES)
 
 
 class RolloutService(mode.Service):
@@ -142,20 +146,10 @@
         upstream: Upstream,
         quality: AnswerQuality,
         aspect: EvidenceAspect = EvidenceAspect.ANSWER,
+        begun_s: float = 0.0,
+        has_answered: bool = False,
     ) -> bool:
-        """Records an answer of an upstream, or a run without one.
-
-        Args:
-            service: The service.
-            route: Name of the request's route.
-            assignment: Version to which the request was assigned.
-            upstream: The upstream that answered.
-            quality: Quality of the answer.
-            aspect: What was judged.
-
-        Returns:
-            Whether it counts; as in `EvidenceSink`.
-        """
+        """Records an answer of an upstream; as in `EvidenceSink`."""
         rollout = self._deployment.rollouts.get(service)
         is_new = rollout is not None and assignment.is_new
         if not is_new:
@@ -168,12 +162,15 @@
         assert rollout is not None
         if rollout.outcome is not RolloutOutcome.RUNNING:
             return True
-        if quality in OUTAGE_QUALITIES and not rollout.record_outage(
-            upstream.id
-        ):
+        span = RunSpan(
+            max(0.0, rollout.get_age_s(begun_s)),
+            has_answered or rollout.outages.is_over(upstream.id),
+        )
+        age_s = rollout.get_age_s(get_elapsed_s())
+        if not rollout.outages.record(upstream.id, quality, span, age_s):
             return False
         key = aspect.make_key(route)
-        self._add_new_answer(rollout, key, upstream, quality)
+        self._add_new_answer(rollout, key, upstream, quality, span)
         return True
 
     def _add_old_answer(
@@ -199,6 +196,7 @@
         route: str,
         upstream: Upstream,
         quality: AnswerQuality,
+        span: RunSpan,
     ) -> None:
         service = rollout.order.service
         own = self._own_evidence[service]
@@ -222,6 +220,8 @@
             own.take_unreported(route),
             rollout.get_age_s(get_elapsed_s()),
             quality.value,
+            span.begun_age_s,
+            span.has_answered,
         )
         self._count_failure(rollout, message)
         self._post(message)
@@ -237,8 +237,10 @@
         )
         if rollout is None:
             return
-        if message.quality in _OUTAGES and not rollout.record_outage(
-            message.upstream
+        span = RunSpan(message.begun_age_s, message.has_answered)
+        quality = AnswerQuality(message.quality)
+        if not rollout.outages.record(
+            message.upstream, quality, span, message.age_s
         ):
             return
         rollout.add_evidence(message.route, message.evidence)
@@ -291,18 +293,7 @@
         peers = sum(u.entry.version == target for u in ready)
         rollout.add_failure(message.upstream, peers)
         if rollout.is_stopped and not was_stopped:
-            _log.warning(
-                "rollout_stopped",
-                extra={
-                    "service": message.service,
-                    "version": target,
-                    "failures": rollout.new_failures,
-                    "route": message.route,
-                    "upstream": message.upstream,
-                    "answers": rollout.get_answer_count(),
-                    "age_s": round(message.age_s, 2),
-                },
-            )
+            log_stop(rollout, message.route, message.upstream)
 
     @mode.Service.task
     async def _run(self) -> None:
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -13,6 +13,7 @@
 
 from lovagestage.decisions.positions import get_era, get_offset
 from lovagestage.gateway.configuration import hash_to_share
+from lovagestage.gateway.outages import OutageTable
 from lovagestage.gateway.rollout_evidence import (
     EVIDENCE_FLOOR,
     LATE_PROOF_EVIDENCE,
@@ -133,6 +134,7 @@
         held_sessions: Sessions of all gateways that were active when the share
             was agreed; in the first half of the roll-out they are not moved to
             the new version.
+        outages: Outages of the new version's upstreams.
     """
 
     def __init__(
@@ -150,6 +152,7 @@
         self.new_failures = 0
         self.first_share = 0.0
         self.held_sessions: set[str] = set()
+        self.outages = OutageTable()
         self._share_set_s: float | None = None
         self._received_s = received_s
         # A session that is assigned to a version while this version's
@@ -160,7 +163,6 @@
         )
         self._evidence: dict[str, float] = {}
         self._failed_upstreams: set[str] = set()
-        self._lost_upstreams: set[str] = set()
         self._is_version_suspect = False
         self._reports: dict[str, tuple[int, float]] = {}
 
@@ -305,16 +307,6 @@
         """Returns the log-likelihood ratio of each route's answers."""
         return dict(self._evidence)
 
-    def record_outage(self, upstream: str) -> bool:
-        """Records that an upstream may have crashed or its link may be cut.
-
-        Returns:
-            Whether that is the first sign of it.
-        """
-        is_first = upstream not in self._lost_upstreams
-        self._lost_upstreams.add(upstream)
-        return is_first
-
     def add_failure(self, upstream: str, peers: int) -> None:
         """Records a failure of the new version, after its evidence was added.
 
--- a/src/lovagestage/gateway/run_weighing.py
+++ b/src/lovagestage/gateway/run_weighing.py
@@ -1,9 +1,10 @@
 """Weighs a run as evidence on the version of its upstream.
 
-A run is weighed when its answer starts, or as soon as it is later than such an
-answer may be: whether the answer still comes, the attempt is given up for
-another one or the caller leaves makes no difference then. Otherwise a slow
-version would be known by its fast answers alone.
+A run is good once its answer has started in time and ended whole: a version
+may break off what it has begun. It is weighed as slow as soon as it is later
+than such an answer may be: whether the answer still comes, the attempt is given
+up for another one or the caller leaves makes no difference then. Otherwise a
+slow version would be known by its fast answers alone.
 """
 
 from __future__ import annotations
@@ -67,15 +68,18 @@
         self._limit_s = self._target_s if limit_s is None else limit_s
         self._started_s = get_elapsed_s()
         self._is_weighed = False
+        # Quality of the answer that has started, if it ends whole.
+        self._start_quality: AnswerQuality | None = None
         self._pace_kind = ("pace", attempts.admitted.service, model)
         self._events = 0
         self._first_event_s = 0.0
+        self._last_event_s = self._started_s
         self._timer: asyncio.TimerHandle | None = None
         # Time for which this process stood still while the run was due.
         self._stalled_s = 0.0
 
     def __enter__(self) -> Self:
-        self._started_s = get_elapsed_s()
+        self._started_s = self._last_event_s = get_elapsed_s()
         self._set_timer(self._limit_s)
         return self
 
@@ -90,27 +94,44 @@
         self._weigh_pace(error is None)
         if self._is_weighed:
             return
-        if self._is_late(get_elapsed_s() - self._started_s):
+        has_started = self._start_quality is not None
+        if not has_started and self._is_late(get_elapsed_s() - self._started_s):
             self._weigh_late()
         elif isinstance(error, AttemptFailedError) and _is_crash_like(error):
-            self._weigh(AnswerQuality.LOST)
+            has_answered = has_started or error.run is RunState.RAN
+            self._weigh(AnswerQuality.LOST, has_answered)
+        elif has_started and _is_silent(error):
+            self._weigh_late()
+        elif self._start_quality is not None:
+            # The caller has left, or the time is over.
+            is_whole = error is None
+            self._weigh(
+                self._start_quality if is_whole else AnswerQuality.UNJUDGED
+            )
 
     def record_start(self) -> None:
-        """Records that the answer has started."""
-        time_s = get_elapsed_s() - self._started_s
+        """Records that the answer has started, or that it is complete."""
+        quality = self._judge_start(get_elapsed_s() - self._started_s)
+        self._start_quality = quality
+        if self._timer is not None:
+            self._timer.cancel()
+        if quality is AnswerQuality.SLOW:
+            self._weigh(quality)
+
+    def _judge_start(self, time_s: float) -> AnswerQuality:
         if self._is_late(time_s):
-            self._weigh(AnswerQuality.SLOW)
-        elif time_s > self._limit_s:
-            self._weigh(AnswerQuality.UNJUDGED)
-        elif self._is_kind_known:
-            self._weigh(AnswerQuality.GOOD)
-        else:
-            self._weigh(judge_unknown_kind(time_s, self._target_s))
+            return AnswerQuality.SLOW
+        if time_s > self._limit_s:
+            return AnswerQuality.UNJUDGED
+        if self._is_kind_known:
+            return AnswerQuality.GOOD
+        return judge_unknown_kind(time_s, self._target_s)
 
     def record_event(self) -> None:
         """Records that an event of a stream was received."""
+        self._last_event_s = get_elapsed_s()
         if not self._events:
-            self._first_event_s = get_elapsed_s()
+            self._first_event_s = self._last_event_s
         self._events += 1
 
     def record_failed(self) -> None:
@@ -137,15 +158,18 @@
         self._weigh_late()
 
     def _weigh_late(self) -> None:
-        """Weighs a run without an answer.
+        """Weighs a run without an answer, or whose answer does not go on.
 
         An upstream that has sent something else meanwhile works: the run is
         slow. Otherwise it may have crashed or its link may be cut, which ends
         all of its requests at the same time.
         """
         detector = self._upstream.performance.stall_detector
-        is_working = detector.last_data_s > self._started_s
-        self._weigh(AnswerQuality.SLOW if is_working else AnswerQuality.SILENT)
+        is_working = detector.last_data_s > self._last_event_s
+        self._weigh(
+            AnswerQuality.SLOW if is_working else AnswerQuality.SILENT,
+            self._start_quality is not None,
+        )
 
     def _weigh_pace(self, is_complete: bool) -> None:
         """Weighs the pace of a stream after its first event.
@@ -170,14 +194,23 @@
                 self._upstream,
                 AnswerQuality.SLOW if is_slow else AnswerQuality.GOOD,
                 EvidenceAspect.PACE,
+                self._started_s,
             )
         if is_complete and not self._attempts.assignment.is_new:
             latency.record(self._pace_kind, pace_s)
 
-    def _weigh(self, quality: AnswerQuality) -> None:
+    def _weigh(
+        self, quality: AnswerQuality, has_answered: bool = False
+    ) -> None:
         if not self._is_weighed:
             self._is_weighed = record_evidence(
-                self._context, self._attempts, self._upstream, quality
+                self._context,
+                self._attempts,
+                self._upstream,
+                quality,
+                EvidenceAspect.ANSWER,
+                self._started_s,
+                has_answered,
             )
 
 
@@ -191,6 +224,15 @@
     return queue_s, max(0.0, attempts.excess_s - queue_s)
 
 
+def _is_silent(error: BaseException | None) -> bool:
+    """Returns whether an upstream sent nothing more, with time left."""
+    return (
+        isinstance(error, AttemptFailedError)
+        and error.is_upstream_at_fault
+        and error.reason == "silent"
+    )
+
+
 def _is_crash_like(error: AttemptFailedError) -> bool:
     return (
         error.is_upstream_at_fault
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -371,6 +371,8 @@
     upstream: Upstream,
     quality: AnswerQuality,
     aspect: EvidenceAspect = EvidenceAspect.ANSWER,
+    begun_s: float = 0.0,
+    has_answered: bool = False,
 ) -> bool:
     """Records an answer as evidence for or against its version.
 
@@ -393,4 +395,6 @@
         upstream,
         quality,
         aspect,
+        begun_s,
+        has_answered,
     )
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -38,6 +38,8 @@
         upstream: Upstream,
         quality: AnswerQuality,
         aspect: EvidenceAspect = EvidenceAspect.ANSWER,
+        begun_s: float = 0.0,
+        has_answered: bool = False,
     ) -> bool:
         """Records the quality of an answer, or of a run without one.
 
@@ -48,6 +50,8 @@
             upstream: The upstream that answered.
             quality: Quality of the answer.
             aspect: What was judged.
+            begun_s: Elapsed time in seconds at which the run began.
+            has_answered: Whether its answer began.
 
         Returns:
             Whether it counts. Only the first sign that an upstream may have
