--- a/src/lovagestage/gateway/outages.py
+++ b/src/lovagestage/gateway/outages.py
@@ -29,6 +29,12 @@
     has_answered: bool
 
 
+REPEAT_S = 1.0
+"""Age in seconds of an outage from which it counts again where no upstream of
+the version has answered since: several times what data takes that was sent
+before, and what requests take to be sent to upstreams that work."""
+
+
 @dataclasses.dataclass
 class _Outage:
     counted_age_s: float
@@ -40,6 +46,15 @@
 
     def __init__(self) -> None:
         self._outages: dict[str, _Outage] = {}
+        self._answered_age_s = 0.0
+
+    def record_data(self, age_s: float) -> None:
+        """Records that any upstream of the version has sent something.
+
+        Args:
+            age_s: Age of the order at that time, in seconds.
+        """
+        self._answered_age_s = max(self._answered_age_s, age_s)
 
     def is_over(self, upstream: str) -> bool:
         """Returns whether an upstream has answered since its last outage."""
@@ -58,7 +73,8 @@
             age_s: Age of the order in seconds.
 
         Returns:
-            Whether it counts: it is no sign of an outage, or the first one.
+            Whether it counts: it is no sign of an outage, or the first one, or
+            one after a while in which the version has not answered at all.
         """
         outage = self._outages.get(upstream)
         # What was sent before the outage may be read after it, and what the
@@ -67,9 +83,23 @@
         if quality not in OUTAGE_QUALITIES:
             if outage is not None and is_later:
                 outage.is_over = True
+            self.record_data(span.begun_age_s)
             return True
-        is_new = outage is None or outage.is_over or span.has_answered
+        is_new = (
+            outage is None
+            or outage.is_over
+            or span.has_answered
+            or self._is_unanswered(outage, span)
+        )
         if not (is_later and is_new):
             return False
         self._outages[upstream] = _Outage(age_s)
         return True
+
+    def _is_unanswered(self, outage: _Outage, span: RunSpan) -> bool:
+        """Returns whether the version is not seen to work beside an outage.
+
+        A crash of some upstreams leaves others that answer.
+        """
+        is_later = span.begun_age_s > outage.counted_age_s + REPEAT_S
+        return is_later and self._answered_age_s <= outage.counted_age_s
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -8,10 +8,7 @@
 
 import mode
 
-from lovagestage.exceptions import (
-    StoreConflictError,
-    StoreError,
-)
+from lovagestage.exceptions import StoreConflictError, StoreError
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.failure_rates import FailureRateTable
@@ -166,6 +163,8 @@
             max(0.0, rollout.get_age_s(begun_s)),
             has_answered or rollout.outages.is_over(upstream.id),
         )
+        if quality in OUTAGE_QUALITIES:
+            self._record_data(rollout)
         age_s = rollout.get_age_s(get_elapsed_s())
         if not rollout.outages.record(upstream.id, quality, span, age_s):
             return False
@@ -173,6 +172,14 @@
         self._add_new_answer(rollout, key, upstream, quality, span)
         return True
 
+    def _record_data(self, rollout: Rollout) -> None:
+        """Records when the new version's upstreams were last heard of."""
+        order = rollout.order
+        for upstream in self._deployment.rotation.get_ready(order.service):
+            if upstream.entry.version == order.version:
+                data_s = upstream.performance.stall_detector.last_data_s
+                rollout.outages.record_data(rollout.get_age_s(data_s))
+
     def _add_old_answer(
         self,
         service: ServiceId,
@@ -252,6 +259,7 @@
             message.service, message.order, message.age_s
         )
         if rollout is not None:
+            rollout.outages.record_data(message.age_s)
             rollout.record_answers(
                 message.gateway, message.answers, message.evidence
             )
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lovagestage.gateway.outages import OutageTable, RunSpan
+from lovagestage.gateway.outages import REPEAT_S, OutageTable, RunSpan
 from lovagestage.gateway.rollout_evidence import AnswerQuality
 
 LOST, SILENT = AnswerQuality.LOST, AnswerQuality.SILENT
@@ -33,3 +33,22 @@
         assert record(table, quality, 5.5, 5.6)
         assert record(table, LOST, 5.7, 5.8)
         assert record(table, LOST, 5.9, 6.0, True)
+
+
+def test_a_version_of_which_nothing_answers_counts_again():
+    # Two upstreams are on trial, and their silence counted once for each: too
+    # little to stop a version that answers nothing.
+    table = OutageTable()
+    assert record(table, SILENT, 4.0, 5.0)
+    assert not record(table, SILENT, 5.0 + 0.5 * REPEAT_S, 7.0)
+    assert record(table, SILENT, 5.1 + REPEAT_S, 7.0)
+    assert not record(table, SILENT, 5.2 + REPEAT_S, 7.1)
+
+
+def test_a_crash_beside_upstreams_that_answer_counts_once():
+    # The crash of two upstreams would end the roll-out of a good version if
+    # each request that is sent there counted.
+    table = OutageTable()
+    assert record(table, SILENT, 4.0, 5.0)
+    table.record_data(5.5)
+    assert not record(table, SILENT, 9.0, 9.5)
