--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -92,6 +92,9 @@
 """Answers that complete the roll-out of a service with little traffic after
 `LATE_RATIO` of the duration, if the evidence does not speak against the
 version."""
+OVERDUE_RATIO = 2.0
+"""Multiple of the order's duration after which an undecided version is
+reverted: it is not proved, and no more answers are to be expected."""
 
 
 LOST_S = 60.0
@@ -257,8 +260,11 @@
         return now_s - self._received_s
 
     def is_loaded(self, now_s: float) -> bool:
-        """Returns whether the new version has reached its load step."""
-        is_due = self.get_elapsed_ratio(now_s) >= LOAD_STEP.from_ratio
+        """Returns whether the new version is in its load step.
+
+        A version that is undecided at the end goes back to the first share.
+        """
+        is_due = LOAD_STEP.from_ratio <= self.get_elapsed_ratio(now_s) < 1.0
         return is_due and self.get_answer_count() >= LOAD_STEP.min_answers
 
     def get_elapsed_ratio(self, now_s: float) -> float:
@@ -345,8 +351,15 @@
         if self._is_version_suspect and suspicion >= SUSPICION_EVIDENCE:
             return RolloutOutcome.REVERTED
         is_late = ratio >= due_ratio + LATE_RATIO - COMPLETE_RATIO
-        if suspicion <= 0.0 and self._is_proved(is_late):
+        # A last slow answer on a route without further traffic would outlast
+        # all that speaks for the version.
+        is_clear = suspicion <= 0.0 or (
+            ratio >= 1.0 and suspicion < SUSPICION_EVIDENCE
+        )
+        if is_clear and self._is_proved(is_late):
             return RolloutOutcome.COMPLETED
+        if ratio >= OVERDUE_RATIO:
+            return RolloutOutcome.REVERTED
         return RolloutOutcome.RUNNING
 
     def _get_due_ratio(self) -> float:
--- a/tests/test_rollout_verdicts.py
+++ b/tests/test_rollout_verdicts.py
@@ -9,10 +9,15 @@
 from lovagestage.gateway.latency import LatencyTable
 from lovagestage.gateway.rollout_evidence import PROOF_EVIDENCE, AnswerQuality
 from lovagestage.gateway.rollout_outcomes import OutcomeStore
-from lovagestage.gateway.rollout_shares import COMPLETE_RATIO, FIRST_SHARES
+from lovagestage.gateway.rollout_shares import (
+    COMPLETE_RATIO,
+    FIRST_SHARES,
+    LOAD_STEP,
+)
 from lovagestage.gateway.rollouts import (
     COMPLETE_ANSWERS,
     LATE_RATIO,
+    OVERDUE_RATIO,
     SESSION_COLLECTION_S,
     VERDICT_MARGIN_S,
     Rollout,
@@ -122,3 +127,39 @@
     outcomes = OutcomeStore(store, random.Random(1))
     written = await outcomes.write(rollout, due, lambda order: 0.1)
     assert written.outcome is RolloutOutcome.REVERTED
+
+
+DEADLINE_S = 100.0 + ORDER.duration_s
+
+
+def test_an_undecided_version_loses_its_load_step_and_is_reverted():
+    # Its share, the load step's included, was kept without end.
+    rollout = make_rollout()
+    rollout.record_answers("edge-1", COMPLETE_ANSWERS, 0.5 * PROOF_EVIDENCE)
+    assert rollout.get_share(DEADLINE_S - 0.01) == LOAD_STEP.share
+    assert rollout.get_share(DEADLINE_S + 0.01) == rollout.first_share
+    end_s = 100.0 + OVERDUE_RATIO * ORDER.duration_s
+    assert rollout.get_due_outcome(end_s - 0.01) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(end_s + 0.01) is RolloutOutcome.REVERTED
+
+
+def test_a_proved_version_does_not_hang_on_one_slow_answer():
+    # The only answer on a rarely used route was slow, and no other follows.
+    rollout = make_rollout()
+    add_answers(rollout, "." * 40, failure_rate=0.1)
+    add_answers(rollout, "x", failure_rate=0.1, route="rare")
+    total = rollout.get_total_evidence()
+    rollout.record_answers("edge-1", 41, total)
+    assert rollout.get_due_outcome(DEADLINE_S - 0.01) is RolloutOutcome.RUNNING
+    done = rollout.get_due_outcome(DEADLINE_S + 0.01)
+    assert done is RolloutOutcome.COMPLETED
+
+
+def test_a_failure_just_before_the_deadline_is_not_passed_over():
+    # As good in sum and mean, but a route's last answers speak against it.
+    rollout = make_rollout()
+    add_answers(rollout, "." * 80, failure_rate=0.1)
+    add_answers(rollout, "xx", failure_rate=0.02, route="bad", upstreams=1)
+    rollout.record_answers("edge-1", 82, 5.0 * PROOF_EVIDENCE)
+    due = rollout.get_due_outcome(DEADLINE_S + 0.01)
+    assert due is RolloutOutcome.RUNNING
