--- a/lab/rollout_replay.py
+++ b/lab/rollout_replay.py
@@ -170,10 +170,12 @@
             return
         upstream = InstanceId(self._rng.choice("xy"))
         rollout.add_failure(upstream, 2)
-        told = own.take_unreported(route)
+        told = own.take_unreported()
         for other in self._gateways:
             if other is not gateway:
-                self._send(now_s, self._hear, other, route, told, upstream)
+                self._send(
+                    now_s, self._hear, other, told, route, evidence, upstream
+                )
 
     def _send(
         self, now_s: float, act: Callable[..., None], *args: object
@@ -186,11 +188,14 @@
         self,
         now_s: float,
         gateway: _Gateway,
+        earlier: dict[str, float],
         route: str,
         evidence: float,
         upstream: InstanceId,
     ) -> None:
         del now_s
+        for good_route, good_evidence in earlier.items():
+            gateway.rollout.add_evidence(good_route, good_evidence)
         gateway.rollout.add_evidence(route, evidence)
         gateway.rollout.add_failure(upstream, 2)
 
@@ -198,9 +203,9 @@
         interval_s = gateway.rollout.get_report_interval_s()
         self._call_at(now_s + interval_s, self._report, gateway)
         report = (gateway.name, gateway.own.answers, gateway.own.total)
-        routes = gateway.own.take_all_unreported()
+        routes = gateway.own.take_unreported()
         for other in self._gateways:
-            if other is not gateway and routes:
+            if other is not gateway:
                 self._send(now_s, self._hear_report, other, report, routes)
 
     def _hear_report(
--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -40,12 +40,13 @@
         order: Position of the order.
         route: Route of the request.
         upstream: The upstream that answered.
-        evidence: Log-likelihood ratio of this answer and of the good answers
-            on the route since the gateway's last message.
+        evidence: Log-likelihood ratio of this answer.
         age_s: Age of the order in seconds.
         quality: Value of the answer's quality.
         begun_age_s: Age of the order at the begin of the run, in seconds.
         has_answered: As in `RunSpan`.
+        earlier: Log-likelihood ratio of the good answers between the gateway's
+            last message and this answer, by route.
     """
 
     service: ServiceId
@@ -57,6 +58,7 @@
     quality: str = "failed"
     begun_age_s: float = 0.0
     has_answered: bool = False
+    earlier: dict[str, float] = {}
 
 
 class AnswerCountMessage(
@@ -71,8 +73,8 @@
         answers: Number of answers so far.
         age_s: Age of the order in seconds.
         evidence: Sum of the log-likelihood ratios of these answers.
-        routes: Log-likelihood ratio of the answers since the gateway's last
-            message, by route.
+        routes: Log-likelihood ratio of the good answers since the gateway's
+            last message, by route.
     """
 
     service: ServiceId
--- a/src/lovagestage/gateway/rollout_evidence.py
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -112,12 +112,14 @@
         answers: Number of judged answers, runs without an answer included.
         total: Sum of their log-likelihood ratios.
         qualities: Number of answers by quality.
+        is_total_reported: Whether the others know the number and the total.
         report_due_s: Elapsed time in seconds at which the others are told next.
     """
 
     def __init__(self) -> None:
         self.answers = 0
         self.total = 0.0
+        self.is_total_reported = True
         self.report_due_s = 0.0
         self.qualities: collections.Counter[AnswerQuality] = (
             collections.Counter()
@@ -151,15 +153,17 @@
         self.total += evidence
         if not is_pace_key(route):
             self.answers += 1
-        unreported = self._unreported.get(route, 0.0) + evidence
-        self._unreported[route] = max(EVIDENCE_FLOOR, unreported)
+        if not failed:
+            unreported = self._unreported.get(route, 0.0)
+            self._unreported[route] = unreported + evidence
+        self.is_total_reported = False
         return evidence
 
-    def take_unreported(self, route: str) -> float:
-        """Returns a route's evidence since the last call, for the others."""
-        return self._unreported.pop(route, 0.0)
+    def take_unreported(self) -> dict[str, float]:
+        """Returns the good answers' evidence by route since the last call.
 
-    def take_all_unreported(self) -> dict[str, float]:
-        """Returns the evidence of all routes since the last call."""
+        It is not cut: what is cut between two bad answers would be missing from
+        the others' sums, which have a floor of their own.
+        """
         unreported, self._unreported = self._unreported, {}
         return unreported
--- a/src/lovagestage/gateway/rollout_outcomes.py
+++ b/src/lovagestage/gateway/rollout_outcomes.py
@@ -228,6 +228,35 @@
     )
 
 
+def log_share(
+    order: RolloutOrder,
+    share: float,
+    expected: float,
+    own_per_s: float,
+    gateways: int,
+) -> None:
+    """Logs the first share that this gateway proposes.
+
+    Args:
+        order: The order.
+        share: The share of the sessions.
+        expected: Requests of the service that are expected during the order.
+        own_per_s: Requests per second of the service at this gateway.
+        gateways: Number of gateways.
+    """
+    _log.info(
+        "rollout_share_proposed",
+        extra={
+            "service": order.service,
+            "version": order.version,
+            "share": share,
+            "expected": round(expected),
+            "own_per_s": round(own_per_s, 2),
+            "gateways": gateways,
+        },
+    )
+
+
 def log_stop(rollout: Rollout, route: str, upstream: str) -> None:
     """Logs that the evidence speaks against the new version from now on.
 
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Mapping
 
 import mode
 
@@ -29,6 +30,7 @@
 )
 from lovagestage.gateway.rollout_outcomes import (
     OutcomeStore,
+    log_share,
     log_stop,
     log_verdict,
 )
@@ -56,6 +58,15 @@
 )
 
 
+def _add_good_answers(
+    rollout: Rollout, routes: Mapping[str, float], age_s: float
+) -> None:
+    """Adds the evidence of another gateway's good answers by route."""
+    for route, evidence in routes.items():
+        rollout.add_evidence(route, evidence)
+        rollout.outages.record_data(age_s)
+
+
 class RolloutService(mode.Service):
     """Follows the roll-outs of all services.
 
@@ -122,17 +133,8 @@
         share = get_first_share(
             self._bounds.exposure_ratio, self._bounds.exposure_slack, expected
         )
-        _log.info(
-            "rollout_share_proposed",
-            extra={
-                "service": order.service,
-                "version": order.version,
-                "share": share,
-                "expected": round(expected),
-                "own_per_s": round(own_per_s, 2),
-                "gateways": self._peer_messenger.gateway_count,
-            },
-        )
+        gateways = self._peer_messenger.gateway_count
+        log_share(order, share, expected, own_per_s, gateways)
         return share
 
     def record_answer(
@@ -224,11 +226,12 @@
             rollout.position,
             route,
             upstream.id,
-            own.take_unreported(route),
+            evidence,
             rollout.get_age_s(get_elapsed_s()),
             quality.value,
             span.begun_age_s,
             span.has_answered,
+            own.take_unreported(),
         )
         self._count_failure(rollout, message)
         self._post(message)
@@ -244,6 +247,7 @@
         )
         if rollout is None:
             return
+        _add_good_answers(rollout, message.earlier, message.age_s)
         span = RunSpan(message.begun_age_s, message.has_answered)
         quality = AnswerQuality(message.quality)
         if not rollout.outages.record(
@@ -259,12 +263,10 @@
             message.service, message.order, message.age_s
         )
         if rollout is not None:
-            rollout.outages.record_data(message.age_s)
             rollout.record_answers(
                 message.gateway, message.answers, message.evidence
             )
-            for route, evidence in message.routes.items():
-                rollout.add_evidence(route, evidence)
+            _add_good_answers(rollout, message.routes, message.age_s)
 
     def on_sessions_message(self, message: ActiveSessionsMessage) -> None:
         """Applies the active sessions that another gateway has reported."""
@@ -328,9 +330,9 @@
             if rollout.outcome is not RolloutOutcome.RUNNING or not is_due:
                 continue
             own.report_due_s = now_s + rollout.get_report_interval_s()
-            unreported = own.take_all_unreported()
-            if not unreported:
+            if own.is_total_reported:
                 continue
+            own.is_total_reported = True
             self._post(
                 AnswerCountMessage(
                     service,
@@ -339,7 +341,7 @@
                     own.answers,
                     rollout.get_age_s(now_s),
                     own.total,
-                    unreported,
+                    own.take_unreported(),
                 )
             )
 
--- a/tests/test_rollout_evidence_gaps.py
+++ b/tests/test_rollout_evidence_gaps.py
@@ -6,6 +6,8 @@
 import time
 import types
 
+import pytest
+
 from lab import worker as lab
 from lovagestage.gateway.latency import MIN_SAMPLES, LatencyTable
 from lovagestage.gateway.peer_messages import AnswerCountMessage, FailureMessage
@@ -136,6 +138,25 @@
     assert not other.rollout.is_stopped
 
 
+def test_sums_of_all_gateways_are_equal():
+    # Good answers on other routes, and the failures themselves, were missing
+    # from what the others knew at a failure.
+    own, other = RolloutServiceHarness(), RolloutServiceHarness()
+    trial = own.service._own_evidence["pool"]
+    for answers in ([("a", GOOD)] * 6 + [("b", SLOW)] * 2, [("b", SLOW)]):
+        for route, quality in answers:
+            own.service.record_answer(
+                "pool", route, Assignment("v2", True), own.upstreams[0], quality
+            )
+        trial.report_due_s = 0.0
+        own.service._report_counts()
+        deliver(own, other)
+    sums = own.rollout.get_evidence_by_route()
+    assert other.rollout.get_evidence_by_route() == pytest.approx(sums)
+    total = own.rollout.get_total_evidence()
+    assert other.rollout.get_total_evidence() == pytest.approx(total)
+
+
 def test_crash_of_an_old_upstream_does_not_hide_a_failing_version():
     # Each request that a crash of the old version's upstream ends raised the
     # rate at which that version fails: a new one that fails every answer was
