--- a/src/lovagestage/gateway/run_weighing.py
+++ b/src/lovagestage/gateway/run_weighing.py
@@ -17,6 +17,7 @@
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.latency import judge_unknown_kind
+from lovagestage.gateway.pace import STALL_S, PaceClock
 from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.runs import (
     CRASH_LIKE_REASONS,
@@ -26,13 +27,9 @@
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import RunState
 
-MIN_INTERVALS = 2
-"""Intervals between events that a stream's pace is judged by."""
-STALL_S = 0.05
-"""Delay in seconds from which a timer shows that this process itself stood
-still: what upstreams have sent meanwhile has not been read yet."""
 STALL_GRACE_S = 0.1
-"""Time in seconds that a process that stood still has to read it."""
+"""Time in seconds that a process that stood still has to read what upstreams
+have sent meanwhile."""
 
 
 class RunWeighing:
@@ -71,8 +68,7 @@
         # Quality of the answer that has started, if it ends whole.
         self._start_quality: AnswerQuality | None = None
         self._pace_kind = ("pace", attempts.admitted.service, model)
-        self._events = 0
-        self._first_event_s = 0.0
+        self._pace_clock = PaceClock()
         self._last_event_s = self._started_s
         self._timer: asyncio.TimerHandle | None = None
         # Time for which this process stood still while the run was due.
@@ -130,9 +126,11 @@
     def record_event(self) -> None:
         """Records that an event of a stream was received."""
         self._last_event_s = get_elapsed_s()
-        if not self._events:
-            self._first_event_s = self._last_event_s
-        self._events += 1
+        self._pace_clock.record_event()
+
+    def record_sent(self) -> None:
+        """Records that the caller's connection has taken the last event."""
+        self._pace_clock.record_sent()
 
     def record_failed(self) -> None:
         """Records that the upstream has answered with a failure."""
@@ -180,14 +178,14 @@
             is_complete: Whether the stream has ended; otherwise the time since
                 its last event counts too, and only against the version.
         """
-        intervals = self._events - is_complete
-        if intervals < MIN_INTERVALS:
+        pace = self._pace_clock.stop(is_complete)
+        if pace is None:
             return
         latency = self._context.latency
-        pace_s = (get_elapsed_s() - self._first_event_s) / intervals
         limit_s = latency.get_slow_pace_s(self._pace_kind)
-        is_slow = limit_s is not None and pace_s > limit_s
-        if limit_s is not None and (is_slow or is_complete):
+        is_slow = limit_s is not None and pace.interval_s > limit_s
+        is_proof = is_complete and not pace.is_excused
+        if limit_s is not None and (is_slow or is_proof):
             record_evidence(
                 self._context,
                 self._attempts,
@@ -196,8 +194,8 @@
                 EvidenceAspect.PACE,
                 self._started_s,
             )
-        if is_complete and not self._attempts.assignment.is_new:
-            latency.record(self._pace_kind, pace_s)
+        if is_proof and not self._attempts.assignment.is_new:
+            latency.record(self._pace_kind, pace.interval_s)
 
     def _weigh(
         self, quality: AnswerQuality, has_answered: bool = False
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -320,6 +320,7 @@
         if not self.progress.is_started:
             await self._sink.start_stream(head)
         await self._sink.send_event(event)
+        self._weighing.record_sent()
         last_id = decode_event_id(event) or self.progress.last_id
         self.progress = _Progress(last_id, True)
 
--- a/tests/test_rollout_evidence_gaps.py
+++ b/tests/test_rollout_evidence_gaps.py
@@ -122,6 +122,39 @@
     assert not SLOW_QUALITIES.intersection(evidence.qualities)
 
 
+async def test_stream_whose_caller_holds_it_up_is_not_slow():
+    # What the caller did not take was not read, which counted as the pause of
+    # the version; also where the caller left at last.
+    for error in (None, ConnectionError()):
+        evidence = EvidenceRecorder()
+        weighing = make_weighing(evidence)
+        weighing.__enter__()
+        weighing.record_start()
+        for pause_s in (0.0, 0.0, 0.0, 0.3, 0.0):
+            weighing.record_event()
+            await asyncio.sleep(pause_s)
+            weighing.record_sent()
+            await asyncio.sleep(USUAL_S)
+        if error is not None:
+            weighing.record_event()
+            await asyncio.sleep(0.3)
+        weighing.__exit__(error and type(error), error, None)
+        assert not SLOW_QUALITIES.intersection(evidence.qualities)
+
+
+async def test_slow_stream_is_slow_beside_a_stall_of_its_gateway():
+    # One stall must not excuse the pauses that the version makes itself.
+    evidence = EvidenceRecorder()
+    with make_weighing(evidence) as weighing:
+        weighing.record_start()
+        for _ in range(4):
+            weighing.record_event()
+            await asyncio.sleep(5.0 * USUAL_S)
+        await read_while_stalled()
+        weighing.record_event()
+    assert AnswerQuality.SLOW in evidence.qualities
+
+
 def test_reports_do_not_leave_out_most_of_a_busy_gateways_good_answers():
     # What a gateway has to report is cut at the floor between two slow answers,
     # so that others see four in a row where 130 good ones lie between them.
