Bound the reports of a roll-out over all gateways (EXPOSURE)

Operators of a large fleet would see: 390 gateways append up to 780 reports a second for an order of 12 s, where the store takes several hundred in all.

Cause: each gateway reported every max(0.5 s, duration/24), whatever their number, and all at the same moments.

Change: the interval grows with the number of gateways, to 60 reports a second of all together (MAX_REPORTS_PER_S), four each at least and one each, spread, before the load step and the verdict; failures carry the gateway's total.

--- a/lab/rollout_replay.py
+++ b/lab/rollout_replay.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from lovagestage.gateway.rollout_evidence import AnswerQuality, TrialEvidence
+from lovagestage.gateway.rollout_reports import get_next_report_age_s
 from lovagestage.gateway.rollout_shares import get_first_share
 from lovagestage.gateway.rollouts import (
     Rollout,
@@ -171,10 +172,18 @@
         upstream = InstanceId(self._rng.choice("xy"))
         rollout.add_failure(upstream, 2)
         told = own.take_unreported()
+        report = (gateway.name, own.answers, own.total)
         for other in self._gateways:
             if other is not gateway:
                 self._send(
-                    now_s, self._hear, other, told, route, evidence, upstream
+                    now_s,
+                    self._hear,
+                    other,
+                    report,
+                    told,
+                    route,
+                    evidence,
+                    upstream,
                 )
 
     def _send(
@@ -188,20 +197,29 @@
         self,
         now_s: float,
         gateway: _Gateway,
+        report: tuple[str, int, float],
         earlier: dict[str, float],
         route: str,
         evidence: float,
         upstream: InstanceId,
     ) -> None:
         del now_s
+        gateway.rollout.record_answers(*report)
         for good_route, good_evidence in earlier.items():
             gateway.rollout.add_evidence(good_route, good_evidence)
         gateway.rollout.add_evidence(route, evidence)
         gateway.rollout.add_failure(upstream, 2)
 
     def _report(self, now_s: float, gateway: _Gateway) -> None:
-        interval_s = gateway.rollout.get_report_interval_s()
-        self._call_at(now_s + interval_s, self._report, gateway)
+        draw, rollout = self._draw, gateway.rollout
+        next_s = get_next_report_age_s(
+            now_s,
+            draw.duration_s,
+            rollout.get_due_ratio(),
+            draw.gateways,
+            self._gateways.index(gateway) / draw.gateways,
+        )
+        self._call_at(next_s, self._report, gateway)
         report = (gateway.name, gateway.own.answers, gateway.own.total)
         routes = gateway.own.take_unreported()
         for other in self._gateways:
--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -47,6 +47,9 @@
         has_answered: As in `RunSpan`.
         earlier: Log-likelihood ratio of the good answers between the gateway's
             last message and this answer, by route.
+        gateway: The gateway that received the answer.
+        answers: Number of its answers so far.
+        total: Sum of the log-likelihood ratios of these answers.
     """
 
     service: ServiceId
@@ -59,6 +62,9 @@
     begun_age_s: float = 0.0
     has_answered: bool = False
     earlier: dict[str, float] = {}
+    gateway: VmId = VmId("")
+    answers: int = 0
+    total: float = 0.0
 
 
 class AnswerCountMessage(
--- a/src/lovagestage/gateway/rollout_evidence.py
+++ b/src/lovagestage/gateway/rollout_evidence.py
@@ -113,14 +113,15 @@
         total: Sum of their log-likelihood ratios.
         qualities: Number of answers by quality.
         is_total_reported: Whether the others know the number and the total.
-        report_due_s: Elapsed time in seconds at which the others are told next.
+        report_due_s: Elapsed time in seconds at which the others are told next;
+            None before it is planned.
     """
 
     def __init__(self) -> None:
         self.answers = 0
         self.total = 0.0
         self.is_total_reported = True
-        self.report_due_s = 0.0
+        self.report_due_s: float | None = None
         self.qualities: collections.Counter[AnswerQuality] = (
             collections.Counter()
         )
@@ -162,8 +163,11 @@
     def take_unreported(self) -> dict[str, float]:
         """Returns the good answers' evidence by route since the last call.
 
+        The others are told the number and the total with it.
+
         It is not cut: what is cut between two bad answers would be missing from
         the others' sums, which have a floor of their own.
         """
+        self.is_total_reported = True
         unreported, self._unreported = self._unreported, {}
         return unreported
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -11,6 +11,7 @@
 
 from lovagestage.exceptions import StoreConflictError, StoreError
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.configuration import hash_to_share
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.failure_rates import FailureRateTable
 from lovagestage.gateway.outages import RunSpan
@@ -34,6 +35,7 @@
     log_stop,
     log_verdict,
 )
+from lovagestage.gateway.rollout_reports import is_report_due
 from lovagestage.gateway.rollout_shares import get_first_share
 from lovagestage.gateway.rollouts import (
     Rollout,
@@ -150,15 +152,13 @@
     ) -> bool:
         """Records an answer of an upstream; as in `EvidenceSink`."""
         rollout = self._deployment.rollouts.get(service)
-        is_new = rollout is not None and assignment.is_new
-        if not is_new:
+        if rollout is None or not assignment.is_new:
             if quality in OUTAGE_QUALITIES:
                 # One outage ends many runs and says nothing of later ones; a
                 # late answer is recorded when it comes.
                 return False
             self._add_old_answer(service, route, quality, aspect)
             return True
-        assert rollout is not None
         if rollout.outcome is not RolloutOutcome.RUNNING:
             return True
         span = RunSpan(
@@ -232,6 +232,9 @@
             span.begun_age_s,
             span.has_answered,
             own.take_unreported(),
+            self._vm,
+            own.answers,
+            own.total,
         )
         self._count_failure(rollout, message)
         self._post(message)
@@ -247,6 +250,7 @@
         )
         if rollout is None:
             return
+        rollout.record_answers(message.gateway, message.answers, message.total)
         _add_good_answers(rollout, message.earlier, message.age_s)
         span = RunSpan(message.begun_age_s, message.has_answered)
         quality = AnswerQuality(message.quality)
@@ -299,8 +303,7 @@
     def _count_failure(self, rollout: Rollout, message: FailureMessage) -> None:
         was_stopped = rollout.is_stopped
         ready = self._deployment.rotation.get_ready(message.service)
-        target = rollout.order.version
-        peers = sum(u.entry.version == target for u in ready)
+        peers = sum(u.entry.version == rollout.order.version for u in ready)
         rollout.add_failure(message.upstream, peers)
         if rollout.is_stopped and not was_stopped:
             log_stop(rollout, message.route, message.upstream)
@@ -316,23 +319,20 @@
             except StoreConflictError:
                 pass  # Another gateway wrote first; the next check reads it.
             except StoreError as error:
-                _log.warning(
-                    "rollout_not_written", extra={"reason": error.message}
-                )
+                reason = {"reason": error.message}
+                _log.warning("rollout_not_written", extra=reason)
                 await asyncio.sleep(RETRY_S)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _report_counts(self) -> None:
-        now_s = get_elapsed_s()
+        assert self._peer_messenger is not None
+        gateways = self._peer_messenger.gateway_count
+        now_s, draw = get_elapsed_s(), hash_to_share(self._vm)
         for service, rollout in self._deployment.rollouts.items():
             own = self._own_evidence[service]
-            is_due = now_s >= own.report_due_s
-            if rollout.outcome is not RolloutOutcome.RUNNING or not is_due:
-                continue
-            own.report_due_s = now_s + rollout.get_report_interval_s()
-            if own.is_total_reported:
+            is_due = is_report_due(rollout, own, now_s, gateways, draw)
+            if not is_due or own.is_total_reported:
                 continue
-            own.is_total_reported = True
             self._post(
                 AnswerCountMessage(
                     service,
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -71,13 +71,6 @@
 
 ALL_ROUTES = ""
 """Key of the evidence of all routes together."""
-REPORTS = 24
-"""Number of reports, spread over the duration of an order, in which a gateway
-tells the others how many answers of the new version it has received and what
-these say. Failures are told at once; without the good answers of the others,
-the failures of a large fleet would add up against a good version."""
-MIN_REPORT_INTERVAL_S = 0.5
-"""Shortest interval in seconds between two reports."""
 COMPLETE_ANSWERS = 20
 """Answers of the new version that are needed for its completion at
 `COMPLETE_RATIO`."""
@@ -271,10 +264,6 @@
         """Returns the share of the order's duration that has passed."""
         return self.get_age_s(now_s) / max(1.0, self.order.duration_s)
 
-    def get_report_interval_s(self) -> float:
-        """Returns the interval in seconds between two reports of a gateway."""
-        return max(MIN_REPORT_INTERVAL_S, self.order.duration_s / REPORTS)
-
     def get_share(self, now_s: float) -> float:
         """Returns the share of the sessions that go to the new version."""
         if self.outcome is RolloutOutcome.COMPLETED:
@@ -344,7 +333,7 @@
         if self.is_stopped:
             return RolloutOutcome.REVERTED
         ratio = self.get_elapsed_ratio(now_s)
-        due_ratio = self._get_due_ratio()
+        due_ratio = self.get_due_ratio()
         if ratio < due_ratio:
             return RolloutOutcome.RUNNING
         suspicion = self._get_suspicion()
@@ -362,7 +351,7 @@
             return RolloutOutcome.REVERTED
         return RolloutOutcome.RUNNING
 
-    def _get_due_ratio(self) -> float:
+    def get_due_ratio(self) -> float:
         """Returns the share of the duration after which a verdict is due."""
         margin_ratio = VERDICT_MARGIN_S / max(1.0, self.order.duration_s)
         return max(MIN_DUE_RATIO, min(COMPLETE_RATIO, 1.0 - margin_ratio))
--- a/tests/test_rollout_evidence_gaps.py
+++ b/tests/test_rollout_evidence_gaps.py
@@ -17,7 +17,7 @@
     SLOW_QUALITIES,
     AnswerQuality,
 )
-from lovagestage.gateway.rollouts import REPORTS
+from lovagestage.gateway.rollout_reports import REPORTS
 from lovagestage.gateway.run_weighing import RunWeighing
 from lovagestage.gateway.stall_detection import StallDetector
 from tests.gateway_harness import run_gateway_harness
