--- a/src/lovagestage/gateway/rollout_outcomes.py
+++ b/src/lovagestage/gateway/rollout_outcomes.py
@@ -228,6 +228,57 @@
     )
 
 
+def log_share(
+    order: RolloutOrder,
+    share: float,
+    expected: float,
+    own_per_s: float,
+    gateways: int,
+) -> None:
+    """Logs the first share that this gateway proposes.
+
+    Args:
+        order: The order.
+        share: The share of the sessions.
+        expected: Requests of the service that are expected during the order.
+        own_per_s: Requests per second of the service at this gateway.
+        gateways: Number of gateways.
+    """
+    _log.info(
+        "rollout_share_proposed",
+        extra={
+            "service": order.service,
+            "version": order.version,
+            "share": share,
+            "expected": round(expected),
+            "own_per_s": round(own_per_s, 2),
+            "gateways": gateways,
+        },
+    )
+
+
+def log_stop(rollout: Rollout, route: str, upstream: str) -> None:
+    """Logs that the evidence speaks against the new version from now on.
+
+    Args:
+        rollout: The roll-out.
+        route: Route of the last failure.
+        upstream: Upstream of the last failure.
+    """
+    _log.warning(
+        "rollout_stopped",
+        extra={
+            "service": rollout.order.service,
+            "version": rollout.order.version,
+            "failures": rollout.new_failures,
+            "route": route,
+            "upstream": upstream,
+            "answers": rollout.get_answer_count(),
+            "age_s": round(rollout.get_age_s(get_elapsed_s()), 2),
+        },
+    )
+
+
 def log_verdict(
     rollout: Rollout,
     outcome: RolloutOutcome,
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -5,16 +5,16 @@
 import asyncio
 import logging
 import random
+from collections.abc import Mapping
 
 import mode
 
-from lovagestage.exceptions import (
-    StoreConflictError,
-    StoreError,
-)
+from lovagestage.exceptions import StoreConflictError, StoreError
 from lovagestage.gateway.clocks import get_elapsed_s
+from lovagestage.gateway.configuration import hash_to_share
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.failure_rates import FailureRateTable
+from lovagestage.gateway.outages import RunSpan
 from lovagestage.gateway.peer_messages import (
     ActiveSessionsMessage,
     AnswerCountMessage,
@@ -29,7 +29,13 @@
     EvidenceAspect,
     TrialEvidence,
 )
-from lovagestage.gateway.rollout_outcomes import OutcomeStore, log_verdict
+from lovagestage.gateway.rollout_outcomes import (
+    OutcomeStore,
+    log_share,
+    log_stop,
+    log_verdict,
+)
+from lovagestage.gateway.rollout_reports import is_report_due
 from lovagestage.gateway.rollout_shares import get_first_share
 from lovagestage.gateway.rollouts import (
     Rollout,
@@ -52,7 +58,15 @@
 _RolloutMessage = (
     FailureMessage | AnswerCountMessage | ActiveSessionsMessage | OutcomeMessage
 )
-_OUTAGES = frozenset(quality.value for quality in OUTAGE_QUALITIES)
+
+
+def _add_good_answers(
+    rollout: Rollout, routes: Mapping[str, float], age_s: float
+) -> None:
+    """Adds the evidence of another gateway's good answers by route."""
+    for route, evidence in routes.items():
+        rollout.add_evidence(route, evidence)
+        rollout.outages.record_data(age_s)
 
 
 class RolloutService(mode.Service):
@@ -121,17 +135,8 @@
         share = get_first_share(
             self._bounds.exposure_ratio, self._bounds.exposure_slack, expected
         )
-        _log.info(
-            "rollout_share_proposed",
-            extra={
-                "service": order.service,
-                "version": order.version,
-                "share": share,
-                "expected": round(expected),
-                "own_per_s": round(own_per_s, 2),
-                "gateways": self._peer_messenger.gateway_count,
-            },
-        )
+        gateways = self._peer_messenger.gateway_count
+        log_share(order, share, expected, own_per_s, gateways)
         return share
 
     def record_answer(
@@ -142,40 +147,41 @@
         upstream: Upstream,
         quality: AnswerQuality,
         aspect: EvidenceAspect = EvidenceAspect.ANSWER,
+        begun_s: float = 0.0,
+        has_answered: bool = False,
     ) -> bool:
-        """Records an answer of an upstream, or a run without one.
-
-        Args:
-            service: The service.
-            route: Name of the request's route.
-            assignment: Version to which the request was assigned.
-            upstream: The upstream that answered.
-            quality: Quality of the answer.
-            aspect: What was judged.
-
-        Returns:
-            Whether it counts; as in `EvidenceSink`.
-        """
+        """Records an answer of an upstream; as in `EvidenceSink`."""
         rollout = self._deployment.rollouts.get(service)
-        is_new = rollout is not None and assignment.is_new
-        if not is_new:
+        if rollout is None or not assignment.is_new:
             if quality in OUTAGE_QUALITIES:
                 # One outage ends many runs and says nothing of later ones; a
                 # late answer is recorded when it comes.
                 return False
             self._add_old_answer(service, route, quality, aspect)
             return True
-        assert rollout is not None
         if rollout.outcome is not RolloutOutcome.RUNNING:
             return True
-        if quality in OUTAGE_QUALITIES and not rollout.record_outage(
-            upstream.id
-        ):
+        span = RunSpan(
+            max(0.0, rollout.get_age_s(begun_s)),
+            has_answered or rollout.outages.is_over(upstream.id),
+        )
+        if quality in OUTAGE_QUALITIES:
+            self._record_data(rollout)
+        age_s = rollout.get_age_s(get_elapsed_s())
+        if not rollout.outages.record(upstream.id, quality, span, age_s):
             return False
         key = aspect.make_key(route)
-        self._add_new_answer(rollout, key, upstream, quality)
+        self._add_new_answer(rollout, key, upstream, quality, span)
         return True
 
+    def _record_data(self, rollout: Rollout) -> None:
+        """Records when the new version's upstreams were last heard of."""
+        order = rollout.order
+        for upstream in self._deployment.rotation.get_ready(order.service):
+            if upstream.entry.version == order.version:
+                data_s = upstream.performance.stall_detector.last_data_s
+                rollout.outages.record_data(rollout.get_age_s(data_s))
+
     def _add_old_answer(
         self,
         service: ServiceId,
@@ -199,6 +205,7 @@
         route: str,
         upstream: Upstream,
         quality: AnswerQuality,
+        span: RunSpan,
     ) -> None:
         service = rollout.order.service
         own = self._own_evidence[service]
@@ -219,9 +226,15 @@
             rollout.position,
             route,
             upstream.id,
-            own.take_unreported(route),
+            evidence,
             rollout.get_age_s(get_elapsed_s()),
             quality.value,
+            span.begun_age_s,
+            span.has_answered,
+            own.take_unreported(),
+            self._vm,
+            own.answers,
+            own.total,
         )
         self._count_failure(rollout, message)
         self._post(message)
@@ -237,8 +250,12 @@
         )
         if rollout is None:
             return
-        if message.quality in _OUTAGES and not rollout.record_outage(
-            message.upstream
+        rollout.record_answers(message.gateway, message.answers, message.total)
+        _add_good_answers(rollout, message.earlier, message.age_s)
+        span = RunSpan(message.begun_age_s, message.has_answered)
+        quality = AnswerQuality(message.quality)
+        if not rollout.outages.record(
+            message.upstream, quality, span, message.age_s
         ):
             return
         rollout.add_evidence(message.route, message.evidence)
@@ -253,8 +270,7 @@
             rollout.record_answers(
                 message.gateway, message.answers, message.evidence
             )
-            for route, evidence in message.routes.items():
-                rollout.add_evidence(route, evidence)
+            _add_good_answers(rollout, message.routes, message.age_s)
 
     def on_sessions_message(self, message: ActiveSessionsMessage) -> None:
         """Applies the active sessions that another gateway has reported."""
@@ -287,22 +303,10 @@
     def _count_failure(self, rollout: Rollout, message: FailureMessage) -> None:
         was_stopped = rollout.is_stopped
         ready = self._deployment.rotation.get_ready(message.service)
-        target = rollout.order.version
-        peers = sum(u.entry.version == target for u in ready)
+        peers = sum(u.entry.version == rollout.order.version for u in ready)
         rollout.add_failure(message.upstream, peers)
         if rollout.is_stopped and not was_stopped:
-            _log.warning(
-                "rollout_stopped",
-                extra={
-                    "service": message.service,
-                    "version": target,
-                    "failures": rollout.new_failures,
-                    "route": message.route,
-                    "upstream": message.upstream,
-                    "answers": rollout.get_answer_count(),
-                    "age_s": round(message.age_s, 2),
-                },
-            )
+            log_stop(rollout, message.route, message.upstream)
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -315,22 +319,19 @@
             except StoreConflictError:
                 pass  # Another gateway wrote first; the next check reads it.
             except StoreError as error:
-                _log.warning(
-                    "rollout_not_written", extra={"reason": error.message}
-                )
+                reason = {"reason": error.message}
+                _log.warning("rollout_not_written", extra=reason)
                 await asyncio.sleep(RETRY_S)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _report_counts(self) -> None:
-        now_s = get_elapsed_s()
+        assert self._peer_messenger is not None
+        gateways = self._peer_messenger.gateway_count
+        now_s, draw = get_elapsed_s(), hash_to_share(self._vm)
         for service, rollout in self._deployment.rollouts.items():
             own = self._own_evidence[service]
-            is_due = now_s >= own.report_due_s
-            if rollout.outcome is not RolloutOutcome.RUNNING or not is_due:
-                continue
-            own.report_due_s = now_s + rollout.get_report_interval_s()
-            unreported = own.take_all_unreported()
-            if not unreported:
+            is_due = is_report_due(rollout, own, now_s, gateways, draw)
+            if not is_due or own.is_total_reported:
                 continue
             self._post(
                 AnswerCountMessage(
@@ -340,7 +341,7 @@
                     own.answers,
                     rollout.get_age_s(now_s),
                     own.total,
-                    unreported,
+                    own.take_unreported(),
                 )
             )
 
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -13,6 +13,7 @@
 
 from lovagestage.decisions.positions import get_era, get_offset
 from lovagestage.gateway.configuration import hash_to_share
+from lovagestage.gateway.outages import OutageTable
 from lovagestage.gateway.rollout_evidence import (
     EVIDENCE_FLOOR,
     LATE_PROOF_EVIDENCE,
@@ -70,13 +71,6 @@
 
 ALL_ROUTES = ""
 """Key of the evidence of all routes together."""
-REPORTS = 24
-"""Number of reports, spread over the duration of an order, in which a gateway
-tells the others how many answers of the new version it has received and what
-these say. Failures are told at once; without the good answers of the others,
-the failures of a large fleet would add up against a good version."""
-MIN_REPORT_INTERVAL_S = 0.5
-"""Shortest interval in seconds between two reports."""
 COMPLETE_ANSWERS = 20
 """Answers of the new version that are needed for its completion at
 `COMPLETE_RATIO`."""
@@ -91,6 +85,9 @@
 """Answers that complete the roll-out of a service with little traffic after
 `LATE_RATIO` of the duration, if the evidence does not speak against the
 version."""
+OVERDUE_RATIO = 2.0
+"""Multiple of the order's duration after which an undecided version is
+reverted: it is not proved, and no more answers are to be expected."""
 
 
 LOST_S = 60.0
@@ -133,6 +130,7 @@
         held_sessions: Sessions of all gateways that were active when the share
             was agreed; in the first half of the roll-out they are not moved to
             the new version.
+        outages: Outages of the new version's upstreams.
     """
 
     def __init__(
@@ -150,6 +148,7 @@
         self.new_failures = 0
         self.first_share = 0.0
         self.held_sessions: set[str] = set()
+        self.outages = OutageTable()
         self._share_set_s: float | None = None
         self._received_s = received_s
         # A session that is assigned to a version while this version's
@@ -160,7 +159,6 @@
         )
         self._evidence: dict[str, float] = {}
         self._failed_upstreams: set[str] = set()
-        self._lost_upstreams: set[str] = set()
         self._is_version_suspect = False
         self._reports: dict[str, tuple[int, float]] = {}
 
@@ -255,18 +253,17 @@
         return now_s - self._received_s
 
     def is_loaded(self, now_s: float) -> bool:
-        """Returns whether the new version has reached its load step."""
-        is_due = self.get_elapsed_ratio(now_s) >= LOAD_STEP.from_ratio
+        """Returns whether the new version is in its load step.
+
+        A version that is undecided at the end goes back to the first share.
+        """
+        is_due = LOAD_STEP.from_ratio <= self.get_elapsed_ratio(now_s) < 1.0
         return is_due and self.get_answer_count() >= LOAD_STEP.min_answers
 
     def get_elapsed_ratio(self, now_s: float) -> float:
         """Returns the share of the order's duration that has passed."""
         return self.get_age_s(now_s) / max(1.0, self.order.duration_s)
 
-    def get_report_interval_s(self) -> float:
-        """Returns the interval in seconds between two reports of a gateway."""
-        return max(MIN_REPORT_INTERVAL_S, self.order.duration_s / REPORTS)
-
     def get_share(self, now_s: float) -> float:
         """Returns the share of the sessions that go to the new version."""
         if self.outcome is RolloutOutcome.COMPLETED:
@@ -305,16 +302,6 @@
         """Returns the log-likelihood ratio of each route's answers."""
         return dict(self._evidence)
 
-    def record_outage(self, upstream: str) -> bool:
-        """Records that an upstream may have crashed or its link may be cut.
-
-        Returns:
-            Whether that is the first sign of it.
-        """
-        is_first = upstream not in self._lost_upstreams
-        self._lost_upstreams.add(upstream)
-        return is_first
-
     def add_failure(self, upstream: str, peers: int) -> None:
         """Records a failure of the new version, after its evidence was added.
 
@@ -346,18 +333,25 @@
         if self.is_stopped:
             return RolloutOutcome.REVERTED
         ratio = self.get_elapsed_ratio(now_s)
-        due_ratio = self._get_due_ratio()
+        due_ratio = self.get_due_ratio()
         if ratio < due_ratio:
             return RolloutOutcome.RUNNING
         suspicion = self._get_suspicion()
         if self._is_version_suspect and suspicion >= SUSPICION_EVIDENCE:
             return RolloutOutcome.REVERTED
         is_late = ratio >= due_ratio + LATE_RATIO - COMPLETE_RATIO
-        if suspicion <= 0.0 and self._is_proved(is_late):
+        # A last slow answer on a route without further traffic would outlast
+        # all that speaks for the version.
+        is_clear = suspicion <= 0.0 or (
+            ratio >= 1.0 and suspicion < SUSPICION_EVIDENCE
+        )
+        if is_clear and self._is_proved(is_late):
             return RolloutOutcome.COMPLETED
+        if ratio >= OVERDUE_RATIO:
+            return RolloutOutcome.REVERTED
         return RolloutOutcome.RUNNING
 
-    def _get_due_ratio(self) -> float:
+    def get_due_ratio(self) -> float:
         """Returns the share of the duration after which a verdict is due."""
         margin_ratio = VERDICT_MARGIN_S / max(1.0, self.order.duration_s)
         return max(MIN_DUE_RATIO, min(COMPLETE_RATIO, 1.0 - margin_ratio))
--- a/tests/test_rollout_evidence_gaps.py
+++ b/tests/test_rollout_evidence_gaps.py
@@ -6,6 +6,8 @@
 import time
 import types
 
+import pytest
+
 from lab import worker as lab
 from lovagestage.gateway.latency import MIN_SAMPLES, LatencyTable
 from lovagestage.gateway.peer_messages import AnswerCountMessage, FailureMessage
@@ -15,7 +17,7 @@
     SLOW_QUALITIES,
     AnswerQuality,
 )
-from lovagestage.gateway.rollouts import REPORTS
+from lovagestage.gateway.rollout_reports import REPORTS
 from lovagestage.gateway.run_weighing import RunWeighing
 from lovagestage.gateway.stall_detection import StallDetector
 from tests.gateway_harness import run_gateway_harness
@@ -120,6 +122,39 @@
     assert not SLOW_QUALITIES.intersection(evidence.qualities)
 
 
+async def test_stream_whose_caller_holds_it_up_is_not_slow():
+    # What the caller did not take was not read, which counted as the pause of
+    # the version; also where the caller left at last.
+    for error in (None, ConnectionError()):
+        evidence = EvidenceRecorder()
+        weighing = make_weighing(evidence)
+        weighing.__enter__()
+        weighing.record_start()
+        for pause_s in (0.0, 0.0, 0.0, 0.3, 0.0):
+            weighing.record_event()
+            await asyncio.sleep(pause_s)
+            weighing.record_sent()
+            await asyncio.sleep(USUAL_S)
+        if error is not None:
+            weighing.record_event()
+            await asyncio.sleep(0.3)
+        weighing.__exit__(error and type(error), error, None)
+        assert not SLOW_QUALITIES.intersection(evidence.qualities)
+
+
+async def test_slow_stream_is_slow_beside_a_stall_of_its_gateway():
+    # One stall must not excuse the pauses that the version makes itself.
+    evidence = EvidenceRecorder()
+    with make_weighing(evidence) as weighing:
+        weighing.record_start()
+        for _ in range(4):
+            weighing.record_event()
+            await asyncio.sleep(5.0 * USUAL_S)
+        await read_while_stalled()
+        weighing.record_event()
+    assert AnswerQuality.SLOW in evidence.qualities
+
+
 def test_reports_do_not_leave_out_most_of_a_busy_gateways_good_answers():
     # What a gateway has to report is cut at the floor between two slow answers,
     # so that others see four in a row where 130 good ones lie between them.
@@ -136,6 +171,25 @@
     assert not other.rollout.is_stopped
 
 
+def test_sums_of_all_gateways_are_equal():
+    # Good answers on other routes, and the failures themselves, were missing
+    # from what the others knew at a failure.
+    own, other = RolloutServiceHarness(), RolloutServiceHarness()
+    trial = own.service._own_evidence["pool"]
+    for answers in ([("a", GOOD)] * 6 + [("b", SLOW)] * 2, [("b", SLOW)]):
+        for route, quality in answers:
+            own.service.record_answer(
+                "pool", route, Assignment("v2", True), own.upstreams[0], quality
+            )
+        trial.report_due_s = 0.0
+        own.service._report_counts()
+        deliver(own, other)
+    sums = own.rollout.get_evidence_by_route()
+    assert other.rollout.get_evidence_by_route() == pytest.approx(sums)
+    total = own.rollout.get_total_evidence()
+    assert other.rollout.get_total_evidence() == pytest.approx(total)
+
+
 def test_crash_of_an_old_upstream_does_not_hide_a_failing_version():
     # Each request that a crash of the old version's upstream ends raised the
     # rate at which that version fails: a new one that fails every answer was
