Complete no version over a route's suspicion at its deadline (EXPOSURE)

Cause: the rule that a good version must not hang on one slow answer of a rarely used route held from the duration on, where little is known yet. The test that was written for the rule asks for the later moment; a second one asks that the version is undecided at its deadline. Both failed before (COMPLETED).

--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -343,7 +343,7 @@
         # A last slow answer on a route without further traffic would outlast
         # all that speaks for the version.
         is_clear = suspicion <= 0.0 or (
-            ratio >= 1.0 and suspicion < SUSPICION_EVIDENCE
+            ratio >= OVERDUE_RATIO and suspicion < SUSPICION_EVIDENCE
         )
         if is_clear and self._is_proved(is_late):
             return RolloutOutcome.COMPLETED
--- a/tests/test_rollout_verdicts.py
+++ b/tests/test_rollout_verdicts.py
@@ -150,9 +150,19 @@
     add_answers(rollout, "x", failure_rate=0.1, route="rare")
     total = rollout.get_total_evidence()
     rollout.record_answers("edge-1", 41, total)
-    assert rollout.get_due_outcome(DEADLINE_S - 0.01) is RolloutOutcome.RUNNING
-    done = rollout.get_due_outcome(DEADLINE_S + 0.01)
-    assert done is RolloutOutcome.COMPLETED
+    end_s = 100.0 + OVERDUE_RATIO * ORDER.duration_s
+    assert rollout.get_due_outcome(end_s - 0.01) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(end_s + 0.01) is RolloutOutcome.COMPLETED
+
+
+def test_a_slow_answer_near_the_deadline_is_not_passed_over():
+    # Few answers speak for a version; the last ones of a route speak against.
+    rollout = make_rollout()
+    add_answers(rollout, "." * 17, failure_rate=0.1)
+    add_answers(rollout, "x", failure_rate=0.1, route="rare")
+    rollout.record_answers("edge-1", 19, rollout.get_total_evidence())
+    due = rollout.get_due_outcome(DEADLINE_S + 0.01)
+    assert due is RolloutOutcome.RUNNING
 
 
 def test_a_failure_just_before_the_deadline_is_not_passed_over():
