--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -202,14 +202,45 @@
         self.appended = asyncio.Event()
         return offset
 
+    def copy(self) -> Topic:
+        topic = Topic("")
+        topic.is_keyed = self.is_keyed
+        topic.records = list(self.records)
+        topic.newest = dict(self.newest)
+        return topic
+
 
 class Store:
-    """The metadata store: a log with keyed topics, always available."""
+    """The metadata store: a log with keyed topics.
+
+    In a drill it is away for a moment, and comes back from a copy.
+    """
 
     def __init__(self, record: Record) -> None:
         self.address = ""
         self._record = record
         self._topics: dict[str, Topic] = {}
+        self._era = 1
+        self.is_away = False
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    def take_copy(self) -> dict[str, Topic]:
+        return {name: topic.copy() for name, topic in self._topics.items()}
+
+    def go_away(self) -> None:
+        """Ends all connections, and each new one, until it is back."""
+        self.is_away = True
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+        self._record.add("store: away")
+
+    def come_back(self, copy: dict[str, Topic]) -> None:
+        """Comes back from a copy; what was written since is gone."""
+        self._topics = {name: topic.copy() for name, topic in copy.items()}
+        self._era += 1
+        self.is_away = False
+        self._record.add(f"store: back from a copy, era {self._era}")
 
     async def start(self) -> None:
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -237,24 +268,28 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(*_CONNECTION_ENDS):
-            while True:
+            while not self.is_away:
                 request = await read_message(reader)
                 writer.write(await self._answer(request))
                 await writer.drain()
-        writer.close()
+        self._writers.discard(writer)
+        writer.transport.abort()
 
     async def _answer(self, request: Message) -> bytes:
         path, _, query_text = request.target.partition("?")
         query = dict(
             item.partition("=")[::2] for item in query_text.split("&") if item
         )
-        headers = {"Store-Era": "1"}
+        headers = {"Store-Era": str(self._era)}
         topic = self._get(query.get("Topic", ""))
         if path == "/v1/log-append":
             status, fields = self._append(topic, query, request.body)
             return make_answer(status, headers, json.dumps(fields).encode())
         if path == "/v1/log-read":
+            if int(query["Source"]) > len(topic.records):
+                return make_answer(410, headers, b'{"StartOffset":0}')
             body = await self._read(topic, query)
             return make_answer(200, headers, body)
         if path == "/v1/log-newest":
@@ -382,7 +417,8 @@
 class Client:
     """A client that keeps its connection for many requests."""
 
-    def __init__(self, address: str, record: Record) -> None:
+    def __init__(self, address: str, record: Record, key: str = KEY) -> None:
+        self._key = key
         self._host, _, self._port = address.rpartition(":")
         self._record = record
         self._reader: asyncio.StreamReader | None = None
@@ -408,7 +444,7 @@
         headers = {
             "Host": HOST,
             "Attempt-Id": request_id,
-            "Authorization": f"Token {KEY}",
+            "Authorization": f"Token {self._key}",
             "Deadline-Ms": "8000",
             "Content-Length": str(len(body)),
             **{name.replace("_", "-"): value for name, value in extra.items()},
