--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -253,6 +253,11 @@
         self._get(topic).append([bytes((len(name),)) + name + data])
         self._record.add(f"store: {topic} {key} written")
 
+    def get_newest(self, topic: str, key: str) -> bytes | None:
+        """Returns the newest value of a key, as the operator reads it."""
+        found = self._get(topic).newest.get(key)
+        return None if found is None else found[1]
+
     def beat(self, name: str, entry: Mapping[str, object]) -> None:
         """Writes a worker's entry, if more than its `Sequence` changes."""
         known = self._get("keyed.servers").newest.get(name)
