--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -12,6 +12,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import pathlib
 import random
@@ -625,6 +626,8 @@
     if not (ROOT / "target" / "deps" / "lovagestage").is_dir():
         print("the build of the deploy file has not been made")
         sys.exit(EXIT_NOT_RUN)
+    # Connections that are reset are a part of the cases.
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
     record = Record(folder / "record.txt")
     record.add("with the disruption" if WITH_TROUBLE else "TROUBLE=0")
     work = pathlib.Path(tempfile.mkdtemp())
