--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -334,7 +334,9 @@
 
     @staticmethod
     def _list(topic: Topic, query: Mapping[str, str]) -> dict[str, object]:
-        keys = sorted(key for key in topic.newest if key > query.get("After", ""))
+        keys = sorted(
+            key for key in topic.newest if key > query.get("After", "")
+        )
         entries = [
             {
                 "Key": key,
@@ -384,7 +386,9 @@
     async def start(self) -> None:
         """Starts a process; one that starts again has the address it had."""
         port = int(self.address.rpartition(":")[2] or 0)
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
         bound = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{bound}"
         self._record.add(f"worker: {self.name} started")
@@ -457,12 +461,16 @@
         }
         self._record.add(f"client: {request_id} sent")
         try:
-            self._writer.write(make_head(f"POST {path} HTTP/1.1", headers) + body)
+            self._writer.write(
+                make_head(f"POST {path} HTTP/1.1", headers) + body
+            )
             await self._writer.drain()
             answer = await read_message(self._reader)
         except (EOFError, ConnectionError) as error:
             self.close()
-            self._record.add(f"client: {request_id} connection ended: {error!r}")
+            self._record.add(
+                f"client: {request_id} connection ended: {error!r}"
+            )
             if isinstance(error, EOFError) and str(error) != "b''":
                 raise
             return None
