--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -10,6 +10,7 @@
 # Maps each command to its module, which defines `add_arguments(parser)` and
 # `run(args) -> int`.
 COMMANDS: dict[str, str] = {
+    "day": "lab.day.command",
     "engine": "lab.engine",
     "experiment": "lab.experiment",
     "load": "lab.load",
--- a/lab/soak/gateways.py
+++ b/lab/soak/gateways.py
@@ -27,12 +27,19 @@
         is_frozen: Whether the process is suspended by SIGSTOP.
     """
 
-    def __init__(self, name: str, link: Proxy, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        link: Proxy,
+        folder: pathlib.Path,
+        settings: str = SETTINGS,
+    ) -> None:
         self.name = name
         self.link = link
         self.is_frozen = False
         self.client_port, self.ready_port = get_free_port(), get_free_port()
         self._peer_port = get_free_port()
+        self._settings = settings
         self._path = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -56,7 +63,7 @@
 
     async def start(self) -> None:
         """Starts the process and appends its output to the log file."""
-        text = SETTINGS.replace("NAME", self.name)
+        text = self._settings.replace("NAME", self.name)
         text = text.replace("CLIENT", str(self.client_port))
         text = text.replace("READY", str(self.ready_port))
         text = text.replace("PEER", str(self._peer_port))
@@ -80,18 +87,37 @@
             self._process.send_signal(signal_number)
             self.is_frozen = signal_number is signal.SIGSTOP
 
-    async def restart(self, signal_number: signal.Signals) -> None:
+    async def restart(
+        self,
+        signal_number: signal.Signals,
+        kill_after_s: float | None = None,
+    ) -> None:
         """Ends the process with a signal and starts another one.
 
         Concurrent calls run one after the other.
+
+        Args:
+            signal_number: The signal.
+            kill_after_s: Seconds after which a process that has not ended is
+                killed; None for never.
         """
         async with self._restart_lock:
             self.send_signal(signal_number)
             if self._process is not None:
-                await self._process.wait()
+                await self._wait_or_kill(self._process, kill_after_s)
             await asyncio.sleep(RESTART_S)
             await self.start()
 
+    async def _wait_or_kill(
+        self, process: asyncio.subprocess.Process, kill_after_s: float | None
+    ) -> None:
+        try:
+            async with asyncio.timeout(kill_after_s):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
     async def stop(self) -> None:
         """Kills the process without starting another one."""
         if self.is_alive and self._process is not None:
