--- a/src/lovagestage/adapters/http1.py
+++ b/src/lovagestage/adapters/http1.py
@@ -16,7 +16,11 @@
 
 import h11
 
-from lovagestage.exceptions import ConnectionLostError, WrongMessageError
+from lovagestage.exceptions import (
+    ChannelResetError,
+    UpstreamConnectionError,
+    UpstreamMessageError,
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -145,11 +149,11 @@
             The bytes; empty after the peer has closed the connection.
 
         Raises:
-            ConnectionLostError: The connection was reset.
+            ChannelResetError: The connection was reset.
         """
         while not self._buffer:
             if self._is_reset:
-                raise ConnectionLostError("The connection was reset.")
+                raise ChannelResetError("The connection was reset.")
             if self._is_ended:
                 return b""
             self._read_waiter = asyncio.get_running_loop().create_future()
@@ -219,8 +223,8 @@
         timeout_s: Longest time in seconds that the connection set-up may take.
 
     Raises:
-        ConnectionLostError: The connection was refused, timed out or could not
-            be opened otherwise; no byte of a request can have been sent.
+        UpstreamConnectionError: The connection was refused, timed out or could
+            not be opened otherwise; no byte of a request can have been sent.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
@@ -228,7 +232,7 @@
         async with asyncio.timeout(timeout_s):
             _, channel = await loop.create_connection(Channel, host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
-        raise ConnectionLostError(
+        raise UpstreamConnectionError(
             f"{address}: {type(error).__name__}."
         ) from error
     channel.set_tcp_timeouts()
@@ -259,7 +263,7 @@
         """Sends a complete request.
 
         Raises:
-            WrongMessageError: The request is not valid HTTP/1.1.
+            UpstreamMessageError: The request is not valid HTTP/1.1.
         """
         self.requests_sent += 1
         parser = self._parser
@@ -272,23 +276,23 @@
                 data += parser.send(h11.Data(data=body)) or b""
             data += parser.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
-            raise WrongMessageError(str(error)) from error
+            raise UpstreamMessageError(str(error)) from error
         self.channel.write(data)
 
     async def receive_head(self) -> h11.Response:
         """Reads the head of the response.
 
         Raises:
-            ConnectionLostError: The connection ended before the head was
+            UpstreamConnectionError: The connection ended before the head was
                 complete.
-            WrongMessageError: The received bytes are not a valid response.
+            UpstreamMessageError: The received bytes are not a valid response.
         """
         while True:
             event = await self._receive()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
-                raise ConnectionLostError("Closed before an answer.")
+                raise UpstreamConnectionError("Closed before an answer.")
 
     async def receive_body_part(self) -> bytes | None:
         """Reads a part of the response body.
@@ -297,16 +301,16 @@
             The bytes of the part; None after the end of the body.
 
         Raises:
-            ConnectionLostError: The connection ended before the body was
+            UpstreamConnectionError: The connection ended before the body was
                 complete.
-            WrongMessageError: The received bytes are not a valid response.
+            UpstreamMessageError: The received bytes are not a valid response.
         """
         event = await self._receive()
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
-        raise ConnectionLostError("Closed within an answer.")
+        raise UpstreamConnectionError("Closed within an answer.")
 
     def discard_response(self) -> None:
         """Discards the last response and prepares to read the next one.
@@ -320,7 +324,14 @@
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._parser.send(self._head)
+        # The request has been sent. To read its response the parser needs its
+        # method alone; a length in the head would make it wait for the body.
+        head = h11.Request(
+            method=self._head.method,
+            target=self._head.target,
+            headers=[(b"Host", b"")],
+        )
+        self._parser.send(head)
         self._parser.send(h11.EndOfMessage())
         if trailing:
             self._parser.receive_data(trailing)
@@ -362,12 +373,14 @@
                 if event is not h11.NEED_DATA:
                     return event
                 self._parser.receive_data(await self.channel.receive())
-            except h11.RemoteProtocolError as error:
+            except ChannelResetError as error:
+                raise UpstreamConnectionError(error.message) from error
+            except h11.ProtocolError as error:
                 if self._parser.their_state is h11.ERROR and (
                     not self.channel.is_open
                 ):
-                    raise ConnectionLostError(str(error)) from error
-                raise WrongMessageError(str(error)) from error
+                    raise UpstreamConnectionError(str(error)) from error
+                raise UpstreamMessageError(str(error)) from error
 
 
 def remove_hop_by_hop(headers: Sequence[tuple[bytes, bytes]]) -> Headers:
--- a/src/lovagestage/exceptions.py
+++ b/src/lovagestage/exceptions.py
@@ -532,18 +532,46 @@
 one raises the same class of error again."""
 
 
-class ConnectionLostError(LovagestageError):
-    """A connection could not be opened, or ended before a complete answer."""
+class ChannelResetError(LovagestageError):
+    """A connection was reset, whichever side it serves.
+
+    Each side raises an error of its own instead.
+    """
+
+    code = "channel_reset"
+    exit_code = EXIT_UNAVAILABLE
+
+
+class UpstreamConnectionError(LovagestageError):
+    """A connection that this process opens failed or ended too soon.
+
+    It goes to an upstream or to the store. Its errors share no base with those
+    of a caller's connection: a handler that took one for the other would close
+    the connection of a caller that waits for its answer.
+    """
 
     code = "connection_lost"
     exit_code = EXIT_UNAVAILABLE
 
 
-class WrongMessageError(LovagestageError):
-    """Bytes on a connection are no valid HTTP/1.1, or a limit was exceeded.
+class UpstreamMessageError(LovagestageError):
+    """Bytes to or from an upstream or the store are no valid HTTP/1.1."""
+
+    code = "wrong_message"
+
+
+class CallerLostError(LovagestageError):
+    """A caller's connection ended before its request was complete."""
+
+    code = "caller_lost"
+    exit_code = EXIT_UNAVAILABLE
+
+
+class CallerMessageError(LovagestageError):
+    """A caller's bytes are no valid request, or exceed a limit.
 
     Attributes:
-        status: HTTP status to answer if a caller sent the bytes.
+        status: HTTP status to answer.
     """
 
     code = "wrong_message"
--- a/src/lovagestage/gateway/caller_connection.py
+++ b/src/lovagestage/gateway/caller_connection.py
@@ -14,10 +14,11 @@
 import lovagestage.platform.headers as wire
 from lovagestage.adapters.http1 import Channel, Headers
 from lovagestage.exceptions import (
-    ConnectionLostError,
+    CallerLostError,
+    CallerMessageError,
+    ChannelResetError,
     GatewayRefusalError,
     ProcessEndingError,
-    WrongMessageError,
 )
 from lovagestage.gateway.admission import RETRY_AFTER_S
 from lovagestage.gateway.configuration import ClientLimits
@@ -77,8 +78,8 @@
             for too long.
 
         Raises:
-            WrongMessageError: The request must not be forwarded.
-            ConnectionLostError: The caller reset the connection.
+            CallerMessageError: The request must not be forwarded.
+            CallerLostError: The caller reset the connection.
             ProcessEndingError: The process ends before the request was read.
         """
         limits = self._limits()
@@ -98,12 +99,18 @@
     async def _wait_for_input(self, timeout_s: float) -> bytes | None:
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.channel.receive()
+                return await self._receive_bytes()
         except TimeoutError:
             # Bytes that arrived in this turn of the loop are not dropped.
             if not self.channel.has_arrived_input():
                 return None
+            return await self._receive_bytes()
+
+    async def _receive_bytes(self) -> bytes:
+        try:
             return await self.channel.receive()
+        except ChannelResetError as error:
+            raise CallerLostError(error.message) from error
 
     async def _read_request(self, limits: ClientLimits) -> CallerRequest | None:
         try:
@@ -120,7 +127,7 @@
             async with asyncio.timeout(body_s):
                 body = await self._read_body(limits.body_bytes)
         except TimeoutError:
-            raise WrongMessageError(
+            raise CallerMessageError(
                 "The request was not received in time.", 408
             ) from None
         return dataclasses.replace(request, body=body, arrived_s=arrived_s)
@@ -256,11 +263,11 @@
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(chunks)
             if not isinstance(event, h11.Data):
-                raise ConnectionLostError("Connection closed within a request.")
+                raise CallerLostError("Connection closed within a request.")
             chunks.append(bytes(event.data))
             size += len(event.data)
             if size > limit_bytes:
-                raise WrongMessageError(f"Body over {limit_bytes} bytes.", 413)
+                raise CallerMessageError(f"Body over {limit_bytes} bytes.", 413)
 
     async def _receive(self) -> object:
         while True:
@@ -268,12 +275,11 @@
                 event = self._parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self.channel.receive()
-                self._parser.receive_data(data)
+                self._parser.receive_data(await self._receive_bytes())
             except h11.RemoteProtocolError as error:
                 if not self.channel.is_open:
-                    raise ConnectionLostError(str(error)) from error
-                raise WrongMessageError(
+                    raise CallerLostError(str(error)) from error
+                raise CallerMessageError(
                     str(error), error.error_status_hint
                 ) from error
 
@@ -289,7 +295,7 @@
         for name, value in event.headers
     )
     if size > limit_bytes:
-        raise WrongMessageError(f"Head over {limit_bytes} bytes.", 431)
+        raise CallerMessageError(f"Head over {limit_bytes} bytes.", 431)
 
 
 _HEADER_OVERHEAD_BYTES = 4
--- a/src/lovagestage/gateway/connections.py
+++ b/src/lovagestage/gateway/connections.py
@@ -56,7 +56,7 @@
             A connection on which a request can be sent.
 
         Raises:
-            ConnectionLostError: No connection could be opened; nothing was
+            UpstreamConnectionError: No connection could be opened; nothing was
                 sent.
         """
         now_s = asyncio.get_running_loop().time()
--- a/src/lovagestage/gateway/crash_detection.py
+++ b/src/lovagestage/gateway/crash_detection.py
@@ -18,7 +18,7 @@
     get_fingerprint,
 )
 from lovagestage.decisions.part_blame import PartChange, PartVerdict
-from lovagestage.exceptions import ConnectionLostError
+from lovagestage.exceptions import UpstreamConnectionError
 from lovagestage.gateway.admission import AdmittedRequest
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.messages import CallerRequest
@@ -313,7 +313,7 @@
             channel = await open_channel(
                 upstream.entry.address, CONFIRM_TIMEOUT_S
             )
-        except ConnectionLostError:
+        except UpstreamConnectionError:
             self._add_strike(fingerprint, run, upstream, parts)
             return
         channel.abort()
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -10,8 +10,8 @@
 from lovagestage.adapters.http1 import ClientConnection
 from lovagestage.exceptions import (
     AttemptFailedError,
-    ConnectionLostError,
-    WrongMessageError,
+    UpstreamConnectionError,
+    UpstreamMessageError,
 )
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
@@ -21,10 +21,10 @@
 from lovagestage.gateway.upstream_guard import UpstreamGuard
 from lovagestage.types import RunState
 
-MAX_HEADS_READ = 2
+MAX_HEADS_READ = 4
 """Number of answer heads that are read to find the answer to a request; if none
-belongs to it, the attempt fails. A late second answer to an earlier request may
-come first, and an upstream sends at most one second answer to a request."""
+belongs to it, the attempt fails. Late second answers to the last few requests
+on the connection may come first."""
 _BAD_GATEWAY_CODES = (502, 503, 504)
 
 
@@ -151,7 +151,7 @@
             was_reused = connection.requests_sent > 0
             try:
                 head = await self._send_call(connection)
-            except ConnectionLostError as error:
+            except UpstreamConnectionError as error:
                 if was_reused and self._is_repeatable:
                     # The upstream probably closed the pooled connection while
                     # it was idle.
@@ -161,7 +161,7 @@
                 raise AttemptFailedError(
                     "connection_lost", RunState.UNKNOWN
                 ) from error
-            except WrongMessageError as error:
+            except UpstreamMessageError as error:
                 raise AttemptFailedError(
                     "wrong_bytes", RunState.UNKNOWN
                 ) from error
@@ -187,7 +187,7 @@
         assert self._connection is not None
         try:
             chunk = await self._connection.receive_body_part()
-        except (ConnectionLostError, WrongMessageError) as error:
+        except (UpstreamConnectionError, UpstreamMessageError) as error:
             raise AttemptFailedError("answer_broken", RunState.RAN) from error
         self.upstream.performance.stall_detector.record_data(get_elapsed_s())
         self.is_complete = chunk is None
@@ -237,7 +237,7 @@
             self._connection = await self._pool.acquire(
                 self.upstream, self._is_repeatable
             )
-        except ConnectionLostError as error:
+        except UpstreamConnectionError as error:
             self._connection = None
             raise AttemptFailedError(
                 "unreachable",
@@ -288,7 +288,7 @@
             while await connection.receive_body_part() is not None:
                 await asyncio.sleep(0)
             connection.discard_response()
-        raise WrongMessageError("Got only answers to other requests.")
+        raise UpstreamMessageError("Got only answers to other requests.")
 
     def _record_notices(self, head: AnswerHead, sent_s: float) -> None:
         """Records what the upstream says of itself.
--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -7,15 +7,13 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-import h11
-
 from lovagestage.adapters.http1 import Channel
 from lovagestage.exceptions import (
     AttemptFailedError,
-    ConnectionLostError,
+    CallerLostError,
+    CallerMessageError,
     GatewayRefusalError,
     ProcessEndingError,
-    WrongMessageError,
 )
 from lovagestage.gateway.caller_connection import CallerConnection
 from lovagestage.gateway.configuration import ClientLimits
@@ -126,8 +124,8 @@
             while await self._serve_request(connection):
                 pass
             connection.channel.close()
-        except (ConnectionLostError, h11.LocalProtocolError) as error:
-            _log.info("caller_lost", extra={"reason": str(error)})
+        except CallerLostError as error:
+            _log.info("caller_lost", extra={"reason": error.message})
             connection.channel.abort()
         except asyncio.CancelledError:
             connection.channel.abort()
@@ -139,29 +137,32 @@
         """Serves one request; returns whether another one may follow."""
         try:
             request = await connection.read_request()
-        except WrongMessageError as error:
+        except CallerMessageError as error:
             refusal = GatewayRefusalError(error.status, "wrong_message")
             await self._refuse_unread(connection, refusal, error.message)
             return False
         except ProcessEndingError as refusal:
             await self._refuse_unread(connection, refusal, refusal.reason)
             return False
+        except CallerLostError:
+            raise
+        except Exception:
+            _log.exception("request_not_read")
+            failure = GatewayRefusalError(503, "internal_error")
+            await self._refuse_unread(connection, failure, failure.reason)
+            return False
         if request is None:
             return False
         try:
             await self._handler(request, connection)
         except (AttemptFailedError, ProcessEndingError):
-            # The connection is aborted so that the stream does not look
-            # complete.
-            connection.channel.abort()
+            await self._end_answer(request, connection)
             return False
-        except (ConnectionLostError, h11.LocalProtocolError):
-            raise
         except Exception:
             _log.exception(
                 "caller_connection_failed", extra={"request": request.id}
             )
-            await self._answer_failure(request, connection)
+            await self._end_answer(request, connection)
             return False
         return connection.prepare_next_request()
 
@@ -183,10 +184,14 @@
         connection.closes = True
         await connection.send_refusal("", refusal)
 
-    async def _answer_failure(
+    async def _end_answer(
         self, request: CallerRequest, connection: CallerConnection
     ) -> None:
-        """Answers a request whose handler failed; it may have run."""
+        """Ends the answer to a request that failed; the request may have run.
+
+        A caller that has got the head of an answer can be told by the end of
+        its connection alone; any other one gets an answer.
+        """
         if connection.status:
             connection.channel.abort()
             return
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -10,7 +10,7 @@
     remove_hop_by_hop,
 )
 from lovagestage.decisions.upstream_notices import AnswerNotices
-from lovagestage.exceptions import WrongMessageError
+from lovagestage.exceptions import CallerMessageError
 from lovagestage.gateway.messages import (
     AnswerHead,
     CallerRequest,
@@ -73,17 +73,17 @@
         event: The request line and headers as received.
 
     Raises:
-        WrongMessageError: The request can't be forwarded: its length is
+        CallerMessageError: The request can't be forwarded: its length is
             ambiguous or a header that must be unique is repeated.
     """
     raw = get_raw_headers(event)
     fields = {name.lower(): value for name, value in raw}
     names = [name.lower() for name, _ in raw]
     if b"transfer-encoding" in fields and b"content-length" in fields:
-        raise WrongMessageError("Both a length and a transfer coding.")
+        raise CallerMessageError("Both a length and a transfer coding.")
     for name in (b"host", _REQUEST_ID, _API_KEY, _DEADLINE):
         if names.count(name) > 1:
-            raise WrongMessageError(f"Header {name.decode()} stands twice.")
+            raise CallerMessageError(f"Header {name.decode()} stands twice.")
     target = event.target.decode("ascii")
     usage = _get_text(fields, _TOKEN_USAGE).split(",")
     return CallerRequest(
--- a/src/lovagestage/platform/store.py
+++ b/src/lovagestage/platform/store.py
@@ -23,14 +23,14 @@
     make_position,
 )
 from lovagestage.exceptions import (
-    ConnectionLostError,
     StoreAnswerLostError,
     StoreConflictError,
     StoreEraChangedError,
     StoreHistoryLostError,
     StoreUnavailableError,
     TransferProgress,
-    WrongMessageError,
+    UpstreamConnectionError,
+    UpstreamMessageError,
 )
 from lovagestage.platform.records import (
     Page,
@@ -359,7 +359,11 @@
             is_ok = status == 200
             outcome = CallOutcome.ANSWERED if is_ok else CallOutcome.REFUSED
             return status, answer
-        except (ConnectionLostError, WrongMessageError, TimeoutError) as error:
+        except (
+            UpstreamConnectionError,
+            UpstreamMessageError,
+            TimeoutError,
+        ) as error:
             was_sent = self._connection is not None
             self.close()
             error_type = (
@@ -397,7 +401,7 @@
         head: h11.Response = await connection.receive_head()
         era = _get_era(head, self._eras.current)
         if self._eras.observe(era) is EraChange.OUTDATED:
-            raise WrongMessageError(f"Answer of the earlier era {era}.")
+            raise UpstreamMessageError(f"Answer of the earlier era {era}.")
         on_era(era)
         answer = await self._receive_body(connection, head, on_part)
         if not connection.make_reusable():
@@ -421,7 +425,9 @@
             received_bytes = self._transfer.received_bytes + len(part)
             self._transfer = TransferProgress(received_bytes, expected_bytes)
             if received_bytes > _BODY_LIMIT_BYTES:
-                raise WrongMessageError(f"Body over {_BODY_LIMIT_BYTES} bytes.")
+                raise UpstreamMessageError(
+                    f"Body over {_BODY_LIMIT_BYTES} bytes."
+                )
         return b"".join(parts)
 
 
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -11,7 +11,7 @@
 
 from lovagestage.decisions.upstream_notices import AnswerNotices
 from lovagestage.decisions.warmup import Warmup
-from lovagestage.exceptions import CodecError, SettingsError, WrongMessageError
+from lovagestage.exceptions import CallerMessageError, CodecError, SettingsError
 from lovagestage.gateway.configuration import RouteKind
 from lovagestage.gateway.messages import OutgoingCall
 from lovagestage.gateway.rollouts import OutcomeRecord, RolloutOutcome
@@ -89,7 +89,7 @@
 
 @pytest.mark.parametrize("name", [b"Attempt-Id", b"Deadline-Ms"])
 def test_headers_that_decide_may_stand_once(name):
-    with pytest.raises(WrongMessageError):
+    with pytest.raises(CallerMessageError):
         decode([*REQUEST, (name, b"1")])
 
 
