--- a/lab/caller.py
+++ b/lab/caller.py
@@ -56,7 +56,7 @@
             the response head, or of a body with a Content-Length.
     """
     head = await reader.readuntil(b"\r\n\r\n")
-    status_line, *lines = head.decode().split("\r\n")
+    status_line, *lines = head.decode("latin-1").split("\r\n")
     pairs = (line.partition(":") for line in lines if line)
     headers = {name.lower(): value.strip() for name, _, value in pairs}
     status = int(status_line.split(" ")[1])
--- a/lab/worker.py
+++ b/lab/worker.py
@@ -164,7 +164,7 @@
     """Reads one request; returns None at the end of the connection."""
     with contextlib.suppress(asyncio.IncompleteReadError):
         head = await reader.readuntil(b"\r\n\r\n")
-        request_line, *lines = head.decode().split("\r\n")
+        request_line, *lines = head.decode("latin-1").split("\r\n")
         method, target, _ = request_line.split(" ")
         pairs = (line.partition(":") for line in lines if line)
         headers = {n.strip().lower(): v.strip() for n, _, v in pairs}
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -62,6 +62,9 @@
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+_MAX_DIGITS = 15
+"""Digits of the largest number that is read; the interpreter refuses to convert
+very long ones."""
 _DEFAULT_DEADLINE_S = 30.0
 """Deadline in seconds of a request whose caller states none."""
 
@@ -102,7 +105,7 @@
         key=_get_api_key(fields),
         model=_get_text(fields, _MODEL) if _MODEL in fields else None,
         prompt_segments=_get_prompt_parts(_get_text(fields, _PREFIX_HASH)),
-        prompt_tokens=int(usage[0]) if usage[0].isdigit() else 0,
+        prompt_tokens=_parse_count(usage[0]) or 0,
         resume_after=_get_text(fields, _LAST_EVENT_ID) or None,
         session=_get_text(fields, _SESSION) or None,
     )
@@ -121,6 +124,12 @@
         return default
 
 
+def _parse_count(text: str) -> int | None:
+    """Returns a number written in decimal digits; None for any other text."""
+    is_count = text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
+    return int(text) if is_count else None
+
+
 def _get_api_key(fields: dict[bytes, bytes]) -> str | None:
     scheme, _, key = _get_text(fields, _API_KEY).partition(" ")
     return key.strip() if scheme.lower() == _API_KEY_SCHEME else None
@@ -129,9 +138,10 @@
 def _get_prompt_parts(text: str) -> tuple[PromptSegment, ...]:
     parts = []
     for item in text.split(","):
-        name, _, tokens = item.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(PromptSegment(name, int(tokens)))
+        name, _, tokens_text = item.strip().partition(":")
+        tokens = _parse_count(tokens_text)
+        if name and tokens is not None:
+            parts.append(PromptSegment(name, tokens))
     return tuple(parts)
 
 
@@ -161,7 +171,7 @@
     """Decodes the status and the headers of an upstream's answer."""
     raw = get_raw_headers(event)
     fields = {name.lower(): value for name, value in raw}
-    confidence = _get_text(fields, _CONFIDENCE)
+    confidence = _parse_count(_get_text(fields, _CONFIDENCE))
     return AnswerHead(
         status=event.status_code,
         headers=tuple(remove_hop_by_hop(raw)),
@@ -172,7 +182,7 @@
         is_not_run=_NOT_EXECUTED in fields
         or event.status_code == _MISDIRECTED_STATUS,
         is_other_instance=event.status_code == _MISDIRECTED_STATUS,
-        confidence=float(confidence) if confidence.isdigit() else None,
+        confidence=None if confidence is None else float(confidence),
         closes_connection=b"close" in fields.get(b"connection", b"").lower(),
         idle_timeout_s=_get_idle_timeout(_get_text(fields, b"keep-alive")),
         has_encoding=b"content-encoding" in fields,
@@ -197,8 +207,9 @@
 def _get_idle_timeout(text: str) -> float | None:
     for item in text.split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value)
+        if name.lower() == "timeout":
+            timeout_s = _parse_count(value)
+            return None if timeout_s is None else float(timeout_s)
     return None
 
 
