--- a/src/lovagestage/adapters/http1.py
+++ b/src/lovagestage/adapters/http1.py
@@ -34,6 +34,11 @@
 unreachable VM or a cut link sends no reset, so without this timeout a request
 would hang until its deadline. The value is five times the smallest
 retransmission timeout, so a few lost packets are tolerated."""
+SMALL_BODY_BYTES = 16 * 1024
+"""Largest body of a request for which the TCP user timeout is set. The system
+applies it also to a peer that acknowledges all packets but reads nothing, so
+that a busy upstream would be taken for a lost one. It takes a smaller body into
+its receive buffer in any case."""
 KEEPALIVE_IDLE_S = 2
 """Inactivity after which the kernel sends the first TCP keep-alive probe."""
 KEEPALIVE_INTERVAL_S = 1
@@ -77,6 +82,7 @@
         self._reading_paused = False
         self._writable = asyncio.Event()
         self._writable.set()
+        self._user_timeout_ms = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; asyncio calls it."""
@@ -198,12 +204,22 @@
         if sock is None:
             return
         tcp = socket.IPPROTO_TCP
-        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        self.set_user_timeout(USER_TIMEOUT_MS)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
+    def set_user_timeout(self, timeout_ms: int) -> None:
+        """Sets the TCP user timeout in milliseconds; 0 for the system's own."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is None or self._user_timeout_ms == timeout_ms:
+            return
+        option = socket.TCP_USER_TIMEOUT
+        sock.setsockopt(socket.IPPROTO_TCP, option, timeout_ms)
+        self._user_timeout_ms = timeout_ms
+
     def _mark_ended(self) -> None:
         self._is_ended = True
         if not self.closed_by_peer.done():
@@ -277,6 +293,8 @@
             data += parser.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             raise UpstreamMessageError(str(error)) from error
+        is_small = len(body) <= SMALL_BODY_BYTES
+        self.channel.set_user_timeout(USER_TIMEOUT_MS if is_small else 0)
         self.channel.write(data)
 
     async def receive_head(self) -> h11.Response:
