--- a/lab/day/troubles.py
+++ b/lab/day/troubles.py
@@ -84,8 +84,7 @@
     async def _reload(self, trouble: Trouble) -> None:
         for gateway in self._choose_gateways(trouble.share):
             now_s = time.monotonic()
-            # One that has just been started is not ready for signals yet.
-            if gateway.is_alive and not gateway.is_restarting:
+            if gateway.is_alive:
                 gateway.send_signal(signal.SIGHUP)
                 self._add_work(WorkKind.HUP, gateway, now_s).ended_s = now_s
             await asyncio.sleep(trouble.gap_s)
--- a/src/lovagestage/gateway/__main__.py
+++ b/src/lovagestage/gateway/__main__.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from lovagestage.gateway.command import main
+# Until the process handles the signal it would end by it, with callers' first
+# connections waiting on its port. The imports below take most of that time.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from lovagestage.gateway.command import main  # noqa: E402
 
 sys.exit(main())
--- a/src/lovagestage/gateway/command.py
+++ b/src/lovagestage/gateway/command.py
@@ -5,6 +5,7 @@
 import argparse
 import os
 import pathlib
+import signal
 import sys
 from collections.abc import Sequence
 
@@ -66,6 +67,9 @@
         SettingsError: The settings are missing or invalid.
         ListenError: The gateway can't listen on the callers' address.
     """
+    # A request to reload ends no process that is still starting: the settings
+    # are read again once it handles the signal.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = resolve_path(options.settings)
     settings = read_settings(path)
     if options.check:
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -122,6 +122,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        # They may have changed since the process has read them.
+        self._reload("start")
         try:
             await self._open_probe_servers()
             for service in self._components.services:
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -28,6 +28,8 @@
     except OSError as error:
         reason = f"can't be read: {error.strerror}."
         raise SettingsError(str(path), 0, "", reason) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(str(path), 0, "", f"{error.reason}.") from error
     return decode_settings(text, str(path))
 
 
--- a/src/lovagestage/timers.py
+++ b/src/lovagestage/timers.py
@@ -10,11 +10,14 @@
 import asyncio
 import heapq
 import itertools
+import logging
 import time
 from collections.abc import Callable
 
 import mode
 
+_log = logging.getLogger(__name__)
+
 Callback = Callable[[], None]
 
 
@@ -75,7 +78,11 @@
             if not subscription.active:
                 continue
             self._schedule(now_s + subscription.period_s, subscription)
-            subscription.fire()
+            try:
+                subscription.fire()
+            except Exception:
+                # The others must go on, and this one may succeed next time.
+                _log.exception("timer_failed")
         return self._due_heap[0][0] - now_s if self._due_heap else None
 
     def _schedule(self, due_at_s: float, subscription: Subscription) -> None:
