Let no late write hide a living upstream (DRAIN)

Cause: a gateway that starts after an upstream's restart under its id knows the new process alone. A late write of the process before it, with an earlier start time, was taken for a newer process, and from then on every entry of the living one was dropped as a late write, however often it came.

Change: a later start time replaces the known process at once. An earlier one, or one that was replaced, does so after two entries more than 1.25 heartbeats apart without one of the known process between them. HeartbeatMs is read from the settings. A process that comes back keeps its leaving.

--- a/src/lovagestage/gateway/rotation.py
+++ b/src/lovagestage/gateway/rotation.py
@@ -6,7 +6,9 @@
 from collections.abc import Iterable
 
 from lovagestage.decisions.positions import format_position
+from lovagestage.gateway.settings import DEFAULT_HEARTBEAT_S
 from lovagestage.gateway.upstream import (
+    Rival,
     Upstream,
     UpstreamEntry,
     UpstreamState,
@@ -20,6 +22,10 @@
 while the store was unavailable: its next heartbeat writes the entry again. It
 is shorter than the shortest time for which a leaving upstream still serves
 requests, so one that has really left is never sent a request too late."""
+PROOF_HEARTBEATS = 1.25
+"""Heartbeats between two entries of one process, without an entry of the known
+one, that show that it is the first that runs: the known one would have written
+meanwhile."""
 GONE_RETENTION_S = 600.0
 """Time in seconds for which upstreams in the state GONE are remembered, for
 stale reads of the store and for entries that are written late. Where 655
@@ -29,12 +35,17 @@
 class Rotation:
     """All upstreams that this gateway knows of.
 
-    A new process may reuse the id of an upstream. The order of the store's
-    records, and not the processes' clocks, shows which of two processes is the
-    newer one: a start time that was not known before belongs to a new process
-    even where it is an earlier time. A start time that was replaced belongs to
-    a process that has stopped, and its record is a write that the store carried
-    out late.
+    A new process may reuse the id of an upstream. One that names a later start
+    time than the known process replaces it immediately. An entry with an
+    earlier one, or with that of a process that was replaced, is most likely a
+    write that the store carried out late; but the upstream's clock may have
+    gone back, or the known process may be the one whose write came late. Such a
+    process replaces the known one once it goes on writing for longer than the
+    known one would be silent, so that no entry of a process that runs is
+    ignored for good.
+
+    Args:
+        heartbeat_s: Interval in seconds between the writes of an upstream.
 
     Attributes:
         revision: Number that grows whenever upstream processes are added,
@@ -43,7 +54,8 @@
             warming up.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
+        self._proof_s = PROOF_HEARTBEATS * heartbeat_s
         self.revision = 0
         self.cold_until_s = 0.0
         self._ready: dict[ServiceId, list[Upstream]] = {}
@@ -90,10 +102,13 @@
                 known.position = position
                 self._remove(known, now_s, was_store_unavailable)
             return
-        if known is not None and entry.start_ms in known.past_start_ms:
+        if known is not None and not self._is_credible(
+            known, entry, position, now_s
+        ):
             _log_late_entry(known, entry, position)
             return
         upstream = self._get_process(name, entry, position, now_s)
+        upstream.rival = None
         if upstream.entry.start_ms != entry.start_ms:
             self.revision += 1
         upstream.entry = entry
@@ -217,6 +232,28 @@
             self._insert(known)
         return known
 
+    def _is_credible(
+        self,
+        known: Upstream,
+        entry: UpstreamEntry,
+        position: Position,
+        now_s: float,
+    ) -> bool:
+        """Returns whether an entry is of the process that runs now.
+
+        An entry of a process that has most likely stopped is remembered: a
+        second one, later than the known process would have written, shows that
+        it runs.
+        """
+        if not known.may_precede(entry):
+            return True
+        rival = known.rival
+        if rival is None or rival.start_ms != entry.start_ms:
+            known.rival = Rival(entry.start_ms, position, now_s)
+            return False
+        is_later = position > rival.position
+        return is_later and now_s - rival.seen_s >= self._proof_s
+
     @staticmethod
     def _is_restart(known: Upstream, entry: UpstreamEntry) -> bool:
         # An entry without a start time is no sign of a new process, neither
--- a/src/lovagestage/gateway/settings.py
+++ b/src/lovagestage/gateway/settings.py
@@ -7,6 +7,8 @@
 
 from lovagestage.types import RegionId, VmId, ZoneId
 
+DEFAULT_HEARTBEAT_S = 1.2
+
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
@@ -63,6 +65,7 @@
             deployment allows none.
         store_address: `IP:PORT` of the metadata store.
         bounds: Limits of the deployment.
+        heartbeat_s: Interval in seconds between the writes of an upstream.
     """
 
     vm: VmId
@@ -73,3 +76,4 @@
     peer_address: str | None
     store_address: str
     bounds: Bounds
+    heartbeat_s: float
--- a/src/lovagestage/gateway/upstream.py
+++ b/src/lovagestage/gateway/upstream.py
@@ -28,10 +28,10 @@
 
 _log = logging.getLogger(__name__)
 
-MAX_PAST_STARTS = 8
-"""Maximum number of replaced processes of an upstream id whose late writes are
-recognized. A write is carried out seconds late at most, and a process takes as
-long to start."""
+MAX_PAST_PROCESSES = 8
+"""Maximum number of replaced processes of an upstream id that are remembered. A
+write is carried out seconds late at most, and a process takes as long to
+start."""
 MAX_PREFIXES = 4096
 """Maximum number of prompt prefixes that are tracked after a restart: several
 times as many as an engine's cache holds. Once as many have been sent, the
@@ -69,6 +69,21 @@
     sequence: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Rival:
+    """A process that has written under the id of one that is known.
+
+    Attributes:
+        start_ms: Unix time of its start in milliseconds.
+        position: Position of its first entry since the known process's last.
+        seen_s: Elapsed time in seconds at which that entry was read.
+    """
+
+    start_ms: int | None
+    position: Position
+    seen_s: float
+
+
 class UpstreamState(enum.Enum):
     """Whether an upstream takes requests."""
 
@@ -98,7 +113,10 @@
         warmup: Whether the upstream may be warming up.
         sends: Requests that this gateway sent to the process recently.
         notices: What the process has said of itself in its answers.
-        past_start_ms: Start times of earlier processes with the same id.
+        past: Processes that others with the same id have replaced, by their
+            start times, and whether they had said that they leave.
+        rival: Another process that has written since this one's last entry;
+            None without one.
     """
 
     def __init__(
@@ -119,7 +137,8 @@
         self.warmup = WarmupTracker()
         self.sends = SendLog()
         self.notices = UpstreamNotices()
-        self.past_start_ms: tuple[int | None, ...] = ()
+        self.past: dict[int | None, bool] = {}
+        self.rival: Rival | None = None
         self._name = name.encode()
         self._sent_prefixes: set[str] | None = None
 
@@ -128,6 +147,13 @@
         """Name of this process, distinct from others under the same id."""
         return f"{self.id}/{self.entry.start_ms}"
 
+    def may_precede(self, entry: UpstreamEntry) -> bool:
+        """Returns whether an entry may be of a process that ran before."""
+        own_ms, other_ms = self.entry.start_ms, entry.start_ms
+        if own_ms is None or other_ms is None or own_ms == other_ms:
+            return False
+        return other_ms < own_ms or other_ms in self.past
+
     def outdates(self, entry: UpstreamEntry, position: Position) -> bool:
         """Returns whether an entry was written before this was removed.
 
@@ -164,8 +190,10 @@
             now_s: Elapsed time in seconds.
         """
         successor = Upstream(self.id, entry, position, now_s)
-        past = (*self.past_start_ms, self.entry.start_ms)
-        successor.past_start_ms = past[-MAX_PAST_STARTS:]
+        past = {**self.past, self.entry.start_ms: self.has_left}
+        # One that has said that it leaves goes on leaving.
+        successor.has_left = past.pop(entry.start_ms, False)
+        successor.past = dict(list(past.items())[-MAX_PAST_PROCESSES:])
         successor._sent_prefixes = set()
         return successor
 
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -108,7 +108,7 @@
     eras = StoreEras()
     make_store = functools.partial(_make_store, settings, exposition, eras)
     socket = _make_peer_socket(settings, exposition)
-    rotation = Rotation()
+    rotation = Rotation(settings.heartbeat_s)
     gossip = _make_gossip(settings, rotation, socket)
     guard = _make_guard(
         settings,
--- a/src/lovagestage/platform/settings.py
+++ b/src/lovagestage/platform/settings.py
@@ -7,7 +7,11 @@
 from collections.abc import Mapping
 
 from lovagestage.exceptions import SettingsError
-from lovagestage.gateway.settings import Bounds, GatewaySettings
+from lovagestage.gateway.settings import (
+    DEFAULT_HEARTBEAT_S,
+    Bounds,
+    GatewaySettings,
+)
 from lovagestage.types import RegionId, VmId, ZoneId
 
 SETTINGS_VARIABLE = "LOVAGESTAGE_NODE_FILE"
@@ -60,6 +64,8 @@
         peer_address=_decode_peer_address(reader),
         store_address=reader.get_address("Platform.Address"),
         bounds=_decode_bounds(reader),
+        heartbeat_s=reader.get_number("HeartbeatMs", DEFAULT_HEARTBEAT_S * 1000)
+        / 1000,
     )
 
 
