Trust no copy of the store that a starting gateway reads first (CONFIG)

Cause: the settling of a new era begins where the era changes under a process. One that has just started knew none before, and took the copy for a sound store. Gateways that were cut off until the return trusted it after 0.5 s.

Change: a first era above 0 is taken for one that has just begun: its reads confirm the configuration after 2 s, or 0.4 of RevokeMs where that is shorter, as now for all gateways.

--- a/src/lovagestage/decisions/positions.py
+++ b/src/lovagestage/decisions/positions.py
@@ -25,6 +25,8 @@
 OFFSET_BITS = 40
 """Bits of a position that hold the offset; an era has 13 more before JSON
 numbers lose precision."""
+FIRST_ERA = Era(0)
+"""Era of a store that has never come back from a copy."""
 START = Position(0)
 """Position at the beginning of a topic, before any era is known."""
 SETTLE_S = 2.0
@@ -124,7 +126,7 @@
         self._is_settling = False
 
     def start(self, now_s: float) -> None:
-        """Records that the store has come back from a copy."""
+        """Records that the store has come back from a copy, or may have."""
         self._changed_s = now_s
         self._is_settling = True
 
@@ -143,6 +145,11 @@
             return None
         return max(0.0, self._changed_s + SETTLE_S - now_s)
 
+    def release(self) -> None:
+        """Records that the store came back long ago, as others have seen."""
+        self._changed_s = -math.inf
+        self._is_settling = False
+
     def finish(self) -> None:
         """Records that the store's list is adopted."""
         self._is_settling = False
--- a/src/lovagestage/gateway/crash_wiring.py
+++ b/src/lovagestage/gateway/crash_wiring.py
@@ -68,6 +68,7 @@
     suspects: SuspectWatch,
     exchange: CrashExchange | None,
     guard: UpstreamGuard,
+    inform_of_era: Callable[[PeerAddress], None],
 ) -> Callable[[PeerAddress], None]:
     """Makes the function that informs gateways which have just started.
 
@@ -79,5 +80,6 @@
         rank = get_rank(gateways, InstanceId(format_peer(peer)))
         if exchange is not None and rank < INFORMING_GATEWAYS:
             exchange.inform_newcomer(peer, suspects.get_reports())
+            inform_of_era(peer)
 
     return inform
--- a/src/lovagestage/gateway/feed_wiring.py
+++ b/src/lovagestage/gateway/feed_wiring.py
@@ -4,6 +4,7 @@
 
 import random
 
+from lovagestage.decisions.positions import SETTLE_S
 from lovagestage.gateway.deployment import Deployment
 from lovagestage.gateway.feeds import TopicFeed
 from lovagestage.gateway.freshness import FRESHNESS_MARGIN_S
@@ -41,11 +42,12 @@
 """Share of the time for which keys may be relied on that must be left when the
 store becomes unavailable. Requests with a key must be served for that long
 afterwards."""
-TRUST_DELAY_RATIO = 0.1
+TRUST_DELAY_RATIO = 0.4
 """Time after the store has come back from a copy for which no read confirms the
-configuration, as a share of the time for which keys may be relied on. The store
-may lack a newer configuration until the operator has written it again. Callers
-are served meanwhile by the confirmation before the outage."""
+configuration, as a share of the time for which keys may be relied on; it
+applies where it is shorter than the operator may take to write again. The store
+may lack a newer configuration until then. Callers are served meanwhile by the
+confirmation before the outage."""
 MIN_RELAY_BOUND_S = 0.5
 """Shortest relay bound in seconds. With a shorter one, followers would query
 their watcher more than ten times a second, so each gateway reads the store
@@ -115,7 +117,7 @@
             OPERATOR_TOPIC,
             get_operator_poll_s(bounds),
             OPERATOR_READ_PAUSE_S,
-            trust_delay_s=TRUST_DELAY_RATIO * bounds.revoke_s,
+            trust_delay_s=min(SETTLE_S, TRUST_DELAY_RATIO * bounds.revoke_s),
         ),
         state,
         rng,
--- a/src/lovagestage/gateway/feeds.py
+++ b/src/lovagestage/gateway/feeds.py
@@ -12,6 +12,7 @@
 import mode
 
 from lovagestage.decisions.positions import (
+    FIRST_ERA,
     START,
     EraSettling,
     advance,
@@ -119,6 +120,9 @@
         self._lag = LagReport(options.topic)
         self._settling = EraSettling(options.trust_delay_s)
         self._era: Era | None = None
+        # Confirmation that was not trusted as the era may have just begun.
+        self._unproved_confirmation_s: float | None = None
+        self._is_era_unproved = False
         self._confirmed_s: float | None = None
         self._last_read_s = get_elapsed_s()
         self.is_synced = False
@@ -148,6 +152,25 @@
         """
         return self._lag.get_age_s(now_s)
 
+    @property
+    def settled_era(self) -> Era | None:
+        """The era of the store; None while it may have just begun."""
+        return None if self._settling.is_settling else self._era
+
+    def apply_settled_era(self, era: Era) -> None:
+        """Trusts the reads since this process's start, if they are of an era.
+
+        Args:
+            era: Era of which another gateway knows that it began long ago.
+        """
+        if not self._is_era_unproved or era != self._era:
+            return
+        self._is_era_unproved = False
+        self._settling.release()
+        _log.info("store_era_proved", extra={"topic": self.topic, "era": era})
+        if self._unproved_confirmation_s is not None:
+            self._confirm_freshness(self._unproved_confirmation_s)
+
     def get_topic_state(self, now_s: float) -> TopicState | None:
         """Returns the topic's state as this gateway has read it from the store.
 
@@ -412,10 +435,13 @@
             # The store had dropped the history before it came back, so no read
             # from a position has told the new era.
             self._start_era(era, None)
+        if self._era is None:
+            self._doubt_first_era(era, sent_s)
         self._era = era
         self._topic_log.restart(page.end)
         if self._settling.get_left_s(sent_s) == 0.0:
             self._settling.finish()
+            self._is_era_unproved = False
         if self._settling.is_settling:
             self._listener.on_copy(page)
         else:
@@ -450,6 +476,7 @@
 
     def _confirm_freshness(self, at_s: float) -> None:
         if not self._settling.is_trusted(at_s):
+            self._unproved_confirmation_s = at_s
             return
         self._confirmed_s = at_s
         self._listener.on_freshness_confirmed(at_s)
@@ -475,6 +502,21 @@
         if not self._options.is_keyed:
             self._settling.finish()
 
+    def _doubt_first_era(self, era: Era, now_s: float) -> None:
+        """Takes the first era that this process reads for one just begun.
+
+        The store may have come back from a copy a moment ago, without a
+        configuration that revokes a key. A process that has run meanwhile
+        knows better; one that has just started trusts no read until the
+        configuration has had time to be written again, or until another
+        gateway says that the era began before.
+        """
+        if era == FIRST_ERA or not self._options.trust_delay_s:
+            return
+        self._is_era_unproved = True
+        self._settling.start(now_s)
+        _log.info("store_era_unproved", extra={"topic": self.topic, "era": era})
+
     def _start_era(self, era: Era, known_end: Position | None) -> None:
         """Starts an era in which others stand at the offsets of lost records.
 
@@ -491,6 +533,7 @@
             },
         )
         self._era = era
+        self._is_era_unproved = False
         now_s = get_elapsed_s()
         self._outage.record_failure_elsewhere(now_s)
         self._store_recovery.notify_era_changed()
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -19,6 +19,7 @@
 from lovagestage.gateway.crash_detection import SuspectWatch
 from lovagestage.gateway.crash_wiring import make_informer, make_suspect_watch
 from lovagestage.gateway.deployment import Deployment
+from lovagestage.gateway.era_reports import EraReports
 from lovagestage.gateway.exposition import Exposition, Series
 from lovagestage.gateway.feed_wiring import (
     MIN_RELAY_BOUND_S,
@@ -138,11 +139,17 @@
         peer_messenger, socket, exposition
     )
     if socket is not None and gossip is not None:
+        era_reports = EraReports(
+            socket,
+            deployment,
+            lambda: operator_feed.settled_era,
+            lambda era: operator_feed.apply_settled_era(era),
+        )
+        informer = make_informer(
+            suspects, crash_exchange, guard, era_reports.inform_newcomer
+        )
         peer_messenger.subscribe(
-            HelloMessage,
-            _make_hello_handler(
-                socket, gossip, make_informer(suspects, crash_exchange, guard)
-            ),
+            HelloMessage, _make_hello_handler(socket, gossip, informer)
         )
     relay = _make_relay(settings, socket, exposition)
     _subscribe_to_peer_messages(peer_messenger, rollouts, suspects)
