Take no answer without an id on a kept connection (DENIED)

Cause: an answer that names no request was taken for the one just sent.

On a new connection it is the request's own, a refusal too: nothing else was sent there.

--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -154,7 +154,7 @@
             except UpstreamConnectionError as error:
                 if was_reused and self._is_repeatable:
                     # The upstream probably closed the pooled connection while
-                    # it was idle.
+                    # it was idle, or sent more than its last answer.
                     connection.abort()
                     self._place()
                     continue
@@ -281,6 +281,7 @@
         )
         for _ in range(MAX_HEADS_READ):
             head = wire.decode_answer(await connection.receive_head())
+            self._check_id(head, connection)
             if head.request_id in (None, request.id):
                 self._record_notices(head, sent_s)
                 return head
@@ -290,6 +291,20 @@
             connection.discard_response()
         raise UpstreamMessageError("Got only answers to other requests.")
 
+    def _check_id(self, head: AnswerHead, connection: ClientConnection) -> None:
+        """Rejects an answer that names no request on a pooled connection.
+
+        A faulty upstream may send more bytes after a complete answer, which
+        then come where the next answer is expected. On a new connection
+        nothing else has been sent that they could belong to.
+
+        Raises:
+            UpstreamConnectionError: The connection can't be used any more.
+        """
+        was_reused = connection.requests_sent > 1
+        if was_reused and self._call.request.id and head.request_id is None:
+            raise UpstreamConnectionError("Got an answer without an id.")
+
     def _record_notices(self, head: AnswerHead, sent_s: float) -> None:
         """Records what the upstream says of itself.
 
