Let no gateway revert a version before others can tell its outcome

Cause: an order that is undecided at twice its duration is reverted, also by a gateway that missed the outcome which the store has just lost; the one that knows it writes it again in the same half second, and the first to write wins.

Change: such a reversal waits SETTLE_S after the store's return and after the process heard of the order. One on evidence does not wait.

--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -11,7 +11,7 @@
 import dataclasses
 import enum
 
-from lovagestage.decisions.positions import get_era, get_offset
+from lovagestage.decisions.positions import SETTLE_S, get_era, get_offset
 from lovagestage.gateway.configuration import hash_to_share
 from lovagestage.gateway.outages import OutageTable
 from lovagestage.gateway.rollout_evidence import (
@@ -151,6 +151,9 @@
         self.outages = OutageTable()
         self._share_set_s: float | None = None
         self._received_s = received_s
+        # Since when this gateway would have heard of an outcome that others
+        # know and the store may have lost.
+        self._listening_s = received_s
         # A session that is assigned to a version while this version's
         # upstreams are warming up finds no capacity there half of the time,
         # and would alternate between the versions.
@@ -162,10 +165,15 @@
         self._is_version_suspect = False
         self._reports: dict[str, tuple[int, float]] = {}
 
-    def move(self, position: Position) -> None:
-        """Records that the store holds the order at another position now."""
+    def move(self, position: Position, now_s: float) -> None:
+        """Records that the store holds the order at another position now.
+
+        It has come back from a copy, which may lack an outcome until a gateway
+        that knows it has written it again.
+        """
         self._earlier_positions.add(self.position)
         self.position = position
+        self._listening_s = now_s
 
     def is_at(self, position: Position) -> bool:
         """Returns whether the order stands, or has stood, at a position.
@@ -347,10 +355,14 @@
         )
         if is_clear and self._is_proved(is_late):
             return RolloutOutcome.COMPLETED
-        if ratio >= OVERDUE_RATIO:
+        if ratio >= OVERDUE_RATIO and self._has_listened(now_s):
             return RolloutOutcome.REVERTED
         return RolloutOutcome.RUNNING
 
+    def _has_listened(self, now_s: float) -> bool:
+        """Returns whether others have had time to tell a known outcome."""
+        return now_s - self._listening_s >= SETTLE_S
+
     def get_due_ratio(self) -> float:
         """Returns the share of the duration after which a verdict is due."""
         margin_ratio = VERDICT_MARGIN_S / max(1.0, self.order.duration_s)
--- a/src/lovagestage/gateway/state_view.py
+++ b/src/lovagestage/gateway/state_view.py
@@ -175,7 +175,7 @@
         if known is not None and known.is_repeated_by(
             order, record.position, get_elapsed_s()
         ):
-            known.move(record.position)
+            known.move(record.position, get_elapsed_s())
             return
         _log.info(
             "rollout_ordered",
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -247,6 +247,27 @@
         assert gateway.deployment.configuration.version == 4
 
 
+def test_overdue_version_is_not_reverted_before_others_can_tell_its_outcome():
+    # The store comes back without the outcome `completed`. A gateway that had
+    # not heard of it reverted the version before one that knew wrote it again.
+    order = RolloutOrder("s", "v2", 2.0)
+    rollout = Rollout(order, make_position(0, 5), 0.0)
+    assert rollout.get_due_outcome(3.9) is RolloutOutcome.RUNNING
+    rollout.move(make_position(1, 5), 4.5)
+    assert rollout.get_due_outcome(4.6) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(4.4 + SETTLE_S) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(4.5 + SETTLE_S) is RolloutOutcome.REVERTED
+
+
+def test_gateway_that_has_just_started_reverts_no_overdue_version():
+    # Others tell it that the order is old before they tell of its outcome.
+    order = RolloutOrder("s", "v2", 2.0)
+    rollout = Rollout(order, make_position(1, 5), 10.0)
+    rollout.apply_age(9.0, 10.1)
+    assert rollout.get_due_outcome(10.2) is RolloutOutcome.RUNNING
+    assert rollout.get_due_outcome(10.0 + SETTLE_S) is RolloutOutcome.REVERTED
+
+
 async def test_era_that_begins_while_the_history_is_lost_is_noticed():
     # Guards against upstreams that are dropped at once, as the first list of a
     # new era passes for a complete one.
@@ -377,7 +398,7 @@
     assert rollout.is_repeated_by(order, kept, 900.0)
     other = RolloutOrder("pool", "v3", 20.0)
     assert not rollout.is_repeated_by(other, kept, 110.0)
-    rollout.move(moved)
+    rollout.move(moved, 1.0)
     assert rollout.is_at(make_position(1, 9))
     assert rollout.is_at(moved)
     assert rollout.is_at(7)
