--- a/lab/soak/command.py
+++ b/lab/soak/command.py
@@ -124,6 +124,7 @@
     tasks = [
         asyncio.ensure_future(callers.poll_readiness()),
         asyncio.ensure_future(record_stalls(environment.stalls)),
+        asyncio.ensure_future(environment.send_heartbeats()),
     ]
     try:
         await _wait_until_ready(environment)
--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -28,6 +28,9 @@
 from lab.soak.rollout_troubles import roll_out_slow_version
 from lab.soak.world import SoakEnvironment
 
+REWRITE_S = 0.8
+"""Longest time in seconds until what a store has lost is written again; shorter
+than its gateways take a copy for one that lacks something."""
 Fault = Callable[[SoakEnvironment], Awaitable[None]]
 
 
@@ -92,11 +95,22 @@
     await environment.add_worker()
 
 
+async def restart_worker(environment: SoakEnvironment) -> None:
+    """Restarts a worker under its id; a heartbeat from before comes late."""
+    name = _choose_live_worker(environment)
+    if name is None or name in environment.restarting:
+        return
+    environment.restarting.add(name)
+    with record_fault(environment, name):
+        await environment.restart_worker(name)
+    environment.restarting.discard(name)
+
+
 async def restore_store(environment: SoakEnvironment) -> None:
     """Brings the store back from a copy that is 0.3 to 3 s old.
 
     It is away for up to 1 s. What the operators and the workers wrote since the
-    copy is then written again.
+    copy is written again up to `REWRITE_S` after its return.
     """
     store, rng = environment.store, environment.rng
     copy = store.take_copy()
@@ -107,16 +121,26 @@
         name: dict(store.get_topic(name).newest) for name in OPERATOR_ONLY
     }
     store.restore_copy(copy)
+    returned = {
+        name: dict(store.get_topic(name).newest) for name in OPERATOR_ONLY
+    }
+    store.faults.update({"outage": None})
+    await asyncio.sleep(rng.uniform(0.0, REWRITE_S))
     for name, records in newest.items():
         topic = store.get_topic(name)
-        for key in topic.newest.keys() - records.keys():
+        # What was written meanwhile is newer than what was lost.
+        kept = {
+            key
+            for key in topic.newest.keys() | records.keys()
+            if topic.newest.get(key) == returned[name].get(key)
+        }
+        for key in kept - records.keys():
             store.append_keyed(name, key, b"")
         for key, (offset, value) in sorted(
             records.items(), key=lambda item: item[1][0]
         ):
-            if topic.newest.get(key) != (offset, value):
+            if key in kept and topic.newest.get(key) != (offset, value):
                 store.append_keyed(name, key, value)
-    store.faults.update({"outage": None})
 
 
 async def drain_worker(environment: SoakEnvironment) -> None:
@@ -132,7 +156,7 @@
     if environment.rng.random() < 0.7:
         environment.write_worker_entry(name, "draining")
     else:
-        environment.store.append_keyed("keyed.servers", name, b"")
+        environment.remove_worker_entry(name)
     await asyncio.sleep(1.0)
     await environment.add_worker()
 
@@ -234,6 +258,7 @@
     state_nonsense,
     send_crashing_request,
     restore_store,
+    restart_worker,
 )
 """Faults that runs choose from when told nothing else."""
 LONG_FAULTS: tuple[Fault, ...] = (
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -30,6 +30,7 @@
 from lab.soak.stalls import Stall
 from lab.worker import Worker
 
+HEARTBEAT_S = 1.0
 OUTCOME_TOPIC = "keyed.status"
 
 
@@ -59,6 +60,7 @@
         slow_rollouts: Roll-outs of slow versions so far.
         skewed_times: Times in which most new connections went to one gateway.
         stalls: Times in which the soak's own process did not run.
+        restarting: Workers whose restart is not over.
     """
 
     def __init__(
@@ -85,11 +87,13 @@
         self.slow_rollouts: list[SlowRollout] = []
         self.skewed_times: list[SkewedTime] = []
         self.stalls: list[Stall] = []
+        self.restarting: set[str] = set()
         self._folder = folder
         self._gateway_count = gateways
         self._initial_workers = workers
         self._version = 0
         self._worker_count = 0
+        self._entries: dict[str, dict[str, object]] = {}
 
     async def start(self) -> None:
         """Starts the store, the workers and the gateways."""
@@ -110,6 +114,7 @@
             gateway.send_signal(signal.SIGCONT)
             await gateway.stop()
             gateway.link.stop()
+        self._entries.clear()
         for name, worker in self.workers.items():
             await worker.stop()
             self.links[name].stop()
@@ -178,6 +183,7 @@
 
     def write_worker_entry(self, name: str, state: str) -> None:
         """Writes the entry of a worker, as the worker itself would do."""
+        known = self._entries.get(name, {})
         entry = {
             "Service": SERVICE,
             "Address": self.links[name].address,
@@ -187,8 +193,47 @@
             "State": state,
             "WarmupLeftMs": 0,
             "Sequence": 1,
+            "born": known.get("born", int(1000 * time.time())),
         }
-        data = json.dumps(entry).encode()
+        self._entries[name] = entry
+        self._append_entry(name)
+
+    def remove_worker_entry(self, name: str) -> None:
+        """Removes the entry of a worker, which writes no other."""
+        self._entries.pop(name, None)
+        self.store.append_keyed("keyed.servers", name, b"")
+
+    async def send_heartbeats(self) -> None:
+        """Writes the entries of all workers again and again."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for name, entry in list(self._entries.items()):
+                entry["Sequence"] = int(str(entry["Sequence"])) + 1
+                # A store that fails takes no writes of workers either.
+                if not self.store.faults.outage:
+                    self._append_entry(name)
+
+    async def restart_worker(self, name: str) -> None:
+        """Ends a worker within a heartbeat and starts it under its id.
+
+        The store carries out that heartbeat after the new process's first one.
+        """
+        late = json.dumps(self._entries.pop(name)).encode()
+        worker = self.workers[name]
+        await worker.stop()
+        await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+        if name in self.departure_s:
+            return
+        await worker.start()
+        self.links[name].target = worker.address
+        self.write_worker_entry(name, "ready")
+        await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+        # One that has left since leaves nothing behind.
+        if name in self._entries:
+            self.store.append_keyed("keyed.servers", name, late)
+
+    def _append_entry(self, name: str) -> None:
+        data = json.dumps(self._entries[name]).encode()
         self.store.append_keyed("keyed.servers", name, data)
 
     def get_live_workers(self) -> list[str]:
@@ -210,6 +255,7 @@
         self.departure_s.setdefault(name, self.crashed_s[name])
         await self.workers[name].stop()
         self.links[name].stop()
+        self._entries.pop(name, None)
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         self.store.append_keyed("keyed.servers", name, b"")
         if is_replaced:
