Cut an upstream's answer that never ends (bytes without end)

Cause: loops that read from an upstream until something comes had a limit on that one thing or none, an event in parts was searched from its start each time, and data that was there already was read without letting others run.

Change: decisions/read_limits counts what is read of one answer by part; heads with interim ones, framing, events, what is dropped and plain bodies without a length each have a limit in bytes or parts and in time. One turn of the event loop reads at most 16 parts and 16 KB. An idle connection on which bytes come is closed at once.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -12,6 +12,7 @@
 COMMANDS: dict[str, str] = {
     "day": "lab.day.command",
     "engine": "lab.engine",
+    "endless": "lab.endless_probe",
     "experiment": "lab.experiment",
     "load": "lab.load",
     "log": "lab.log",
--- a/lab/soak/answers.py
+++ b/lab/soak/answers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from lab import worker as lab
+from lab.endless import EndlessForm, make_endless
 from lab.worker import Arrival
 
 STRAY_ANSWER = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
@@ -33,6 +34,10 @@
     writer.close()
 
 
+async def _answer(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+    await lab.send(writer, 200, arrival, make_body(arrival))
+
+
 async def _answer_twice(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
     for body in (make_body(arrival), b"second"):
         await lab.send(writer, 200, arrival, body)
@@ -92,3 +97,7 @@
     "short": _cut_short,
     "unframed": _cut_unframed,
 }
+ENDLESS_SCRIPTS = {
+    form.value: make_endless(form, _answer) for form in EndlessForm
+}
+"""Answers that never end, by the name of their form."""
--- a/lab/soak/serving.py
+++ b/lab/soak/serving.py
@@ -11,6 +11,7 @@
 
 from lab import worker as lab
 from lab.soak.answers import (
+    ENDLESS_SCRIPTS,
     SCRIPTS,
     UNFRAMED_RATIO,
     make_body,
@@ -190,7 +191,7 @@
         for name, share in self.fault_ratios.items():
             remaining -= share
             if remaining < 0.0:
-                return SCRIPTS.get(name)
+                return SCRIPTS.get(name) or ENDLESS_SCRIPTS.get(name)
         return None
 
     def _get_crashing_part(
--- a/lab/soak/troubles.py
+++ b/lab/soak/troubles.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 from lab.metadata_store import OPERATOR_ONLY
-from lab.soak.answers import SCRIPTS
+from lab.soak.answers import ENDLESS_SCRIPTS, SCRIPTS
 from lab.soak.connection_troubles import (
     skew_connections,
     skew_connections_under_limits,
@@ -230,6 +230,14 @@
     environment.serving.fault_ratios.pop(name, None)
 
 
+async def answer_without_end(environment: SoakEnvironment) -> None:
+    """Makes workers answer 2% to 10% of their requests without end."""
+    name = environment.rng.choice(tuple(ENDLESS_SCRIPTS))
+    environment.serving.fault_ratios[name] = environment.rng.uniform(0.02, 0.1)
+    await asyncio.sleep(environment.rng.uniform(0.5, 3.0))
+    environment.serving.fault_ratios.pop(name, None)
+
+
 async def change_configuration(environment: SoakEnvironment) -> None:
     """Publishes up to six configurations in quick succession.
 
@@ -259,6 +267,7 @@
     send_crashing_request,
     restore_store,
     restart_worker,
+    answer_without_end,
 )
 """Faults that runs choose from when told nothing else."""
 LONG_FAULTS: tuple[Fault, ...] = (
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -183,12 +183,23 @@
 
     def write_worker_entry(self, name: str, state: str) -> None:
         """Writes the entry of a worker, as the worker itself would do."""
+        address, version = self.links[name].address, self.versions[name]
+        self.add_entry(name, address, state, version)
+
+    def add_entry(
+        self,
+        name: str,
+        address: str,
+        state: str = "ready",
+        version: str = OLD_VERSION,
+    ) -> None:
+        """Writes an entry, which is written again until it is removed."""
         known = self._entries.get(name, {})
         entry = {
             "Service": SERVICE,
-            "Address": self.links[name].address,
+            "Address": address,
             "Zone": "a",
-            "Version": self.versions[name],
+            "Version": version,
             "MaxBatchSize": 8,
             "State": state,
             "WarmupLeftMs": 0,
--- a/src/lovagestage/adapters/http1.py
+++ b/src/lovagestage/adapters/http1.py
@@ -16,6 +16,11 @@
 
 import h11
 
+from lovagestage.decisions.read_limits import (
+    MAX_HEAD_BYTES,
+    AnswerMeter,
+    AnswerPart,
+)
 from lovagestage.exceptions import (
     ChannelResetError,
     UpstreamConnectionError,
@@ -27,8 +32,13 @@
 READ_LIMIT_BYTES = 256 * 1024
 """Unread bytes of a connection above which the process stops reading from its
 socket. Without this limit a fast sender could fill the process's memory."""
-MAX_HEAD_BYTES = 64 * 1024
-"""Maximum size of a response head; the largest that common servers allow."""
+UPSTREAM_READ_LIMIT_BYTES = 64 * 1024
+"""The same for a connection to an upstream, of which each gateway has many."""
+READ_SIZE_BYTES = 16 * 1024
+"""Bytes that one read from a socket takes at most, so that a peer that sends
+without end takes no more of a turn of the event loop than others."""
+TURN_EVENTS = 16
+"""Parts of an answer that are read in one turn of the event loop."""
 USER_TIMEOUT_MS = 1_000
 """Longest time that sent bytes may stay unacknowledged (TCP user timeout). An
 unreachable VM or a cut link sends no reset, so without this timeout a request
@@ -62,15 +72,27 @@
 )
 
 
-class Channel(asyncio.Protocol):
+_read_buffer = memoryview(bytearray(READ_SIZE_BYTES))
+"""Receives the bytes of one read, which are copied before the next one."""
+
+
+class Channel(asyncio.BufferedProtocol):
     """A TCP connection whose bytes a task reads and writes.
 
+    Args:
+        read_limit_bytes: Unread bytes above which reading from the socket
+            stops.
+
     Attributes:
+        is_idle: Whether nothing may be received: the connection is closed when
+            bytes come, instead of keeping them.
         closed_by_peer: Future that completes when the peer has closed or reset
             the connection.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, read_limit_bytes: int = READ_LIMIT_BYTES) -> None:
+        self.is_idle = False
+        self._read_limit_bytes = read_limit_bytes
         self.closed_by_peer: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -88,10 +110,17 @@
         """Stores the transport; asyncio calls it."""
         self._transport = cast(asyncio.Transport, transport)
 
-    def data_received(self, data: bytes) -> None:
-        """Buffers the received bytes; asyncio calls it."""
-        self._buffer += data
-        if len(self._buffer) > READ_LIMIT_BYTES and self._transport:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read; asyncio calls it."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keeps the received bytes; asyncio calls it."""
+        if self.is_idle:
+            self.abort()
+            return
+        self._buffer += _read_buffer[:nbytes]
+        if len(self._buffer) > self._read_limit_bytes and self._transport:
             self._transport.pause_reading()
             self._reading_paused = True
         self._wake_reader()
@@ -148,8 +177,11 @@
         name = self._transport.get_extra_info("peername") or ("", 0)
         return f"{name[0]}:{name[1]}"
 
-    async def receive(self) -> bytes:
-        """Reads all received bytes; waits until there is at least one.
+    async def receive(self, limit_bytes: int | None = None) -> bytes:
+        """Reads received bytes; waits until there is at least one.
+
+        Args:
+            limit_bytes: Most bytes to read; None for all that are here.
 
         Returns:
             The bytes; empty after the peer has closed the connection.
@@ -167,8 +199,10 @@
                 await self._read_waiter
             finally:
                 self._read_waiter = None
-        data = bytes(self._buffer)
-        self._buffer.clear()
+        data = bytes(self._buffer[:limit_bytes])
+        del self._buffer[: len(data)]
+        if self._buffer:
+            return data
         if self._reading_paused and self._transport and not self._is_ended:
             self._transport.resume_reading()
             self._reading_paused = False
@@ -246,7 +280,9 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, channel = await loop.create_connection(Channel, host, int(port))
+            _, channel = await loop.create_connection(
+                lambda: Channel(UPSTREAM_READ_LIMIT_BYTES), host, int(port)
+            )
     except (OSError, TimeoutError, ValueError) as error:
         raise UpstreamConnectionError(
             f"{address}: {type(error).__name__}."
@@ -272,6 +308,8 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._head: h11.Request | None = None
+        self._meter = AnswerMeter(_get_time_s())
+        self._turn_events = 0
 
     def send(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
@@ -282,6 +320,7 @@
             UpstreamMessageError: The request is not valid HTTP/1.1.
         """
         self.requests_sent += 1
+        self._meter = AnswerMeter(_get_time_s())
         parser = self._parser
         try:
             self._head = h11.Request(
@@ -308,9 +347,12 @@
         while True:
             event = await self._receive()
             if isinstance(event, h11.Response):
+                self._meter.begin(AnswerPart.BODY, _get_time_s())
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamConnectionError("Closed before an answer.")
+            self._meter.add_interim_head()
+            self._check_meter()
 
     async def receive_body_part(self) -> bytes | None:
         """Reads a part of the response body.
@@ -325,18 +367,28 @@
         """
         event = await self._receive()
         if isinstance(event, h11.Data):
+            self._meter.add_content(len(event.data))
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
         raise UpstreamConnectionError("Closed within an answer.")
 
-    def discard_response(self) -> None:
-        """Discards the last response and prepares to read the next one.
+    async def discard_response(self) -> None:
+        """Reads the body of the last response and prepares to read the next.
 
         Used when the last response was a late second response to an earlier
         request: the response to the current request follows on the same
         connection.
+
+        Raises:
+            UpstreamConnectionError: The connection ended before the body was
+                complete.
+            UpstreamMessageError: The received bytes are not a valid response,
+                or too many to be read.
         """
+        self._meter.begin(AnswerPart.DROPPED, _get_time_s())
+        while await self.receive_body_part() is not None:
+            pass
         trailing, _ = self._parser.trailing_data
         assert self._head is not None
         self._parser = h11.Connection(
@@ -351,6 +403,7 @@
         )
         self._parser.send(head)
         self._parser.send(h11.EndOfMessage())
+        self._meter.begin(AnswerPart.HEAD, _get_time_s())
         if trailing:
             self._parser.receive_data(trailing)
 
@@ -385,12 +438,17 @@
         self.channel.abort()
 
     async def _receive(self) -> object:
+        await self._yield_turn()
         while True:
             try:
                 event = self._parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._parser.receive_data(await self.channel.receive())
+                # What is received and not parsed yet is of a later part.
+                self._check_meter()
+                data = await self.channel.receive(READ_SIZE_BYTES)
+                self._meter.add_received(len(data), _get_time_s())
+                self._parser.receive_data(data)
             except ChannelResetError as error:
                 raise UpstreamConnectionError(error.message) from error
             except h11.ProtocolError as error:
@@ -400,6 +458,27 @@
                     raise UpstreamConnectionError(str(error)) from error
                 raise UpstreamMessageError(str(error)) from error
 
+    async def _yield_turn(self) -> None:
+        """Lets others run after some parts that were received together."""
+        self._turn_events += 1
+        if self._turn_events >= TURN_EVENTS:
+            self._turn_events = 0
+            await asyncio.sleep(0)
+
+    def _check_meter(self) -> None:
+        """Checks how much was read of the answer.
+
+        Raises:
+            UpstreamMessageError: It was too much.
+        """
+        excess = self._meter.find_excess(_get_time_s())
+        if excess is not None:
+            raise UpstreamMessageError(f"Too much of an answer: {excess}.")
+
+
+def _get_time_s() -> float:
+    return asyncio.get_running_loop().time()
+
 
 def remove_hop_by_hop(headers: Sequence[tuple[bytes, bytes]]) -> Headers:
     """Returns the headers without those that apply to one connection only.
--- a/src/lovagestage/gateway/connections.py
+++ b/src/lovagestage/gateway/connections.py
@@ -66,6 +66,7 @@
         idle = self._idle.get(upstream, [])
         while may_reuse and idle:
             connection = idle.pop()
+            connection.channel.is_idle = False
             is_reusable = now_s - connection.idle_since_s < idle_limit_s
             if is_reusable and connection.make_reusable():
                 return connection
@@ -91,9 +92,12 @@
         if idle_timeout_s is not None:
             self._idle_limits_s[upstream] = idle_timeout_s - IDLE_MARGIN_S
         idle = self._idle.setdefault(upstream, [])
-        if len(idle) >= MAX_IDLE_CONNECTIONS or not connection.channel.is_open:
+        channel = connection.channel
+        is_usable = channel.is_open and not channel.has_unread_input
+        if len(idle) >= MAX_IDLE_CONNECTIONS or not is_usable:
             connection.abort()
             return
+        channel.is_idle = True
         connection.idle_since_s = asyncio.get_running_loop().time()
         idle.append(connection)
 
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from types import TracebackType
 from typing import Self
 
@@ -25,6 +24,13 @@
 """Number of answer heads that are read to find the answer to a request; if none
 belongs to it, the attempt fails. Late second answers to the last few requests
 on the connection may come first."""
+MAX_UNSTATED_BYTES = 1024 * 1024
+"""Longest plain answer in bytes of which no length is stated. It may have no
+end, and is held in memory until it is known to have one."""
+MAX_BODY_PARTS = 1024
+"""Parts in which a plain answer may be received, however small they are."""
+MIN_PART_BYTES = 16
+"""Bytes of a plain answer for which it may be received in one part more."""
 _BAD_GATEWAY_CODES = (502, 503, 504)
 
 
@@ -197,23 +203,30 @@
         """Reads the complete body of the answer.
 
         Args:
-            limit_bytes: Longest body that is accepted.
+            limit_bytes: Longest body that is accepted, of a stated length.
 
         Returns:
             The body.
 
         Raises:
-            AttemptFailedError: The body is too long or ended before it was
-                complete.
+            AttemptFailedError: The body is too long, comes in too many parts
+                or ended before it was complete.
         """
-        chunks = []
-        size = 0
+        assert self.head is not None
+        length_bytes = self.head.length_bytes
+        if length_bytes is None:
+            limit_bytes = min(limit_bytes, MAX_UNSTATED_BYTES)
+        if length_bytes is not None and length_bytes > limit_bytes:
+            raise AttemptFailedError("answer_too_long", RunState.RAN)
+        body = bytearray()
+        parts = 0
         while (chunk := await self.fetch_chunk()) is not None:
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit_bytes:
+            body += chunk
+            parts += 1
+            max_parts = MAX_BODY_PARTS + len(body) // MIN_PART_BYTES
+            if len(body) > limit_bytes or parts > max_parts:
                 raise AttemptFailedError("answer_too_long", RunState.RAN)
-        return b"".join(chunks)
+        return bytes(body)
 
     def _place(self) -> None:
         self._is_placed = True
@@ -286,9 +299,7 @@
                 self._record_notices(head, sent_s)
                 return head
             # This is a second answer to an earlier request on the connection.
-            while await connection.receive_body_part() is not None:
-                await asyncio.sleep(0)
-            connection.discard_response()
+            await connection.discard_response()
         raise UpstreamMessageError("Got only answers to other requests.")
 
     def _check_id(self, head: AnswerHead, connection: ClientConnection) -> None:
--- a/src/lovagestage/gateway/messages.py
+++ b/src/lovagestage/gateway/messages.py
@@ -125,6 +125,7 @@
         has_encoding: Whether the body has a content encoding, so that it is not
             as the upstream made it.
         notices: What the upstream says of itself.
+        length_bytes: Stated length of the body in bytes; None without one.
         ends_with_connection: Whether the body is neither chunked nor of a
             stated length, so that the end of the connection ends it.
     """
@@ -140,4 +141,5 @@
     idle_timeout_s: float | None
     has_encoding: bool
     notices: AnswerNotices
+    length_bytes: int | None = None
     ends_with_connection: bool = False
--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
+from lovagestage.adapters.http1 import TURN_EVENTS
 from lovagestage.decisions.crash_admission import Admission
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway.attempts import Attempts
@@ -278,9 +279,12 @@
             chunk = await self._wait_for_data(exchange.fetch_chunk(), limit_s)
             if chunk is None:
                 break
-            for event in self._splitter.split(chunk):
+            for number, event in enumerate(self._splitter.split(chunk), 1):
                 await self._forward_event(exchange, head, event)
                 limit_s = event_timeout_s
+                if number % TURN_EVENTS == 0:
+                    # Others run between events that came together.
+                    await asyncio.sleep(0)
         # A process that ends closes its connections too, which alone does not
         # complete a stream of which nothing has come.
         is_empty = self.progress == _Progress(None, False)
--- a/src/lovagestage/gateway/streams.py
+++ b/src/lovagestage/gateway/streams.py
@@ -5,12 +5,25 @@
 import re
 
 from lovagestage.exceptions import AttemptFailedError
+from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.types import RunState
 
 MAX_EVENT_BYTES = 256 * 1024
 """Longest event in bytes. Longer data without an event end is treated as a
 failure of the upstream, so that it cannot fill the memory."""
+MAX_EVENT_PARTS = 64
+"""Parts in which an event may be received, however small they are."""
+MIN_PART_BYTES = 256
+"""Bytes of an event for which it may be received in one part more: the longest
+one comes in hundreds of packets."""
+MAX_EMPTY_EVENTS = 16
+"""Events without a field that may follow each other at once, such as comments
+that keep a connection open."""
+EMPTY_EVENTS_PER_S = 20.0
+"""Such events a second that may follow in addition."""
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_EVENT_END_BYTES = 4
+_FIELD = re.compile(rb"^(data|id|event|retry)\b", re.MULTILINE)
 
 
 class EventSplitter:
@@ -21,7 +34,11 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._parts = 0
+        self._searched = 0
+        self._empty_events = 0.0
+        self._empty_since_s = 0.0
 
     @property
     def has_incomplete_event(self) -> bool:
@@ -38,15 +55,40 @@
             The complete events, each with its terminating blank line.
 
         Raises:
-            AttemptFailedError: An event exceeds `MAX_EVENT_BYTES`.
+            AttemptFailedError: An event exceeds `MAX_EVENT_BYTES` or comes in
+                too many parts, or too many events hold nothing.
         """
         self._buffer += data
+        self._parts += 1
         events = []
         start = 0
-        for end in _EVENT_END.finditer(self._buffer):
-            events.append(self._buffer[start : end.end()])
+        for end in _EVENT_END.finditer(self._buffer, self._searched):
+            events.append(bytes(self._buffer[start : end.end()]))
             start = end.end()
-        self._buffer = self._buffer[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        if start:
+            del self._buffer[:start]
+            self._parts = 0
+        # The end of an event may have been received in part.
+        self._searched = max(0, len(self._buffer) - _EVENT_END_BYTES + 1)
+        is_too_long = len(self._buffer) > MAX_EVENT_BYTES
+        max_parts = MAX_EVENT_PARTS + len(self._buffer) // MIN_PART_BYTES
+        if is_too_long or self._parts > max_parts:
             raise AttemptFailedError("event_too_long", RunState.RAN)
+        self._count_empty(events)
         return events
+
+    def _count_empty(self, events: list[bytes]) -> None:
+        """Counts events without a field.
+
+        Raises:
+            AttemptFailedError: There are too many.
+        """
+        empty = sum(_FIELD.search(event) is None for event in events)
+        if not empty:
+            return
+        now_s = get_elapsed_s()
+        passed = (now_s - self._empty_since_s) * EMPTY_EVENTS_PER_S
+        self._empty_events = max(0.0, self._empty_events - passed) + empty
+        self._empty_since_s = now_s
+        if self._empty_events > MAX_EMPTY_EVENTS:
+            raise AttemptFailedError("events_empty", RunState.RAN)
