Take an engine's event or state without end for its failure

What callers saw: nothing of their answer until the stream's time was over, while the sidecar kept all bytes in memory.

Cause: the adapter kept an event until it ended, however long, and joined it anew with each read; the answers on load and versions were read whole.

Change: an event has a limit in bytes and in parts, a state in bytes.

--- a/src/lovagestage/adapters/http_engine.py
+++ b/src/lovagestage/adapters/http_engine.py
@@ -22,6 +22,15 @@
 }
 
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Longest event of a stream. An engine in trouble may send data without end,
+which would be held in memory until an event ends."""
+MAX_EVENT_PARTS = 4096
+"""Parts in which an event may be received: the longest one in small packets."""
+MAX_STATE_BYTES = 1024 * 1024
+"""Longest answer of an engine on its load or its versions."""
+
+
 class _LoadResponse(msgspec.Struct):
     running: int
     waiting: int
@@ -147,7 +156,15 @@
                 f"{self._url}{path}", timeout=SHORT_TIMEOUT
             ) as response:
                 response.raise_for_status()
-                return await response.read()
+                body = await response.content.read(MAX_STATE_BYTES)
+                while body_part := await response.content.read(MAX_STATE_BYTES):
+                    body += body_part
+                    if len(body) > MAX_STATE_BYTES:
+                        raise EngineError(
+                            f"The engine's answer to {path} is too long.",
+                            RunState.RAN,
+                        )
+                return body
         except (TimeoutError, aiohttp.ClientError) as error:
             raise EngineError(
                 f"The engine does not answer {path}: {error!r}.",
@@ -196,16 +213,24 @@
 
     Each block holds all events that had been received completely when the
     data was read.
+
+    Raises:
+        EngineError: An event is too long or comes in too many parts.
     """
-    incomplete = b""
-    while True:
-        data = await content.readany()
-        if not data:
-            return
-        data = incomplete + data
-        end = data.rfind(b"\n\n")
-        if end < 0:
-            incomplete = data
-            continue
-        incomplete = data[end + 2 :]
-        yield data[: end + 2]
+    buffer = bytearray()
+    parts = 0
+    while data := await content.readany():
+        # The end of an event may have been received in part.
+        searched = max(0, len(buffer) - 1)
+        buffer += data
+        parts += 1
+        end = buffer.rfind(b"\n\n", searched)
+        if end >= 0:
+            block = bytes(buffer[: end + 2])
+            del buffer[: end + 2]
+            parts = 0
+            yield block
+        if len(buffer) > MAX_EVENT_BYTES or parts > MAX_EVENT_PARTS:
+            raise EngineError(
+                "The engine sent an event without end.", RunState.RAN
+            )
