Weigh requests under way before a version is completed (EXPOSURE)

Cause: a verdict counted what had ended, the quick answers of a slow version; 13 of 13 such answers were proof, since eight suffice for a service that is taken for one with little traffic; a slow answer said as much as a very slow one, and the good pace of a stream made up for its late start.

Change: a request under way, over all its attempts, is an observation that is censored at its age: its evidence is the share of the old version's requests of the route that last as long (Kaplan-Meier, those under way included). All gateways tell theirs; for half a second before completion it must stay under about one such request. Slow and very slow answers are told apart. 30 answers, or seven tenths of those to be expected; the first share is the largest that keeps the exposure in the time it has. A version that all answers together prove waits for a suspect route instead of being reverted.

--- a/lab/rollout_replay.py
+++ b/lab/rollout_replay.py
@@ -138,8 +138,8 @@
         if is_bad and draw.kind != "slow":
             quality = AnswerQuality.FAILED
         elif is_bad or rng.random() < USUAL_SLOW_RATE:
-            quality = AnswerQuality.SLOW
-        delay_s = LATE_S if quality is AnswerQuality.SLOW else ANSWER_S
+            quality = AnswerQuality.VERY_SLOW
+        delay_s = LATE_S if quality is AnswerQuality.VERY_SLOW else ANSWER_S
         self._call_at(now_s + delay_s, self._weigh, gateway, route, quality)
 
     def _is_bad_now(self, gateway: _Gateway, route: str, now_s: float) -> bool:
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -16,6 +16,7 @@
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.crash_detection import make_fingerprint, make_parts
 from lovagestage.gateway.deployment import Deployment
+from lovagestage.gateway.requests_under_way import RequestUnderWay
 from lovagestage.gateway.retry_budget import ServiceRetryBudget
 from lovagestage.gateway.retry_permit import Obstacle, RetryPermit
 from lovagestage.gateway.rollout_assignment import Assignment
@@ -79,6 +80,8 @@
         head_s: Time in seconds from sending the request to the head of the
             last answer.
         permit: Access to the retry budget.
+        under_way: The request as one that is under way; None before its first
+            attempt.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         self.first_attempt_s: float | None = None
         self.connect_s: float | None = None
         self.head_s: float | None = None
+        self.under_way: RequestUnderWay | None = None
         self._deployment = deployment
         self.permit = RetryPermit(budget)
         self._zone = zone
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -16,7 +16,7 @@
 from lovagestage.gateway.plain_runs import forward_plain
 from lovagestage.gateway.prefill import PrefillTimes
 from lovagestage.gateway.retry_budget import ServiceRetryBudget
-from lovagestage.gateway.runs import RunContext
+from lovagestage.gateway.runs import RunContext, end_request
 from lovagestage.gateway.settings import Bounds, GatewaySettings
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
 from lovagestage.gateway.stream_runs import forward_stream
@@ -84,13 +84,16 @@
                 forwarded.
             AttemptFailedError: A stream broke off after it had started.
         """
+        is_whole = False
         try:
             if attempts.admitted.route.kind is RouteKind.STREAM:
                 await forward_stream(self._context, attempts, sink)
             else:
                 await forward_plain(self._context, attempts, sink)
+            is_whole = True
         finally:
             attempts.permit.cancel_reservation()
+            end_request(self._context, attempts, is_whole)
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Applies new limits; all retry budgets start again."""
--- a/src/lovagestage/gateway/latency.py
+++ b/src/lovagestage/gateway/latency.py
@@ -13,10 +13,12 @@
 """Answers that a mean must include before an answer is compared with it and
 called slow."""
 SLOW_RATIO = 2.0
-"""Multiple of the mean time above which an answer is slow. Two to five in 100
-answers of the old version are, which is the baseline of the comparison; a
-higher limit misses most short answers of a version that is several times as
-slow, as the mean is one of short and long prompts."""
+"""Multiple of the mean time above which an answer is slow. The mean is one of
+short and long prompts, and a new version on trial is loaded more than the old
+one: as many answers of a good version are slow as of a bad one."""
+VERY_SLOW_RATIO = 4.0
+"""Multiple of the mean time above which an answer is very slow: about one in 20
+answers of a good version, and most of those that a bad one slows down."""
 SLOW_EXTRA_S = 0.05
 """Time in seconds by which an answer must also exceed the mean to be slow: the
 times of the shortest answers vary by more than a factor."""
@@ -77,6 +79,7 @@
         time_s: float,
         queue_s: float = 0.0,
         prefill_s: float = 0.0,
+        ratio: float = SLOW_RATIO,
     ) -> bool:
         """Returns whether an answer took several times as long as the mean.
 
@@ -85,12 +88,17 @@
             time_s: Time in seconds that the answer took.
             queue_s: As in `get_slow_limit_s`.
             prefill_s: As in `get_slow_limit_s`.
+            ratio: As in `get_slow_limit_s`.
         """
-        limit_s = self.get_slow_limit_s(kind, queue_s, prefill_s)
+        limit_s = self.get_slow_limit_s(kind, queue_s, prefill_s, ratio)
         return limit_s is not None and time_s > limit_s
 
     def get_slow_limit_s(
-        self, kind: Hashable, queue_s: float = 0.0, prefill_s: float = 0.0
+        self,
+        kind: Hashable,
+        queue_s: float = 0.0,
+        prefill_s: float = 0.0,
+        ratio: float = SLOW_RATIO,
     ) -> float | None:
         """Returns the time in seconds above which an answer is slow.
 
@@ -101,6 +109,7 @@
             prefill_s: Time in seconds that the prefill of an uncached prompt
                 prefix takes: a new version has none cached yet, and would be
                 considered slow by the old version's mean alone.
+            ratio: Multiple of the mean time above which an answer is slow.
 
         Returns:
             The limit; None while too few answers of the kind are known.
@@ -109,15 +118,19 @@
         if mean_s is None:
             return None
         expected_s = mean_s + prefill_s
-        limit_s = max(SLOW_RATIO * expected_s, expected_s + SLOW_EXTRA_S)
+        extra_s = (ratio - 1.0) * max(expected_s, SLOW_EXTRA_S)
+        limit_s = expected_s + extra_s
         # A slow upstream has a long queue: its own slowness excuses nothing.
         return limit_s + min(queue_s, max(QUEUE_MEANS * mean_s, SLOW_EXTRA_S))
 
-    def get_slow_pace_s(self, kind: Hashable) -> float | None:
+    def get_slow_pace_s(
+        self, kind: Hashable, ratio: float = SLOW_RATIO
+    ) -> float | None:
         """Returns the mean interval in seconds above which a stream is slow.
 
         Args:
             kind: Kind of the stream.
+            ratio: Multiple of the mean interval above which a stream is slow.
 
         Returns:
             The limit; None while too few streams of the kind are known.
@@ -125,7 +138,27 @@
         mean_s = self.get(kind)
         if mean_s is None:
             return None
-        return max(SLOW_RATIO * mean_s, mean_s + SLOW_PACE_EXTRA_S)
+        return mean_s + (ratio - 1.0) * max(mean_s, SLOW_PACE_EXTRA_S)
+
+    def judge_pace(
+        self, kind: Hashable, interval_s: float
+    ) -> AnswerQuality | None:
+        """Judges the mean interval between a stream's events.
+
+        Args:
+            kind: Kind of the stream.
+            interval_s: The mean interval in seconds.
+
+        Returns:
+            The quality; None while too few streams of the kind are known.
+        """
+        slow_s = self.get_slow_pace_s(kind)
+        very_slow_s = self.get_slow_pace_s(kind, VERY_SLOW_RATIO)
+        if slow_s is None or very_slow_s is None:
+            return None
+        if interval_s > very_slow_s:
+            return AnswerQuality.VERY_SLOW
+        return AnswerQuality.SLOW if interval_s > slow_s else AnswerQuality.GOOD
 
 
 def judge_unknown_kind(time_s: float, target_s: float) -> AnswerQuality:
@@ -136,7 +169,7 @@
         target_s: Target latency of its route in seconds.
     """
     if time_s > target_s:
-        return AnswerQuality.SLOW
+        return AnswerQuality.VERY_SLOW
     if time_s > FAST_TARGET_RATIO * target_s:
         return AnswerQuality.UNJUDGED
     return AnswerQuality.GOOD
--- a/src/lovagestage/gateway/pace.py
+++ b/src/lovagestage/gateway/pace.py
@@ -35,9 +35,13 @@
 
     Intervals in which this process stood still, or the caller took no data, are
     left out.
+
+    Attributes:
+        excused_s: Time in seconds of the intervals that were left out.
     """
 
     def __init__(self) -> None:
+        self.excused_s = 0.0
         self._intervals = 0
         self._total_s = 0.0
         self._last_s: float | None = None
@@ -65,6 +69,27 @@
             held_s = get_elapsed_s() - self._last_s
             self._is_interval_excused |= held_s > STALL_S
 
+    @property
+    def is_held_up(self) -> bool:
+        """Whether the present interval will be left out."""
+        return self._is_sending or self._is_interval_excused
+
+    def get_interval_so_far_s(self) -> float | None:
+        """Returns the mean time in seconds between events until now.
+
+        The time since the last event counts as far as it makes the mean longer.
+
+        Returns:
+            The mean; None while too few intervals are known.
+        """
+        if self._intervals < MIN_INTERVALS or self._last_s is None:
+            return None
+        waited_s = get_elapsed_s() - self._last_s
+        return max(
+            self._total_s / self._intervals,
+            (self._total_s + waited_s) / (self._intervals + 1),
+        )
+
     def stop(self, is_complete: bool) -> Pace | None:
         """Ends the measurement.
 
@@ -93,6 +118,7 @@
         self._look(now_s)
         if self._is_interval_excused:
             self._is_excused = True
+            self.excused_s += now_s - self._last_s
         else:
             self._total_s += now_s - self._last_s
 
--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -81,6 +81,8 @@
         evidence: Sum of the log-likelihood ratios of these answers.
         routes: Log-likelihood ratio of the good answers since the gateway's
             last message, by route.
+        under_way: Sum of the log-likelihood ratios of its requests under
+            way.
     """
 
     service: ServiceId
@@ -90,6 +92,7 @@
     age_s: float
     evidence: float = 0.0
     routes: dict[str, float] = {}
+    under_way: float = 0.0
 
 
 class ActiveSessionsMessage(
--- a/src/lovagestage/gateway/rollout_outcomes.py
+++ b/src/lovagestage/gateway/rollout_outcomes.py
@@ -300,6 +300,9 @@
             "outcome": outcome.value,
             "answers": rollout.get_answer_count(),
             "total": round(rollout.get_total_evidence(), 2),
+            "under_way": round(
+                rollout.get_under_way_evidence(get_elapsed_s()), 2
+            ),
             "failures": rollout.new_failures,
             "evidence": ",".join(f"{r or 'all'}:{e:.2f}" for r, e in evidence),
             "own": ",".join(f"{q.value}:{own[q]}" for q in AnswerQuality),
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -22,12 +22,17 @@
     OutcomeMessage,
 )
 from lovagestage.gateway.peer_messenger import PeerMessenger
+from lovagestage.gateway.requests_under_way import (
+    RequestsUnderWay,
+    RequestUnderWay,
+)
 from lovagestage.gateway.rollout_assignment import Assignment
 from lovagestage.gateway.rollout_evidence import (
     OUTAGE_QUALITIES,
     AnswerQuality,
     EvidenceAspect,
     TrialEvidence,
+    get_assumed_rate,
 )
 from lovagestage.gateway.rollout_outcomes import (
     OutcomeStore,
@@ -35,12 +40,16 @@
     log_stop,
     log_verdict,
 )
-from lovagestage.gateway.rollout_reports import is_report_due
+from lovagestage.gateway.rollout_reports import (
+    get_report_interval_s,
+    is_report_due,
+)
 from lovagestage.gateway.rollout_shares import get_first_share
 from lovagestage.gateway.rollouts import (
     Rollout,
     RolloutOrder,
     RolloutOutcome,
+    UnderWayReport,
 )
 from lovagestage.gateway.settings import Bounds
 from lovagestage.gateway.upstream import Upstream
@@ -53,6 +62,11 @@
 """Interval in seconds between checks for reports and outcomes that are due."""
 RETRY_S = 0.5
 """Pause in seconds after a call to the store has failed."""
+REPORTS_VALID = 3.0
+"""Intervals between reports for which one on requests under way counts."""
+UNDER_WAY_FROM_RATIO = 0.8
+"""Share of an order's duration before which requests under way are not weighed:
+only the verdict asks for them."""
 
 
 _RolloutMessage = (
@@ -97,6 +111,7 @@
         self._rng = rng
         self._peer_messenger: PeerMessenger | None = None
         self._outcomes = OutcomeStore(store, rng)
+        self._under_way = RequestsUnderWay()
 
     def set_peer_messenger(self, peer_messenger: PeerMessenger) -> None:
         """Sets the messenger to the other gateways; called once."""
@@ -123,22 +138,56 @@
         self._deployment.rollouts[order.service] = rollout
         self._outcomes.add_order(rollout)
         self._own_evidence[order.service] = TrialEvidence()
+        self._under_way.forget_trial(order.service)
 
     def _get_first_share(self, order: RolloutOrder) -> float:
         assert self._peer_messenger is not None
-        own_per_s = self._failure_rates.get_request_rate(
-            order.service, get_elapsed_s()
-        )
-        expected = (
-            own_per_s * self._peer_messenger.gateway_count * order.duration_s
-        )
+        own_per_s, expected = self._estimate_requests(order)
         share = get_first_share(
-            self._bounds.exposure_ratio, self._bounds.exposure_slack, expected
+            self._bounds.exposure_ratio,
+            self._bounds.exposure_slack,
+            expected,
+            self._deployment.rollouts[order.service].get_start_ratio(),
         )
         gateways = self._peer_messenger.gateway_count
         log_share(order, share, expected, own_per_s, gateways)
         return share
 
+    def _estimate_requests(self, order: RolloutOrder) -> tuple[float, float]:
+        """Returns requests per second here, and of all during the order."""
+        assert self._peer_messenger is not None
+        own_per_s = self._failure_rates.get_request_rate(
+            order.service, get_elapsed_s()
+        )
+        all_per_s = own_per_s * self._peer_messenger.gateway_count
+        return own_per_s, all_per_s * order.duration_s
+
+    def begin_request(
+        self,
+        service: ServiceId,
+        assignment: Assignment,
+        request: RequestUnderWay,
+    ) -> None:
+        """Records that a request has been sent; as in `EvidenceSink`."""
+        rollout = self._deployment.rollouts.get(service)
+        is_new = (
+            assignment.is_new
+            and rollout is not None
+            and rollout.outcome is RolloutOutcome.RUNNING
+        )
+        if is_new or not assignment.is_new:
+            self._under_way.begin(service, is_new, request)
+
+    def start_request(self, request: RequestUnderWay) -> None:
+        """Records that an answer has started; as in `EvidenceSink`."""
+        self._under_way.start(request, get_elapsed_s())
+
+    def end_request(
+        self, service: ServiceId, request: RequestUnderWay, is_whole: bool
+    ) -> None:
+        """Records that a request has ended; as in `EvidenceSink`."""
+        self._under_way.end(service, request, is_whole, get_elapsed_s())
+
     def record_answer(
         self,
         service: ServiceId,
@@ -193,7 +242,7 @@
         if quality is AnswerQuality.UNJUDGED:
             self._failure_rates.record_request(service, now_s)
             return
-        failed = quality is not AnswerQuality.GOOD
+        failed = quality not in (AnswerQuality.GOOD, AnswerQuality.SLOW)
         key = aspect.make_key(route)
         self._failure_rates.record_quality(service, key, failed)
         if aspect is EvidenceAspect.ANSWER:
@@ -271,6 +320,37 @@
                 message.gateway, message.answers, message.evidence
             )
             _add_good_answers(rollout, message.routes, message.age_s)
+            self._record_under_way(
+                rollout, message.gateway, message.under_way, message.age_s
+            )
+
+    def _record_under_way(
+        self, rollout: Rollout, gateway: VmId, evidence: float, age_s: float
+    ) -> None:
+        assert self._peer_messenger is not None
+        valid_s = REPORTS_VALID * get_report_interval_s(
+            rollout.order.duration_s, self._peer_messenger.gateway_count
+        )
+        report = UnderWayReport(evidence, age_s, valid_s)
+        rollout.record_under_way(gateway, report)
+
+    def _update_under_way(self, rollout: Rollout) -> float:
+        """Records what this gateway's requests under way say; returns it."""
+        service, now_s = rollout.order.service, get_elapsed_s()
+        if rollout.get_elapsed_ratio(now_s) < UNDER_WAY_FROM_RATIO:
+            return 0.0
+        slow_rate = get_assumed_rate(
+            AnswerQuality.VERY_SLOW, rollout.is_loaded(now_s)
+        )
+        rates = self._failure_rates
+
+        def get_rate(route: str) -> float:
+            return max(slow_rate, rates.get_failure_rate(service, route))
+
+        evidence = self._under_way.get_evidence(service, get_rate, now_s)
+        age_s = rollout.get_age_s(now_s)
+        self._record_under_way(rollout, self._vm, evidence, age_s)
+        return evidence
 
     def on_sessions_message(self, message: ActiveSessionsMessage) -> None:
         """Applies the active sessions that another gateway has reported."""
@@ -330,9 +410,13 @@
         now_s, draw = get_elapsed_s(), hash_to_share(self._vm)
         for service, rollout in self._deployment.rollouts.items():
             own = self._own_evidence[service]
-            is_due = is_report_due(rollout, own, now_s, gateways, draw)
-            if not is_due or own.is_total_reported:
+            if not is_report_due(rollout, own, now_s, gateways, draw):
+                continue
+            under_way = self._update_under_way(rollout)
+            is_known = own.is_total_reported and not own.under_way_reported
+            if is_known and not under_way:
                 continue
+            own.under_way_reported = under_way
             self._post(
                 AnswerCountMessage(
                     service,
@@ -342,6 +426,7 @@
                     rollout.get_age_s(now_s),
                     own.total,
                     own.take_unreported(),
+                    under_way,
                 )
             )
 
@@ -378,6 +463,9 @@
         for rollout in list(self._deployment.rollouts.values()):
             due = rollout.outcome
             if due is RolloutOutcome.RUNNING:
+                self._update_under_way(rollout)
+                _, requests = self._estimate_requests(rollout.order)
+                rollout.set_expected_requests(requests)
                 due = rollout.get_due_outcome(get_elapsed_s())
             if not self._outcomes.is_write_due(rollout, due):
                 continue
--- a/src/lovagestage/gateway/rollout_shares.py
+++ b/src/lovagestage/gateway/rollout_shares.py
@@ -15,6 +15,9 @@
 FIRST_SHARES = (0.015, 0.03, 0.05, 0.07, 0.1, 0.13, 0.16, 0.2, 0.25)
 """Shares that a roll-out may begin with. They are few, so that gateways with
 about the same traffic choose the same one."""
+MIN_STEP_RATIO = 0.4
+"""Least part of the order's duration that the first share is spread over: half
+of what the load step leaves."""
 DEFAULT_SHARE = 0.05
 """First share where the gateway does not know the service's traffic yet."""
 
@@ -54,7 +57,10 @@
 
 
 def get_first_share(
-    exposure_ratio: float, exposure_slack: float, expected_requests: float
+    exposure_ratio: float,
+    exposure_slack: float,
+    expected_requests: float,
+    start_ratio: float = 0.0,
 ) -> float:
     """Returns the share of sessions with which a roll-out begins.
 
@@ -64,13 +70,16 @@
         exposure_slack: Requests beyond that share.
         expected_requests: Requests of the service during the roll-out; 0 if
             unknown.
+        start_ratio: Share of the duration before which the new version gets
+            nothing.
     """
     if expected_requests <= 0.0:
         return DEFAULT_SHARE
     allowed = exposure_ratio + exposure_slack / expected_requests
     last_steps = LOAD_STEP.share * (COMPLETE_RATIO - LOAD_STEP.from_ratio)
     last_steps += 1.0 - COMPLETE_RATIO
-    limit = EXPOSURE_USED_RATIO * (allowed - last_steps) / LOAD_STEP.from_ratio
+    first_step = max(MIN_STEP_RATIO, LOAD_STEP.from_ratio - start_ratio)
+    limit = EXPOSURE_USED_RATIO * (allowed - last_steps) / first_step
     allowed_shares = [share for share in FIRST_SHARES if share <= limit]
     return max(allowed_shares, default=FIRST_SHARES[0])
 
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import enum
+import math
 
 from lovagestage.decisions.positions import SETTLE_S, get_era, get_offset
 from lovagestage.gateway.configuration import hash_to_share
@@ -19,6 +20,7 @@
     LATE_PROOF_EVIDENCE,
     MEAN_PROOF_EVIDENCE,
     MIN_NEW_FAILURES,
+    OVERDUE_SUSPICION_EVIDENCE,
     PROOF_EVIDENCE,
     STOP_EVIDENCE,
     SUSPICION_EVIDENCE,
@@ -69,9 +71,25 @@
     first_share: float
 
 
+@dataclasses.dataclass(frozen=True)
+class UnderWayReport:
+    """What a gateway's requests under way say of a new version.
+
+    Attributes:
+        evidence: Sum of their log-likelihood ratios.
+        age_s: Age of the order at the report, in seconds.
+        valid_s: Time in seconds for which it counts: the requests of a gateway
+            that reports no more have ended with it.
+    """
+
+    evidence: float
+    age_s: float
+    valid_s: float
+
+
 ALL_ROUTES = ""
 """Key of the evidence of all routes together."""
-COMPLETE_ANSWERS = 20
+COMPLETE_ANSWERS = 30
 """Answers of the new version that are needed for its completion at
 `COMPLETE_RATIO`."""
 VERDICT_MARGIN_S = 1.0
@@ -85,6 +103,21 @@
 """Answers that complete the roll-out of a service with little traffic after
 `LATE_RATIO` of the duration, if the evidence does not speak against the
 version."""
+BUSY_ANSWERS = 14
+"""Answers to be expected until the verdict from which a service has more than
+little traffic."""
+EXPECTED_ANSWERS_RATIO = 0.7
+"""Share of the answers to be expected that are needed, where that is less than
+`COMPLETE_ANSWERS`; sessions are few, and the first share gets more or less."""
+MAX_UNDER_WAY_EVIDENCE = 1.0
+"""Log-likelihood ratio of the requests under way above which a version is not
+completed yet: about one that lasts longer than the old version's would."""
+CALM_S = 0.5
+"""Time in seconds for which this must have been so: while requests end and
+begin, the evidence falls for a moment again and again."""
+UNDER_WAY_EVIDENCE_RATIO = 0.05
+"""The same for each answer, where that is more: of many requests of a good
+version some last long."""
 OVERDUE_RATIO = 2.0
 """Multiple of the order's duration after which an undecided version is
 reverted: it is not proved, and no more answers are to be expected."""
@@ -127,6 +160,9 @@
         first_share: Share of the sessions before the load step; 0 until it has
             been agreed. If each gateway had its own share, sessions would move
             between the versions.
+        expected_answers: Answers that the shares should bring until the
+            verdict; that fewer have come is a sign by itself, as those that
+            have not may be the slow ones.
         held_sessions: Sessions of all gateways that were active when the share
             was agreed; in the first half of the roll-out they are not moved to
             the new version.
@@ -154,6 +190,7 @@
         # Since when this gateway would have heard of an outcome that others
         # know and the store may have lost.
         self._listening_s = received_s
+        self.expected_answers = 0.0
         # A session that is assigned to a version while this version's
         # upstreams are warming up finds no capacity there half of the time,
         # and would alternate between the versions.
@@ -164,6 +201,9 @@
         self._failed_upstreams: set[str] = set()
         self._is_version_suspect = False
         self._reports: dict[str, tuple[int, float]] = {}
+        self._under_way: dict[str, UnderWayReport] = {}
+        # When requests were last seen to last longer than they should.
+        self._lasting_s = -math.inf
 
     def move(self, position: Position, now_s: float) -> None:
         """Records that the store holds the order at another position now.
@@ -216,6 +256,18 @@
         """Returns whether the first share includes a session."""
         return hash_to_share(self._make_seed(session)) < self.first_share
 
+    def get_start_ratio(self) -> float:
+        """Returns the share of the duration before the first share holds."""
+        return self._collection_s / max(1.0, self.order.duration_s)
+
+    def set_expected_requests(self, requests: float) -> None:
+        """Records how many requests the service gets during the order."""
+        first_step = max(0.0, LOAD_STEP.from_ratio - self.get_start_ratio())
+        load_step = COMPLETE_RATIO - LOAD_STEP.from_ratio
+        self.expected_answers = requests * (
+            self.first_share * first_step + LOAD_STEP.share * load_step
+        )
+
     def is_collecting(self, now_s: float) -> bool:
         """Returns whether gateways still report their active sessions."""
         return (
@@ -256,6 +308,26 @@
         """Returns the log-likelihood ratio of all gateways' answers."""
         return sum(evidence for _, evidence in self._reports.values())
 
+    def record_under_way(self, gateway: str, report: UnderWayReport) -> None:
+        """Records what a gateway's requests under way say.
+
+        Args:
+            gateway: The gateway.
+            report: What it reports; an older one than is known is ignored.
+        """
+        known = self._under_way.get(gateway)
+        if known is None or report.age_s >= known.age_s:
+            self._under_way[gateway] = report
+
+    def get_under_way_evidence(self, now_s: float) -> float:
+        """Returns what all gateways' requests under way say."""
+        age_s = self.get_age_s(now_s)
+        return sum(
+            report.evidence
+            for report in self._under_way.values()
+            if age_s < report.age_s + report.valid_s
+        )
+
     def get_age_s(self, now_s: float) -> float:
         """Returns the seconds since any gateway first received the order."""
         return now_s - self._received_s
@@ -340,25 +412,37 @@
             return RolloutOutcome.RUNNING
         if self.is_stopped:
             return RolloutOutcome.REVERTED
+        self._look_for_lasting_requests(now_s)
         ratio = self.get_elapsed_ratio(now_s)
         due_ratio = self.get_due_ratio()
         if ratio < due_ratio:
             return RolloutOutcome.RUNNING
         suspicion = self._get_suspicion()
-        if self._is_version_suspect and suspicion >= SUSPICION_EVIDENCE:
-            return RolloutOutcome.REVERTED
         is_late = ratio >= due_ratio + LATE_RATIO - COMPLETE_RATIO
+        is_proved = self._is_proved(is_late, now_s)
+        is_suspect = (
+            self._is_version_suspect and suspicion >= SUSPICION_EVIDENCE
+        )
+        if is_suspect and not is_proved:
+            return RolloutOutcome.REVERTED
         # A last slow answer on a route without further traffic would outlast
         # all that speaks for the version.
         is_clear = suspicion <= 0.0 or (
-            ratio >= OVERDUE_RATIO and suspicion < SUSPICION_EVIDENCE
+            ratio >= OVERDUE_RATIO and suspicion < OVERDUE_SUSPICION_EVIDENCE
         )
-        if is_clear and self._is_proved(is_late):
+        if is_clear and is_proved:
             return RolloutOutcome.COMPLETED
         if ratio >= OVERDUE_RATIO and self._has_listened(now_s):
             return RolloutOutcome.REVERTED
         return RolloutOutcome.RUNNING
 
+    def _look_for_lasting_requests(self, now_s: float) -> None:
+        """Records whether requests last longer than the old version's would."""
+        answers = self.get_answer_count()
+        limit = max(MAX_UNDER_WAY_EVIDENCE, UNDER_WAY_EVIDENCE_RATIO * answers)
+        if self.get_under_way_evidence(now_s) > limit:
+            self._lasting_s = now_s
+
     def _has_listened(self, now_s: float) -> bool:
         """Returns whether others have had time to tell a known outcome."""
         return now_s - self._listening_s >= SETTLE_S
@@ -368,20 +452,38 @@
         margin_ratio = VERDICT_MARGIN_S / max(1.0, self.order.duration_s)
         return max(MIN_DUE_RATIO, min(COMPLETE_RATIO, 1.0 - margin_ratio))
 
-    def _is_proved(self, is_late: bool) -> bool:
+    def _is_proved(self, is_late: bool, now_s: float) -> bool:
         """Returns whether enough answers speak for the version.
 
+        Those of a slow version that have come are its quick ones: the runs
+        under way have to leave the proof standing.
+
         Args:
             is_late: Whether fewer answers suffice.
+            now_s: Elapsed time in seconds.
         """
-        answers, total = self.get_answer_count(), self.get_total_evidence()
+        if now_s - self._lasting_s < CALM_S:
+            return False
+        answers = self.get_answer_count()
+        total = self.get_total_evidence() + self.get_under_way_evidence(now_s)
         if total > MEAN_PROOF_EVIDENCE * answers:
             return False
-        if answers >= COMPLETE_ANSWERS:
-            return total <= PROOF_EVIDENCE
+        needed = self._get_needed_answers()
+        if answers >= needed:
+            return total <= PROOF_EVIDENCE * needed / COMPLETE_ANSWERS
         return (
-            is_late and answers >= LATE_ANSWERS and total <= LATE_PROOF_EVIDENCE
+            is_late
+            and self.expected_answers < BUSY_ANSWERS
+            and answers >= LATE_ANSWERS
+            and total <= LATE_PROOF_EVIDENCE
         )
 
+    def _get_needed_answers(self) -> float:
+        """Returns how many answers are needed where the service is busy."""
+        if self.expected_answers < BUSY_ANSWERS:
+            return COMPLETE_ANSWERS
+        needed = EXPECTED_ANSWERS_RATIO * self.expected_answers
+        return min(COMPLETE_ANSWERS, needed)
+
     def _make_seed(self, seed: str) -> str:
         return f"{self.order.service}/{self.order.version}/{seed}"
--- a/src/lovagestage/gateway/run_weighing.py
+++ b/src/lovagestage/gateway/run_weighing.py
@@ -16,13 +16,15 @@
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
-from lovagestage.gateway.latency import judge_unknown_kind
+from lovagestage.gateway.latency import VERY_SLOW_RATIO, judge_unknown_kind
 from lovagestage.gateway.pace import STALL_S, PaceClock
 from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.runs import (
     CRASH_LIKE_REASONS,
     RunContext,
+    begin_request,
     record_evidence,
+    start_request,
 )
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.types import RunState
@@ -57,12 +59,19 @@
         self._upstream = upstream
         route = attempts.admitted.route
         self._target_s = route.target_latency_s
-        limit_s = context.latency.get_slow_limit_s(
-            (route.name, model),
-            *_get_allowances(attempts, has_queue_allowance),
+        kind = (route.name, model)
+        allowances_s = _get_allowances(attempts, has_queue_allowance)
+        limit_s = context.latency.get_slow_limit_s(kind, *allowances_s)
+        idle_limit_s = context.latency.get_slow_limit_s(kind)
+        # Time for which the upstream's queue and the prompt excuse the run.
+        self._excuse_s = (limit_s or 0.0) - (idle_limit_s or 0.0)
+        very_slow_limit_s = context.latency.get_slow_limit_s(
+            kind, *allowances_s, ratio=VERY_SLOW_RATIO
         )
         self._is_kind_known = limit_s is not None
-        self._limit_s = self._target_s if limit_s is None else limit_s
+        self._slow_limit_s = self._target_s if limit_s is None else limit_s
+        # Time from which a run is weighed, whether its answer comes or not.
+        self._limit_s = very_slow_limit_s or self._target_s
         self._started_s = get_elapsed_s()
         self._is_weighed = False
         # Quality of the answer that has started, if it ends whole.
@@ -77,6 +86,8 @@
     def __enter__(self) -> Self:
         self._started_s = self._last_event_s = get_elapsed_s()
         self._set_timer(self._limit_s)
+        request = begin_request(self._context, self._attempts, self._upstream)
+        request.begin_attempt(self._excuse_s, self._pace_kind, self._pace_clock)
         return self
 
     def __exit__(
@@ -111,22 +122,25 @@
         self._start_quality = quality
         if self._timer is not None:
             self._timer.cancel()
-        if quality is AnswerQuality.SLOW:
+        if quality is AnswerQuality.VERY_SLOW:
             self._weigh(quality)
 
     def _judge_start(self, time_s: float) -> AnswerQuality:
         if self._is_late(time_s):
-            return AnswerQuality.SLOW
+            return AnswerQuality.VERY_SLOW
         if time_s > self._limit_s:
             return AnswerQuality.UNJUDGED
-        if self._is_kind_known:
-            return AnswerQuality.GOOD
-        return judge_unknown_kind(time_s, self._target_s)
+        if not self._is_kind_known:
+            return judge_unknown_kind(time_s, self._target_s)
+        if time_s > self._slow_limit_s:
+            return AnswerQuality.SLOW
+        return AnswerQuality.GOOD
 
     def record_event(self) -> None:
         """Records that an event of a stream was received."""
         self._last_event_s = get_elapsed_s()
         self._pace_clock.record_event()
+        start_request(self._context, self._attempts)
 
     def record_sent(self) -> None:
         """Records that the caller's connection has taken the last event."""
@@ -165,7 +179,7 @@
         detector = self._upstream.performance.stall_detector
         is_working = detector.last_data_s > self._last_event_s
         self._weigh(
-            AnswerQuality.SLOW if is_working else AnswerQuality.SILENT,
+            AnswerQuality.VERY_SLOW if is_working else AnswerQuality.SILENT,
             self._start_quality is not None,
         )
 
@@ -182,15 +196,14 @@
         if pace is None:
             return
         latency = self._context.latency
-        limit_s = latency.get_slow_pace_s(self._pace_kind)
-        is_slow = limit_s is not None and pace.interval_s > limit_s
+        quality = latency.judge_pace(self._pace_kind, pace.interval_s)
         is_proof = is_complete and not pace.is_excused
-        if limit_s is not None and (is_slow or is_proof):
+        if quality is AnswerQuality.VERY_SLOW or (quality and is_proof):
             record_evidence(
                 self._context,
                 self._attempts,
                 self._upstream,
-                AnswerQuality.SLOW if is_slow else AnswerQuality.GOOD,
+                quality,
                 EvidenceAspect.PACE,
                 self._started_s,
             )
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -27,7 +27,12 @@
 )
 from lovagestage.gateway.messages import AnswerHead, OutgoingCall
 from lovagestage.gateway.prefill import PrefillTimes, count_prefill_tokens
-from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
+from lovagestage.gateway.requests_under_way import RequestUnderWay
+from lovagestage.gateway.rollout_evidence import (
+    FINE_QUALITIES,
+    AnswerQuality,
+    EvidenceAspect,
+)
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.gateway.upstream_choice import AttemptCost
@@ -365,6 +370,56 @@
     return is_retried
 
 
+def begin_request(
+    context: RunContext, attempts: Attempts, upstream: Upstream
+) -> RequestUnderWay:
+    """Returns the request as one that is under way, from its first attempt on.
+
+    As in `record_evidence`, one that went to an upstream of another version is
+    left out.
+    """
+    admitted = attempts.admitted
+    if attempts.under_way is None:
+        request = RequestUnderWay(admitted.route.name, context.latency)
+        attempts.under_way = request
+        if _is_of_assigned_version(attempts, upstream):
+            context.evidence.begin_request(
+                admitted.service, attempts.assignment, request
+            )
+    return attempts.under_way
+
+
+def start_request(context: RunContext, attempts: Attempts) -> None:
+    """Records that a request's caller receives its answer."""
+    request = attempts.under_way
+    if request is not None and not request.has_started:
+        context.evidence.start_request(request)
+        request.has_started = True
+
+
+def end_request(
+    context: RunContext, attempts: Attempts, is_whole: bool
+) -> None:
+    """Records that a request is no longer under way.
+
+    Args:
+        context: Dependencies of the run.
+        attempts: Attempts of the request.
+        is_whole: Whether its answer was whole.
+    """
+    if attempts.under_way is None:
+        return
+    if is_whole:
+        start_request(context, attempts)
+    service = attempts.admitted.service
+    context.evidence.end_request(service, attempts.under_way, is_whole)
+
+
+def _is_of_assigned_version(attempts: Attempts, upstream: Upstream) -> bool:
+    version = attempts.assignment.version
+    return version is None or upstream.entry.version == version
+
+
 def record_evidence(
     context: RunContext,
     attempts: Attempts,
@@ -384,9 +439,10 @@
     Returns:
         Whether nothing else needs to be recorded of the run.
     """
-    version = attempts.assignment.version
-    if version is not None and upstream.entry.version != version:
+    if not _is_of_assigned_version(attempts, upstream):
         return True
+    if attempts.under_way is not None and quality not in FINE_QUALITIES:
+        attempts.under_way.is_weighed = True
     admitted = attempts.admitted
     return context.evidence.record_answer(
         admitted.service,
--- a/src/lovagestage/gateway/sinks.py
+++ b/src/lovagestage/gateway/sinks.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from lovagestage.gateway.messages import AnswerHead
+from lovagestage.gateway.requests_under_way import RequestUnderWay
 from lovagestage.gateway.rollout_assignment import Assignment
 from lovagestage.gateway.rollout_evidence import AnswerQuality, EvidenceAspect
 from lovagestage.gateway.upstream import Upstream
@@ -30,6 +31,34 @@
 class EvidenceSink(Protocol):
     """Receives evidence for or against a version of a service."""
 
+    def begin_request(
+        self,
+        service: ServiceId,
+        assignment: Assignment,
+        request: RequestUnderWay,
+    ) -> None:
+        """Records that a request has been sent to a version.
+
+        Args:
+            service: The service.
+            assignment: Version to which the request was assigned.
+            request: The request.
+        """
+
+    def start_request(self, request: RequestUnderWay) -> None:
+        """Records that the answer to a request has started."""
+
+    def end_request(
+        self, service: ServiceId, request: RequestUnderWay, is_whole: bool
+    ) -> None:
+        """Records that a request is no longer under way, begun or not.
+
+        Args:
+            service: The service.
+            request: The request.
+            is_whole: Whether its answer was whole.
+        """
+
     def record_answer(
         self,
         service: ServiceId,
