Judge a service's traffic by the rates of all gateways (EXPOSURE)

Cause: the gateway that completed it has few requests, and took the service for one that brings few answers: its estimate was its own rate times the number of gateways, and callers' connections are few.

Change: gateways tell their rate with their counts; the mean of those that are known is taken.

--- a/src/lovagestage/gateway/peer_messages.py
+++ b/src/lovagestage/gateway/peer_messages.py
@@ -83,6 +83,8 @@
             last message, by route.
         under_way: Sum of the log-likelihood ratios of its requests under
             way.
+        requests_per_s: Requests a second of the service at the gateway; 0 if
+            unknown.
     """
 
     service: ServiceId
@@ -93,6 +95,7 @@
     evidence: float = 0.0
     routes: dict[str, float] = {}
     under_way: float = 0.0
+    requests_per_s: float = 0.0
 
 
 class ActiveSessionsMessage(
--- a/src/lovagestage/gateway/rollout_service.py
+++ b/src/lovagestage/gateway/rollout_service.py
@@ -142,7 +142,10 @@
 
     def _get_first_share(self, order: RolloutOrder) -> float:
         assert self._peer_messenger is not None
-        own_per_s, expected = self._estimate_requests(order)
+        own_per_s = self._get_own_rate_per_s(order.service)
+        expected = (
+            own_per_s * self._peer_messenger.gateway_count * order.duration_s
+        )
         share = get_first_share(
             self._bounds.exposure_ratio,
             self._bounds.exposure_slack,
@@ -153,14 +156,21 @@
         log_share(order, share, expected, own_per_s, gateways)
         return share
 
-    def _estimate_requests(self, order: RolloutOrder) -> tuple[float, float]:
-        """Returns requests per second here, and of all during the order."""
+    def _get_own_rate_per_s(self, service: ServiceId) -> float:
+        return self._failure_rates.get_request_rate(service, get_elapsed_s())
+
+    def _update_expected_requests(self, rollout: Rollout) -> None:
+        """Estimates the service's requests by the rates that are known.
+
+        Callers' connections are few, so that a gateway's own rate may be a
+        fraction of the others'.
+        """
         assert self._peer_messenger is not None
-        own_per_s = self._failure_rates.get_request_rate(
-            order.service, get_elapsed_s()
-        )
-        all_per_s = own_per_s * self._peer_messenger.gateway_count
-        return own_per_s, all_per_s * order.duration_s
+        order = rollout.order
+        rollout.record_rate(self._vm, self._get_own_rate_per_s(order.service))
+        gateways = self._peer_messenger.gateway_count
+        all_per_s = rollout.get_mean_rate_per_s() * gateways
+        rollout.set_expected_requests(all_per_s * order.duration_s)
 
     def begin_request(
         self,
@@ -323,6 +333,7 @@
             self._record_under_way(
                 rollout, message.gateway, message.under_way, message.age_s
             )
+            rollout.record_rate(message.gateway, message.requests_per_s)
 
     def _record_under_way(
         self, rollout: Rollout, gateway: VmId, evidence: float, age_s: float
@@ -427,6 +438,7 @@
                     own.total,
                     own.take_unreported(),
                     under_way,
+                    self._get_own_rate_per_s(service),
                 )
             )
 
@@ -464,8 +476,7 @@
             due = rollout.outcome
             if due is RolloutOutcome.RUNNING:
                 self._update_under_way(rollout)
-                _, requests = self._estimate_requests(rollout.order)
-                rollout.set_expected_requests(requests)
+                self._update_expected_requests(rollout)
                 due = rollout.get_due_outcome(get_elapsed_s())
             if not self._outcomes.is_write_due(rollout, due):
                 continue
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -202,6 +202,7 @@
         self._is_version_suspect = False
         self._reports: dict[str, tuple[int, float]] = {}
         self._under_way: dict[str, UnderWayReport] = {}
+        self._rates_per_s: dict[str, float] = {}
         # When requests were last seen to last longer than they should.
         self._lasting_s = -math.inf
 
@@ -260,6 +261,16 @@
         """Returns the share of the duration before the first share holds."""
         return self._collection_s / max(1.0, self.order.duration_s)
 
+    def record_rate(self, gateway: str, requests_per_s: float) -> None:
+        """Records how many requests of the service a gateway gets a second."""
+        if requests_per_s > 0.0:
+            self._rates_per_s[gateway] = requests_per_s
+
+    def get_mean_rate_per_s(self) -> float:
+        """Returns the mean rate of the gateways whose rate is known."""
+        rates_per_s = self._rates_per_s.values()
+        return sum(rates_per_s) / max(1, len(rates_per_s))
+
     def set_expected_requests(self, requests: float) -> None:
         """Records how many requests the service gets during the order."""
         first_step = max(0.0, LOAD_STEP.from_ratio - self.get_start_ratio())
--- a/tests/test_rollout_verdicts.py
+++ b/tests/test_rollout_verdicts.py
@@ -7,6 +7,7 @@
 
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.latency import LatencyTable
+from lovagestage.gateway.peer_messages import AnswerCountMessage
 from lovagestage.gateway.rollout_evidence import (
     MEAN_PROOF_EVIDENCE,
     PROOF_EVIDENCE,
@@ -216,3 +217,19 @@
     rollout.record_answers("edge-1", 64, 0.0)
     due = rollout.get_due_outcome(100.0 + COMPLETE_RATIO * ORDER.duration_s)
     assert due is RolloutOutcome.REVERTED
+
+
+def test_a_gateway_with_few_requests_knows_how_many_the_others_get():
+    # It took the service for one with little traffic, and completed a slow
+    # version by the few quick answers that had come.
+    harness = RolloutServiceHarness()
+    rollout = harness.rollout
+    rollout.set_first_share(0.1, get_elapsed_s() - SESSION_COLLECTION_S)
+    for number, rate_per_s in enumerate((50.0, 60.0, 40.0)):
+        message = AnswerCountMessage(
+            "pool", 7, f"edge-{number}", 5, 1.0, requests_per_s=rate_per_s
+        )
+        harness.service.on_count_message(message)
+    harness.service._update_expected_requests(rollout)
+    assert rollout.get_mean_rate_per_s() == 50.0
+    assert rollout.expected_answers > COMPLETE_ANSWERS
