--- a/src/lovagestage/gateway/caller_connection.py
+++ b/src/lovagestage/gateway/caller_connection.py
@@ -62,6 +62,7 @@
         self.is_busy = False
         self.status = 0
         self.closes = False
+        self._is_head_only = False
         self.idle_since_s = asyncio.get_running_loop().time()
         self._scope: asyncio.Timeout | None = None
         self._limits = limits
@@ -93,6 +94,7 @@
             self._parser.receive_data(data)
         self.is_busy = True
         self.status = 0
+        self._is_head_only = False
         async with self.open_scope():
             return await self._read_request(limits)
 
@@ -118,6 +120,7 @@
                 event = await self._receive()
             if not isinstance(event, h11.Request):
                 return None
+            self._is_head_only = event.method == b"HEAD"
             _check_head(event, limits.head_bytes)
             arrived_s = asyncio.get_running_loop().time()
             request = wire.decode_request(event)
@@ -173,12 +176,10 @@
 
     async def send_answer(self, head: AnswerHead, body: bytes) -> None:
         """Sends a complete answer of an upstream."""
-        headers = [
-            (name, value)
-            for name, value in head.headers
-            if name.lower() != b"content-length"
-        ]
-        headers.append((b"Content-Length", b"%d" % len(body)))
+        headers = list(head.headers)
+        if not self._is_head_only:
+            headers = [h for h in headers if h[0].lower() != b"content-length"]
+            headers.append((b"Content-Length", b"%d" % len(body)))
         await self._send_all(head.status, headers, body)
 
     async def send_refusal(
@@ -242,7 +243,9 @@
         self, status: int, headers: Headers, body: bytes
     ) -> None:
         events: list[h11.Event] = [self._make_response(status, headers)]
-        if body:
+        # The parser takes no body here, and the error would end the caller's
+        # connection without an answer.
+        if body and not self._is_head_only:
             events.append(h11.Data(data=body))
         self._send(*events, h11.EndOfMessage())
         await self.channel.drain()
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lab import worker as lab
 from lovagestage.gateway import caller_connection
 from tests.gateway_harness import (
     HOST,
@@ -163,3 +164,43 @@
     monkeypatch.setattr(caller_connection, "BODY_INACTIVITY_TIMEOUT_S", 0.3)
     async with run_gateway_harness() as harness:
         assert await send_slowly(harness, 2, 0.6) == 408
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "workers", "status"),
+    [
+        ("/safe/x", "unknown", 1, 401),
+        ("/nowhere/x", KEY, 1, 404),
+        ("/safe/x", KEY, 0, 503),
+    ],
+)
+async def test_refused_request_for_a_head_alone_gets_an_answer(
+    path, key, workers, status
+):
+    # The refusal's text is no part of it: its connection ended without an
+    # answer.
+    async with run_gateway_harness(workers) as harness:
+        reader, writer = await harness.connect()
+        for number in range(2):
+            request = make_request(
+                path, method="HEAD", key=key, request_id=f"h{number}"
+            )
+            writer.write(request)
+            async with asyncio.timeout(6.0):
+                head = await reader.readuntil(b"\r\n\r\n")
+            assert f" {status} ".encode() in head
+        writer.close()
+
+
+async def test_answer_to_a_request_for_a_head_alone_keeps_its_length():
+    async def answer(arrival, writer):
+        writer.write(lab.make_head(200, arrival, Content_Length="70"))
+        await writer.drain()
+
+    async with run_gateway_harness(1, script=answer) as harness:
+        reader, writer = await harness.connect()
+        writer.write(make_request("/safe/x", method="HEAD"))
+        async with asyncio.timeout(4.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+        assert b"content-length: 70\r\n" in head.lower()
+        writer.close()
