Mend what a second reading of the limits on answers found

What callers saw, or would have: a stream whose caller reads slowly is cut for the comments that waited meanwhile; the head alone of a resource over 8 MB gets 502; a body in chunks beside a length may have 8 MB without end. No line told which limit an upstream had passed.

Change: the allowance of events without a field grows with the stream's age; a length beside chunks is none; a head alone is not cut for its length; attempt_failed has `cause`.

--- a/src/lovagestage/adapters/http_engine.py
+++ b/src/lovagestage/adapters/http_engine.py
@@ -156,15 +156,15 @@
                 f"{self._url}{path}", timeout=SHORT_TIMEOUT
             ) as response:
                 response.raise_for_status()
-                body = await response.content.read(MAX_STATE_BYTES)
-                while body_part := await response.content.read(MAX_STATE_BYTES):
-                    body += body_part
+                body = bytearray()
+                while part := await response.content.readany():
+                    body += part
                     if len(body) > MAX_STATE_BYTES:
                         raise EngineError(
                             f"The engine's answer to {path} is too long.",
                             RunState.RAN,
                         )
-                return body
+                return bytes(body)
         except (TimeoutError, aiohttp.ClientError) as error:
             raise EngineError(
                 f"The engine does not answer {path}: {error!r}.",
--- a/src/lovagestage/gateway/exchange.py
+++ b/src/lovagestage/gateway/exchange.py
@@ -31,6 +31,7 @@
 """Parts in which a plain answer may be received, however small they are."""
 MIN_PART_BYTES = 16
 """Bytes of a plain answer for which it may be received in one part more."""
+_STATUSES_WITHOUT_BODY = (204, 304)
 _BAD_GATEWAY_CODES = (502, 503, 504)
 
 
@@ -216,7 +217,7 @@
         length_bytes = self.head.length_bytes
         if length_bytes is None:
             limit_bytes = min(limit_bytes, MAX_UNSTATED_BYTES)
-        if length_bytes is not None and length_bytes > limit_bytes:
+        elif length_bytes > limit_bytes and self._has_body():
             raise AttemptFailedError("answer_too_long", RunState.RAN)
         body = bytearray()
         parts = 0
@@ -228,6 +229,11 @@
                 raise AttemptFailedError("answer_too_long", RunState.RAN)
         return bytes(body)
 
+    def _has_body(self) -> bool:
+        assert self.head is not None
+        is_head_only = self._call.request.method == b"HEAD"
+        return not (is_head_only or self.head.status in _STATUSES_WITHOUT_BODY)
+
     def _place(self) -> None:
         self._is_placed = True
         self.upstream.sends.record_placed()
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -14,7 +14,11 @@
 
 from lovagestage.decisions.crash_admission import Admission
 from lovagestage.decisions.retries import PROBE_WAIT_S
-from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
+from lovagestage.exceptions import (
+    AttemptFailedError,
+    GatewayRefusalError,
+    LovagestageError,
+)
 from lovagestage.gateway.attempts import Attempts
 from lovagestage.gateway.clocks import get_elapsed_s
 from lovagestage.gateway.connections import ConnectionPool
@@ -313,6 +317,7 @@
             "request": attempts.admitted.request.id,
             "upstream": upstream.id,
             "reason": error.reason,
+            "cause": _get_cause(error),
             "run": error.run.value,
             "checked": is_checked,
             "attempts": attempts.sent,
@@ -326,6 +331,12 @@
         )
 
 
+def _get_cause(error: AttemptFailedError) -> str:
+    """Returns what failed on the upstream's connection; empty if it did not."""
+    cause = error.__cause__
+    return cause.message if isinstance(cause, LovagestageError) else ""
+
+
 def record_whole_answer(
     context: RunContext,
     attempts: Attempts,
--- a/src/lovagestage/gateway/streams.py
+++ b/src/lovagestage/gateway/streams.py
@@ -20,7 +20,8 @@
 """Events without a field that may follow each other at once, such as comments
 that keep a connection open."""
 EMPTY_EVENTS_PER_S = 20.0
-"""Such events a second that may follow in addition."""
+"""Such events that may follow in addition, for each second of the stream: those
+that have waited for the caller or for this process are read at once."""
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_END_BYTES = 4
 _FIELD = re.compile(rb"^(data|id|event|retry)\b", re.MULTILINE)
@@ -37,8 +38,8 @@
         self._buffer = bytearray()
         self._parts = 0
         self._searched = 0
-        self._empty_events = 0.0
-        self._empty_since_s = 0.0
+        self._empty_events = 0
+        self._begun_s = get_elapsed_s()
 
     @property
     def has_incomplete_event(self) -> bool:
@@ -83,12 +84,7 @@
         Raises:
             AttemptFailedError: There are too many.
         """
-        empty = sum(_FIELD.search(event) is None for event in events)
-        if not empty:
-            return
-        now_s = get_elapsed_s()
-        passed = (now_s - self._empty_since_s) * EMPTY_EVENTS_PER_S
-        self._empty_events = max(0.0, self._empty_events - passed) + empty
-        self._empty_since_s = now_s
-        if self._empty_events > MAX_EMPTY_EVENTS:
+        self._empty_events += sum(_FIELD.search(e) is None for e in events)
+        age_s = get_elapsed_s() - self._begun_s
+        if self._empty_events > MAX_EMPTY_EVENTS + EMPTY_EVENTS_PER_S * age_s:
             raise AttemptFailedError("events_empty", RunState.RAN)
--- a/src/lovagestage/platform/headers.py
+++ b/src/lovagestage/platform/headers.py
@@ -192,7 +192,9 @@
             rest=_get_texts(raw, _RETRY_AFTER),
             is_refusal=event.status_code == _UNAVAILABLE_STATUS,
         ),
-        length_bytes=_parse_count(_get_text(fields, b"content-length")),
+        length_bytes=None
+        if b"transfer-encoding" in fields
+        else _parse_count(_get_text(fields, b"content-length")),
         ends_with_connection=not fields.keys()
         & {b"content-length", b"transfer-encoding"},
     )
--- a/tests/test_gateway_endless_answers.py
+++ b/tests/test_gateway_endless_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 import pytest
@@ -9,7 +10,8 @@
 from lab import worker as lab
 from lab.endless import GARBAGE, EndlessForm, make_endless
 from lab.endless_probe import find_breaches, measure
-from tests.gateway_harness import run_gateway_harness
+from lovagestage.gateway.runs import MAX_BODY_BYTES
+from tests.gateway_harness import make_request, run_gateway_harness
 
 CLOSE_S = 1.0
 MIN_CALLS, MAX_CALLS = 6, 40
@@ -55,6 +57,31 @@
         assert max(endless.read_s) < CLOSE_S
 
 
+async def test_the_head_of_a_long_resource_is_answered():
+    # A head alone says how long the body would be, and has none.
+    async def answer(arrival, writer):
+        length = str(MAX_BODY_BYTES + 1)
+        writer.write(lab.make_head(200, arrival, Content_Length=length))
+        await writer.drain()
+
+    async with run_gateway_harness(1, script=answer) as harness:
+        reader, writer = await harness.connect()
+        writer.write(make_request("/safe/x", method="HEAD"))
+        async with asyncio.timeout(4.0):
+            assert b" 200 " in await reader.readline()
+        writer.close()
+
+
+async def test_a_failed_attempt_tells_which_limit_was_passed(caplog):
+    form = EndlessForm.INTERIM_HEADS
+    async with run_gateway_harness(1) as harness:
+        await harness.add_worker("endless", make_endless(form))
+        for number in range(MAX_CALLS):
+            await harness.call("/safe/x", request_id=f"e{number}")
+    causes = {getattr(record, "cause", None) for record in caplog.records}
+    assert "Too much of an answer: interim_heads." in causes
+
+
 @pytest.mark.parametrize("form", PROBED)
 def test_workers_that_answer_without_end_cost_others_little(form):
     # One in twenty of the others was served in time, and the gateway took four
--- a/tests/test_read_limits.py
+++ b/tests/test_read_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import h11
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,11 +19,13 @@
     AnswerPart,
 )
 from lovagestage.exceptions import AttemptFailedError
+from lovagestage.gateway import streams
 from lovagestage.gateway.streams import (
     MAX_EMPTY_EVENTS,
     MAX_EVENT_PARTS,
     EventSplitter,
 )
+from lovagestage.platform.headers import decode_answer
 
 
 def test_a_head_has_a_limit_in_bytes_and_in_time():
@@ -114,3 +117,32 @@
     except AttemptFailedError:
         return
     assert events == EventSplitter().split(data)
+
+
+@pytest.mark.parametrize("since_s", [30.0, 0.0])
+def test_comments_that_waited_for_a_slow_caller_are_no_excess(
+    monkeypatch, since_s
+):
+    # Those of half a minute are read at once when the caller reads again.
+    now_s = 100.0
+    monkeypatch.setattr(streams, "get_elapsed_s", lambda: now_s)
+    splitter = EventSplitter()
+    now_s += since_s
+    comments = b": still here\n\n" * (2 * MAX_EMPTY_EVENTS)
+    if since_s:
+        assert len(splitter.split(comments)) == 2 * MAX_EMPTY_EVENTS
+        return
+    with pytest.raises(AttemptFailedError):
+        splitter.split(comments)
+
+
+def decode_head(*headers):
+    fields = [(b"Attempt-Id", b"a1"), *headers]
+    return decode_answer(h11.Response(status_code=200, headers=fields))
+
+
+def test_a_length_beside_chunks_is_none():
+    # Such an answer may have no end, and had the limit of a stated length.
+    chunked = (b"Transfer-Encoding", b"chunked")
+    assert decode_head((b"Content-Length", b"5")).length_bytes == 5
+    assert decode_head((b"Content-Length", b"5"), chunked).length_bytes is None
