--- a/lab/day/callers.py
+++ b/lab/day/callers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 import random
 import time
+from collections.abc import Collection, Sequence
 from typing import Any
 
 from lab.caller import Reply, make_request, read_reply
@@ -23,6 +25,8 @@
 """Interval in seconds between looks at whether an answer has stopped."""
 CALLERS = 40
 RETRIES = 1
+SKEWED_KEEP_RATIO = 0.2
+"""Ratio of connections that are kept while most new ones go to one gateway."""
 REST_RATIO = 1 / 3
 """Share of the time left for which callers honour `Retry-After`."""
 REFUSALS = (408, 421, 429, 503)
@@ -33,16 +37,33 @@
 SHARED_PARTS = 24
 
 
+@dataclasses.dataclass(frozen=True)
+class Skew:
+    """A time in which most new connections go to one gateway.
+
+    Attributes:
+        gateway: The gateway.
+        share: Share of the new connections that it gets.
+    """
+
+    gateway: GatewayProcess
+    share: float
+
+
 class Balancer:
     """Chooses gateways for new connections by their readiness.
 
     Args:
         gateways: All gateways.
+
+    Attributes:
+        skew: Where most new connections go; None for no such gateway.
     """
 
     def __init__(self, gateways: list[GatewayProcess]) -> None:
         self._gateways = gateways
         self._misses = {gateway.name: 0 for gateway in gateways}
+        self.skew: Skew | None = None
 
     async def probe(self) -> None:
         """Probes all gateways until the task is cancelled."""
@@ -55,10 +76,24 @@
                 self._misses[gateway.name] = 0 if is_ready else misses
             await asyncio.sleep(PROBE_INTERVAL_S)
 
-    def choose(self, rng: random.Random) -> GatewayProcess:
-        """Chooses a gateway for a new connection."""
+    def choose(
+        self, rng: random.Random, tried: Collection[str] = ()
+    ) -> GatewayProcess:
+        """Chooses a gateway for a new connection.
+
+        Args:
+            rng: Source of randomness.
+            tried: Names of gateways that the request has met before.
+        """
         ready = [g for g in self._gateways if self._misses[g.name] < MISSES]
-        return rng.choice(ready or self._gateways)
+        if not tried and (skew := self.skew) is not None:
+            if skew.gateway not in ready and ready:
+                # The next one gets them once the one before is out.
+                skew = self.skew = Skew(rng.choice(ready), skew.share)
+            if rng.random() < skew.share:
+                return skew.gateway
+        others = [g for g in ready if g.name not in tried]
+        return rng.choice(others or ready or self._gateways)
 
 
 class _TimedReader(asyncio.StreamReader):
@@ -161,14 +196,16 @@
         caller = self._rng.randrange(CALLERS)
         end_s = time.monotonic() + each.deadline_s
         headers = self._draw_headers(each)
-        for retry in range(RETRIES + 1):
+        attempts: list[Attempt] = []
+        for _ in range(RETRIES + 1):
             left_s = end_s - time.monotonic()
             if left_s <= 0.0:
                 return
             attempt, reply = await self._attempt(
-                each, caller, left_s, headers, is_first=retry == 0
+                each, caller, left_s, headers, attempts
             )
-            if not _may_retry(each, attempt):
+            attempts.append(attempt)
+            if not self._may_retry(attempt):
                 return
             rest_s = float(reply.headers.get("retry-after", 0)) if reply else 0
             await asyncio.sleep(min(rest_s, REST_RATIO * left_s))
@@ -179,15 +216,17 @@
         caller: int,
         left_s: float,
         headers: dict[str, str],
-        is_first: bool,
+        earlier: Sequence[Attempt],
     ) -> tuple[Attempt, Reply | None]:
         attempt = Attempt(
             f"q{next(self._numbers)}", each, "", False, time.monotonic(), left_s
         )
+        attempt.request_id = earlier[0].id if earlier else attempt.id
         self._record.attempts.append(attempt)
-        connection = self._take_idle(caller) if is_first else None
+        connection = None if earlier else self._take_idle(caller)
         if connection is None:
-            connection = await self._connect(attempt)
+            tried = [each.gateway for each in earlier]
+            connection = await self._connect(attempt, tried)
         if connection is None:
             return attempt, None
         attempt.gateway = connection.gateway
@@ -197,8 +236,10 @@
         self._put_back(caller, connection, attempt, reply)
         return attempt, reply
 
-    async def _connect(self, attempt: Attempt) -> _Connection | None:
-        gateway = self._balancer.choose(self._rng)
+    async def _connect(
+        self, attempt: Attempt, tried: Collection[str]
+    ) -> _Connection | None:
+        gateway = self._balancer.choose(self._rng, tried)
         attempt.gateway = gateway.name
         try:
             return await _open_connection(gateway)
@@ -279,6 +320,7 @@
             reply is None
             or attempt.outcome is not Outcome.ANSWERED
             or reply.headers.get("connection") == "close"
+            or self._draws_new_connection()
         )
         if is_last:
             connection.writer.close()
@@ -286,6 +328,23 @@
         connection.idle_since_s = time.monotonic()
         self._idle[caller].append(connection)
 
+    def _draws_new_connection(self) -> bool:
+        """Whether a caller leaves its connection, as many do under a skew."""
+        is_skewed = self._balancer.skew is not None
+        return is_skewed and self._rng.random() >= SKEWED_KEEP_RATIO
+
+    def _may_retry(self, attempt: Attempt) -> bool:
+        is_idempotent = attempt.request_class.is_idempotent
+        if attempt.outcome is Outcome.ANSWERED:
+            if attempt.status in FINAL:
+                return False
+            return is_idempotent or attempt.status in REFUSALS
+        if attempt.outcome is Outcome.UNCONNECTED:
+            return True
+        if attempt.outcome is not Outcome.CUT:
+            return False
+        return is_idempotent or not self._record.was_read(attempt)
+
     def _draw_headers(self, each: RequestClass) -> dict[str, str]:
         if not each.prompt_tokens:
             return {}
@@ -298,13 +357,3 @@
             "Prefix_Hash": f"{shared:06x}:{tokens},f{number:07x}:{tokens}",
             "Session": f"s{self._rng.randrange(SESSIONS)}",
         }
-
-
-def _may_retry(each: RequestClass, attempt: Attempt) -> bool:
-    if attempt.outcome is Outcome.ANSWERED:
-        if attempt.status in FINAL:
-            return False
-        return each.is_idempotent or attempt.status in REFUSALS
-    if attempt.outcome is Outcome.UNCONNECTED:
-        return True
-    return attempt.outcome is Outcome.CUT and each.is_idempotent
--- a/lab/day/command.py
+++ b/lab/day/command.py
@@ -18,6 +18,8 @@
 from lab.day.losses import Loss, count_broken, find_losses
 from lab.day.plan import Day, DayError, read_day
 from lab.day.records import Attempt, DayRecord, Outcome
+from lab.day.recovery import find_starved, summarize_skews
+from lab.day.throttle import throttle
 from lab.day.troubles import Troubles
 from lab.soak.stalls import Stall, record_stalls
 
@@ -33,6 +35,12 @@
     parser.add_argument(
         "--rate", type=float, default=1.0, help="times the usual traffic"
     )
+    parser.add_argument(
+        "--processor-share",
+        type=float,
+        default=1.0,
+        help="share of the time in which a gateway's process runs",
+    )
     parser.add_argument(
         "--logs", type=pathlib.Path, help="folder to keep the gateways' logs in"
     )
@@ -49,12 +57,22 @@
     for seed in range(args.seed, args.seed + args.seeds):
         with _open_folder(args.logs, seed) as folder:
             record, stalls = asyncio.run(
-                play(day, seed, folder, args.gateways, args.rate)
+                play(
+                    day,
+                    seed,
+                    folder,
+                    args.gateways,
+                    args.rate,
+                    args.processor_share,
+                )
             )
         losses = find_losses(record)
-        broken = count_broken(record, losses)
+        starved = find_starved(record)
+        broken = count_broken(record, losses) + len(starved)
         failed += broken > 0
         print(f"seed {seed}: {summarize(record, losses, broken, stalls)}")
+        for text in summarize_skews(record):
+            print(f"  {text}")
         for loss in losses[:MAX_PRINTED]:
             print(f"  {loss}", flush=True)
         for attempt in find_abandoned(record)[:MAX_PRINTED]:
@@ -64,7 +82,12 @@
 
 
 async def play(
-    day: Day, seed: int, folder: pathlib.Path, gateways: int, rate: float
+    day: Day,
+    seed: int,
+    folder: pathlib.Path,
+    gateways: int,
+    rate: float,
+    processor_share: float = 1.0,
 ) -> tuple[DayRecord, list[Stall]]:
     """Plays a day.
 
@@ -74,6 +97,7 @@
         folder: Folder for the gateways' settings and logs.
         gateways: Number of gateways.
         rate: Times the usual traffic.
+        processor_share: Share of the time in which a gateway's process runs.
 
     Returns:
         What was seen, and the times in which this process stood still.
@@ -86,8 +110,13 @@
     try:
         await fleet.start()
         balancer = Balancer(fleet.gateways)
-        troubles = Troubles(fleet, record, rng)
+        troubles = Troubles(fleet, balancer, record, rng)
         tasks.append(asyncio.ensure_future(balancer.probe()))
+        if processor_share < 1.0:
+            tasks += [
+                asyncio.ensure_future(throttle(gateway, processor_share))
+                for gateway in fleet.gateways
+            ]
         tasks += [
             asyncio.ensure_future(troubles.play(trouble))
             for trouble in day.troubles
--- a/lab/day/losses.py
+++ b/lab/day/losses.py
@@ -129,7 +129,7 @@
     return any(
         work.begun_s < attempt.ended_s and work.ended_s > since_s
         for work in works
-        if work.kind is WorkKind.FREEZE
+        if work.kind in (WorkKind.FREEZE, WorkKind.KILL)
     ) or any(
         _is_late_in_stop(work, attempt, runs)
         for work in works
--- a/lab/day/plan.py
+++ b/lab/day/plan.py
@@ -13,6 +13,8 @@
 DEFAULT_GAP_S = 1.0
 DEFAULT_SLOW_SHARE = 0.5
 DEFAULT_HUP_SHARE = 0.3
+DEFAULT_KILL_SHARE = 0.1
+DEFAULT_SKEW_SHARE = 0.9
 DEFAULT_SLOW_FACTOR = 8.0
 FIRST_SERVICE = "@s0"
 
@@ -31,6 +33,9 @@
     CONFIG_CHANGE = "config_change"
     CONFIG_STORM = "config_storm"
     NODE_FREEZE = "node_freeze"
+    NODE_KILL = "node_kill"
+    SKEW_CONNECTIONS = "skew_connections"
+    """Most new connections go to one gateway; the bench has no such kind."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,7 +47,8 @@
         at_s: Time in seconds from the start of traffic.
         for_s: How long it lasts, in seconds.
         gap_s: Time in seconds between its steps.
-        share: Share of the gateways, or of a bad version's requests.
+        share: Share of the gateways, of a bad version's requests, or of the
+            new connections.
         factor: How strong it is: how many times as slow, or how many gateways
             at a time.
     """
@@ -106,6 +112,8 @@
     shares = {
         Kind.ROLLOUT_BAD: DEFAULT_SLOW_SHARE,
         Kind.HUP: DEFAULT_HUP_SHARE,
+        Kind.NODE_KILL: DEFAULT_KILL_SHARE,
+        Kind.SKEW_CONNECTIONS: DEFAULT_SKEW_SHARE,
     }
     is_slow = kind is Kind.ROLLOUT_BAD
     return Trouble(
--- a/lab/day/records.py
+++ b/lab/day/records.py
@@ -5,9 +5,13 @@
 import dataclasses
 import enum
 import math
+from http import HTTPStatus
 
 from lab.day.deployment import RequestClass
 
+MAX_UNREAD_S = 1.0
+"""Seconds after which a cut request counts as read."""
+
 
 class RunEnd(enum.Enum):
     """How the run of a request at a worker ended."""
@@ -76,6 +80,13 @@
     ended_s: float = math.inf
     outcome: Outcome = Outcome.OPEN
     status: int = 0
+    request_id: str = ""
+    """Id of the first attempt at the same request."""
+
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller got a complete answer."""
+        return self.outcome is Outcome.ANSWERED and self.status == HTTPStatus.OK
 
 
 class WorkKind(enum.Enum):
@@ -86,6 +97,10 @@
     CONFIGURATION = "configuration"
     FREEZE = "freeze"
     """Not planned: it excuses its gateway."""
+    KILL = "kill"
+    """Not planned, as above."""
+    SKEW = "skew"
+    """Most new connections go to the gateway; it excuses nothing."""
 
 
 @dataclasses.dataclass
@@ -121,3 +136,15 @@
     runs: dict[str, list[Run]] = dataclasses.field(default_factory=dict)
     works: list[Work] = dataclasses.field(default_factory=list)
     outcomes: list[str] = dataclasses.field(default_factory=list)
+
+    def was_read(self, attempt: Attempt) -> bool:
+        """Whether a gateway has read the request of an attempt that ended.
+
+        One that was cut before any run, soon after it was sent, was not read:
+        a gateway that has read a request answers or refuses it.
+        """
+        if attempt.outcome is Outcome.UNCONNECTED:
+            return False
+        if attempt.outcome is not Outcome.CUT or self.runs.get(attempt.id):
+            return True
+        return attempt.ended_s - attempt.sent_s > MAX_UNREAD_S
--- a/lab/day/troubles.py
+++ b/lab/day/troubles.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from lab.day.callers import Balancer, Skew
 from lab.day.deployment import GRACE_S, OLD_VERSION, POOL
 from lab.day.fleet import DayFleet
 from lab.day.plan import Kind, Trouble
@@ -28,14 +29,20 @@
 
     Args:
         fleet: The fleet.
+        balancer: Chooses gateways for new connections.
         record: Gets what was done to the gateways.
         rng: Source of all random choices.
     """
 
     def __init__(
-        self, fleet: DayFleet, record: DayRecord, rng: random.Random
+        self,
+        fleet: DayFleet,
+        balancer: Balancer,
+        record: DayRecord,
+        rng: random.Random,
     ) -> None:
         self._fleet = fleet
+        self._balancer = balancer
         self._record = record
         self._rng = rng
         self._version = 1
@@ -52,6 +59,8 @@
             Kind.CONFIG_CHANGE: self._change_configuration,
             Kind.CONFIG_STORM: self._change_often,
             Kind.NODE_FREEZE: self._freeze,
+            Kind.NODE_KILL: self._kill,
+            Kind.SKEW_CONNECTIONS: self._skew_connections,
         }
         await actions[trouble.kind](trouble)
 
@@ -129,6 +138,28 @@
             gateway.send_signal(signal.SIGCONT)
             work.ended_s = time.monotonic()
 
+    async def _kill(self, trouble: Trouble) -> None:
+        """Kills gateways, first the one that gets most new connections."""
+        chosen = self._choose_gateways(trouble.share)
+        if (skew := self._balancer.skew) is not None:
+            chosen = [skew.gateway, *(g for g in chosen if g != skew.gateway)]
+            chosen = chosen[: max(1, len(chosen) - 1)]
+        works = [
+            self._add_work(WorkKind.KILL, gateway, time.monotonic())
+            for gateway in chosen
+        ]
+        await asyncio.gather(*(g.restart(signal.SIGKILL) for g in chosen))
+        for work in works:
+            work.ended_s = time.monotonic()
+
+    async def _skew_connections(self, trouble: Trouble) -> None:
+        (gateway,) = self._rng.sample(self._fleet.gateways, 1)
+        work = self._add_work(WorkKind.SKEW, gateway, time.monotonic())
+        self._balancer.skew = Skew(gateway, trouble.share)
+        await asyncio.sleep(trouble.for_s)
+        self._balancer.skew = None
+        work.ended_s = time.monotonic()
+
     def _add_work(
         self, kind: WorkKind, gateway: GatewayProcess, begun_s: float
     ) -> Work:
