Take no stall of the own process for an upstream's silence (RECOVER)

What callers saw: 503 and 504 from a gateway whose upstreams had answered in time.

Cause: timeouts by the clock of a late event loop. A connection takes four turns of the loop to open; at 0.1 s a turn its 0.4 s are over, and the repeats load the process further. A stall of 0.5 s does the same at once.

Change: time until a connection is open, and until a silent run may be given up, is waited for in six parts, each after the loop has seen what arrived in the one before.

--- a/lab/day/recovery.py
+++ b/lab/day/recovery.py
@@ -24,11 +24,13 @@
         gateway: The gateway that got them first.
         before: Requests of the seconds before, and how many were served.
         during: The same from `CONTACT_S` on until the end.
+        unread: Requests of that time of which no attempt was read.
     """
 
     gateway: str
     before: tuple[int, int]
     during: tuple[int, int]
+    unread: int
 
     @property
     def ratio(self) -> float:
@@ -40,7 +42,7 @@
         return (
             f"skew to {self.gateway}: {self.during[1]} of {self.during[0]}"
             f" served at the first try that was read, {self.before[1]} of"
-            f" {self.before[0]} before ({self.ratio:.2f})"
+            f" {self.before[0]} before ({self.ratio:.2f}), {self.unread} unread"
         )
 
 
@@ -68,7 +70,12 @@
         begun_s, ended_s = work.begun_s, work.ended_s
         before = _select(record, first_read, begun_s - BEFORE_S, begun_s)
         during = _select(record, first_read, begun_s + CONTACT_S, ended_s)
-        yield SkewResult(work.gateway, _count(before), _count(during))
+        yield SkewResult(
+            work.gateway,
+            _count(before),
+            _count(during),
+            _count_unread(record, first_read, begun_s + CONTACT_S, ended_s),
+        )
 
 
 def _get_first_read(record: DayRecord) -> Iterator[Attempt]:
@@ -86,6 +93,18 @@
             yield attempt
 
 
+def _count_unread(
+    record: DayRecord, first_read: Sequence[Attempt], from_s: float, to_s: float
+) -> int:
+    sent = {
+        attempt.request_id
+        for attempt in record.attempts
+        if from_s <= attempt.sent_s < to_s
+        and attempt.outcome is not Outcome.OPEN
+    }
+    return len(sent - {attempt.request_id for attempt in first_read})
+
+
 def _select(
     record: DayRecord, attempts: Iterable[Attempt], from_s: float, to_s: float
 ) -> list[Attempt]:
--- a/src/lovagestage/adapters/http1.py
+++ b/src/lovagestage/adapters/http1.py
@@ -16,6 +16,7 @@
 
 import h11
 
+from lovagestage.adapters.running_time import timeout_while_running
 from lovagestage.decisions.read_limits import (
     MAX_HEAD_BYTES,
     AnswerMeter,
@@ -270,7 +271,8 @@
 
     Args:
         address: `IP:PORT` of the server.
-        timeout_s: Longest time in seconds that the connection set-up may take.
+        timeout_s: Longest time in seconds that the connection set-up may take
+            while this process runs.
 
     Raises:
         UpstreamConnectionError: The connection was refused, timed out or could
@@ -279,7 +281,7 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with timeout_while_running(timeout_s):
             _, channel = await loop.create_connection(
                 lambda: Channel(UPSTREAM_READ_LIMIT_BYTES), host, int(port)
             )
--- a/src/lovagestage/gateway/silence.py
+++ b/src/lovagestage/gateway/silence.py
@@ -14,6 +14,7 @@
 from types import TracebackType
 from typing import Self, TypeVar
 
+from lovagestage.adapters.running_time import RunningTimer
 from lovagestage.decisions.crash_admission import Admission
 from lovagestage.exceptions import AttemptFailedError
 from lovagestage.gateway.attempts import Attempts
@@ -110,7 +111,9 @@
         self._loop = asyncio.get_running_loop()
         self._begun_s = self._loop.time()
         self._obstacle: Obstacle | None = None
-        self._timer = self._loop.call_later(max(0.0, patience_s), self._decide)
+        self._timer: RunningTimer | asyncio.TimerHandle = RunningTimer(
+            patience_s, self._decide
+        )
 
     def __enter__(self) -> Self:
         return self
