--- a/src/lovagestage/gateway/exposition.py
+++ b/src/lovagestage/gateway/exposition.py
@@ -130,6 +130,16 @@
     OPEN_REQUESTS = SeriesSpec(
         "open_requests", SeriesKind.GAUGE, "Requests open now."
     )
+    LOOP_DELAY_S = SeriesSpec(
+        "loop_delay_seconds",
+        SeriesKind.GAUGE,
+        "How late the event loop's last periodic turn began.",
+    )
+    SHED_CONNECTIONS = SeriesSpec(
+        "shed_connections_total",
+        SeriesKind.COUNTER,
+        "New connections that were closed unread under overload.",
+    )
     SUSPECT_REQUESTS = SeriesSpec(
         "suspect_requests",
         SeriesKind.GAUGE,
--- a/src/lovagestage/gateway/process.py
+++ b/src/lovagestage/gateway/process.py
@@ -94,7 +94,9 @@
         self._components = make_components(settings, exposition)
         service = self._components.service
         self._caller_server = CallerServer(
-            service.handle_request, service.get_limits
+            service.handle_request,
+            service.get_limits,
+            self._components.overload.admits_connection,
         )
         self._probe_server = CallerServer(
             self._answer_probe, service.get_limits
--- a/src/lovagestage/gateway/server.py
+++ b/src/lovagestage/gateway/server.py
@@ -37,16 +37,22 @@
     Args:
         handler: Answers one request.
         limits: Returns the current limits for requests.
+        admits_connection: Returns whether a new connection is served; others
+            are closed before anything was read.
 
     Attributes:
         is_draining: Whether answers tell their callers to leave.
     """
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], ClientLimits]
+        self,
+        handler: Handler,
+        limits: Callable[[], ClientLimits],
+        admits_connection: Callable[[], bool] = lambda: True,
     ) -> None:
         self._handler = handler
         self._limits = limits
+        self._admits_connection = admits_connection
         self.is_draining = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -106,6 +112,9 @@
         return _AcceptedChannel(self._accept, self._forget)
 
     def _accept(self, channel: Channel) -> None:
+        if not self._admits_connection():
+            channel.abort()
+            return
         connection = CallerConnection(
             channel, self._limits, lambda: self.is_draining
         )
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -35,6 +35,7 @@
 )
 from lovagestage.gateway.gossip import Gossip
 from lovagestage.gateway.limit_exchange import LimitExchange
+from lovagestage.gateway.overload import OverloadWatch
 from lovagestage.gateway.peer_directory import (
     NoPeerDirectory,
     SocketPeerDirectory,
@@ -85,6 +86,7 @@
         planned_stop: Says which requests are accepted during a stop.
         service: Handles callers' requests.
         timers: Calls subscribers periodically.
+        overload: Says which new connections are served.
         services: Background services in the order in which they are started,
             including those among the components above.
     """
@@ -97,6 +99,7 @@
     planned_stop: PlannedStop
     service: GatewayService
     timers: TimerService
+    overload: OverloadWatch
     services: tuple[mode.Service, ...]
 
 
@@ -210,6 +213,12 @@
             deployment, forwarder, exposition, startup_gate, planned_stop
         ),
         timers,
+        OverloadWatch(
+            timers,
+            exposition,
+            rng,
+            lambda: 0 if socket is None else len(socket.peers),
+        ),
         services,
     )
 
