--- a/lab/soak/command.py
+++ b/lab/soak/command.py
@@ -11,6 +11,7 @@
 
 from lab.soak.checks import find_breaches
 from lab.soak.deployment import GATEWAYS, WORKERS
+from lab.soak.skew_checks import get_skew_results
 from lab.soak.stalls import record_stalls
 from lab.soak.traffic import BRIEF, LASTING, PATIENT, Callers
 from lab.soak.troubles import ALL_FAULTS, FAULTS, Fault
@@ -146,6 +147,9 @@
     answered = sum(
         s.reply is not None and s.reply.status == 200 for s in callers.sent
     )
+    skews = [
+        f"; {result}" for result in get_skew_results(environment, callers.sent)
+    ]
     stalls = [
         f"{stall.ended_s - stall.begun_s:.2f} ({stall.cpu_s:.2f})"
         for stall in environment.stalls
@@ -154,7 +158,7 @@
         f"{len(callers.sent)} requests, {answered} answered,"
         f" {len(environment.injected_faults)} faults,"
         f" own stalls in seconds (of CPU time): {', '.join(stalls) or 'none'},"
-        f" {len(breaches)} broken guarantees"
+        f" {len(breaches)} broken guarantees{''.join(skews)}"
     )
 
 
--- a/src/lovagestage/decisions/limit_sharing.py
+++ b/src/lovagestage/decisions/limit_sharing.py
@@ -4,9 +4,10 @@
 every request. Equal parts for all gateways waste the limit where it is small:
 with hundreds of gateways each part is one request in minutes, and those that
 have no use for it can't give it to others. A hash therefore chooses as many
-gateways as the limit has room for, and each of them uses an equal share. Small
+gateways as the limit has room for, and each of them has an equal share. Small
 deployments share among all gateways, so that no caller depends on which
-gateway it has reached.
+gateway it has reached. Shares that are not needed are lent to gateways that get
+more requests (`share_lending`).
 
 The decisions are pure: they read no clock and open no socket.
 """
@@ -19,11 +20,7 @@
 
 import xxhash
 
-from lovagestage.decisions.send_rates import (
-    NO_REQUESTS,
-    RateLimit,
-    make_spaced_limit,
-)
+from lovagestage.decisions.share_lending import BaseShare
 from lovagestage.types import InstanceId
 
 MIN_SHARING_GATEWAYS = 3
@@ -31,12 +28,16 @@
 down and another one idle."""
 GATEWAYS_PER_REQUEST_PER_S = 2.0
 """Number of further gateways that share a limit, for each request per second of
-it. In any span of time, a gateway sends at most one request more than its share
-of that span. In 4 s, all of them together therefore send at most one and a half
-times what the limit allows, and three requests more."""
+it. In any time, all gateways together send at most what the limit allows in
+that time and in the span in which requests are counted, also while shares are
+lent. In 4 s, that is one and a half times what the limit allows, and three
+requests more."""
 MIN_REQUESTS_PER_S = 0.1
 """Smallest limit that is applied. An upstream that accepts nothing gets one
 request in ten seconds: only its answer can tell that it accepts more again."""
+MIN_SPAN_S = 1.0
+"""Shortest time in seconds in which requests are counted: long enough for
+requests that come together, and far below the time over which the sum binds."""
 ASSUMED_GATEWAYS = 32
 """Number of gateways to divide a limit by where gateways can't learn of each
 other."""
@@ -64,10 +65,10 @@
 class LimitPolicy(Protocol):
     """Shares the request limit of an upstream among the gateways."""
 
-    def get_rate_limit(
+    def get_share(
         self, gateways: GatewaySet, upstream: InstanceId, per_s: float
-    ) -> RateLimit:
-        """Returns the limit for one gateway's requests to one upstream.
+    ) -> BaseShare:
+        """Returns one gateway's share of an upstream's limit.
 
         Args:
             gateways: The gateways, as the deciding one knows them.
@@ -85,19 +86,19 @@
     others therefore goes on with a share of the same size.
     """
 
-    def get_rate_limit(
+    def get_share(
         self, gateways: GatewaySet, upstream: InstanceId, per_s: float
-    ) -> RateLimit:
-        """Returns the limit for one gateway's requests to one upstream."""
+    ) -> BaseShare:
+        """Returns one gateway's share of an upstream's limit."""
         per_s = max(MIN_REQUESTS_PER_S, per_s)
         if gateways.peers is None:
-            return make_spaced_limit(per_s / ASSUMED_GATEWAYS)
-        if not gateways.is_discovery_complete:
-            return NO_REQUESTS
+            return BaseShare(per_s / ASSUMED_GATEWAYS, ASSUMED_GATEWAYS / per_s)
         count = count_sharing_gateways(1 + len(gateways.peers), per_s)
-        if get_rank(gateways, upstream) >= count:
-            return NO_REQUESTS
-        return make_spaced_limit(per_s / count)
+        span_s = max(MIN_SPAN_S, count / per_s)
+        is_sharing = gateways.is_discovery_complete and (
+            get_rank(gateways, upstream) < count
+        )
+        return BaseShare(per_s / count if is_sharing else 0.0, span_s)
 
 
 def count_sharing_gateways(known: int, per_s: float) -> int:
@@ -111,6 +112,18 @@
     return min(known, room)
 
 
+def get_sharing_peers(
+    gateways: GatewaySet, upstream: InstanceId, per_s: float
+) -> list[str]:
+    """Returns the names of the other gateways that have a share of a limit."""
+    per_s = max(MIN_REQUESTS_PER_S, per_s)
+    live = (gateways.own_name, *gateways.live_peers)
+    count = count_sharing_gateways(1 + len(gateways.peers or ()), per_s)
+    if count < len(live):
+        live = tuple(sorted(live, key=lambda name: _get_hash(name, upstream)))
+    return [name for name in live[:count] if name != gateways.own_name]
+
+
 def get_rank(gateways: GatewaySet, upstream: InstanceId) -> int:
     """Returns the deciding gateway's place among the live ones; 0 is first."""
     own_hash = _get_hash(gateways.own_name, upstream)
--- a/src/lovagestage/decisions/send_rates.py
+++ b/src/lovagestage/decisions/send_rates.py
@@ -82,6 +82,11 @@
         wait_s = recent_s[-free] + rate_limit.span_s - now_s
         return max(MIN_WAIT_S, wait_s)
 
+    def count_since(self, start_s: float) -> int:
+        """Returns the requests placed, and those sent since a time."""
+        sent = sum(sent_s > start_s for sent_s in self._send_times_s)
+        return self._placed_count + sent
+
     def record_placed(self) -> None:
         """Counts a request that will either be sent or be withdrawn."""
         self._placed_count += 1
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Collection, Iterator, Sequence
 
-from lovagestage.decisions.upstream_notices import NoticeKind
+from lovagestage.decisions.upstream_notices import Denial, NoticeKind
 from lovagestage.exceptions import AttemptFailedError, GatewayRefusalError
 from lovagestage.gateway import missing_upstreams, upstream_choice
 from lovagestage.gateway.admission import RETRY_AFTER_S, AdmittedRequest
@@ -155,6 +155,21 @@
         total_s = self.admitted.deadline_s - request.arrived_s
         return self.remaining_s / max(0.001, total_s)
 
+    def record_demand(self) -> None:
+        """Counts the next attempt as one that needs a share of a limit."""
+        shares = self._deployment.guard.shares
+        shares.record_request(self.admitted.service, get_elapsed_s())
+
+    def is_limited(self) -> bool:
+        """Returns whether only shares of request limits stand in the way."""
+        now_s, deployment = get_elapsed_s(), self._deployment
+        if not deployment.guard.get_noticed(now_s):
+            return False
+        admitted = self.admitted
+        ready = deployment.get_ready(admitted.service, admitted.allowed_regions)
+        denial = deployment.get_denial(ready, now_s)
+        return denial is not None and denial.denial is Denial.LIMITED
+
     def choose_upstream(self, work: upstream_choice.AttemptCost) -> Upstream:
         """Chooses the next upstream and counts the attempt.
 
--- a/src/lovagestage/gateway/forwarder.py
+++ b/src/lovagestage/gateway/forwarder.py
@@ -18,6 +18,7 @@
 from lovagestage.gateway.retry_budget import ServiceRetryBudget
 from lovagestage.gateway.runs import RunContext, end_request
 from lovagestage.gateway.settings import Bounds, GatewaySettings
+from lovagestage.gateway.share_exchange import LoanSource
 from lovagestage.gateway.sinks import AnswerSink, EvidenceSink
 from lovagestage.gateway.stream_runs import forward_stream
 from lovagestage.types import ServiceId
@@ -35,6 +36,7 @@
         rng: Source of randomness.
         count_gateways: Returns the number of gateways, this one included; None
             if gateways cannot exchange messages.
+        loans: Borrows shares of request limits from other gateways.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         suspects: SuspectWatch,
         rng: random.Random,
         count_gateways: Callable[[], int | None],
+        loans: LoanSource,
     ) -> None:
         self._count_gateways = count_gateways
         self._started_s = get_elapsed_s()
@@ -62,6 +65,7 @@
             PrefillTimes(),
             LoadGauge(),
             suspects,
+            loans,
         )
 
     def make_attempts(self, admitted: AdmittedRequest) -> Attempts:
--- a/src/lovagestage/gateway/runs.py
+++ b/src/lovagestage/gateway/runs.py
@@ -37,6 +37,7 @@
     AnswerQuality,
     EvidenceAspect,
 )
+from lovagestage.gateway.share_exchange import LoanSource
 from lovagestage.gateway.sinks import EvidenceSink
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.gateway.upstream_choice import AttemptCost
@@ -88,6 +89,7 @@
         prefill_times: Times that upstreams take to prefill prompts, by model.
         gauge: Load of the upstreams.
         suspects: Tracks requests that may crash upstreams.
+        loans: Borrows shares of request limits from other gateways.
     """
 
     pool: ConnectionPool
@@ -97,6 +99,7 @@
     prefill_times: PrefillTimes
     gauge: LoadGauge
     suspects: SuspectWatch
+    loans: LoanSource
 
 
 async def begin_attempt(
@@ -116,6 +119,9 @@
         GatewayRefusalError: The request must not run, or no upstream is left.
     """
     await _wait_for_admission(context, attempts)
+    attempts.record_demand()
+    if attempts.is_limited():
+        await context.loans.wait_for_loan()
     attempts.model = model
     run = attempts.next_run_name
     try:
--- a/src/lovagestage/gateway/upstream_guard.py
+++ b/src/lovagestage/gateway/upstream_guard.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import random
 from collections.abc import Callable, Collection
 from typing import Protocol
 
@@ -29,19 +29,16 @@
     check_rate,
 )
 from lovagestage.decisions.warmup import GatewayView, Warmup, WarmupPolicy
+from lovagestage.gateway.limit_shares import SHARE_RETENTION_S, LimitShares
 from lovagestage.gateway.rotation import GONE_RETENTION_S, Rotation
 from lovagestage.gateway.upstream import Upstream, UpstreamState
-from lovagestage.types import InstanceId, ServiceId, ZoneId
+from lovagestage.types import ServiceId, ZoneId
 
 STARTUP_DELAY_S = 3.0
 """Time in seconds after its start in which a gateway leaves upstreams that are
 warming up or limited to other gateways: its hello message reaches them within
 about a second, and it receives the reported queue times, which name the other
 gateways, several times a second."""
-SHARE_RETENTION_S = 1.0
-"""Time in seconds for which a share of a limit, and the gateways that it
-depends on, are used before they are determined again: there may be hundreds of
-them, and a share is asked for several times in each choice."""
 RECHECK_LIMIT = RateLimit(1, UNCONFIRMED_RETENTION_S)
 """Limit of a gateway that finds out whether a limit still holds."""
 
@@ -59,21 +56,6 @@
         """Returns those in this gateway's availability zone."""
 
 
-@dataclasses.dataclass(frozen=True)
-class _Share:
-    """A gateway's share of an upstream's request limit.
-
-    Attributes:
-        per_s: The upstream's limit in requests per second.
-        rate_limit: The gateway's share of it.
-        computed_s: Elapsed time in seconds at which it was computed.
-    """
-
-    per_s: float
-    rate_limit: RateLimit
-    computed_s: float
-
-
 class UpstreamGuard:
     """Applies what is known of an upstream's capacity to each request.
 
@@ -89,6 +71,9 @@
         own_name: Name of the gateway among the gateways.
         peers: Names of the other gateways.
         started_s: Elapsed time in seconds at the start of the process.
+
+    Attributes:
+        shares: This gateway's shares of the limits that upstreams state.
     """
 
     def __init__(
@@ -103,14 +88,15 @@
         started_s: float,
     ) -> None:
         self._warmup_policy = warmup_policy
-        self._limit_policy = limit_policy
         self._rotation = rotation
         self._get_warmup = get_warmup
         self._zone = zone
         self._own_name = own_name
         self._peers = peers
         self._started_s = started_s
-        self._shares: dict[InstanceId, _Share] = {}
+        self.shares = LimitShares(
+            limit_policy, rotation, random.Random(), self.get_gateway_set
+        )
         self._gateways: GatewaySet | None = None
         self._gateways_s = 0.0
         # A few of thousands of upstreams say anything of themselves, and each
@@ -136,7 +122,7 @@
         notices = upstream.notices
         share = NO_REQUESTS
         if notices.limit_per_s is not None:
-            share = self._get_share(upstream, notices.limit_per_s, now_s)
+            share = self._get_rate_limit(upstream, notices.limit_per_s, now_s)
         permission = notices.check(share, upstream.sends, now_s, is_placed)
         if permission.denial is None and upstream.warmup.is_cold(now_s):
             return self._check_warmup(upstream, now_s, is_placed)
@@ -204,7 +190,7 @@
             )
             if is_forgotten or not upstream.notices.get_kinds(now_s):
                 self._noticed.remove(upstream)
-                self._shares.pop(upstream.id, None)
+                self.shares.forget(upstream)
         return self._noticed
 
     def get_gateway_set(self, now_s: float) -> GatewaySet:
@@ -220,33 +206,16 @@
             self._gateways_s = now_s
         return known
 
-    def _get_share(
+    def _get_rate_limit(
         self, upstream: Upstream, per_s: float, now_s: float
     ) -> RateLimit:
-        known = self._shares.get(upstream.id)
-        if (
-            known is None
-            or known.per_s != per_s
-            or now_s - known.computed_s >= SHARE_RETENTION_S
-        ):
-            rate_limit = self._compute_share(upstream, per_s, now_s)
-            known = self._shares[upstream.id] = _Share(per_s, rate_limit, now_s)
-        return known.rate_limit
-
-    def _compute_share(
-        self, upstream: Upstream, per_s: float, now_s: float
-    ) -> RateLimit:
-        gateways = self.get_gateway_set(now_s)
+        rate_limit = self.shares.get_rate_limit(upstream, per_s, now_s)
+        if rate_limit.requests:
+            return rate_limit
         name = f"{upstream.incarnation}/{self._own_name}"
         place = xxhash.xxh32_intdigest(name.encode()) / 2**32
-        count = 1 + len(gateways.peers or ())
-        rate_limit = self._limit_policy.get_rate_limit(
-            gateways, upstream.id, per_s
-        )
-        is_recheck_due = upstream.notices.is_limit_unconfirmed(
-            count, place, now_s
-        )
-        if not rate_limit.requests and is_recheck_due:
+        count = 1 + len(self.get_gateway_set(now_s).peers or ())
+        if upstream.notices.is_limit_unconfirmed(count, place, now_s):
             return RECHECK_LIMIT
         return rate_limit
 
--- a/src/lovagestage/gateway/wiring.py
+++ b/src/lovagestage/gateway/wiring.py
@@ -58,6 +58,7 @@
 from lovagestage.gateway.service import GatewayService
 from lovagestage.gateway.session_pins import SessionPins
 from lovagestage.gateway.settings import GatewaySettings
+from lovagestage.gateway.share_exchange import NoLoans, ShareExchange
 from lovagestage.gateway.startup_gate import StartupGate
 from lovagestage.gateway.state_view import OperatorStateView
 from lovagestage.gateway.store_recovery import StoreRecoverySignal
@@ -156,6 +157,11 @@
         )
     relay = _make_relay(settings, socket, exposition)
     _subscribe_to_peer_messages(peer_messenger, rollouts, suspects)
+    share_exchange = (
+        None
+        if socket is None
+        else ShareExchange(socket, rotation, guard.shares)
+    )
     pool = ConnectionPool()
     forwarder = Forwarder(
         settings,
@@ -165,6 +171,7 @@
         suspects,
         rng,
         lambda: None if socket is None else len(socket.peers) + 1,
+        share_exchange or NoLoans(),
     )
     planned_stop = PlannedStop()
     startup_gate = StartupGate(lambda: operator_feed.is_receiving_first_answer)
@@ -192,7 +199,14 @@
     limit_exchange = (
         None if socket is None else LimitExchange(socket, rotation, guard)
     )
-    peer_services = (socket, gossip, relay, limit_exchange, crash_exchange)
+    peer_services = (
+        socket,
+        gossip,
+        relay,
+        limit_exchange,
+        share_exchange,
+        crash_exchange,
+    )
     services = (
         timers,
         *(each for each in peer_services if each is not None),
