--- a/src/lovagestage/gateway/stream_runs.py
+++ b/src/lovagestage/gateway/stream_runs.py
@@ -31,7 +31,7 @@
 )
 from lovagestage.gateway.silence import wait_for_data
 from lovagestage.gateway.sinks import AnswerSink
-from lovagestage.gateway.streams import EventSplitter
+from lovagestage.gateway.streams import EventSplitter, has_field
 from lovagestage.gateway.upstream import Upstream
 from lovagestage.platform.headers import decode_event_id
 from lovagestage.types import RunState
@@ -162,6 +162,7 @@
         self._splitter = EventSplitter()
         self._started_s = asyncio.get_running_loop().time()
         self._awaits_first_event = True
+        self._held_comments: list[bytes] = []
         self._weighing = RunWeighing(context, attempts, upstream, model, True)
 
     async def run(self) -> _NextRun | None:
@@ -275,13 +276,17 @@
     ) -> None:
         attempts = self._attempts
         event_timeout_s = attempts.admitted.route.max_event_interval_s
+        first_event_s = self._get_run_time_s() + limit_s
         while True:
             chunk = await self._wait_for_data(exchange.fetch_chunk(), limit_s)
             if chunk is None:
                 break
             for number, event in enumerate(self._splitter.split(chunk), 1):
-                await self._forward_event(exchange, head, event)
-                limit_s = event_timeout_s
+                if self._holds(event):
+                    limit_s = first_event_s - self._get_run_time_s()
+                else:
+                    await self._forward_event(exchange, head, event)
+                    limit_s = event_timeout_s
                 if number % TURN_EVENTS == 0:
                     # Others run between events that came together.
                     await asyncio.sleep(0)
@@ -295,9 +300,25 @@
         self._upstream.performance.record_answer(False)
         record_whole_answer(self._context, attempts, self._upstream, head)
         if not self.progress.is_started:
-            await self._sink.start_stream(head)
+            await self._start_stream(head)
         await self._sink.finish_stream()
 
+    def _holds(self, event: bytes) -> bool:
+        """Keeps a comment that comes ahead of the caller's first event.
+
+        Until that, another upstream may answer in place of one that fails.
+        """
+        if self.progress.is_started or has_field(event):
+            return False
+        self._held_comments.append(event)
+        return True
+
+    async def _start_stream(self, head: AnswerHead) -> None:
+        await self._sink.start_stream(head)
+        for comment in self._held_comments:
+            await self._sink.send_event(comment)
+        self._held_comments.clear()
+
     async def _forward_event(
         self, exchange: Exchange, head: AnswerHead, event: bytes
     ) -> None:
@@ -307,7 +328,7 @@
             exchange.record_answer_start(self._get_run_time_s())
             self._record_first_event()
         if not self.progress.is_started:
-            await self._sink.start_stream(head)
+            await self._start_stream(head)
         await self._sink.send_event(event)
         self._weighing.record_sent()
         last_id = decode_event_id(event) or self.progress.last_id
--- a/src/lovagestage/gateway/streams.py
+++ b/src/lovagestage/gateway/streams.py
@@ -27,6 +27,11 @@
 _FIELD = re.compile(rb"^(data|id|event|retry)\b", re.MULTILINE)
 
 
+def has_field(event: bytes) -> bool:
+    """Returns whether an event holds more than comments."""
+    return _FIELD.search(event) is not None
+
+
 class EventSplitter:
     """Splits a byte stream into complete events.
 
@@ -84,7 +89,7 @@
         Raises:
             AttemptFailedError: There are too many.
         """
-        self._empty_events += sum(_FIELD.search(e) is None for e in events)
+        self._empty_events += sum(not has_field(e) for e in events)
         age_s = get_elapsed_s() - self._begun_s
         if self._empty_events > MAX_EMPTY_EVENTS + EMPTY_EVENTS_PER_S * age_s:
             raise AttemptFailedError("events_empty", RunState.RAN)
