--- a/lab/day/callers.py
+++ b/lab/day/callers.py
@@ -275,8 +275,11 @@
                 reply = await self._read(each, connection)
         except TimeoutError:
             attempt.outcome = Outcome.ABANDONED
-        except (EOFError, ConnectionError):
+        except (EOFError, ConnectionError) as error:
             attempt.outcome = Outcome.CUT
+            attempt.was_reset = isinstance(
+                error, ConnectionResetError | BrokenPipeError
+            )
         if reply is not None:
             attempt.status = reply.status
             is_whole = reply.is_complete
--- a/lab/day/losses.py
+++ b/lab/day/losses.py
@@ -86,7 +86,9 @@
     losses = []
     for attempt in record.attempts:
         runs = record.runs.get(attempt.id, [])
-        if _is_cut(attempt, runs) and not _is_excused(record, attempt, runs):
+        if _is_cut(record, attempt, runs) and not _is_excused(
+            record, attempt, runs
+        ):
             losses.append(Loss(attempt, runs, _find_cause(record, attempt)))
     return losses
 
@@ -108,8 +110,8 @@
     return count + _count_beside_configurations(record, losses)
 
 
-def _is_cut(attempt: Attempt, runs: Sequence[Run]) -> bool:
-    if attempt.outcome is not Outcome.CUT:
+def _is_cut(record: DayRecord, attempt: Attempt, runs: Sequence[Run]) -> bool:
+    if attempt.outcome is not Outcome.CUT or not record.was_read(attempt):
         return False
     time_s = attempt.ended_s - attempt.sent_s
     return bool(runs) or time_s > LOSS_SLACK_S
--- a/src/lovagestage/decisions/share_lending.py
+++ b/src/lovagestage/decisions/share_lending.py
@@ -29,6 +29,10 @@
 """Length in seconds of a lease. The borrower counts it from when it asked, the
 lender from when it lent, which is later. It is shorter than the time for which
 a gateway that restarts, and knows no leases, leaves limits to others."""
+MAX_LENT_SPAN_S = 3.5
+"""Longest span in seconds of a share that is lent. A lease of a smaller share
+brings less than half a request, and costs its lender the whole span in which
+the next one accrues."""
 _ROUNDING = 1e-6
 
 
@@ -49,6 +53,11 @@
         """Smallest rate in requests per second that allows a request."""
         return 1.0 / self.span_s
 
+    @property
+    def may_be_lent(self) -> bool:
+        """Whether a lease brings its borrower anything."""
+        return self.span_s <= MAX_LENT_SPAN_S
+
 
 @dataclasses.dataclass(frozen=True)
 class Lease:
@@ -163,6 +172,8 @@
             What is lent; `NO_LOAN` where none can be spared.
         """
         self._advance(now_s)
+        if not self._base.may_be_lent:
+            return NO_LOAN
         free = self._base.per_s - self._count_lent(besides=borrower)
         unit = self._base.unit_per_s
         per_s = min(max(wanted_per_s, unit), free - kept_per_s)
--- a/src/lovagestage/gateway/limit_shares.py
+++ b/src/lovagestage/gateway/limit_shares.py
@@ -134,6 +134,7 @@
                 self._get_needed_per_s(upstream, WANTED_DEVIATIONS, now_s),
             )
             for upstream, entry in self._get_limited(now_s)
+            if entry.share.base.may_be_lent
         ]
         for upstream, entry, needed_per_s in limited:
             for wish in _find_renewals(upstream, entry, needed_per_s, now_s):
--- a/tests/test_day_skew.py
+++ b/tests/test_day_skew.py
@@ -6,9 +6,12 @@
 import pathlib
 import random
 
+import pytest
+
 from lab.day.callers import Balancer, Skew
 from lab.day.command import play
 from lab.day.deployment import BY_NAME, CONTACT_S
+from lab.day.losses import find_losses
 from lab.day.plan import Day, Kind, Trouble, read_day
 from lab.day.records import (
     Attempt,
@@ -82,6 +85,20 @@
     assert not find_starved(make_record([UNREAD, CLOSED_UNREAD] * 20))
 
 
+@pytest.mark.parametrize(
+    ("was_reset", "runs", "was_read"),
+    [(True, [], False), (False, [], True), (True, [Run("w1", 0.0)], True)],
+)
+def test_a_reset_before_any_run_shows_that_nothing_was_read(
+    was_reset, runs, was_read
+):
+    (attempt,) = make_attempts("x", BEGUN_S, [(Outcome.CUT, 0)])
+    attempt.was_reset, attempt.ended_s = was_reset, BEGUN_S + 0.9
+    record = DayRecord(attempts=[attempt], runs={attempt.id: runs})
+    assert record.was_read(attempt) == was_read
+    assert bool(find_losses(record)) == was_read
+
+
 def test_a_request_that_ran_and_was_cut_was_read():
     record = make_record([CLOSED_UNREAD] * 40)
     for number in range(40):
--- a/tests/test_running_time.py
+++ b/tests/test_running_time.py
@@ -11,6 +11,7 @@
 from lovagestage.adapters.http1 import open_channel
 from lovagestage.adapters.running_time import timeout_while_running
 from lovagestage.exceptions import UpstreamConnectionError
+from tests.gateway_harness import run_gateway_harness
 
 
 async def stall(loop, times, stall_s):
@@ -64,3 +65,17 @@
             await asyncio.sleep(5.0)
     time_s = asyncio.get_running_loop().time() - began_s
     assert time_s > 0.6
+
+
+async def test_own_stall_refuses_no_caller():
+    # Guards against 503 from a gateway that stood still while it connected to
+    # the only upstream that was left.
+    async with run_gateway_harness(1) as harness:
+        loop = asyncio.get_running_loop()
+        calls = [
+            asyncio.ensure_future(harness.call(f"/{kind}/x"))
+            for kind in ("safe", "unsafe")
+        ]
+        await stall(loop, 14, 0.15)
+        replies = await asyncio.gather(*calls)
+        assert [reply.status for reply in replies] == [200, 200]
--- a/tests/test_share_lending.py
+++ b/tests/test_share_lending.py
@@ -77,6 +77,13 @@
     assert make_share(1.0).lend("b", 0.5, 0.5, 0, 5.0) is NO_LOAN
 
 
+def test_share_that_accrues_slowly_is_not_lent():
+    # Guards against lenders that lose seconds of a small limit for nothing.
+    share = make_share(0.2, 5.0)
+    assert share.lend("b", 0.2, 0.0, 0, 5.0) is NO_LOAN
+    assert get_rate(share, 5.0) == pytest.approx(0.2)
+
+
 def test_renewed_lease_replaces_the_one_before():
     share = make_share(10.0)
     share.lend("b", 6.0, 2.0, 0, 5.0)
