--- a/src/lovagestage/gateway/deployment.py
+++ b/src/lovagestage/gateway/deployment.py
@@ -227,18 +227,14 @@
             versions = sorted({upstream.entry.version for upstream in ready})
         if session is None:
             return choose_version(rollout, versions, request, now_s)
-        is_pinned_elsewhere = is_pinned_here = False
-        if rollout is not None:
-            pin = (service, session, rollout.order.version, now_s)
-            is_pinned_elsewhere = self.pins.is_pinned_elsewhere(*pin)
-            is_pinned_here = self.pins.is_pinned_to(*pin)
+        is_pinned_elsewhere = (
+            rollout is not None
+            and self.pins.is_pinned_elsewhere(
+                service, session, rollout.order.version, now_s
+            )
+        )
         assignment = choose_version(
-            rollout,
-            versions,
-            session,
-            now_s,
-            is_pinned_elsewhere,
-            is_pinned_here,
+            rollout, versions, session, now_s, is_pinned_elsewhere
         )
         self.pins.record_request(service, session, assignment.version, now_s)
         return assignment
--- a/src/lovagestage/gateway/rollout_assignment.py
+++ b/src/lovagestage/gateway/rollout_assignment.py
@@ -33,7 +33,6 @@
     seed: str,
     now_s: float,
     is_pinned_elsewhere: bool = False,
-    is_pinned_here: bool = False,
 ) -> Assignment:
     """Chooses the version of a request.
 
@@ -44,8 +43,6 @@
         now_s: Elapsed time in seconds.
         is_pinned_elsewhere: Whether the session is active and was last on
             another version than the new one.
-        is_pinned_here: Whether the session is active and was last on the new
-            version.
 
     Returns:
         The assignment; its version is None where upstreams of any version may
@@ -68,7 +65,4 @@
         stays_on_old and rollout.get_elapsed_ratio(now_s) < SESSION_HOLD_RATIO
     )
     is_new = rollout.is_new(seed, now_s) and not stays_on_old
-    # A version that is undecided at the deadline loses its load step, and may
-    # be completed a moment later: sessions would change versions twice.
-    is_new = is_new or (is_pinned_here and rollout.is_undecided)
     return Assignment(target if is_new else old[0], is_new)
--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -346,17 +346,11 @@
     def is_loaded(self, now_s: float) -> bool:
         """Returns whether the new version is in its load step.
 
-        A version that is undecided at the end goes back to the first share,
-        but for active sessions.
+        A version that is undecided at the end goes back to the first share.
         """
         is_due = LOAD_STEP.from_ratio <= self.get_elapsed_ratio(now_s) < 1.0
         return is_due and self.get_answer_count() >= LOAD_STEP.min_answers
 
-    @property
-    def is_undecided(self) -> bool:
-        """Whether the new version may still be completed."""
-        return self.outcome is RolloutOutcome.RUNNING and not self.is_stopped
-
     def get_elapsed_ratio(self, now_s: float) -> float:
         """Returns the share of the order's duration that has passed."""
         return self.get_age_s(now_s) / max(1.0, self.order.duration_s)
--- a/src/lovagestage/gateway/session_pins.py
+++ b/src/lovagestage/gateway/session_pins.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import math
 
 from lovagestage.types import ServiceId, VersionId
 
@@ -48,36 +47,14 @@
             version: The version that the session's last one is compared with.
             now_s: Elapsed time in seconds.
         """
-        is_active, last_version = self._find(service, session, now_s)
-        return is_active and last_version != version
-
-    def is_pinned_to(
-        self,
-        service: ServiceId,
-        session: str,
-        version: VersionId,
-        now_s: float,
-    ) -> bool:
-        """Returns whether an active session was last on a version.
-
-        Args:
-            service: The service.
-            session: The session.
-            version: The version that the session's last one is compared with.
-            now_s: Elapsed time in seconds.
-        """
-        is_active, last_version = self._find(service, session, now_s)
-        return is_active and last_version == version
-
-    def _find(
-        self, service: ServiceId, session: str, now_s: float
-    ) -> tuple[bool, VersionId | None]:
-        """Returns whether a session is active, and its last version."""
-        version, started_s = self._pins.get(
-            (service, session), (None, -math.inf)
+        pin = self._pins.get((service, session))
+        if pin is None:
+            return False
+        last_version, started_s = pin
+        return (
+            last_version != version
+            and now_s - started_s < self.session_s + SESSION_MARGIN_S
         )
-        is_active = now_s - started_s < self.session_s + SESSION_MARGIN_S
-        return is_active, version
 
     def record_request(
         self,
