Keep the load step of an undecided version until its verdict (PINNED)

Change: the load step lasts until the verdict, twice the duration at most. The share is the same at all gateways, so no session changes versions before. The exposure of an undecided version is larger beyond its deadline, which the evidence still ends, and the verdict comes sooner.

--- a/src/lovagestage/gateway/rollouts.py
+++ b/src/lovagestage/gateway/rollouts.py
@@ -346,9 +346,12 @@
     def is_loaded(self, now_s: float) -> bool:
         """Returns whether the new version is in its load step.
 
-        A version that is undecided at the end goes back to the first share.
+        The step lasts until the verdict, also where that comes after the
+        order's duration: sessions that it moved would change versions twice if
+        they went back before a good version is completed.
         """
-        is_due = LOAD_STEP.from_ratio <= self.get_elapsed_ratio(now_s) < 1.0
+        ratio = self.get_elapsed_ratio(now_s)
+        is_due = LOAD_STEP.from_ratio <= ratio < OVERDUE_RATIO
         return is_due and self.get_answer_count() >= LOAD_STEP.min_answers
 
     def get_elapsed_ratio(self, now_s: float) -> float:
