Bound the datagrams by which a gateway borrows shares

Requests that wait for a share ask at once, up to 50 times a second by ten datagrams each; a bucket of 40 datagrams a second keeps it at 2 KB/s.

--- a/src/lovagestage/gateway/share_exchange.py
+++ b/src/lovagestage/gateway/share_exchange.py
@@ -39,8 +39,10 @@
 """Longest time in seconds for which a request waits for a share: a datagram and
 its answer take a few milliseconds within a region."""
 MAX_LENDERS = 10
-"""Maximum number of gateways that are asked at a time, so that a gateway sends
-some 2 KB/s for this at most."""
+"""Maximum number of gateways that are asked at a time."""
+ASKS_PER_S = 40.0
+"""Datagrams per second that a gateway asks by, so that it sends some 2 KB/s for
+this; as many may go out at once after a second without any."""
 MAX_ENTRIES = 80
 """Maximum number of upstreams in a datagram, which then fits into a packet."""
 _HEAD = struct.Struct(">d")
@@ -78,6 +80,8 @@
         self._rotation = rotation
         self._shares = shares
         self._interval_s = ASK_INTERVAL_S
+        self._asks_left = ASKS_PER_S
+        self._asked_s = get_elapsed_s()
         self._lacking = asyncio.Event()
         self._lent = asyncio.Event()
         socket.register(ASK_KIND, self.apply_ask)
@@ -133,11 +137,18 @@
                     await self._lacking.wait()
             self._lacking.clear()
             now_s = get_elapsed_s()
-            wishes = self._shares.find_wishes(MAX_LENDERS, now_s)
+            max_lenders = min(MAX_LENDERS, self._count_asks_left(now_s))
+            wishes = self._shares.find_wishes(max_lenders, now_s)
             longer_s = min(MAX_ASK_INTERVAL_S, 2.0 * self._interval_s)
             self._interval_s = longer_s if wishes else ASK_INTERVAL_S
             self._ask(wishes, now_s)
 
+    def _count_asks_left(self, now_s: float) -> int:
+        accrued = ASKS_PER_S * (now_s - self._asked_s)
+        self._asks_left = min(ASKS_PER_S, self._asks_left + accrued)
+        self._asked_s = now_s
+        return max(0, int(self._asks_left))
+
     def _ask(self, wishes: dict[str, list[Wish]], now_s: float) -> None:
         peers = {format_peer(peer): peer for peer in self._socket.peers}
         head = _HEAD.pack(now_s)
@@ -145,6 +156,7 @@
             if (peer := peers.get(lender)) is not None:
                 entries = [(wish.upstream, Loan(wish.per_s)) for wish in asked]
                 self._send(ASK_KIND, head, entries, peer)
+                self._asks_left -= 1.0
 
     def _send(
         self,
