Let a limit that falls take what is borrowed with it (LIMIT)

A lease of the old limit's size would have gone on for up to 1.5 s under a new one, ten times smaller perhaps. Found by reading; the test failed before. Attempts look whether all upstreams are limited only where as many have said anything as there are: at 1,700 upstreams each attempt would have asked all.

--- a/src/lovagestage/decisions/share_lending.py
+++ b/src/lovagestage/decisions/share_lending.py
@@ -150,6 +150,14 @@
         self._base = base
         self._update_rate()
 
+    def scale_borrowed(self, ratio: float, now_s: float) -> None:
+        """Reduces what is borrowed, as the limit has fallen by a ratio."""
+        self._advance(now_s)
+        for lender, lease in list(self._borrowed.items()):
+            per_s = ratio * lease.per_s
+            self._borrowed[lender] = dataclasses.replace(lease, per_s=per_s)
+        self._update_rate()
+
     def lend(
         self,
         borrower: str,
--- a/src/lovagestage/gateway/attempts.py
+++ b/src/lovagestage/gateway/attempts.py
@@ -163,10 +163,13 @@
     def is_limited(self) -> bool:
         """Returns whether only shares of request limits stand in the way."""
         now_s, deployment = get_elapsed_s(), self._deployment
-        if not deployment.guard.get_noticed(now_s):
+        noticed = deployment.guard.get_noticed(now_s)
+        if not noticed:
             return False
         admitted = self.admitted
         ready = deployment.get_ready(admitted.service, admitted.allowed_regions)
+        if len(noticed) < len(ready):
+            return False
         denial = deployment.get_denial(ready, now_s)
         return denial is not None and denial.denial is Denial.LIMITED
 
--- a/src/lovagestage/gateway/limit_shares.py
+++ b/src/lovagestage/gateway/limit_shares.py
@@ -241,6 +241,9 @@
         else:
             share = entry.share
             share.set_base(base, now_s)
+            if limit_per_s < entry.limit_per_s:
+                ratio = limit_per_s / entry.limit_per_s
+                share.scale_borrowed(ratio, now_s)
         entry = _Entry(share, limit_per_s, now_s)
         self._entries[upstream] = entry
         return entry
--- a/tests/test_share_lending.py
+++ b/tests/test_share_lending.py
@@ -281,6 +281,16 @@
     assert shares.lend(upstream, names[1], 5.0, 20.0) is NO_LOAN
 
 
+def test_limit_that_falls_takes_what_is_borrowed_with_it():
+    # Guards against a second and a half of the old rate under a new limit.
+    names = [f"10.0.0.{number}:7000" for number in range(3)]
+    _, upstream, shares = make_limit_shares(names[0], names, 30.0)
+    shares.get_rate_limit(upstream, 30.0, 20.0)
+    shares.borrow(upstream, names[1], Loan(10.0), 20.0, 20.0)
+    limit = shares.get_rate_limit(upstream, 3.0, 21.0)
+    assert limit.requests / limit.span_s <= 2.0 + 1e-6
+
+
 def test_late_answer_is_no_lease():
     names = [f"10.0.0.{number}:7000" for number in range(3)]
     _, upstream, shares = make_limit_shares(names[0], names, 30.0)
