--- a/tests/test_running_time.py
+++ b/tests/test_running_time.py
@@ -25,14 +25,17 @@
     time.sleep(stall_s)
 
 
-async def test_own_stall_is_not_taken_for_an_upstream_that_cannot_be_reached():
+@pytest.mark.parametrize(("stalls", "stall_s"), [(6, 0.25), (1, 0.5)])
+async def test_own_stall_is_not_taken_for_an_upstream_that_cannot_be_reached(
+    stalls, stall_s
+):
     # Guards against 503 for a caller whose upstream had accepted in time.
     server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     loop = asyncio.get_running_loop()
     opening = asyncio.ensure_future(open_channel(f"127.0.0.1:{port}", 0.4))
     await asyncio.sleep(0)
-    await stall(loop, 6, 0.25)
+    await stall(loop, stalls, stall_s)
     channel = await opening
     assert channel.is_open
     channel.abort()
