--- a/lab/day/recovery.py
+++ b/lab/day/recovery.py
@@ -2,57 +2,22 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Iterable, Iterator, Sequence
 
 from lab.day.deployment import CONTACT_S
 from lab.day.records import Attempt, DayRecord, Outcome, WorkKind
+from lab.skew import MIN_SERVED_RATIO, SkewResult
 
 BEFORE_S = 5.0
-MIN_REQUESTS = 20
-MIN_SERVED_RATIO = 0.75
-"""Minimum of the ratio of requests that are served, as a share of the ratio in
-the seconds before."""
 FAULTS = (WorkKind.FREEZE, WorkKind.KILL)
 
 
-@dataclasses.dataclass(frozen=True)
-class SkewResult:
-    """What was served while most connections went to one gateway.
-
-    Attributes:
-        gateway: The gateway that got them first.
-        before: Requests of the seconds before, and how many were served.
-        during: The same from `CONTACT_S` on until the end.
-        unread: Requests of that time of which no attempt was read.
-    """
-
-    gateway: str
-    before: tuple[int, int]
-    during: tuple[int, int]
-    unread: int
-
-    @property
-    def ratio(self) -> float:
-        """Ratio of served requests, as a share of the ratio before."""
-        before = self.before[1] / max(1, self.before[0])
-        return self.during[1] / max(1, self.during[0]) / max(1e-9, before)
-
-    def __str__(self) -> str:
-        return (
-            f"skew to {self.gateway}: {self.during[1]} of {self.during[0]}"
-            f" served at the first try that was read, {self.before[1]} of"
-            f" {self.before[0]} before ({self.ratio:.2f}), {self.unread} unread"
-        )
-
-
 def find_starved(record: DayRecord) -> list[SkewResult]:
     """Returns the times in which too few requests were served."""
     return [
         result
         for result in get_skew_results(record)
-        if min(result.before[0], result.during[0]) >= MIN_REQUESTS
-        and result.ratio < MIN_SERVED_RATIO
+        if result.can_be_judged and result.ratio < MIN_SERVED_RATIO
     ]
 
 
--- a/lab/soak/skew_checks.py
+++ b/lab/soak/skew_checks.py
@@ -2,19 +2,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Iterator, Sequence
 
+from lab.skew import MIN_SERVED_RATIO, SkewResult
 from lab.soak.deployment import CONTACT_S
 from lab.soak.spans import overlaps_fault, overlaps_process_fault
 from lab.soak.traffic import SentRequest
 from lab.soak.world import SoakEnvironment
 
 BEFORE_S = 5.0
-MIN_REQUESTS = 20
-MIN_SERVED_RATIO = 0.75
-"""Minimum of the ratio of requests that are served, as a share of the ratio in
-the seconds before."""
 OTHER_FAULTS = (
     "crash_worker",
     "restore_store",
@@ -28,36 +24,6 @@
 """Faults during which requests may fail for other reasons."""
 
 
-@dataclasses.dataclass(frozen=True)
-class SkewResult:
-    """What was served while most connections went to one gateway.
-
-    Attributes:
-        gateway: The gateway that got them last.
-        begun_s: Monotonic time in seconds of the start.
-        before: Requests of the seconds before, and how many were served.
-        during: The same from `CONTACT_S` on until the end.
-    """
-
-    gateway: str
-    begun_s: float
-    before: tuple[int, int]
-    during: tuple[int, int]
-
-    @property
-    def ratio(self) -> float:
-        """Ratio of served requests, as a share of the ratio before."""
-        before = self.before[1] / max(1, self.before[0])
-        return self.during[1] / max(1, self.during[0]) / max(1e-9, before)
-
-    def __str__(self) -> str:
-        return (
-            f"{self.during[1]} of {self.during[0]} requests served while most"
-            f" connections went to {self.gateway} from {self.begun_s:.2f} on,"
-            f" {self.before[1]} of {self.before[0]} before ({self.ratio:.2f})"
-        )
-
-
 def find_skew_breaches(
     environment: SoakEnvironment, sent: Sequence[SentRequest]
 ) -> Iterator[str]:
@@ -78,11 +44,9 @@
         during = _select(
             environment, sent, skewed.begun_s + CONTACT_S, skewed.ended_s
         )
-        if min(len(before), len(during)) < MIN_REQUESTS:
-            continue
-        yield SkewResult(
-            skewed.gateway, skewed.begun_s, _count(before), _count(during)
-        )
+        result = SkewResult(skewed.gateway, _count(before), _count(during))
+        if result.can_be_judged:
+            yield result
 
 
 def _count(requests: Sequence[SentRequest]) -> tuple[int, int]:
--- a/src/lovagestage/decisions/share_lending.py
+++ b/src/lovagestage/decisions/share_lending.py
@@ -127,11 +127,6 @@
         self._advance(now_s)
         return self._per_s
 
-    def get_own_per_s(self, now_s: float) -> float:
-        """Returns the requests per second without what is borrowed."""
-        self._advance(now_s)
-        return max(0.0, self._base.per_s - self._count_lent())
-
     def get_rate_limit(self, now_s: float) -> RateLimit:
         """Returns the limit for the gateway's requests."""
         self._advance(now_s)
